Define the shared types and the layout of the crate

Every part leans on the identifiers, the document's model, proposals, outcomes, the platform's traits and the view, so they come first and alone.

--- /dev/null
+++ b/src/bin/amaranthwick/main.rs
@@ -0,0 +1,2 @@
+//! Operators command.
+fn main() {}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,69 @@
+//! Checked settings of a process.
+
+use std::net::SocketAddr;
+
+use crate::document::PublicKey;
+use crate::id::{DataCentre, MemberId};
+use crate::secret::FleetSecret;
+
+/// What every process of the fleet is told.
+#[derive(Clone, Debug)]
+pub struct Common {
+    /// Name of the process, unique in the fleet.
+    pub id: MemberId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Address for messages between processes; port 0 lets the kernel choose.
+    pub peer: SocketAddr,
+    /// Address for operators: state dump and metrics.
+    pub admin: SocketAddr,
+    /// Where the platform's services answer.
+    pub platform: Platform,
+    /// Authenticates processes and their records.
+    pub secret: FleetSecret,
+    /// Operator key that may create the fleet section.
+    pub root_key: PublicKey,
+}
+
+/// Addresses of the platform's services.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Log service.
+    pub log: SocketAddr,
+    /// VM list.
+    pub vms: SocketAddr,
+    /// Drain and reboot of VMs.
+    pub pools: SocketAddr,
+    /// Leases and tasks of workers.
+    pub workers: SocketAddr,
+}
+
+/// Settings of `amaranthwick-entry`.
+#[derive(Clone, Debug)]
+pub struct EntryConfig {
+    /// What every process is told.
+    pub common: Common,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Traffic threads.
+    pub threads: usize,
+    /// Callers' connections open at a time.
+    pub max_callers: usize,
+    /// Largest body of a request or an answer, in bytes.
+    pub max_body: usize,
+    /// Age of the last verified head after which keys may be out of date, in ms.
+    pub stale_ms: u64,
+    /// Time between failing health and closing the listener at a stop, in ms.
+    pub drain_ms: u64,
+}
+
+/// Settings of `amaranthwick-planner`.
+#[derive(Clone, Debug)]
+pub struct PlannerConfig {
+    /// What every process is told.
+    pub common: Common,
+    /// Time after which a claim that was not renewed may be taken over, in ms.
+    pub lease_ms: u64,
+    /// Records between snapshots.
+    pub snapshot_every: u64,
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,7 @@
+//! HTTP/1.1 messages with strict bounds around the codec library.
+
+mod client;
+mod message;
+
+pub use client::{Limits, SendError, send};
+pub use message::{Reply, Request};
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,22 @@
+//! Fleet capacity and maintenance manager.
+//!
+//! Callers reach targets only through the entry; operators steer the fleet by
+//! publishing their sections of one capacity document to the platform's log.
+
+pub mod config;
+pub mod control;
+pub mod document;
+pub mod entry;
+pub mod finding;
+pub mod http;
+pub mod id;
+pub mod ledger;
+pub mod membership;
+pub mod outcome;
+pub mod peer;
+pub mod planner;
+pub mod platform;
+pub mod runtime;
+pub mod secret;
+pub mod telemetry;
+pub mod view;
--- /dev/null
+++ b/src/planner/mod.rs
@@ -0,0 +1,1 @@
+//! Decides where VMs and jobs are placed.
--- /dev/null
+++ b/src/platform/types.rs
@@ -0,0 +1,151 @@
+//! What the platform's services say.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{ClassId, DataCentre, Generation, Offset, Rack, VmId};
+
+/// Records read from the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// Oldest offset still kept.
+    pub oldest: Offset,
+    /// Offset that the next append gets.
+    pub head: Offset,
+    /// Offset of the first record of `records`.
+    pub first: Offset,
+    /// Consecutive records.
+    pub records: Vec<Vec<u8>>,
+}
+
+/// Why a call to the log failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LogError {
+    /// The log says that it is not available.
+    Unavailable,
+    /// The wanted records have expired; the oldest kept offset is given.
+    Expired(Offset),
+    /// The log was not reached; an append has had no effect.
+    NotSent(String),
+    /// No answer; an append may have taken effect.
+    Unknown(String),
+}
+
+impl fmt::Display for LogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unavailable => f.write_str("log unavailable"),
+            Self::Expired(oldest) => write!(f, "records before offset {oldest} have expired"),
+            Self::NotSent(cause) => write!(f, "log not reached: {cause}"),
+            Self::Unknown(cause) => write!(f, "log gave no answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for LogError {}
+
+/// Why a call to another platform service failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlatformError {
+    /// The condition of the call no longer holds.
+    Conflict,
+    /// The VM or task is not known.
+    Missing,
+    /// The service refused, with its words.
+    Refused(String),
+    /// The service was not reached; the call has had no effect.
+    NotSent(String),
+    /// No answer; the call may have taken effect.
+    Unknown(String),
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Conflict => f.write_str("generation has changed"),
+            Self::Missing => f.write_str("not known to the platform"),
+            Self::Refused(words) => write!(f, "refused: {words}"),
+            Self::NotSent(cause) => write!(f, "not reached: {cause}"),
+            Self::Unknown(cause) => write!(f, "no answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for PlatformError {}
+
+/// State of a VM in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmPhase {
+    /// Serves.
+    Live,
+    /// Will be taken away or rebooted.
+    Leaving,
+    /// Off or starting.
+    Down,
+}
+
+/// A VM as the list shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Its name.
+    pub id: VmId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its failure domain.
+    pub rack: Rack,
+    /// Address of the target on it; workers have none.
+    pub address: Option<SocketAddr>,
+    /// Its state.
+    pub phase: VmPhase,
+    /// Changed by every drain and reboot.
+    pub generation: Generation,
+}
+
+/// A task for a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskSpec {
+    /// Unique id of this run.
+    pub id: String,
+    /// Name of the program.
+    pub task: String,
+    /// Its input.
+    pub input: String,
+    /// Cores.
+    pub cores: u32,
+    /// Memory in MB.
+    pub memory_mb: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+    /// The worker stops the task when the lease is not renewed for this long, in ms.
+    pub lease_ms: u64,
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskState {
+    /// Runs.
+    Running,
+    /// Ended well.
+    Done,
+    /// Ended badly.
+    Failed,
+    /// Stopped on request.
+    Stopped,
+    /// Stopped because its lease lapsed.
+    Lapsed,
+}
+
+/// A task as its worker reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskStatus {
+    /// Where it stands.
+    pub state: TaskState,
+    /// Its output or its error, once it has ended.
+    pub output: String,
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Log lines, metrics and the state dump.
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform.
