Add the server stub and the control thread's queries

The command line needs a section's revision and a record's verdict without the fleet secret, so the control thread answers both.

--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use serde::{Deserialize, Serialize};
 
-use crate::id::JobId;
+use crate::id::{JobId, RecordId, Revision, SectionId};
 use crate::ledger::{Job, JobPhase, Proposal, Verdict};
 use crate::peer::Heartbeat;
 use crate::view::View;
@@ -23,6 +23,10 @@
     Job(JobId, Sender<Option<JobState>>),
     /// Hands over a heartbeat of another process; answered with the own one.
     Heartbeat(Heartbeat, Sender<Heartbeat>),
+    /// Asks for the accepted text of a section.
+    Section(SectionId, Sender<Option<SectionState>>),
+    /// Asks for the verdict on a record, while it is still remembered.
+    Verdict(RecordId, Sender<Option<Verdict>>),
     /// Asks for the state of the control thread.
     Dump(Sender<serde_json::Value>),
 }
@@ -58,6 +62,15 @@
     pub step: u32,
 }
 
+/// The accepted text of a section.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SectionState {
+    /// Number of accepted edits.
+    pub revision: Revision,
+    /// JSON with comments, as published.
+    pub text: Arc<str>,
+}
+
 /// Handle of the control thread; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Control {
@@ -107,6 +120,20 @@
         self.ask(|reply| Command::Heartbeat(heartbeat, reply)).await
     }
 
+    /// Accepted text of a section.
+    pub async fn section(&self, id: &SectionId) -> Option<SectionState> {
+        self.ask(|reply| Command::Section(id.clone(), reply))
+            .await
+            .flatten()
+    }
+
+    /// Verdict on a record, while it is still remembered.
+    pub async fn verdict(&self, id: RecordId) -> Option<Verdict> {
+        self.ask(|reply| Command::Verdict(id, reply))
+            .await
+            .flatten()
+    }
+
     /// State of the control thread for the dump.
     pub async fn dump(&self) -> serde_json::Value {
         self.ask(Command::Dump).await.unwrap_or_default()
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,4 +2,4 @@
 
 mod handle;
 
-pub use handle::{Command, Control, JobState, ProposeError};
+pub use handle::{Command, Control, JobState, ProposeError, SectionState};
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,8 @@
 
 mod client;
 mod message;
+mod server;
 
 pub use client::{Limits, SendError, send};
 pub use message::{Reply, Request};
+pub use server::{Handler, Server, ServerLimits};
