Read the length of an answer before its body

The client compared the declared length after the body had been taken out of the message, when the library reports 0, so every answer with a body was called cut.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -100,11 +100,12 @@
         .boxed()
         .await
         .map_err(|e| e.to_string())?;
+    let declared = incoming.len();
     let body = incoming.body_bytes().await.map_err(|e| e.to_string())?;
     if body.len() > limits.max_body {
         return Err("body over the limit".to_owned());
     }
-    if incoming.len().is_some_and(|n| n != body.len()) {
+    if declared.is_some_and(|n| n != body.len()) {
         return Err("body cut".to_owned());
     }
     let headers = incoming
