Write log lines and metrics as key=value pairs, serve the admin address

Both daemons need one log format, in-memory metrics and an admin address, so these come first. Values are quoted and escaped, so that no value can start another pair or line; tags lose the separators of the metrics client's line format, which has no escapes.

--- /dev/null
+++ b/src/telemetry/admin.rs
@@ -0,0 +1,261 @@
+//! Admin address of a process, for operators and probes.
+//!
+//! `GET /healthz`, `/state`, `/metrics-snapshot`, `/sections/{name}` and
+//! `/verdicts/{record id}`.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use super::Metrics;
+use crate::control::Control;
+use crate::http::{Handler, Reply, Request, Server, ServerLimits};
+use crate::id::{DataCentre, Incarnation, MemberId, RecordId, Revision, SectionId};
+use crate::ledger::Verdict;
+use crate::runtime::Runtime;
+use crate::view::View;
+
+/// Who the process is, for the state dump.
+#[derive(Clone, Debug)]
+pub struct Process {
+    /// Name of the program.
+    pub program: &'static str,
+    /// Name from its settings.
+    pub id: MemberId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Start of this run of the process.
+    pub incarnation: Incarnation,
+}
+
+/// The part of the state dump that only the daemon knows.
+pub trait Dump: Send + Sync + 'static {
+    /// State of the daemon; holds no secret.
+    fn dump(&self) -> impl Future<Output = Value> + Send;
+
+    /// False when no new work should be sent to the process.
+    fn healthy(&self) -> bool {
+        true
+    }
+}
+
+/// Accepted text of a section, as the admin address gives it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Section {
+    /// The section.
+    pub section: SectionId,
+    /// Number of accepted edits.
+    pub revision: Revision,
+    /// JSON with comments, as published.
+    pub text: String,
+}
+
+/// Verdict on a record, as the admin address gives it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordVerdict {
+    /// The record, as 32 hexadecimal digits.
+    pub record: String,
+    /// What the fold said.
+    pub verdict: Verdict,
+}
+
+/// Handler of the admin address.
+#[derive(Debug)]
+pub struct Admin<D> {
+    process: Process,
+    started: Instant,
+    control: Control,
+    metrics: Metrics,
+    dump: D,
+}
+
+impl<D: Dump> Admin<D> {
+    /// Listens for operators on `address`.
+    ///
+    /// # Errors
+    /// Fails when the address can't be bound.
+    pub fn bind(
+        address: SocketAddr,
+        runtime: &Runtime,
+        process: Process,
+        control: Control,
+        metrics: Metrics,
+        dump: D,
+    ) -> io::Result<Server> {
+        let admin = Self {
+            process,
+            started: Instant::now(),
+            control,
+            metrics,
+            dump,
+        };
+        Server::bind(address, runtime, ServerLimits::default(), admin)
+    }
+
+    async fn get(&self, path: &str) -> Reply {
+        match path {
+            "/healthz" => self.health(),
+            "/state" => json_reply(&self.state().await),
+            "/metrics-snapshot" => text_reply(200, self.metrics.snapshot()),
+            _ => self.look_up(path).await,
+        }
+    }
+
+    async fn look_up(&self, path: &str) -> Reply {
+        if let Some(name) = path.strip_prefix("/sections/") {
+            return self.section(name).await;
+        }
+        if let Some(id) = path.strip_prefix("/verdicts/") {
+            return self.verdict(id).await;
+        }
+        problem(404, "Not Found", "no such resource")
+    }
+
+    fn health(&self) -> Reply {
+        if self.dump.healthy() {
+            text_reply(200, "ok\n".to_owned())
+        } else {
+            text_reply(503, "stopping\n".to_owned())
+        }
+    }
+
+    async fn state(&self) -> Value {
+        let process = &self.process;
+        json!({
+            "process": {
+                "program": process.program,
+                "version": env!("CARGO_PKG_VERSION"),
+                "id": process.id,
+                "data_centre": process.data_centre,
+                "incarnation": process.incarnation,
+                "pid": std::process::id(),
+                "uptime_ms": millis_since(self.started),
+            },
+            "view": dump_view(&self.control.view()),
+            "control": self.control.dump().await,
+            "daemon": self.dump.dump().await,
+        })
+    }
+
+    async fn section(&self, name: &str) -> Reply {
+        let id = SectionId::new(name);
+        match self.control.section(&id).await {
+            Some(state) => json_reply(&Section {
+                section: id,
+                revision: state.revision,
+                text: state.text.to_string(),
+            }),
+            None => problem(404, "Not Found", "no accepted section of this name"),
+        }
+    }
+
+    async fn verdict(&self, id: &str) -> Reply {
+        let Ok(record) = u128::from_str_radix(id, 16) else {
+            return problem(400, "Bad Request", "a record id is 32 hexadecimal digits");
+        };
+        match self.control.verdict(RecordId(record)).await {
+            Some(verdict) => json_reply(&RecordVerdict {
+                record: RecordId(record).to_string(),
+                verdict,
+            }),
+            None => problem(404, "Not Found", "no verdict on this record"),
+        }
+    }
+}
+
+impl<D: Dump> Handler for Admin<D> {
+    async fn handle(&self, request: Request, _caller: SocketAddr) -> Reply {
+        if request.method != "GET" {
+            let mut reply = problem(405, "Method Not Allowed", "only GET is served here");
+            reply.headers.push(("allow".to_owned(), "GET".to_owned()));
+            return reply;
+        }
+        let path = request.path.split('?').next().unwrap_or_default();
+        self.get(path).await
+    }
+}
+
+fn dump_view(view: &View) -> Value {
+    let targets = view.targets.iter().map(|(pool, targets)| {
+        let targets: Vec<_> = targets.iter().map(dump_target).collect();
+        (pool.to_string(), Value::from(targets))
+    });
+    let document = view.document.as_ref().map(|document| {
+        json!({
+            "data_centres": document.fleet.data_centres.keys().collect::<Vec<_>>(),
+            "teams": document.teams.keys().collect::<Vec<_>>(),
+        })
+    });
+    json!({
+        "offset": view.offset,
+        "verified_ms": view.verified.map(millis_since),
+        "planner": view.planner.as_ref().map(|(holder, epoch)| json!({
+            "holder": holder,
+            "epoch": epoch,
+        })),
+        "members": view.members.iter().map(dump_member).collect::<Vec<_>>(),
+        "document": document,
+        "targets": targets.collect::<serde_json::Map<_, _>>(),
+    })
+}
+
+fn dump_target(target: &crate::view::Target) -> Value {
+    json!({
+        "vm": target.vm,
+        "data_centre": target.data_centre,
+        "rack": target.rack,
+        "address": target.address,
+        "slots": target.slots,
+        "connections": target.connections,
+        "leaving": target.leaving,
+    })
+}
+
+fn dump_member(member: &crate::view::Member) -> Value {
+    json!({
+        "id": member.id,
+        "incarnation": member.incarnation,
+        "data_centre": member.data_centre,
+        "peer": member.peer,
+        "alive": member.alive,
+    })
+}
+
+fn millis_since(start: Instant) -> u64 {
+    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
+fn json_reply(value: &impl Serialize) -> Reply {
+    match serde_json::to_vec_pretty(value) {
+        Ok(mut body) => {
+            body.push(b'\n');
+            reply(200, "application/json", body)
+        }
+        Err(error) => problem(500, "Internal Server Error", &error.to_string()),
+    }
+}
+
+fn text_reply(status: u16, text: String) -> Reply {
+    reply(status, "text/plain; charset=utf-8", text.into_bytes())
+}
+
+fn problem(status: u16, title: &str, detail: &str) -> Reply {
+    let body = json!({ "title": title, "status": status, "detail": detail });
+    reply(
+        status,
+        "application/problem+json",
+        body.to_string().into_bytes(),
+    )
+}
+
+fn reply(status: u16, kind: &str, body: Vec<u8>) -> Reply {
+    Reply {
+        status,
+        headers: vec![("content-type".to_owned(), kind.to_owned())],
+        body,
+    }
+}
--- /dev/null
+++ b/src/telemetry/log.rs
@@ -0,0 +1,90 @@
+//! Log of a process: one line of `key=value` pairs for each event.
+//!
+//! An event is written as
+//! `time=2026-03-01T04:05:06.789Z level=info event=listening address=127.0.0.1:4000`.
+
+use std::env;
+use std::sync::Arc;
+
+use anyhow::{Context, Result};
+use chrono::{DateTime, SecondsFormat, Utc};
+use spdlog::formatter::{Formatter, FormatterContext};
+use spdlog::sink::StdStreamSink;
+use spdlog::terminal_style::StyleMode;
+use spdlog::{Level, LevelFilter, Logger, Record, StringBuf};
+
+use super::pair::write_pair;
+
+/// Environment variable that names the least severe level to be written.
+pub const LEVEL_VARIABLE: &str = "AMARANTHWICK_LOG";
+
+/// Stream that the log is written to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// Standard output, for daemons.
+    Stdout,
+    /// Standard error, for commands whose output is read by others.
+    Stderr,
+}
+
+/// Makes the default logger write `key=value` lines to `stream`.
+///
+/// The level is taken from [`LEVEL_VARIABLE`], or is `info`.
+///
+/// # Errors
+/// Fails when the variable names no level.
+pub fn open(stream: Stream) -> Result<()> {
+    let level = match env::var(LEVEL_VARIABLE) {
+        Ok(name) => parse_level(&name)?,
+        Err(_) => Level::Info,
+    };
+    let sink = StdStreamSink::builder().style_mode(StyleMode::Never);
+    let sink = match stream {
+        Stream::Stdout => sink.stdout(),
+        Stream::Stderr => sink.stderr(),
+    };
+    let sink = sink.formatter(Format).build_arc().context("open the log")?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .build_arc()
+        .context("open the log")?;
+    spdlog::set_default_logger(Arc::clone(&logger));
+    Ok(())
+}
+
+fn parse_level(name: &str) -> Result<Level> {
+    name.parse::<Level>()
+        .with_context(|| format!("{LEVEL_VARIABLE}={name:?} names no log level"))
+}
+
+/// Formats a record as one line of `key=value` pairs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Format;
+
+impl Formatter for Format {
+    fn format(
+        &self,
+        record: &Record,
+        line: &mut StringBuf,
+        _context: &mut FormatterContext,
+    ) -> spdlog::Result<()> {
+        write_record(record, line).map_err(spdlog::Error::FormatRecord)
+    }
+}
+
+fn write_record(record: &Record, line: &mut StringBuf) -> std::fmt::Result {
+    let time = DateTime::<Utc>::from(record.time());
+    let time = time.to_rfc3339_opts(SecondsFormat::Millis, true);
+    write_pair(line, "time", &time)?;
+    line.push(' ');
+    write_pair(line, "level", record.level().as_str())?;
+    line.push(' ');
+    write_pair(line, "event", record.payload())?;
+    for (key, value) in record.key_values() {
+        line.push(' ');
+        write_pair(line, key.as_str(), &value.to_string())?;
+    }
+    line.push('\n');
+    Ok(())
+}
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,118 @@
+//! Counters, gauges and histograms of a process, kept in memory.
+//!
+//! Names end with their unit. Tags name queues, outcomes and the like, never a
+//! caller, key or request.
+
+use std::io;
+use std::sync::Arc;
+
+use cadence::{Counted, Gauged, Histogrammed, MetricSink, StatsdClient};
+
+use super::sink::Registry;
+
+/// Requests that got an outcome; tags `queue`, `outcome`, `reason`.
+pub const REQUESTS: &str = "requests_total";
+/// Time from the last byte of a request read to its outcome, in µs; tag `queue`.
+pub const REQUEST_US: &str = "request_us";
+/// Time that a request waited in its queue, in µs; tag `queue`.
+pub const QUEUED_US: &str = "queued_us";
+/// Requests waiting; tag `queue`.
+pub const QUEUED: &str = "queued_requests";
+/// Requests running at targets; tag `team`.
+pub const RUNNING: &str = "running_requests";
+/// Requests handed to another entry; tag `result`.
+pub const FORWARDS: &str = "forwards_total";
+/// Callers' connections open.
+pub const CALLERS: &str = "caller_connections";
+/// Records folded; tag `kind`.
+pub const FOLDED: &str = "folded_records_total";
+/// Records skipped because nobody of the fleet signed them.
+pub const SKIPPED: &str = "skipped_records_total";
+/// Records appended; tag `kind`.
+pub const APPENDED: &str = "appended_records_total";
+/// Calls to the log that failed; tag `cause`.
+pub const LOG_ERRORS: &str = "log_errors_total";
+/// Next offset that will be folded.
+pub const OFFSET: &str = "folded_offset";
+/// Time from an append to its verdict, in ms.
+pub const VERDICT_MS: &str = "verdict_ms";
+
+/// Metrics of a process; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+    registry: Arc<Registry>,
+}
+
+/// Hands the client's lines to a registry that is shared with the reader.
+#[derive(Debug)]
+struct Shared(Arc<Registry>);
+
+impl MetricSink for Shared {
+    fn emit(&self, line: &str) -> io::Result<usize> {
+        self.0.emit(line)
+    }
+}
+
+impl Metrics {
+    /// Metrics without any series.
+    #[must_use]
+    pub fn open() -> Self {
+        let registry = Arc::new(Registry::default());
+        let client = StatsdClient::from_sink("", Shared(Arc::clone(&registry)));
+        Self {
+            client: Arc::new(client),
+            registry,
+        }
+    }
+
+    /// Adds `amount` to a counter.
+    pub fn count(&self, name: &str, amount: i64, tags: &[(&str, &str)]) {
+        let tags = clean(tags);
+        let mut metric = self.client.count_with_tags(name, amount);
+        for (key, value) in &tags {
+            metric = metric.with_tag(key, value);
+        }
+        let _ = metric.try_send();
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64, tags: &[(&str, &str)]) {
+        let tags = clean(tags);
+        let mut metric = self.client.gauge_with_tags(name, value);
+        for (key, value) in &tags {
+            metric = metric.with_tag(key, value);
+        }
+        let _ = metric.try_send();
+    }
+
+    /// Adds a value to a histogram.
+    pub fn record(&self, name: &str, value: u64, tags: &[(&str, &str)]) {
+        let tags = clean(tags);
+        let mut metric = self.client.histogram_with_tags(name, value);
+        for (key, value) in &tags {
+            metric = metric.with_tag(key, value);
+        }
+        let _ = metric.try_send();
+    }
+
+    /// All series, one line of `key=value` pairs each.
+    #[must_use]
+    pub fn snapshot(&self) -> String {
+        self.registry.snapshot()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::open()
+    }
+}
+
+// The client's line format has no escapes for its separators.
+fn clean<'a>(tags: &[(&'a str, &str)]) -> Vec<(&'a str, String)> {
+    let separator = |c: char| matches!(c, ',' | '|' | '#' | ':') || c.is_control();
+    tags.iter()
+        .map(|(key, value)| (*key, value.replace(separator, "_")))
+        .collect()
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,1 +1,12 @@
-//! Log lines, metrics and the state dump.
+//! Log lines, metrics and the admin address.
+
+pub mod admin;
+pub mod log;
+pub mod metrics;
+mod pair;
+mod sink;
+#[cfg(test)]
+mod tests;
+
+pub use admin::{Admin, Dump, Process};
+pub use metrics::Metrics;
