--- /dev/null
+++ b/tests/support/pairs.rs
@@ -0,0 +1,30 @@
+//! Reads log lines of `key=value` pairs.
+
+/// Value of `key` in a log line, without quotes or escapes.
+pub fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    let mut rest = line;
+    while let Some((name, after)) = rest.split_once('=') {
+        let end = value_end(after);
+        if name.trim_start() == key {
+            return Some(after[..end].trim_matches('"'));
+        }
+        rest = &after[end..];
+    }
+    None
+}
+
+fn value_end(text: &str) -> usize {
+    if !text.starts_with('"') {
+        return text.find(' ').unwrap_or(text.len());
+    }
+    let mut escaped = false;
+    for (i, c) in text.char_indices().skip(1) {
+        match c {
+            _ if escaped => escaped = false,
+            '\\' => escaped = true,
+            '"' => return i + 1,
+            _ => {}
+        }
+    }
+    text.len()
+}
