Read the capacity document and the settings, with findings

Operators' input was typed but nothing read it. A small reader over the syntax tree of jsonc-parser now decodes typed values and collects every fault with line and column: unknown field with the nearest name, missing field, wrong type, wrong unit, duplicate key, out of range, bad name and bad hexadecimal digits. The document and the settings share it.

The parser recurses once a level and accepts two values without a comma between them, so a pass over the tokens bounds the depth and names the missing comma first.

Sections join into one document; checks between sections name both places. The places are looked up again in the texts when a check fails, so a valid edit carries none. Sums over sections (ceilings, lone VMs) are checked once every team that the fleet section names has published, or a document could never be published section by section.

Decisions: a class has at most one spare pool; an operator's key may serve several sections, but under one name, so that edits can be attributed; a caller's key stands for one entry, or withdrawing it would leave it working.

Identifiers gain AsRef<str>, findings print their place.

Tests were seen failing first: the base left out of the signed message, one budget changed while joining, a pool named twice in an example, the label of example secrets changed, and a time written as "2s".

--- /dev/null
+++ b/src/config/common.rs
@@ -0,0 +1,88 @@
+//! Settings that every process has.
+
+use std::fs;
+
+use super::beside;
+use super::model::{Common, Platform};
+use crate::document::decode::public_key;
+use crate::document::hex;
+use crate::id::{DataCentre, MemberId};
+use crate::jsonc::{Fields, Node};
+use crate::secret::FleetSecret;
+
+/// Names of the fields that [`common`] reads.
+pub(super) const COMMON: [&str; 8] = [
+    "id",
+    "data_centre",
+    "peer",
+    "admin",
+    "platform",
+    "secret",
+    "secret_file",
+    "root_key",
+];
+const PLATFORM: [&str; 4] = ["log", "vms", "pools", "workers"];
+
+pub(super) fn common(file: &str, fields: &Fields<'_>) -> Option<Common> {
+    let id = fields.required("id").and_then(Node::name);
+    let data_centre = fields.required("data_centre").and_then(Node::name);
+    let peer = fields.required("peer").and_then(Node::address);
+    let admin = fields.required("admin").and_then(Node::address);
+    let platform = fields.required("platform").and_then(platform);
+    let secret = secret(file, fields);
+    let root_key = fields.required("root_key").and_then(public_key);
+    Some(Common {
+        id: MemberId::from(id?),
+        data_centre: DataCentre::from(data_centre?),
+        peer: peer?,
+        admin: admin?,
+        platform: platform?,
+        secret: secret?,
+        root_key: root_key?,
+    })
+}
+
+fn platform(node: Node<'_>) -> Option<Platform> {
+    let fields = node.fields(&PLATFORM)?;
+    let log = fields.required("log").and_then(Node::address);
+    let vms = fields.required("vms").and_then(Node::address);
+    let pools = fields.required("pools").and_then(Node::address);
+    let workers = fields.required("workers").and_then(Node::address);
+    Some(Platform {
+        log: log?,
+        vms: vms?,
+        pools: pools?,
+        workers: workers?,
+    })
+}
+
+/// The secret stands in the settings themselves or in a file beside them.
+fn secret(file: &str, fields: &Fields<'_>) -> Option<FleetSecret> {
+    match (fields.optional("secret"), fields.optional("secret_file")) {
+        (Some(_), Some(node)) => {
+            node.fault("give either `secret` or `secret_file`, not both");
+            None
+        }
+        (None, Some(node)) => secret_file(file, node),
+        (_, None) => fields.required("secret")?.secret().map(FleetSecret::new),
+    }
+}
+
+fn secret_file(file: &str, node: Node<'_>) -> Option<FleetSecret> {
+    let path = beside(file, node.text()?);
+    let shown = path.display();
+    let text = match fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(e) => {
+            node.fault(format!("`secret_file` {shown} can't be read: {e}"));
+            return None;
+        }
+    };
+    let Ok(bytes) = hex::decode(text.trim()) else {
+        node.fault(format!(
+            "`secret_file` {shown} must hold 64 lower-case hexadecimal digits"
+        ));
+        return None;
+    };
+    Some(FleetSecret::new(bytes))
+}
--- /dev/null
+++ b/src/config/entry.rs
@@ -0,0 +1,73 @@
+//! Settings of `amaranthwick-entry`.
+
+use std::ops::RangeInclusive;
+use std::path::Path;
+
+use anyhow::Result;
+
+use super::common::{COMMON, common};
+use super::model::EntryConfig;
+use crate::finding::Findings;
+use crate::jsonc::{self, Node};
+
+const THREADS: RangeInclusive<u64> = 1..=64;
+const MAX_CALLERS: RangeInclusive<u64> = 1..=1_000_000;
+const MAX_BODY_BYTES: RangeInclusive<u64> = 1_024..=1_073_741_824;
+const STALE_MS: RangeInclusive<u64> = 100..=600_000;
+const DRAIN_MS: RangeInclusive<u64> = 0..=600_000;
+
+const ENTRY: [&str; 6] = [
+    "callers",
+    "threads",
+    "max_callers",
+    "max_body_bytes",
+    "stale_ms",
+    "drain_ms",
+];
+
+impl EntryConfig {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Fails when the file can't be read; otherwise gives every finding.
+    pub fn read(path: &Path) -> Result<Self> {
+        super::read(path, Self::parse)
+    }
+
+    /// Checks settings; a `secret_file` is looked for beside `file`.
+    ///
+    /// # Errors
+    /// Gives every finding.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        jsonc::read(file, text, |node| entry(file, node))
+    }
+}
+
+fn entry(file: &str, node: Node<'_>) -> Option<EntryConfig> {
+    let known: Vec<&str> = COMMON.into_iter().chain(ENTRY).collect();
+    let fields = node.fields(&known)?;
+    let common = common(file, &fields);
+    let callers = fields.required("callers").and_then(Node::address);
+    let threads = fields.required("threads").and_then(|n| n.number(&THREADS));
+    let max_callers = fields
+        .required("max_callers")
+        .and_then(|n| n.number(&MAX_CALLERS));
+    let max_body = fields
+        .required("max_body_bytes")
+        .and_then(|n| n.number(&MAX_BODY_BYTES));
+    let stale_ms = fields
+        .required("stale_ms")
+        .and_then(|n| n.number(&STALE_MS));
+    let drain_ms = fields
+        .required("drain_ms")
+        .and_then(|n| n.number(&DRAIN_MS));
+    Some(EntryConfig {
+        common: common?,
+        callers: callers?,
+        threads: threads?,
+        max_callers: max_callers?,
+        max_body: max_body?,
+        stale_ms: stale_ms?,
+        drain_ms: drain_ms?,
+    })
+}
--- /dev/null
+++ b/src/config/key.rs
@@ -0,0 +1,88 @@
+//! Files that hold the seed of an operator's key.
+
+use std::fmt;
+use std::fs::OpenOptions;
+use std::io::{self, Write};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::Path;
+
+use anyhow::Result;
+
+use crate::document::{OperatorKey, hex, new_secret};
+use crate::finding::Findings;
+use crate::jsonc;
+
+const OWNER_ONLY: u32 = 0o600;
+
+/// Key file of an operator: JSON with comments, `{ "seed": "64 hexadecimal digits" }`.
+#[derive(Debug)]
+pub struct KeyFile;
+
+/// Why a key file was not created.
+#[derive(Debug)]
+pub enum KeyFileError {
+    /// The operating system has no randomness to give.
+    Random(getrandom::Error),
+    /// The file exists already or can't be written.
+    Write(io::Error),
+}
+
+impl KeyFile {
+    /// Draws a new key and writes its seed to a new file that only the owner can read.
+    ///
+    /// # Errors
+    /// Never writes over a file that is there.
+    pub fn create(path: &Path) -> Result<OperatorKey, KeyFileError> {
+        let seed = new_secret().map_err(KeyFileError::Random)?;
+        let key = OperatorKey::from_seed(&seed);
+        let text = Self::text(&key, &seed);
+        write_new(path, &text).map_err(KeyFileError::Write)?;
+        Ok(key)
+    }
+
+    /// Reads and checks a key file.
+    ///
+    /// # Errors
+    /// Fails when the file can't be read; otherwise gives every finding.
+    pub fn read(path: &Path) -> Result<OperatorKey> {
+        super::read(path, Self::parse)
+    }
+
+    /// Checks the text of a key file.
+    ///
+    /// # Errors
+    /// Gives every finding; none of them shows the seed.
+    pub fn parse(file: &str, text: &str) -> Result<OperatorKey, Findings> {
+        let seed = jsonc::read(file, text, |node| {
+            node.fields(&["seed"])?.required("seed")?.secret()
+        })?;
+        Ok(OperatorKey::from_seed(&seed))
+    }
+
+    fn text(key: &OperatorKey, seed: &[u8; 32]) -> String {
+        let public = hex::encode(&key.public());
+        let seed = hex::encode(seed);
+        format!("// Keep this file secret. Public key: {public}\n{{\n  \"seed\": \"{seed}\"\n}}\n")
+    }
+}
+
+impl fmt::Display for KeyFileError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Random(e) => write!(f, "no randomness: {e}"),
+            Self::Write(e) => write!(f, "key file not written: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for KeyFileError {}
+
+fn write_new(path: &Path, text: &str) -> io::Result<()> {
+    let mut file = OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(OWNER_ONLY)
+        .open(path)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()
+}
--- a/src/config.rs
+++ b/src/config/model.rs
@@ -1,9 +1,12 @@
-//! Checked settings of a process.
+//! Typed form of valid settings.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use indexmap::IndexMap;
 
 use crate::document::PublicKey;
-use crate::id::{DataCentre, MemberId};
+use crate::id::{DataCentre, MemberId, OperatorId};
 use crate::secret::FleetSecret;
 
 /// What every process of the fleet is told.
@@ -67,3 +70,16 @@
     /// Records between snapshots.
     pub snapshot_every: u64,
 }
+
+/// Settings of the operators' command.
+#[derive(Clone, Debug)]
+pub struct OperatorConfig {
+    /// Log service that edits are published to.
+    pub log: SocketAddr,
+    /// Admin addresses of processes.
+    pub admins: IndexMap<MemberId, SocketAddr>,
+    /// Who signs edits.
+    pub operator: OperatorId,
+    /// File with the seed of the operator's key.
+    pub key_file: PathBuf,
+}
--- /dev/null
+++ b/src/document/check/budget.rs
@@ -0,0 +1,80 @@
+//! Budgets that no order of planned stops can meet.
+
+use indexmap::IndexMap;
+
+use super::{OwnedPool, Parts};
+use crate::finding::Finding;
+
+const DAY_MS: u64 = 86_400_000;
+// A drained VM is rebooted and checked within this time.
+const RESTART_MS: u64 = 600_000;
+
+pub(super) fn check(parts: &Parts<'_>) -> Vec<Finding> {
+    let mut findings = cycle(parts);
+    findings.extend(single_vms(parts));
+    findings
+}
+
+/// Every VM of a data centre is stopped once in the cycle, `vms` at a time.
+fn cycle(parts: &Parts<'_>) -> Vec<Finding> {
+    let fleet = parts.fleet_value;
+    let budgets = &fleet.budgets;
+    let cycle_ms = u64::from(budgets.cycle_days) * DAY_MS;
+    let longest_ms = fleet.services.values().map(|service| service.run_limit_ms);
+    let stop_ms = longest_ms.max().unwrap_or(0) + RESTART_MS;
+    let mut findings = Vec::new();
+    for (name, (count, largest)) in per_data_centre(parts) {
+        let waves = count.div_ceil(u64::from(budgets.vms));
+        if waves * stop_ms <= cycle_ms {
+            continue;
+        }
+        let message = format!(
+            "budget nobody can meet: {count} VMs in `{name}`, {} at a time for {stop_ms} ms each, \
+             take longer than {} days; the largest pool there is `{}` at {}",
+            budgets.vms,
+            budgets.cycle_days,
+            largest.id,
+            largest.reference()
+        );
+        findings.push(parts.fleet.finding(&["budgets", "cycle_days"], message));
+    }
+    findings
+}
+
+/// VMs and largest pool of each data centre.
+fn per_data_centre<'a>(parts: &'a Parts<'_>) -> IndexMap<&'a str, (u64, OwnedPool<'a>)> {
+    let mut counts: IndexMap<&str, (u64, OwnedPool<'_>)> = IndexMap::new();
+    for pool in parts.pools() {
+        for (name, vms) in &pool.spec.vms {
+            let (count, largest) = counts.entry(name.as_str()).or_insert((0, pool));
+            *count += u64::from(*vms);
+            if largest.spec.vms.get(name) < Some(vms) {
+                *largest = pool;
+            }
+        }
+    }
+    counts
+}
+
+/// A lone VM can be stopped only when a spare takes its place.
+fn single_vms(parts: &Parts<'_>) -> Vec<Finding> {
+    let lone = parts
+        .pools()
+        .filter(|pool| !pool.spec.spare && pool.vms() == 1 && !has_spare(parts, pool));
+    let findings = lone.map(|pool| {
+        let place = parts.fleet.reference(&["budgets", "cycle_days"]);
+        let message = format!(
+            "budget nobody can meet: the one VM of pool `{}` can't be stopped, there is no spare \
+             of class `{}`, and `cycle_days` at {place} asks for it",
+            pool.id, pool.spec.class
+        );
+        pool.finding("vms", message)
+    });
+    findings.collect()
+}
+
+fn has_spare(parts: &Parts<'_>, pool: &OwnedPool<'_>) -> bool {
+    parts
+        .pools()
+        .any(|other| other.spec.spare && other.spec.class == pool.spec.class && other.vms() > 0)
+}
--- /dev/null
+++ b/src/document/check/capacity.rs
@@ -0,0 +1,64 @@
+//! Ceilings against what all pools can run.
+
+use super::{OwnedPool, Parts};
+use crate::document::Kind;
+use crate::finding::Finding;
+
+const MAX_NAMED_POOLS: usize = 3;
+
+pub(super) fn check(parts: &Parts<'_>) -> Vec<Finding> {
+    let slots = total(parts, Kind::Executor);
+    let cores = total(parts, Kind::Worker);
+    let most = slots + cores;
+    let beyond = parts
+        .teams
+        .iter()
+        .filter(|part| u64::from(part.team.ceiling) > most);
+    let findings = beyond.map(|part| {
+        let ceiling = part.team.ceiling;
+        let pools = largest(parts);
+        let message = format!(
+            "ceiling {ceiling} is beyond the fleet: its pools run {most} at a time \
+             ({slots} slots of executors, {cores} cores of workers){pools}"
+        );
+        part.site.finding(&["ceiling"], message)
+    });
+    findings.collect()
+}
+
+fn total(parts: &Parts<'_>, kind: Kind) -> u64 {
+    let pools = parts.pools();
+    pools
+        .filter(|pool| class_kind(parts, pool) == Some(kind))
+        .map(|pool| runs(parts, &pool))
+        .sum()
+}
+
+/// Requests or cores that a pool runs at a time; a spare pool runs none.
+fn runs(parts: &Parts<'_>, pool: &OwnedPool<'_>) -> u64 {
+    let class = parts.fleet_value.classes.get(&pool.spec.class);
+    let each = class.map_or(0, |class| match class.kind {
+        Kind::Executor => class.slots,
+        Kind::Worker => class.cores,
+    });
+    if pool.spec.spare {
+        return 0;
+    }
+    pool.vms() * u64::from(each)
+}
+
+fn class_kind(parts: &Parts<'_>, pool: &OwnedPool<'_>) -> Option<Kind> {
+    let class = parts.fleet_value.classes.get(&pool.spec.class);
+    class.map(|class| class.kind)
+}
+
+/// The pools that run most, with their places.
+fn largest(parts: &Parts<'_>) -> String {
+    let mut pools: Vec<OwnedPool<'_>> = parts.pools().collect();
+    pools.sort_by_key(|pool| std::cmp::Reverse(runs(parts, pool)));
+    let named = pools.iter().take(MAX_NAMED_POOLS).map(|pool| {
+        let runs = runs(parts, pool);
+        format!("; `{}` runs {runs}, at {}", pool.id, pool.reference())
+    });
+    named.collect()
+}
--- /dev/null
+++ b/src/document/check/key.rs
@@ -0,0 +1,65 @@
+//! Keys that must tell one holder from another.
+
+use indexmap::IndexMap;
+
+use super::{Parts, TeamPart};
+use crate::document::PublicKey;
+use crate::finding::Finding;
+use crate::id::{KeyId, OperatorId};
+use crate::jsonc::Site;
+
+pub(super) fn check(parts: &Parts<'_>) -> Vec<Finding> {
+    let mut findings = callers(parts);
+    findings.extend(operators(parts));
+    findings
+}
+
+/// A caller's key stands for one entry alone, or withdrawing it would leave it working.
+fn callers(parts: &Parts<'_>) -> Vec<Finding> {
+    let mut first: IndexMap<&[u8; 32], (&TeamPart<'_>, &KeyId)> = IndexMap::new();
+    let mut findings = Vec::new();
+    for part in &parts.teams {
+        for (id, key) in &part.team.keys {
+            let Some((other, other_id)) = first.get(&key.sha256) else {
+                first.insert(&key.sha256, (part, id));
+                continue;
+            };
+            let path = ["keys", other_id.as_str()];
+            let place = other.site.reference(&path);
+            let message = format!("key `{id}` is the same as `{other_id}` at {place}");
+            let path = ["keys", id.as_str(), "sha256"];
+            findings.push(part.site.finding(&path, message));
+        }
+    }
+    findings
+}
+
+struct Holder<'a> {
+    site: &'a Site<'a>,
+    id: &'a OperatorId,
+}
+
+/// An operator may edit several sections, but under one name, or edits could not be attributed.
+fn operators(parts: &Parts<'_>) -> Vec<Finding> {
+    let mut first: IndexMap<&PublicKey, Holder<'_>> = IndexMap::new();
+    let mut findings = Vec::new();
+    let fleet = (&parts.fleet, &parts.fleet_value.operators);
+    let teams = parts.teams.iter();
+    let teams = teams.map(|part| (&part.site, &part.team.operators));
+    for (site, operators) in std::iter::once(fleet).chain(teams) {
+        for (id, key) in operators {
+            let Some(other) = first.get(key) else {
+                first.insert(key, Holder { site, id });
+                continue;
+            };
+            if other.id == id {
+                continue;
+            }
+            let place = other.site.reference(&["operators", other.id.as_str()]);
+            let message = format!("operator `{id}` has the key of `{}` at {place}", other.id);
+            let path = ["operators", id.as_str()];
+            findings.push(site.finding(&path, message));
+        }
+    }
+    findings
+}
--- /dev/null
+++ b/src/document/example.rs
@@ -0,0 +1,30 @@
+//! Keys of the example documents; known to everyone, so for trials alone.
+
+use sha2::{Digest, Sha256};
+
+use super::sign::OperatorKey;
+
+/// Secret of the callers of a team: SHA-256 of `amaranthwick example caller TEAM`.
+#[must_use]
+pub fn secret(team: &str) -> [u8; 32] {
+    Sha256::digest(format!("amaranthwick example caller {team}")).into()
+}
+
+/// Seed of an operator: SHA-256 of `amaranthwick example operator NAME`.
+#[must_use]
+pub fn seed(operator: &str) -> [u8; 32] {
+    Sha256::digest(format!("amaranthwick example operator {operator}")).into()
+}
+
+/// Key of an operator: `TEAM-ops` and `fleet-ops` edit sections, `TEAM-owner` creates the section
+/// of a team, `root` creates the fleet section.
+#[must_use]
+pub fn operator(name: &str) -> OperatorKey {
+    OperatorKey::from_seed(&seed(name))
+}
+
+/// Secret of the fleet: SHA-256 of `amaranthwick example fleet secret`.
+#[must_use]
+pub fn fleet_secret() -> [u8; 32] {
+    Sha256::digest("amaranthwick example fleet secret").into()
+}
--- a/src/document/model.rs
+++ b/src/document/model.rs
@@ -16,6 +16,14 @@
     pub teams: IndexMap<TeamId, Team>,
 }
 
+impl Document {
+    /// Joins sections; teams are kept in the order of their names.
+    pub(super) fn new(fleet: Fleet, mut teams: IndexMap<TeamId, Team>) -> Self {
+        teams.sort_unstable_keys();
+        Self { fleet, teams }
+    }
+}
+
 /// The section common to all teams.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fleet {
--- /dev/null
+++ b/src/document/section.rs
@@ -0,0 +1,120 @@
+//! Reading of whole documents and of single sections.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::cache::SectionCache;
+use super::check::{Parts, TeamPart, check};
+use super::{Document, Fleet, Team, decode};
+use crate::finding::{Finding, Findings, Place};
+use crate::id::{SectionId, TeamId};
+use crate::jsonc::{self, Entry, Faults, Node, Site};
+
+/// Name of the section common to all teams.
+pub const FLEET: &str = "fleet";
+
+const TEAMS: &str = "teams";
+
+/// Reads a whole document: `{ "fleet": {...}, "teams": { "name": {...} } }`.
+///
+/// # Errors
+/// Gives every fault of the text and between its sections.
+pub fn parse(file: &str, text: &str) -> Result<Document, Findings> {
+    let (sections, mut findings) = jsonc::survey(file, text, sections);
+    let sections = sections.flatten().unwrap_or_default();
+    let Some(fleet) = &sections.fleet else {
+        return Err(Findings(findings));
+    };
+    let parts = Parts {
+        fleet: Site::new(file, text, &[FLEET]),
+        fleet_value: fleet,
+        teams: sections
+            .teams
+            .iter()
+            .map(|(id, team)| TeamPart {
+                id,
+                site: Site::new(file, text, &[TEAMS, id.as_str()]),
+                team,
+            })
+            .collect(),
+        whole: sections.whole,
+    };
+    findings.extend(check(&parts));
+    if !findings.is_empty() {
+        findings.sort_by_key(|finding| finding.place);
+        return Err(Findings(findings));
+    }
+    Ok(Document::new(fleet.clone(), sections.teams))
+}
+
+/// Joins sections as they were published into one document.
+///
+/// # Errors
+/// Gives every fault of the sections and between them; files are named after sections.
+pub fn assemble(sections: &IndexMap<SectionId, Arc<str>>) -> Result<Document, Findings> {
+    SectionCache::default().assemble(sections)
+}
+
+/// Exact text of one section of a whole document, with the comments inside it.
+///
+/// # Errors
+/// Gives the syntax error of the text, or that it has no such section.
+pub fn section_text(file: &str, text: &str, section: &SectionId) -> Result<String, Findings> {
+    jsonc::read(file, text, |_| Some(()))?;
+    let path: &[&str] = match section.as_str() {
+        FLEET => &[FLEET],
+        team => &[TEAMS, team],
+    };
+    let span = jsonc::span(text, path);
+    let found = span.map(|span| text[span.start..span.end].to_owned());
+    found.ok_or_else(|| {
+        Findings(vec![Finding {
+            file: file.to_owned(),
+            place: Place { line: 1, column: 1 },
+            message: format!("no section `{section}`"),
+        }])
+    })
+}
+
+/// Sections that could be decoded.
+#[derive(Default)]
+struct Sections {
+    fleet: Option<Fleet>,
+    teams: IndexMap<TeamId, Team>,
+    /// True when nothing is missing from `teams`.
+    whole: bool,
+}
+
+fn sections(root: Node<'_>) -> Option<Sections> {
+    let fields = root.fields(&[FLEET, TEAMS])?;
+    let fleet = fields.required(FLEET).and_then(decode::fleet);
+    let entries = fields.required(TEAMS).and_then(Node::entries)?;
+    let wanted = entries.len();
+    let teams: IndexMap<TeamId, Team> = entries.iter().filter_map(team).collect();
+    let whole = teams.len() == wanted;
+    Some(Sections {
+        fleet,
+        teams,
+        whole,
+    })
+}
+
+fn team(entry: &Entry<'_>) -> Option<(TeamId, Team)> {
+    let name = entry.name();
+    if name == Some(FLEET) {
+        entry.fault(format!("`{FLEET}` can't be the name of a team"));
+    }
+    let team = decode::team(entry.node);
+    Some((TeamId::from(name?), team?))
+}
+
+/// Findings about sections that are missing altogether.
+pub(super) fn missing_fleet(file: &str) -> Finding {
+    let faults = Faults::new(file, "");
+    Finding {
+        file: file.to_owned(),
+        place: faults.place(0),
+        message: format!("no `{FLEET}` section has been published"),
+    }
+}
--- /dev/null
+++ b/src/document/sign.rs
@@ -0,0 +1,78 @@
+//! Signatures of operators over edits.
+
+use std::fmt;
+
+use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
+
+use super::PublicKey;
+use crate::id::{Revision, SectionId};
+
+// Keeps a signature over an edit from being valid for any other kind of message.
+const DOMAIN: &[u8] = b"amaranthwick edit 1\0";
+
+/// Private key of an operator; never printed.
+#[derive(Clone)]
+pub struct OperatorKey(SigningKey);
+
+impl OperatorKey {
+    /// The key that belongs to a seed of 32 bytes.
+    #[must_use]
+    pub fn from_seed(seed: &[u8; 32]) -> Self {
+        Self(SigningKey::from_bytes(seed))
+    }
+
+    /// The public half, as the document holds it.
+    #[must_use]
+    pub fn public(&self) -> PublicKey {
+        self.0.verifying_key().to_bytes()
+    }
+}
+
+impl fmt::Debug for OperatorKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("OperatorKey(..)")
+    }
+}
+
+/// Signs the edit of a section; gives 64 bytes.
+#[must_use]
+pub fn sign(key: &OperatorKey, section: &SectionId, base: Revision, text: &str) -> Vec<u8> {
+    let message = message(section, base, text);
+    key.0.sign(&message).to_bytes().to_vec()
+}
+
+/// True if `signature` is by `key` over exactly this edit.
+#[must_use]
+pub fn verify(
+    key: &PublicKey,
+    section: &SectionId,
+    base: Revision,
+    text: &str,
+    signature: &[u8],
+) -> bool {
+    let Ok(key) = VerifyingKey::from_bytes(key) else {
+        return false;
+    };
+    let Ok(signature) = Signature::from_slice(signature) else {
+        return false;
+    };
+    let message = message(section, base, text);
+    key.verify_strict(&message, &signature).is_ok()
+}
+
+/// True if the bytes are a public key that only its owner can sign for.
+pub(crate) fn is_public_key(bytes: &PublicKey) -> bool {
+    VerifyingKey::from_bytes(bytes).is_ok_and(|key| !key.is_weak())
+}
+
+/// Each part has a length before it or a fixed length, so no two edits share a message.
+fn message(section: &SectionId, base: Revision, text: &str) -> Vec<u8> {
+    let name = section.as_str().as_bytes();
+    let mut message = Vec::with_capacity(DOMAIN.len() + 16 + name.len() + text.len());
+    message.extend_from_slice(DOMAIN);
+    message.extend_from_slice(&(name.len() as u64).to_be_bytes());
+    message.extend_from_slice(name);
+    message.extend_from_slice(&base.0.to_be_bytes());
+    message.extend_from_slice(text.as_bytes());
+    message
+}
--- a/src/finding.rs
+++ b/src/finding.rs
@@ -13,6 +13,12 @@
     pub column: u32,
 }
 
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.line, self.column)
+    }
+}
+
 /// One fault in a file.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finding {
@@ -26,8 +32,7 @@
 
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Place { line, column } = self.place;
-        write!(f, "{}:{line}:{column}: {}", self.file, self.message)
+        write!(f, "{}:{}: {}", self.file, self.place, self.message)
     }
 }
 
--- a/src/id.rs
+++ b/src/id.rs
@@ -38,6 +38,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl From<&str> for $name {
             fn from(name: &str) -> Self {
                 Self::new(name)
--- /dev/null
+++ b/src/jsonc/field.rs
@@ -0,0 +1,55 @@
+//! Fields of an object with a fixed set of names.
+
+use super::node::{Entry, Node, with_hint};
+use super::unit;
+
+/// Fields of one object.
+#[derive(Debug)]
+pub(crate) struct Fields<'a> {
+    owner: Node<'a>,
+    entries: Vec<Entry<'a>>,
+}
+
+impl<'a> Fields<'a> {
+    pub(super) fn new(owner: Node<'a>, entries: Vec<Entry<'a>>, known: &[&str]) -> Self {
+        for entry in &entries {
+            if !known.contains(&entry.key) {
+                entry.fault(unknown(entry.key, known));
+            }
+        }
+        Self { owner, entries }
+    }
+
+    /// A field that may be left out.
+    pub(crate) fn optional(&self, name: &str) -> Option<Node<'a>> {
+        let found = self.entries.iter().find(|entry| entry.key == name);
+        found.map(|entry| entry.node)
+    }
+
+    /// A field that must be there.
+    pub(crate) fn required(&self, name: &str) -> Option<Node<'a>> {
+        let found = self.optional(name);
+        if found.is_none() {
+            self.owner.fault(format!("missing field `{name}`"));
+        }
+        found
+    }
+
+    /// Decodes a field that may be left out; `None` only when it is faulty.
+    pub(crate) fn or<T>(
+        &self,
+        name: &str,
+        default: T,
+        decode: impl FnOnce(Node<'a>) -> Option<T>,
+    ) -> Option<T> {
+        self.optional(name).map_or(Some(default), decode)
+    }
+}
+
+fn unknown(key: &str, known: &[&str]) -> String {
+    if let Some(field) = unit::same_stem(key, known) {
+        let expected = unit::expected(field);
+        return format!("unknown field `{key}`, wrong unit: `{field}` holds {expected}");
+    }
+    with_hint(format!("unknown field `{key}`"), key, known.iter().copied())
+}
--- /dev/null
+++ b/src/jsonc/guard.rs
@@ -0,0 +1,74 @@
+//! Checks on the tokens that the parser does not make.
+
+use jsonc_parser::errors::{ParseError, ParseErrorKind};
+use jsonc_parser::tokens::Token;
+use jsonc_parser::{ParseStringErrorKind, Scanner};
+
+// The parser recurses once a level; an unbounded depth would overflow the stack.
+const MAX_DEPTH: usize = 32;
+
+/// Refuses texts that are nested too deep or lack a comma between two values.
+pub(super) fn check(text: &str) -> Result<(), (usize, String)> {
+    let mut scanner = Scanner::new(text);
+    let mut depth = 0_usize;
+    let mut after_value = false;
+    while let Some(token) = scanner.scan().map_err(|e| (e.range().start, message(&e)))? {
+        let start = scanner.token_start();
+        match token {
+            Token::CommentLine(_) | Token::CommentBlock(_) => continue,
+            Token::OpenBrace | Token::OpenBracket => depth += 1,
+            Token::CloseBrace | Token::CloseBracket => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > MAX_DEPTH {
+            return Err((start, format!("nested deeper than {MAX_DEPTH} levels")));
+        }
+        if depth > 0 && after_value && starts_value(&token) {
+            return Err((start, "expected a comma before this".to_owned()));
+        }
+        after_value = ends_value(&token);
+    }
+    Ok(())
+}
+
+/// The parser's message in the form of the other findings.
+pub(super) fn message(e: &ParseError) -> String {
+    match e.kind() {
+        ParseErrorKind::String(ParseStringErrorKind::UnterminatedStringLiteral) => {
+            "string is not closed".to_owned()
+        }
+        ParseErrorKind::ExpectedStringObjectProperty => {
+            "expected a field name in double quotes".to_owned()
+        }
+        kind => {
+            let words = kind.to_string();
+            let (first, rest) = words.split_at(words.chars().next().map_or(0, char::len_utf8));
+            format!("{}{rest}", first.to_lowercase())
+        }
+    }
+}
+
+const fn starts_value(token: &Token<'_>) -> bool {
+    matches!(
+        token,
+        Token::OpenBrace
+            | Token::OpenBracket
+            | Token::String(_)
+            | Token::Number(_)
+            | Token::Boolean(_)
+            | Token::Null
+            | Token::Word(_)
+    )
+}
+
+const fn ends_value(token: &Token<'_>) -> bool {
+    matches!(
+        token,
+        Token::CloseBrace
+            | Token::CloseBracket
+            | Token::String(_)
+            | Token::Number(_)
+            | Token::Boolean(_)
+            | Token::Null
+    )
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod finding;
 pub mod http;
 pub mod id;
+pub(crate) mod jsonc;
 pub mod ledger;
 pub mod membership;
 pub mod outcome;
