--- a/src/bin/amaranthwick/args.rs
+++ b/src/bin/amaranthwick/args.rs
@@ -3,7 +3,6 @@
 #![allow(unreachable_pub)] // The generated part declares its types `pub`.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 
 xflags::xflags! {
     src "./src/bin/amaranthwick/args.rs"
@@ -32,39 +31,12 @@
     ///   3  nothing was appended, because a service could not be reached
     ///   4  appended perhaps, but no verdict was seen; repeat with --record
     cmd amaranthwick {
-        /// Prints every fault of a document as FILE:LINE:COLUMN: what is wrong.
-        cmd check {
-            /// Capacity document, JSON with comments.
-            required file: PathBuf
-        }
-
-        /// Signs one section of a document, appends it and waits for the verdict.
-        cmd publish {
-            /// Capacity document, JSON with comments.
-            required file: PathBuf
-            /// Section to publish: fleet, or the name of a team.
-            required --section name: String
-            /// Settings of the operator (default: operator.jsonc).
-            optional --config path: PathBuf
-            /// Revision that the text was made from (default: the current one).
-            optional --base revision: u64
-            /// Record id of an earlier try whose verdict was not seen.
-            optional --record id: String
-        }
-
         /// Prints the state of a process as JSON.
         cmd state {
             /// Admin address of the process.
             required address: SocketAddr
         }
 
-        /// Runs a small fleet with stand-ins for the platform in one process.
-        cmd dev {
-            /// Document to run (default: neretva).
-            optional --example name: String
-            /// Sends one request of each kind, prints a line for each and ends.
-            optional --smoke
-        }
     }
 }
 // generated start
@@ -77,25 +49,7 @@
 
 #[derive(Debug)]
 pub enum AmaranthwickCmd {
-    Check(Check),
-    Publish(Publish),
     State(State),
-    Dev(Dev),
-}
-
-#[derive(Debug)]
-pub struct Check {
-    pub file: PathBuf,
-}
-
-#[derive(Debug)]
-pub struct Publish {
-    pub file: PathBuf,
-
-    pub section: String,
-    pub config: Option<PathBuf>,
-    pub base: Option<u64>,
-    pub record: Option<String>,
 }
 
 #[derive(Debug)]
@@ -103,12 +57,6 @@
     pub address: SocketAddr,
 }
 
-#[derive(Debug)]
-pub struct Dev {
-    pub example: Option<String>,
-    pub smoke: bool,
-}
-
 impl Amaranthwick {
     #[allow(dead_code)]
     pub fn from_env_or_exit() -> Self {
--- a/src/bin/amaranthwick/main.rs
+++ b/src/bin/amaranthwick/main.rs
@@ -23,8 +23,5 @@
 fn run(command: AmaranthwickCmd) -> Result<Exit> {
     match command {
         AmaranthwickCmd::State(args) => state::run(args.address),
-        AmaranthwickCmd::Check(_) | AmaranthwickCmd::Publish(_) | AmaranthwickCmd::Dev(_) => {
-            anyhow::bail!("not built yet")
-        }
     }
 }
