Add the platform's stand-ins and the clients of its services

The whole path needs a platform to run against. The stand-ins model the log service, the VM list, the pools, the executors and the workers as a library that tests and the development fleet start in-process, and as a thin binary. The clients speak its HTTP + JSON over the crate's own exchange and tell apart calls that were not sent, were refused, or may have taken effect.

A listener that goes down keeps its port: Linux frees a port drawn by the kernel once its socket stops listening, so sockets are bound by number. Dropping and binding anew was ruled out, since another listener could take the port.

The workspace's lock file gains no crate; event-listener and rustix were there through async-io.

--- /dev/null
+++ b/src/platform/log.rs
@@ -0,0 +1,142 @@
+//! Client of the log service.
+
+use std::net::SocketAddr;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+
+use super::call::{Caller, decode, encode, is_plain, words};
+use super::{Batch, Log, LogError};
+use crate::http::{Limits, Reply, Request, SendError};
+use crate::id::{DataCentre, Offset};
+
+/// Client of the log service.
+#[derive(Clone, Debug)]
+pub struct LogClient {
+    caller: Caller,
+}
+
+#[derive(Serialize)]
+struct AppendCall {
+    records: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct AppendReply {
+    first: Offset,
+}
+
+#[derive(Deserialize)]
+struct ReadReply {
+    oldest: Offset,
+    head: Offset,
+    first: Offset,
+    records: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct ExpiredReply {
+    oldest: Offset,
+}
+
+impl LogClient {
+    /// A client in `data_centre` of the log at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr, data_centre: &DataCentre) -> Self {
+        Self {
+            caller: Caller::new(address, data_centre),
+        }
+    }
+
+    /// The same client with other bounds on each exchange.
+    #[must_use]
+    pub fn with_limits(self, limits: Limits) -> Self {
+        Self {
+            caller: self.caller.with_limits(limits),
+        }
+    }
+}
+
+impl Log for LogClient {
+    async fn append(&self, stream: &str, records: &[Vec<u8>]) -> Result<Offset, LogError> {
+        const CALL: &str = "append";
+        check_name(CALL, stream)?;
+        let body = AppendCall {
+            records: records.iter().map(|r| STANDARD.encode(r)).collect(),
+        };
+        let path = format!("/streams/{stream}/records");
+        let request = Request::new("POST", &path, encode(&body));
+        let reply = self.caller.send(request).await.map_err(lost)?;
+        check_status(CALL, &reply)?;
+        let reply: AppendReply = decode(CALL, &reply).map_err(LogError::Unknown)?;
+        Ok(reply.first)
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        limit: usize,
+        wait_ms: u64,
+    ) -> Result<Batch, LogError> {
+        const CALL: &str = "read";
+        check_name(CALL, stream)?;
+        let path = format!("/streams/{stream}/records?from={from}&limit={limit}&wait_ms={wait_ms}");
+        let request = Request::new("GET", &path, Vec::new());
+        let reply = self.caller.send_held(request, wait_ms).await;
+        let reply = reply.map_err(lost)?;
+        check_status(CALL, &reply)?;
+        let reply: ReadReply = decode(CALL, &reply).map_err(LogError::Unknown)?;
+        batch(from, &reply).map_err(|e| LogError::Unknown(format!("{CALL}: {e}")))
+    }
+}
+
+fn check_name(call: &str, stream: &str) -> Result<(), LogError> {
+    if is_plain(stream) {
+        return Ok(());
+    }
+    Err(LogError::NotSent(format!("{call}: bad stream {stream:?}")))
+}
+
+fn lost(error: SendError) -> LogError {
+    match error {
+        SendError::NotSent(cause) => LogError::NotSent(cause),
+        SendError::Sent(cause) => LogError::Unknown(cause),
+    }
+}
+
+/// A refusal by 4xx has had no effect, as if the call had not been sent.
+fn check_status(call: &str, reply: &Reply) -> Result<(), LogError> {
+    match reply.status {
+        200..=299 => Ok(()),
+        410 => {
+            let expired: ExpiredReply = decode(call, reply).map_err(LogError::Unknown)?;
+            Err(LogError::Expired(expired.oldest))
+        }
+        503 => Err(LogError::Unavailable),
+        400..=499 => Err(LogError::NotSent(words(call, reply))),
+        _ => Err(LogError::Unknown(words(call, reply))),
+    }
+}
+
+fn batch(from: Offset, reply: &ReadReply) -> Result<Batch, String> {
+    if reply.first != from {
+        return Err(format!(
+            "records start at {} instead of {from}",
+            reply.first
+        ));
+    }
+    let decoded: Result<Vec<_>, _> = reply.records.iter().map(|r| STANDARD.decode(r)).collect();
+    let records = decoded.map_err(|e| format!("a record is not base64: {e}"))?;
+    let end = from.0.saturating_add(records.len() as u64);
+    if !records.is_empty() && end > reply.head.0 {
+        return Err(format!("records reach {end}, past the head {}", reply.head));
+    }
+    Ok(Batch {
+        oldest: reply.oldest,
+        head: reply.head,
+        first: reply.first,
+        records,
+    })
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,8 +1,21 @@
 //! The platform's services as small traits, and clients for their HTTP protocol.
 
+mod call;
+mod log;
+mod pools;
+mod status;
 mod types;
+mod vms;
+mod workers;
 
-pub use types::{Batch, LogError, PlatformError, TaskSpec, TaskState, TaskStatus, Vm, VmPhase};
+pub use log::LogClient;
+pub use pools::PoolsClient;
+pub use types::{
+    Batch, LogError, PlatformError, Size, TaskReport, TaskSpec, TaskState, TaskStatus, TaskUsage,
+    UsageReport, Vm, VmPhase, WorkerReport,
+};
+pub use vms::VmsClient;
+pub use workers::WorkersClient;
 
 use crate::id::{Generation, Offset, VmId};
 
@@ -40,6 +53,13 @@
         generation: Generation,
     ) -> impl Future<Output = Result<Generation, PlatformError>> + Send;
 
+    /// Takes a drain back before any reboot.
+    fn restore(
+        &self,
+        vm: &VmId,
+        generation: Generation,
+    ) -> impl Future<Output = Result<Generation, PlatformError>> + Send;
+
     /// Reboots a drained VM.
     fn reboot(
         &self,
@@ -71,4 +91,46 @@
         vm: &VmId,
         task: &str,
     ) -> impl Future<Output = Result<TaskStatus, PlatformError>> + Send;
+
+    /// Starts a task from a checkpoint, or does nothing if the task id is known there.
+    fn resume(
+        &self,
+        vm: &VmId,
+        task: &TaskSpec,
+        checkpoint: &str,
+    ) -> impl Future<Output = Result<(), PlatformError>> + Send;
+
+    /// Where a task stands.
+    fn status(
+        &self,
+        vm: &VmId,
+        task: &str,
+    ) -> impl Future<Output = Result<TaskStatus, PlatformError>> + Send;
+
+    /// Sets the speed of a task, in percent of full speed; 0 pauses it.
+    fn throttle(
+        &self,
+        vm: &VmId,
+        task: &str,
+        percent: u32,
+    ) -> impl Future<Output = Result<TaskStatus, PlatformError>> + Send;
+
+    /// Saves the work of a running task; returns the id of the checkpoint.
+    fn checkpoint(
+        &self,
+        vm: &VmId,
+        task: &str,
+    ) -> impl Future<Output = Result<String, PlatformError>> + Send;
+
+    /// All workers with their size and what is free.
+    fn workers(&self) -> impl Future<Output = Result<Vec<WorkerReport>, PlatformError>> + Send;
+
+    /// All tasks that a worker remembers.
+    fn tasks(
+        &self,
+        vm: &VmId,
+    ) -> impl Future<Output = Result<Vec<TaskReport>, PlatformError>> + Send;
+
+    /// What the tasks of a worker used a while ago.
+    fn usage(&self, vm: &VmId) -> impl Future<Output = Result<UsageReport, PlatformError>> + Send;
 }
--- a/src/platform/types.rs
+++ b/src/platform/types.rs
@@ -149,3 +149,62 @@
     /// Its output or its error, once it has ended.
     pub output: String,
 }
+
+/// A task of a worker, with its id.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskReport {
+    /// Id of the run.
+    pub id: String,
+    /// Where it stands.
+    pub state: TaskState,
+    /// Its output or its error, once it has ended.
+    pub output: String,
+    /// Work done so far, in ms at full speed.
+    pub progress_ms: u64,
+}
+
+/// Resources of a worker, or a part of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    /// Cores.
+    pub cores: u32,
+    /// Memory in MB.
+    pub memory_mb: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+/// A worker as the platform reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerReport {
+    /// The VM.
+    pub vm: VmId,
+    /// True while it is off and its tasks can't be reached.
+    pub off: bool,
+    /// Its whole size.
+    pub size: Size,
+    /// What running tasks leave free, as they declared it.
+    pub free: Size,
+}
+
+/// What the tasks of a worker really used.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Age of the report, in ms.
+    pub age_ms: u64,
+    /// Tasks that ran at that moment.
+    pub tasks: Vec<TaskUsage>,
+}
+
+/// What one task really used.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskUsage {
+    /// Id of the run.
+    pub id: String,
+    /// Processor use, in thousandths of a core.
+    pub millicores: u64,
+    /// Memory in MB.
+    pub memory_mb: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
--- /dev/null
+++ b/standins/src/control/handle.rs
@@ -0,0 +1,195 @@
+//! What a test or a person may do to the stand-ins.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use anyhow::{Context, Result};
+use indexmap::IndexMap;
+
+use crate::counters::{Counters, Tally};
+use crate::fault::{Cut, Fault, Network, Site, SiteName};
+use crate::log::LogService;
+use crate::power::Power;
+use crate::vms::VmState;
+use crate::workers::TaskStatus;
+
+/// Handle on a running fleet; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Control {
+    pub(crate) services: Arc<IndexMap<String, Arc<Site>>>,
+    pub(crate) network: Arc<Network>,
+    pub(crate) power: Power,
+    pub(crate) tally: Arc<Tally>,
+    pub(crate) log: Arc<LogService>,
+}
+
+impl Control {
+    /// Sets a fault at a site.
+    ///
+    /// # Errors
+    /// Fails when the site is not known or its listener can't be changed.
+    pub fn set(&self, site: &SiteName, fault: &Fault) -> Result<()> {
+        Ok(self.site(site)?.set(fault)?)
+    }
+
+    /// Clears all faults of a site.
+    ///
+    /// # Errors
+    /// Fails when the site is not known or its listener can't be changed.
+    pub fn clear(&self, site: &SiteName) -> Result<()> {
+        Ok(self.site(site)?.clear()?)
+    }
+
+    /// Clears the faults of all sites and heals all cuts.
+    ///
+    /// # Errors
+    /// Fails when a listener can't be changed.
+    pub fn clear_all(&self) -> Result<()> {
+        self.network.heal_all();
+        for site in self.services.values().chain(self.power.sites.values()) {
+            site.clear()?;
+        }
+        Ok(())
+    }
+
+    /// Drops what `from` sends to `to`, data centres or `platform`.
+    pub fn cut_one_way(&self, from: &str, to: &str) {
+        self.network.cut(cut(from, to));
+    }
+
+    /// Drops what two data centres, or one and `platform`, send to each other.
+    pub fn cut(&self, a: &str, b: &str) {
+        self.cut_one_way(a, b);
+        self.cut_one_way(b, a);
+    }
+
+    /// Ends the cuts between two data centres, or one and `platform`.
+    pub fn heal(&self, a: &str, b: &str) {
+        self.network.heal(&cut(a, b));
+        self.network.heal(&cut(b, a));
+    }
+
+    /// Cuts in force.
+    #[must_use]
+    pub fn cuts(&self) -> Vec<Cut> {
+        self.network.list()
+    }
+
+    /// Takes a VM down until it is repaired or rebooted.
+    ///
+    /// # Errors
+    /// Fails when the VM is not known or its listener can't be changed.
+    pub fn fail_vm(&self, vm: &str) -> Result<()> {
+        Ok(self.power.fail(vm)?)
+    }
+
+    /// Brings a VM back.
+    ///
+    /// # Errors
+    /// Fails when the VM is not known or its listener can't be changed.
+    pub fn repair_vm(&self, vm: &str) -> Result<()> {
+        Ok(self.power.repair(vm)?)
+    }
+
+    /// Takes all VMs of a rack down.
+    ///
+    /// # Errors
+    /// Fails when a listener can't be changed.
+    pub fn fail_rack(&self, rack: &str) -> Result<()> {
+        let vms = self.power.pick(|vm| vm.rack == rack);
+        vms.iter().try_for_each(|vm| self.fail_vm(vm))
+    }
+
+    /// Brings all VMs of a rack back.
+    ///
+    /// # Errors
+    /// Fails when a listener can't be changed.
+    pub fn repair_rack(&self, rack: &str) -> Result<()> {
+        let vms = self.power.pick(|vm| vm.rack == rack);
+        vms.iter().try_for_each(|vm| self.repair_vm(vm))
+    }
+
+    /// Makes every later task of a worker fail at once, or ends that.
+    ///
+    /// # Errors
+    /// Fails when the worker is not known.
+    pub fn set_broken(&self, vm: &str, broken: bool) -> Result<()> {
+        let found = self.power.workers.set_broken(vm, broken);
+        found.then_some(()).context("no such worker")
+    }
+
+    /// All VMs as they are now, without the lag of the list.
+    #[must_use]
+    pub fn vms(&self) -> Vec<VmState> {
+        self.power.machines.current(Instant::now())
+    }
+
+    /// All tasks of all workers.
+    #[must_use]
+    pub fn tasks(&self) -> IndexMap<String, Vec<TaskStatus>> {
+        self.power.workers.tasks(Instant::now())
+    }
+
+    /// What the executors ran.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        let mut counters = self.tally.read();
+        for (vm, site) in self.power.sites.iter() {
+            let open = site.connections();
+            let counts = counters.executors.entry(vm.clone()).or_default();
+            counts.connections = open.open;
+            counts.max_connections = open.most;
+            counts.refused_connections = open.refused;
+        }
+        counters
+    }
+
+    /// Times that a request id began to run, over all executors.
+    #[must_use]
+    pub fn runs_of(&self, request: &str) -> u64 {
+        self.tally.runs_of(request)
+    }
+
+    /// Starts all counters anew.
+    pub fn reset_counters(&self) {
+        self.tally.reset();
+    }
+
+    /// Adds records to a stream directly.
+    pub fn append(&self, stream: &str, records: Vec<Vec<u8>>) {
+        self.log.append(stream, records);
+    }
+
+    /// Offset of the next append to a stream.
+    #[must_use]
+    pub fn head(&self, stream: &str) -> u64 {
+        self.log.head(stream)
+    }
+
+    /// Appends to the log that took effect; a batch counts once.
+    #[must_use]
+    pub fn appends(&self) -> u64 {
+        self.log.appends()
+    }
+
+    /// Lets the records of a stream before `oldest` expire now.
+    pub fn expire_before(&self, stream: &str, oldest: u64) {
+        self.log.expire_before(stream, oldest);
+    }
+
+    fn site(&self, name: &SiteName) -> Result<&Site> {
+        let found = match name {
+            SiteName::Executor(vm) => self.power.sites.get(vm),
+            _ => self.services.get(&name.to_string()),
+        };
+        let site = found.with_context(|| format!("no site {name}"))?;
+        Ok(site)
+    }
+}
+
+fn cut(from: &str, to: &str) -> Cut {
+    Cut {
+        from: from.to_owned(),
+        to: to.to_owned(),
+    }
+}
--- /dev/null
+++ b/standins/src/executor/service.rs
@@ -0,0 +1,68 @@
+//! Answers every request with its own body after its run time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use crate::counters::{RunSpec, Tally};
+use crate::serve::{Call, Reply, Service};
+use crate::spec::ClassSpec;
+
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// One executor.
+#[derive(Debug)]
+pub(crate) struct ExecutorService {
+    vm: Arc<str>,
+    slots: usize,
+    run_ms: u64,
+    tally: Arc<Tally>,
+}
+
+impl ExecutorService {
+    /// The executor on a VM.
+    pub(crate) fn new(vm: &str, size: &ClassSpec, tally: Arc<Tally>) -> Self {
+        Self {
+            vm: Arc::from(vm),
+            slots: size.slots,
+            run_ms: size.run_ms,
+            tally,
+        }
+    }
+
+    fn reply(&self, call: &Call) -> Reply {
+        let status = call.number("x-answer-status").unwrap_or(200);
+        let body = match call.number::<usize>("x-answer-bytes") {
+            Some(bytes) => vec![b'x'; bytes.min(MAX_ANSWER_BYTES)],
+            None => call.body().to_vec(),
+        };
+        let mut reply = Reply::bytes(status, body).with("X-Executor", &self.vm);
+        for name in ["X-Request-Id", "Content-Type"] {
+            if let Some(value) = call.header(name) {
+                reply = reply.with(name, value);
+            }
+        }
+        reply
+    }
+}
+
+impl Service for ExecutorService {
+    async fn answer(&self, call: Call) -> Reply {
+        let spec = RunSpec {
+            request: call.header("x-request-id").map(str::to_owned),
+            team: call.header("x-team").map(str::to_owned),
+        };
+        let Some(run) = self.tally.begin(&self.vm, self.slots, spec) else {
+            return Reply::error(503, "all slots are taken")
+                .with("Retry-After", "1")
+                .with("Busy", "1");
+        };
+        let run_ms = call.number("x-run-ms").unwrap_or(self.run_ms);
+        if run_ms > 0 {
+            Timer::after(Duration::from_millis(run_ms)).await;
+        }
+        run.finish();
+        self.reply(&call)
+    }
+}
--- /dev/null
+++ b/standins/src/fault/network.rs
@@ -0,0 +1,75 @@
+//! Cuts between data centres, and between them and the platform.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use event_listener::Event;
+use indexmap::IndexSet;
+
+use super::Cut;
+
+/// Which data centres can't send to which; nothing is cut at first.
+#[derive(Debug, Default)]
+pub(crate) struct Network {
+    cuts: Mutex<IndexSet<Cut>>,
+    any: AtomicBool,
+    changed: Event,
+}
+
+impl Network {
+    /// Drops what `cut.from` sends to `cut.to` from now on.
+    pub(crate) fn cut(&self, cut: Cut) {
+        self.change(|cuts| {
+            cuts.insert(cut);
+        });
+    }
+
+    /// Ends one cut.
+    pub(crate) fn heal(&self, cut: &Cut) {
+        self.change(|cuts| {
+            cuts.shift_remove(cut);
+        });
+    }
+
+    /// Ends all cuts.
+    pub(crate) fn heal_all(&self) {
+        self.change(IndexSet::clear);
+    }
+
+    /// The cuts in force.
+    pub(crate) fn list(&self) -> Vec<Cut> {
+        self.lock().iter().cloned().collect()
+    }
+
+    /// Waits until `from` can send to `to`.
+    pub(crate) async fn until_passes(&self, from: &str, to: &str) {
+        while self.is_cut(from, to) {
+            let changed = self.changed.listen();
+            if !self.is_cut(from, to) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn is_cut(&self, from: &str, to: &str) -> bool {
+        if !self.any.load(Ordering::Acquire) {
+            return false;
+        }
+        self.lock()
+            .iter()
+            .any(|cut| cut.from == from && cut.to == to)
+    }
+
+    fn change(&self, edit: impl FnOnce(&mut IndexSet<Cut>)) {
+        let mut cuts = self.lock();
+        edit(&mut cuts);
+        self.any.store(!cuts.is_empty(), Ordering::Release);
+        drop(cuts);
+        self.changed.notify(usize::MAX);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexSet<Cut>> {
+        self.cuts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/standins/src/log/mod.rs
@@ -0,0 +1,9 @@
+//! Append-only log with named streams, offsets and retention.
+
+mod rate;
+mod service;
+mod stream;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use service::LogService;
--- /dev/null
+++ b/standins/src/log/rate.rs
@@ -0,0 +1,36 @@
+//! Limit on appends a second.
+
+use std::time::Instant;
+
+const NANOS_PER_SECOND: u64 = 1_000_000_000;
+
+/// Token bucket that holds one second's worth of appends.
+#[derive(Debug)]
+pub(crate) struct Rate {
+    per_second: u64,
+    spent_until: Instant,
+}
+
+impl Rate {
+    /// A full bucket.
+    pub(crate) fn new(per_second: u32, now: Instant) -> Self {
+        Self {
+            per_second: u64::from(per_second),
+            spent_until: now,
+        }
+    }
+
+    /// Takes one append; false when the second's worth is used up.
+    pub(crate) fn take(&mut self, now: Instant) -> bool {
+        let Some(cost) = NANOS_PER_SECOND.checked_div(self.per_second) else {
+            return false;
+        };
+        let start = self.spent_until.max(now);
+        let ahead = start.duration_since(now).as_nanos();
+        if ahead + u128::from(cost) > u128::from(NANOS_PER_SECOND) {
+            return false;
+        }
+        self.spent_until = start + std::time::Duration::from_nanos(cost);
+        true
+    }
+}
--- /dev/null
+++ b/standins/src/log/service.rs
@@ -0,0 +1,210 @@
+//! HTTP calls of the log service.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use event_listener::Event;
+use futures_lite::future;
+use http_types::Method;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use super::rate::Rate;
+use super::stream::{Piece, Stream};
+use crate::fault::Site;
+use crate::serve::{Call, Reply, Service};
+use crate::spec::LogSpec;
+
+const MAX_WAIT_MS: u64 = 60_000;
+const MAX_READ_RECORDS: u64 = 10_000;
+const MAX_RECORD_BYTES: usize = 8 << 20;
+const WAIT_SLICE_MS: u64 = 50; // a poll that waits has to notice an outage
+
+/// The log service.
+#[derive(Debug)]
+pub(crate) struct LogService {
+    spec: LogSpec,
+    site: Arc<Site>,
+    state: Mutex<State>,
+    appended: Event,
+}
+
+#[derive(Debug)]
+struct State {
+    streams: IndexMap<String, Stream>,
+    rate: Rate,
+    appends: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AppendCall {
+    records: Vec<String>,
+}
+
+#[derive(Debug, Serialize)]
+struct ReadReply {
+    oldest: u64,
+    head: u64,
+    first: u64,
+    records: Vec<String>,
+}
+
+/// What a read asks for.
+struct Wanted<'a> {
+    stream: &'a str,
+    from: u64,
+    limit: usize,
+}
+
+impl LogService {
+    /// An empty log.
+    pub(crate) fn new(spec: &LogSpec, site: Arc<Site>, now: Instant) -> Self {
+        Self {
+            spec: spec.clone(),
+            site,
+            state: Mutex::new(State {
+                streams: IndexMap::new(),
+                rate: Rate::new(spec.append_rate, now),
+                appends: 0,
+            }),
+            appended: Event::new(),
+        }
+    }
+
+    /// Adds records outside of HTTP; returns the offset of the first.
+    pub(crate) fn append(&self, stream: &str, batch: Vec<Vec<u8>>) -> u64 {
+        let now = Instant::now();
+        let mut state = self.lock();
+        state.appends += 1;
+        let stream = state.streams.entry(stream.to_owned()).or_default();
+        let first = stream.append(batch, now);
+        self.expire(stream, now);
+        drop(state);
+        self.appended.notify(usize::MAX);
+        first
+    }
+
+    /// Offset of the next append to a stream.
+    pub(crate) fn head(&self, stream: &str) -> u64 {
+        self.lock().streams.get(stream).map_or(0, Stream::head)
+    }
+
+    /// Appends that took effect; a batch counts once.
+    pub(crate) fn appends(&self) -> u64 {
+        self.lock().appends
+    }
+
+    /// Drops the records before `oldest`, as retention would.
+    pub(crate) fn expire_before(&self, stream: &str, oldest: u64) {
+        let mut state = self.lock();
+        let stream = state.streams.entry(stream.to_owned()).or_default();
+        let keep = stream.head().saturating_sub(oldest);
+        let keep = usize::try_from(keep).unwrap_or(usize::MAX);
+        stream.expire(keep, Duration::MAX, Instant::now());
+    }
+
+    fn append_call(&self, stream: &str, call: &Call) -> Reply {
+        let body: AppendCall = match call.json() {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        if body.records.is_empty() {
+            return Reply::error(400, "no records");
+        }
+        let decoded: Result<Vec<_>, _> = body.records.iter().map(|r| STANDARD.decode(r)).collect();
+        let Ok(batch) = decoded else {
+            return Reply::error(400, "a record is not base64");
+        };
+        if batch.iter().any(|record| record.len() > MAX_RECORD_BYTES) {
+            return Reply::error(413, "a record is too large");
+        }
+        if !self.lock().rate.take(Instant::now()) {
+            return Reply::error(503, "too many appends a second").with("Retry-After", "1");
+        }
+        let first = self.append(stream, batch);
+        Reply::json(200, &json!({ "first": first }))
+    }
+
+    async fn read_call(&self, stream: &str, call: &Call) -> Reply {
+        match self.read_query(stream, call).await {
+            Ok(reply) | Err(reply) => reply,
+        }
+    }
+
+    async fn read_query(&self, stream: &str, call: &Call) -> Result<Reply, Reply> {
+        let from = call.query_number("from", 0)?;
+        let limit = call.query_number("limit", MAX_READ_RECORDS)?;
+        let wait_ms = call.query_number("wait_ms", 0)?.min(MAX_WAIT_MS);
+        let limit = usize::try_from(limit.min(MAX_READ_RECORDS)).unwrap_or(usize::MAX);
+        let wanted = Wanted {
+            stream,
+            from,
+            limit,
+        };
+        let end = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            if self.site.is_unavailable() {
+                return Err(Reply::error(503, "unavailable").with("Retry-After", "1"));
+            }
+            let appended = self.appended.listen();
+            let now = Instant::now();
+            if let Some(reply) = self.read(&wanted, now >= end, now) {
+                return Ok(reply);
+            }
+            let slice = end.min(now + Duration::from_millis(WAIT_SLICE_MS));
+            let slice_end = async {
+                Timer::at(slice).await;
+            };
+            future::or(appended, slice_end).await;
+        }
+    }
+
+    /// `None` when there is no record yet and the caller can still wait.
+    fn read(&self, wanted: &Wanted<'_>, last: bool, now: Instant) -> Option<Reply> {
+        let mut state = self.lock();
+        let stream = state.streams.entry(wanted.stream.to_owned()).or_default();
+        self.expire(stream, now);
+        let Some(piece) = stream.read(wanted.from, wanted.limit) else {
+            let oldest = stream.oldest();
+            return Some(Reply::json(410, &json!({ "oldest": oldest })));
+        };
+        if piece.records.is_empty() && !last {
+            return None;
+        }
+        Some(read_reply(wanted.from, &piece))
+    }
+
+    fn expire(&self, stream: &mut Stream, now: Instant) {
+        let max_age = Duration::from_millis(self.spec.max_age_ms);
+        stream.expire(self.spec.max_records, max_age, now);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service for LogService {
+    async fn answer(&self, call: Call) -> Reply {
+        match (call.method(), call.parts().as_slice()) {
+            (Method::Post, ["streams", stream, "records"]) => self.append_call(stream, &call),
+            (Method::Get, ["streams", stream, "records"]) => self.read_call(stream, &call).await,
+            _ => Reply::error(404, "no such call"),
+        }
+    }
+}
+
+fn read_reply(from: u64, piece: &Piece<'_>) -> Reply {
+    let body = ReadReply {
+        oldest: piece.oldest,
+        head: piece.head,
+        first: from,
+        records: piece.records.iter().map(|r| STANDARD.encode(r)).collect(),
+    };
+    Reply::json(200, &body)
+}
--- /dev/null
+++ b/standins/src/serve/message.rs
@@ -0,0 +1,126 @@
+//! Whole calls and answers.
+
+use std::str::FromStr;
+
+use async_h1::server::Encoder;
+use futures_lite::AsyncReadExt;
+use http_types::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+/// A whole request.
+#[derive(Debug)]
+pub(crate) struct Call {
+    head: Request,
+    body: Vec<u8>,
+}
+
+impl Call {
+    /// Puts the head and the whole body together.
+    pub(crate) const fn new(head: Request, body: Vec<u8>) -> Self {
+        Self { head, body }
+    }
+
+    /// Method of the request.
+    pub(crate) fn method(&self) -> Method {
+        self.head.method()
+    }
+
+    /// Path as its parts.
+    pub(crate) fn parts(&self) -> Vec<&str> {
+        let path = self.head.url().path();
+        path.split('/').filter(|part| !part.is_empty()).collect()
+    }
+
+    /// First value of a header.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.head.header(name).map(|values| values[0].as_str())
+    }
+
+    /// A header read as a number.
+    pub(crate) fn number<T: FromStr>(&self, name: &str) -> Option<T> {
+        self.header(name)?.trim().parse().ok()
+    }
+
+    /// One value of the query.
+    pub(crate) fn query(&self, name: &str) -> Option<String> {
+        let mut pairs = self.head.url().query_pairs();
+        let (_, value) = pairs.find(|(key, _)| key == name)?;
+        Some(value.into_owned())
+    }
+
+    /// One number of the query, or `default` where it is absent.
+    pub(crate) fn query_number(&self, name: &str, default: u64) -> Result<u64, Reply> {
+        match self.query(name) {
+            None => Ok(default),
+            Some(text) => text
+                .parse()
+                .map_err(|_| Reply::error(400, &format!("query {name} is not a number"))),
+        }
+    }
+
+    /// The body read as JSON.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+        serde_json::from_slice(&self.body).map_err(|e| Reply::error(400, &e.to_string()))
+    }
+
+    /// True when the client wants no further answer on the connection.
+    pub(crate) fn closes(&self) -> bool {
+        self.header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+
+    /// The whole body.
+    pub(crate) fn body(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    response: Box<Response>,
+}
+
+impl Reply {
+    /// An answer without a body.
+    pub(crate) fn empty(status: u16) -> Self {
+        let status = StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError);
+        Self {
+            response: Box::new(Response::new(status)),
+        }
+    }
+
+    /// An answer with bytes.
+    pub(crate) fn bytes(status: u16, body: Vec<u8>) -> Self {
+        let mut reply = Self::empty(status);
+        reply.response.set_body(body);
+        reply
+    }
+
+    /// An answer with JSON.
+    pub(crate) fn json(status: u16, body: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(body).unwrap_or_default();
+        Self::bytes(status, body).with("Content-Type", "application/json")
+    }
+
+    /// A refusal that says why.
+    pub(crate) fn error(status: u16, words: &str) -> Self {
+        Self::json(status, &json!({ "error": words }))
+    }
+
+    /// Adds a header.
+    pub(crate) fn with(mut self, name: &str, value: &str) -> Self {
+        self.response.insert_header(name, value);
+        self
+    }
+
+    /// The answer as it goes over the wire.
+    pub(crate) async fn encode(self, method: Method) -> std::io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        let mut encoder = Encoder::new(*self.response, method);
+        encoder.read_to_end(&mut bytes).await?;
+        Ok(bytes)
+    }
+}
--- /dev/null
+++ b/standins/src/spec.rs
@@ -0,0 +1,169 @@
+//! Description of a fleet.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use anyhow::{Result, bail};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// What a fleet is made of; absent fields take their defaults.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetSpec {
+    /// Sizes of VMs by the name of their class.
+    pub classes: IndexMap<String, ClassSpec>,
+    /// Data centres by name, in order.
+    pub data_centres: IndexMap<String, DataCentreSpec>,
+    /// Log service.
+    pub log: LogSpec,
+    /// Age of what the VM list shows, in ms.
+    pub list_lag_ms: u64,
+    /// Age of what workers report of their usage, in ms.
+    pub usage_lag_ms: u64,
+    /// Time that a VM is down for a reboot, in ms.
+    pub reboot_ms: u64,
+    /// Address that everything listens on.
+    pub bind_ip: IpAddr,
+    /// Threads that run all of the stand-ins.
+    pub threads: usize,
+    /// Request ids whose runs are counted; later ones are only counted in total.
+    pub tracked_requests: usize,
+}
+
+impl Default for FleetSpec {
+    fn default() -> Self {
+        Self {
+            classes: IndexMap::new(),
+            data_centres: IndexMap::new(),
+            log: LogSpec::default(),
+            list_lag_ms: 500,
+            usage_lag_ms: 1_000,
+            reboot_ms: 2_000,
+            bind_ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
+            threads: 2,
+            tracked_requests: 1_000_000,
+        }
+    }
+}
+
+/// Size of the VMs of a class.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClassSpec {
+    /// What they do.
+    pub kind: Kind,
+    /// Requests that an executor runs at a time.
+    pub slots: usize,
+    /// Connections that an executor accepts.
+    pub connections: usize,
+    /// Time that a request runs unless it states another, in ms.
+    pub run_ms: u64,
+    /// Cores of a worker.
+    pub cores: u32,
+    /// Memory of a worker, in MB.
+    pub memory_mb: u32,
+    /// Accelerators of a worker.
+    pub accelerators: u32,
+}
+
+impl Default for ClassSpec {
+    fn default() -> Self {
+        Self {
+            kind: Kind::Executor,
+            slots: 8,
+            connections: 64,
+            run_ms: 0,
+            cores: 16,
+            memory_mb: 32 << 10,
+            accelerators: 0,
+        }
+    }
+}
+
+/// What a VM does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Serves requests on an address of its own.
+    Executor,
+    /// Runs tasks under leases.
+    Worker,
+}
+
+/// VMs of a data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DataCentreSpec {
+    /// VMs of each class.
+    pub vms: IndexMap<String, usize>,
+    /// VMs in a rack; racks are filled class by class.
+    pub per_rack: usize,
+}
+
+impl Default for DataCentreSpec {
+    fn default() -> Self {
+        Self {
+            vms: IndexMap::new(),
+            per_rack: 4,
+        }
+    }
+}
+
+/// Bounds of the log service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSpec {
+    /// Records kept in each stream.
+    pub max_records: usize,
+    /// Time that a record is kept, in ms.
+    pub max_age_ms: u64,
+    /// Appends a second over all streams; a batch counts once.
+    pub append_rate: u32,
+}
+
+impl Default for LogSpec {
+    fn default() -> Self {
+        Self {
+            max_records: 1_000_000,
+            max_age_ms: 86_400_000,
+            append_rate: 500,
+        }
+    }
+}
+
+/// A VM to be made.
+#[derive(Clone, Debug)]
+pub(crate) struct VmSpec<'a> {
+    pub(crate) id: String,
+    pub(crate) class: &'a str,
+    pub(crate) size: &'a ClassSpec,
+    pub(crate) data_centre: &'a str,
+    pub(crate) rack: String,
+}
+
+impl FleetSpec {
+    /// Every VM of the fleet, in order.
+    pub(crate) fn vms(&self) -> Result<Vec<VmSpec<'_>>> {
+        let mut vms = Vec::new();
+        for (data_centre, spec) in &self.data_centres {
+            let mut placed = 0;
+            for (class, &count) in &spec.vms {
+                let Some(size) = self.classes.get(class) else {
+                    bail!("data centre {data_centre}: unknown class {class}");
+                };
+                for i in 0..count {
+                    let rack = placed / spec.per_rack.max(1);
+                    vms.push(VmSpec {
+                        id: format!("{data_centre}-{class}-{i}"),
+                        class,
+                        size,
+                        data_centre,
+                        rack: format!("{data_centre}-rack-{rack}"),
+                    });
+                    placed += 1;
+                }
+            }
+        }
+        Ok(vms)
+    }
+}
--- /dev/null
+++ b/standins/src/vms/mod.rs
@@ -0,0 +1,8 @@
+//! VMs of the fleet and the lagging list of them.
+
+mod machine;
+mod service;
+
+pub(crate) use machine::{Machine, Machines, Mismatch};
+pub use machine::{Phase, VmState};
+pub(crate) use service::VmsService;
--- /dev/null
+++ b/standins/src/workers/service.rs
@@ -0,0 +1,218 @@
+//! HTTP calls of the workers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_types::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use super::host::{Host, Refused, Size, Started};
+use super::state::Workers;
+use super::task::{Task, TaskSpec, TaskState};
+use crate::fault::{Network, PLATFORM};
+use crate::serve::{Call, Reply, Service};
+
+/// The workers' service.
+#[derive(Debug)]
+pub(crate) struct WorkersService {
+    workers: Arc<Workers>,
+    network: Arc<Network>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LeaseCall {
+    lease_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ThrottleCall {
+    percent: u32,
+}
+
+#[derive(Debug, Serialize)]
+struct WorkerReply<'a> {
+    vm: &'a str,
+    off: bool,
+    size: Size,
+    free: Size,
+}
+
+impl WorkersService {
+    /// A service for `workers`, reached over `network`.
+    pub(crate) const fn new(workers: Arc<Workers>, network: Arc<Network>) -> Self {
+        Self { workers, network }
+    }
+
+    fn list(&self) -> Reply {
+        let now = Instant::now();
+        let mut state = self.workers.lock();
+        for host in state.hosts.values_mut() {
+            host.settle(now);
+        }
+        let workers: Vec<_> = state
+            .hosts
+            .iter()
+            .map(|(vm, host)| WorkerReply {
+                vm,
+                off: host.is_off(),
+                size: host.size(),
+                free: host.free(),
+            })
+            .collect();
+        Reply::json(200, &json!({ "workers": workers }))
+    }
+
+    fn start(&self, vm: &str, id: &str, call: &Call) -> Reply {
+        let spec: TaskSpec = match call.json() {
+            Ok(spec) => spec,
+            Err(reply) => return reply,
+        };
+        if spec.id != id {
+            return Reply::error(400, "the id differs from the path");
+        }
+        let mut state = self.workers.lock();
+        let progress = match &spec.checkpoint {
+            None => Duration::ZERO,
+            Some(checkpoint) => match state.checkpoints.get(checkpoint) {
+                Some(progress) => *progress,
+                None => return Reply::error(404, "no such checkpoint"),
+            },
+        };
+        let Some(host) = state.hosts.get_mut(vm) else {
+            return Reply::error(404, "no such worker");
+        };
+        match host.start(&spec, progress, Instant::now()) {
+            Ok(Started::New(status)) => Reply::json(201, &status),
+            Ok(Started::Known(status)) => Reply::json(200, &status),
+            Err(Refused::Off) => Reply::error(503, "worker is down"),
+            Err(Refused::Full(free)) => Reply::error(
+                409,
+                &format!(
+                    "no room: {} cores, {} MB and {} accelerators are free",
+                    free.cores, free.memory_mb, free.accelerators
+                ),
+            ),
+        }
+    }
+
+    fn renew(&self, vm: &str, id: &str, call: &Call) -> Reply {
+        match call.json::<LeaseCall>() {
+            Ok(body) => self.on_task(vm, id, |task, now| task.renew(body.lease_ms, now)),
+            Err(reply) => reply,
+        }
+    }
+
+    fn throttle(&self, vm: &str, id: &str, call: &Call) -> Reply {
+        match call.json::<ThrottleCall>() {
+            Ok(body) => self.on_task(vm, id, |task, now| task.throttle(body.percent, now)),
+            Err(reply) => reply,
+        }
+    }
+
+    fn stop(&self, vm: &str, id: &str) -> Reply {
+        self.on_task(vm, id, |task, now| {
+            task.stop(TaskState::Stopped, "stopped on request", now);
+        })
+    }
+
+    fn checkpoint(&self, vm: &str, id: &str) -> Reply {
+        let now = Instant::now();
+        let mut state = self.workers.lock();
+        let Some(task) = state.hosts.get_mut(vm).and_then(|host| host.task(id, now)) else {
+            return Reply::error(404, "no such task");
+        };
+        if !task.runs() {
+            return Reply::error(409, "the task has ended");
+        }
+        let progress = task.progress();
+        let checkpoint = format!("{id}@{}", progress.as_millis());
+        state.checkpoints.insert(checkpoint.clone(), progress);
+        Reply::json(200, &json!({ "checkpoint": checkpoint }))
+    }
+
+    fn tasks(&self, vm: &str) -> Reply {
+        self.on_host(vm, |host| {
+            Reply::json(200, &json!({ "tasks": host.statuses() }))
+        })
+    }
+
+    fn usage(&self, vm: &str) -> Reply {
+        let lag = self.workers.usage_lag();
+        self.on_host(vm, |host| {
+            let now = Instant::now();
+            let moment = now.checked_sub(lag).unwrap_or(now);
+            let age_ms = u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
+            Reply::json(
+                200,
+                &json!({ "age_ms": age_ms, "tasks": host.usage(moment) }),
+            )
+        })
+    }
+
+    fn on_host(&self, vm: &str, read: impl FnOnce(&Host) -> Reply) -> Reply {
+        let mut state = self.workers.lock();
+        let Some(host) = state.hosts.get_mut(vm) else {
+            return Reply::error(404, "no such worker");
+        };
+        if host.is_off() {
+            return Reply::error(503, "worker is down");
+        }
+        host.settle(Instant::now());
+        read(host)
+    }
+
+    fn on_task(&self, vm: &str, id: &str, change: impl FnOnce(&mut Task, Instant)) -> Reply {
+        let now = Instant::now();
+        let mut state = self.workers.lock();
+        let Some(host) = state.hosts.get_mut(vm) else {
+            return Reply::error(404, "no such worker");
+        };
+        if host.is_off() {
+            return Reply::error(503, "worker is down");
+        }
+        let Some(task) = host.task(id, now) else {
+            return Reply::error(404, "no such task");
+        };
+        change(task, now);
+        Reply::json(200, &task.status())
+    }
+
+    /// Waits while the platform is cut off from the worker's data centre.
+    async fn until_reached(&self, vm: &str) {
+        let place = {
+            let state = self.workers.lock();
+            state
+                .hosts
+                .get(vm)
+                .map(|host| host.data_centre().to_owned())
+        };
+        if let Some(data_centre) = place {
+            self.network.until_passes(PLATFORM, &data_centre).await;
+        }
+    }
+}
+
+impl Service for WorkersService {
+    async fn answer(&self, call: Call) -> Reply {
+        let method = call.method();
+        let parts = call.parts();
+        if let ["workers", vm, ..] = parts.as_slice() {
+            self.until_reached(vm).await;
+        }
+        match (method, parts.as_slice()) {
+            (Method::Get, ["workers"]) => self.list(),
+            (Method::Get, ["workers", vm, "tasks"]) => self.tasks(vm),
+            (Method::Get, ["workers", vm, "usage"]) => self.usage(vm),
+            (Method::Get, ["workers", vm, "tasks", id]) => self.on_task(vm, id, |_, _| {}),
+            (Method::Put, ["workers", vm, "tasks", id]) => self.start(vm, id, &call),
+            (Method::Delete, ["workers", vm, "tasks", id]) => self.stop(vm, id),
+            (Method::Put, ["workers", vm, "tasks", id, "lease"]) => self.renew(vm, id, &call),
+            (Method::Put, ["workers", vm, "tasks", id, "speed"]) => self.throttle(vm, id, &call),
+            (Method::Post, ["workers", vm, "tasks", id, "checkpoints"]) => self.checkpoint(vm, id),
+            _ => Reply::error(404, "no such call"),
+        }
+    }
+}
