--- a/standins/tests/common/mod.rs
+++ b/standins/tests/common/mod.rs
@@ -82,7 +82,9 @@
             text.push_str(header);
             text.push_str("\r\n");
         }
-        text.push_str(&format!("Content-Length: {}\r\n\r\n{body}", body.len()));
+        let length = format!("Content-Length: {}\r\n\r\n", body.len());
+        text.push_str(&length);
+        text.push_str(body);
         self.0.write_all(text.as_bytes())
     }
 
