Guard both ends of HTTP around async-h1

Cause: async-h1 2.3 hands over cut bodies as whole, answers only the first of several requests, runs requests with two lengths, panics on header values outside ASCII, writes `date: date: ...` into an answer that has no Date, and starts a second executor for `Expect`.

The guard reads one whole message off the stream in bounds, checks its head with httparse, finds its end by length or chunks, and hands exactly these bytes to async-h1, which then works in memory. Neither async-io 1.x nor the global executor is started this way, so there is no second reactor thread to measure. The client keeps connections by address, counts the bytes that the kernel took, and keeps a connection only when it is clean; a request that must run once goes only over a connection used within the last 500 ms or a new one.

Each of these was broken in turn and the tests were seen failing: two lengths let through, cut body passed on, reuse without the look for late bytes, reuse of an old connection for POST, invented Date, no watch for the caller's leaving, no limit of connections, no ASCII check, no `100 Continue`, interim status let through. Two breaks were not seen because a second check stands behind them: keeping an unclean connection (the look before reuse finds the bytes) and a chunk longer than its size (the codec finds it).

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -2,15 +2,8 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use async_io::Timer;
-use async_net::TcpStream;
-use futures_lite::FutureExt;
-use futures_lite::future;
-use http_types::{Method, Url};
-
-use super::{Reply, Request};
+use super::{Failure, Pool, Reply, Request};
 
 /// Bounds of one exchange.
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +46,22 @@
 
 impl std::error::Error for SendError {}
 
+impl From<Failure> for SendError {
+    fn from(failure: Failure) -> Self {
+        let Failure {
+            kind,
+            written,
+            detail,
+        } = failure;
+        let cause = format!("{kind:?}: {detail}");
+        if written == 0 {
+            Self::NotSent(cause)
+        } else {
+            Self::Sent(cause)
+        }
+    }
+}
+
 /// Sends `request` to `address` and reads the whole answer.
 ///
 /// # Errors
@@ -62,58 +71,5 @@
     request: &Request,
     limits: &Limits,
 ) -> Result<Reply, SendError> {
-    let connect = async { TcpStream::connect(address).await.map_err(|e| e.to_string()) };
-    let stream = within(limits.connect_ms, connect)
-        .await
-        .map_err(SendError::NotSent)?;
-    within(limits.answer_ms, exchange(stream, address, request, limits))
-        .await
-        .map_err(SendError::Sent)
-}
-
-async fn within<T>(
-    limit_ms: u64,
-    work: impl Future<Output = Result<T, String>>,
-) -> Result<T, String> {
-    let timeout = async {
-        Timer::after(Duration::from_millis(limit_ms)).await;
-        Err(format!("timeout after {limit_ms} ms"))
-    };
-    future::or(work, timeout).await
-}
-
-async fn exchange(
-    stream: TcpStream,
-    address: SocketAddr,
-    request: &Request,
-    limits: &Limits,
-) -> Result<Reply, String> {
-    let method: Method = request.method.parse().map_err(|_| "unknown method")?;
-    let url =
-        Url::parse(&format!("http://{address}{}", request.path)).map_err(|e| e.to_string())?;
-    let mut outgoing = http_types::Request::new(method, url);
-    for (name, value) in &request.headers {
-        outgoing.append_header(name.as_str(), value.as_str());
-    }
-    outgoing.set_body(request.body.as_slice());
-    let mut incoming = async_h1::connect(stream, outgoing)
-        .boxed()
-        .await
-        .map_err(|e| e.to_string())?;
-    let body = incoming.body_bytes().await.map_err(|e| e.to_string())?;
-    if body.len() > limits.max_body {
-        return Err("body over the limit".to_owned());
-    }
-    if incoming.len().is_some_and(|n| n != body.len()) {
-        return Err("body cut".to_owned());
-    }
-    let headers = incoming
-        .iter()
-        .map(|(name, values)| (name.as_str().to_owned(), values.as_str().to_owned()))
-        .collect();
-    Ok(Reply {
-        status: incoming.status() as u16,
-        headers,
-        body,
-    })
+    Ok(Pool::new().send(address, request, false, limits).await?)
 }
--- /dev/null
+++ b/src/http/codec.rs
@@ -0,0 +1,197 @@
+//! Turns checked bytes into messages and back, with async-h1 working in memory.
+
+use std::io;
+use std::pin::Pin;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
+use http_types::headers::{HeaderName, HeaderValue};
+use http_types::{Body, Method, Response, StatusCode, Url};
+
+use super::wire::RawBody;
+use super::{Reply, Request};
+
+/// Bytes in memory, read as if they came from a stream; writes go nowhere.
+#[derive(Clone)]
+struct Memory {
+    bytes: Arc<[u8]>,
+    at: usize,
+}
+
+impl Memory {
+    fn new(bytes: &[u8]) -> Self {
+        Self {
+            bytes: Arc::from(bytes),
+            at: 0,
+        }
+    }
+}
+
+impl AsyncRead for Memory {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let size = buf.len().min(self.bytes.len() - self.at);
+        buf[..size].copy_from_slice(&self.bytes[self.at..self.at + size]);
+        self.at += size;
+        Poll::Ready(Ok(size))
+    }
+}
+
+impl AsyncWrite for Memory {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Decodes a checked request.
+pub(crate) async fn decode_request(head: &[u8], body: RawBody) -> http_types::Result<Request> {
+    let whole = message(head, &body);
+    let (mut incoming, _) = async_h1::server::decode(Memory::new(&whole))
+        .await?
+        .ok_or_else(|| http_types::format_err!("no request"))?;
+    let body = content(body, &mut incoming).await?;
+    let url = incoming.url();
+    let path = match url.query() {
+        Some(query) => format!("{}?{query}", url.path()),
+        None => url.path().to_owned(),
+    };
+    Ok(Request {
+        method: incoming.method().to_string(),
+        path,
+        headers: headers(incoming.iter()),
+        body,
+    })
+}
+
+/// Decodes a checked answer.
+pub(crate) async fn decode_reply(
+    head: &[u8],
+    body: RawBody,
+    dated: bool,
+) -> http_types::Result<Reply> {
+    let whole = message(head, &body);
+    let mut incoming = async_h1::client::decode(Memory::new(&whole)).await?;
+    if !dated {
+        incoming.remove_header("date");
+    }
+    let body = content(body, &mut incoming).await?;
+    Ok(Reply {
+        status: incoming.status() as u16,
+        headers: headers(incoming.iter()),
+        body,
+    })
+}
+
+/// Encodes a request for `host`.
+pub(crate) async fn encode_request(host: &str, request: &Request) -> http_types::Result<Vec<u8>> {
+    let method = Method::from_str(&request.method)?;
+    let url = Url::parse(&format!("http://{host}{}", request.path))?;
+    let mut outgoing = http_types::Request::new(method, url);
+    outgoing.set_body(request.body.as_slice());
+    outgoing.remove_header("content-type");
+    for (name, value) in end_to_end(&request.headers) {
+        let (name, value) = header(name, value)?;
+        outgoing.append_header(name, value);
+    }
+    let mut bytes = Vec::with_capacity(256 + request.body.len());
+    async_h1::client::Encoder::new(outgoing)
+        .read_to_end(&mut bytes)
+        .await?;
+    Ok(bytes)
+}
+
+/// Encodes an answer to a request with `method`.
+pub(crate) async fn encode_reply(reply: &Reply, method: Method) -> http_types::Result<Vec<u8>> {
+    let mut outgoing = Response::new(StatusCode::try_from(reply.status)?);
+    let length = reply.header("content-length").and_then(|n| n.parse().ok());
+    match length {
+        // An answer to HEAD states the length of the body that GET would get.
+        Some(length) if method == Method::Head => {
+            outgoing.set_body(Body::from_reader(futures_lite::io::empty(), Some(length)));
+        }
+        _ => outgoing.set_body(reply.body.as_slice()),
+    }
+    outgoing.remove_header("content-type");
+    for (name, value) in end_to_end(&reply.headers) {
+        let (name, value) = header(name, value)?;
+        outgoing.append_header(name, value);
+    }
+    let mut bytes = Vec::with_capacity(256 + reply.body.len());
+    async_h1::server::Encoder::new(outgoing, method)
+        .read_to_end(&mut bytes)
+        .await?;
+    if reply.status == 204 || reply.status == 304 {
+        remove_line(&mut bytes, b"content-length: 0\r\n");
+    }
+    Ok(bytes)
+}
+
+/// Both statuses end with the head, where the codec states a length of 0.
+fn remove_line(bytes: &mut Vec<u8>, line: &[u8]) {
+    let start = bytes.windows(line.len()).position(|part| part == line);
+    if let Some(start) = start {
+        bytes.drain(start..start + line.len());
+    }
+}
+
+/// The codec states the framing itself.
+fn end_to_end(headers: &[(String, String)]) -> impl Iterator<Item = &(String, String)> {
+    headers
+        .iter()
+        .filter(|(name, _)| !matches!(name.as_str(), "content-length" | "transfer-encoding"))
+}
+
+fn header(name: &str, value: &str) -> http_types::Result<(HeaderName, HeaderValue)> {
+    if value.bytes().any(|b| b.is_ascii_control() && b != b'\t') {
+        return Err(http_types::format_err!("control character in a header"));
+    }
+    Ok((HeaderName::from_str(name)?, HeaderValue::from_str(value)?))
+}
+
+/// Bytes for the codec: it needs the body only where it is chunked.
+fn message(head: &[u8], body: &RawBody) -> Vec<u8> {
+    match body {
+        RawBody::Plain(_) => head.to_vec(),
+        RawBody::Chunked(chunks) => [head, chunks].concat(),
+    }
+}
+
+async fn content(
+    body: RawBody,
+    decoded: &mut (impl AsyncRead + Unpin),
+) -> http_types::Result<Vec<u8>> {
+    match body {
+        RawBody::Plain(bytes) => Ok(bytes),
+        RawBody::Chunked(_) => {
+            let mut bytes = Vec::new();
+            decoded.read_to_end(&mut bytes).await?;
+            Ok(bytes)
+        }
+    }
+}
+
+fn headers<'a>(
+    all: impl Iterator<Item = (&'a HeaderName, &'a http_types::headers::HeaderValues)>,
+) -> Vec<(String, String)> {
+    all.filter(|(name, _)| name.as_str() != "transfer-encoding")
+        .flat_map(|(name, values)| values.iter().map(move |value| (name, value)))
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_str().to_owned()))
+        .collect()
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,9 +1,19 @@
 //! HTTP/1.1 messages with strict bounds around the codec library.
 
+mod chunked;
 mod client;
+mod codec;
+mod connection;
+mod deadline;
+mod frame;
 mod message;
+mod pool;
+mod problem;
 mod server;
+mod wire;
 
 pub use client::{Limits, SendError, send};
 pub use message::{Reply, Request};
+pub use pool::{Failure, FailureKind, Pool};
+pub use problem::{Conclusion, Problem};
 pub use server::{Handler, Server, ServerLimits};
--- /dev/null
+++ b/src/http/pool.rs
@@ -0,0 +1,217 @@
+//! Connections to servers, kept open between exchanges.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use async_net::TcpStream;
+use indexmap::IndexMap;
+
+use super::codec;
+use super::deadline::within;
+use super::frame::{Fault, reply_head};
+use super::wire::{ReadError, Wire};
+use super::{Limits, Reply, Request};
+
+const MAX_HEAD: usize = 8 << 10;
+
+/// Idle connections older than this are closed; common servers keep them for 5 s.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+/// A connection idle for longer carries only requests that may be sent twice: something
+/// between the two ends may have lost track of it.
+const FRESH_LIMIT: Duration = Duration::from_millis(500);
+
+/// Idle connections kept for one address.
+const IDLE_PER_ADDRESS: usize = 64;
+
+/// How an exchange failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureKind {
+    /// No connection was made.
+    Connect,
+    /// The connection ended before the whole answer was read.
+    Cut,
+    /// The answer did not keep to the protocol.
+    BadAnswer,
+    /// The time was over.
+    Silent,
+    /// The request can't be put into HTTP.
+    BadRequest,
+}
+
+/// An exchange without a whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// How it failed.
+    pub kind: FailureKind,
+    /// Bytes of the request that the kernel took; with none, the request has not run.
+    pub written: usize,
+    /// More words on it.
+    pub detail: String,
+}
+
+impl Failure {
+    fn new(kind: FailureKind, written: usize, detail: &impl ToString) -> Self {
+        Self {
+            kind,
+            written,
+            detail: detail.to_string(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    wire: Wire,
+    since: Instant,
+}
+
+/// Open connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<IndexMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// A pool without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends `request` to `address` and reads the whole answer. A request that is not
+    /// `repeatable` goes over a connection that is new or was used a moment ago.
+    ///
+    /// # Errors
+    /// Says how far the exchange came.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+        repeatable: bool,
+        limits: &Limits,
+    ) -> Result<Reply, Failure> {
+        let bytes = codec::encode_request(&address.to_string(), request)
+            .await
+            .map_err(|e| Failure::new(FailureKind::BadRequest, 0, &e))?;
+        let mut wire = match self.reuse(address, repeatable) {
+            Some(wire) => wire,
+            None => connect(address, limits).await?,
+        };
+        let mut written = 0;
+        let work = exchange(&mut wire, &bytes, &request.method, limits, &mut written);
+        let result = within(limits.answer_ms, work).await;
+        match result {
+            Some(Ok((reply, clean))) => {
+                if clean {
+                    self.keep(address, wire);
+                }
+                Ok(reply)
+            }
+            Some(Err((kind, detail))) => Err(Failure::new(kind, written, &detail)),
+            None => {
+                self.forget(address);
+                Err(Failure::new(FailureKind::Silent, written, &"timeout"))
+            }
+        }
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.lock().swap_remove(&address);
+    }
+
+    /// Closes connections that have been idle too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.lock().retain(|_, idle| {
+            idle.retain(|entry| now - entry.since < IDLE_LIMIT);
+            !idle.is_empty()
+        });
+    }
+
+    /// Idle connections now.
+    #[must_use]
+    pub fn idle(&self) -> usize {
+        self.lock().values().map(Vec::len).sum()
+    }
+
+    fn reuse(&self, address: SocketAddr, repeatable: bool) -> Option<Wire> {
+        let limit = if repeatable { IDLE_LIMIT } else { FRESH_LIMIT };
+        let mut idle = self.lock();
+        let entries = idle.get_mut(&address)?;
+        while let Some(entry) = entries.pop() {
+            if entry.since.elapsed() >= limit {
+                // Older ones lie below it.
+                entries.clear();
+                return None;
+            }
+            if entry.wire.quiet() {
+                return Some(entry.wire);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, address: SocketAddr, wire: Wire) {
+        let mut idle = self.lock();
+        let entries = idle.entry(address).or_default();
+        if entries.len() < IDLE_PER_ADDRESS {
+            entries.push(Idle {
+                wire,
+                since: Instant::now(),
+            });
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, IndexMap<SocketAddr, Vec<Idle>>> {
+        self.idle
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+async fn connect(address: SocketAddr, limits: &Limits) -> Result<Wire, Failure> {
+    let stream = within(limits.connect_ms, TcpStream::connect(address))
+        .await
+        .ok_or_else(|| Failure::new(FailureKind::Connect, 0, &"connect timeout"))?
+        .map_err(|e| Failure::new(FailureKind::Connect, 0, &e))?;
+    let _ = stream.set_nodelay(true);
+    Ok(Wire::new(stream))
+}
+
+type Broken = (FailureKind, String);
+
+async fn exchange(
+    wire: &mut Wire,
+    bytes: &[u8],
+    method: &str,
+    limits: &Limits,
+    written: &mut usize,
+) -> Result<(Reply, bool), Broken> {
+    wire.write(bytes, written)
+        .await
+        .map_err(|e| (FailureKind::Cut, e.to_string()))?;
+    let head = wire
+        .head(MAX_HEAD, |bytes| reply_head(bytes, method))
+        .await
+        .map_err(|e| broken(&e))?;
+    let raw = wire.take(head.size);
+    let body = wire
+        .body(head.framing, limits.max_body)
+        .await
+        .map_err(|e| broken(&e))?;
+    let reply = codec::decode_reply(&raw, body, head.dated)
+        .await
+        .map_err(|e| (FailureKind::BadAnswer, e.to_string()))?;
+    let clean = !head.close && wire.unread().is_empty();
+    Ok((reply, clean))
+}
+
+fn broken(error: &ReadError) -> Broken {
+    match error {
+        ReadError::Cut => (FailureKind::Cut, "connection ended".to_owned()),
+        ReadError::Fault(Fault { detail, .. }) => (FailureKind::BadAnswer, (*detail).to_owned()),
+    }
+}
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -3,14 +3,20 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use async_executor::Task;
+use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
-use http_types::{Response, StatusCode};
 
+use super::connection::Connection;
 use super::{Reply, Request};
 use crate::runtime::Runtime;
 
+/// Pause after a failed accept; a process out of descriptors would spin otherwise.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
 /// Bounds of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -20,6 +26,8 @@
     pub max_head: usize,
     /// Largest body of a request, in bytes.
     pub max_body: usize,
+    /// Time from an answer to the first byte of the next request, in ms.
+    pub idle_ms: u64,
     /// Time to read a whole head, in ms.
     pub head_ms: u64,
     /// Time to read a whole body, in ms.
@@ -34,6 +42,7 @@
             connections: 1_024,
             max_head: 8 << 10,
             max_body: 1 << 20,
+            idle_ms: 60_000,
             head_ms: 10_000,
             body_ms: 30_000,
             write_ms: 30_000,
@@ -47,10 +56,32 @@
     fn handle(&self, request: Request, caller: SocketAddr) -> impl Future<Output = Reply> + Send;
 }
 
-/// A running server; it stops accepting when dropped.
+/// Connections of a server, counted.
+#[derive(Debug, Default)]
+pub(crate) struct Gauge(AtomicUsize);
+
+/// One counted connection.
+#[derive(Debug)]
+struct Counted(Arc<Gauge>);
+
+impl Counted {
+    fn new(gauge: &Arc<Gauge>) -> (Self, usize) {
+        let before = gauge.0.fetch_add(1, Ordering::Relaxed);
+        (Self(Arc::clone(gauge)), before)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A running server; it stops accepting when dropped, and open connections go on.
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
+    gauge: Arc<Gauge>,
     _accept: Task<()>,
 }
 
@@ -68,9 +99,17 @@
         let listener = std::net::TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let listener = TcpListener::try_from(listener)?;
-        let accept = accept(listener, runtime.clone(), limits, Arc::new(handler));
+        let gauge = Arc::new(Gauge::default());
+        let accept = accept(
+            listener,
+            runtime.clone(),
+            limits,
+            Arc::clone(&gauge),
+            Arc::new(handler),
+        );
         Ok(Self {
             address,
+            gauge,
             _accept: runtime.spawn(accept),
         })
     }
@@ -80,18 +119,34 @@
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Connections that are open now.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.gauge.0.load(Ordering::Relaxed)
+    }
 }
 
 async fn accept<H: Handler>(
     listener: TcpListener,
     runtime: Runtime,
     limits: ServerLimits,
+    gauge: Arc<Gauge>,
     handler: Arc<H>,
 ) {
-    while let Ok((stream, caller)) = listener.accept().await {
+    loop {
+        let Ok((stream, caller)) = listener.accept().await else {
+            Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            continue;
+        };
+        let (counted, before) = Counted::new(&gauge);
         let handler = Arc::clone(&handler);
+        let full = before >= limits.connections;
         runtime
-            .spawn(serve(stream, caller, limits, handler))
+            .spawn(async move {
+                serve(stream, caller, limits, full, handler).await;
+                drop(counted);
+            })
             .detach();
     }
 }
@@ -100,54 +155,22 @@
     stream: TcpStream,
     caller: SocketAddr,
     limits: ServerLimits,
+    full: bool,
     handler: Arc<H>,
 ) {
-    let _ = async_h1::accept(stream, |incoming| {
-        let handler = Arc::clone(&handler);
-        async move {
-            let request = read(incoming, &limits).await?;
-            let reply = handler.handle(request, caller).await;
-            answer(reply)
-        }
-    })
-    .await;
-}
-
-async fn read(
-    mut incoming: http_types::Request,
-    limits: &ServerLimits,
-) -> http_types::Result<Request> {
-    let body = incoming.body_bytes().await?;
-    if body.len() > limits.max_body {
-        return Err(http_types::Error::from_str(
-            StatusCode::PayloadTooLarge,
-            "body over the limit",
-        ));
+    let _ = stream.set_nodelay(true);
+    let mut connection = Connection::new(stream, limits);
+    if full {
+        connection.turn_away().await;
+        return;
     }
-    let url = incoming.url();
-    let path = match url.query() {
-        Some(query) => format!("{}?{query}", url.path()),
-        None => url.path().to_owned(),
-    };
-    let headers = incoming
-        .iter()
-        .flat_map(|(name, values)| values.iter().map(move |v| (name, v)))
-        .map(|(name, value)| (name.as_str().to_owned(), value.as_str().to_owned()))
-        .collect();
-    Ok(Request {
-        method: incoming.method().to_string(),
-        path,
-        headers,
-        body,
-    })
-}
-
-fn answer(reply: Reply) -> http_types::Result<Response> {
-    let status = StatusCode::try_from(reply.status)?;
-    let mut outgoing = Response::new(status);
-    for (name, value) in &reply.headers {
-        outgoing.append_header(name.as_str(), value.as_str());
+    while let Some(request) = connection.read().await {
+        let method = connection.method();
+        let Some(reply) = connection.answer(handler.handle(request, caller)).await else {
+            return;
+        };
+        if !connection.write(&reply, method).await {
+            return;
+        }
     }
-    outgoing.set_body(reply.body);
-    Ok(outgoing)
 }
--- /dev/null
+++ b/src/http/wire.rs
@@ -0,0 +1,192 @@
+//! A stream with the bytes that were read ahead of need.
+
+use std::io;
+use std::sync::Arc;
+
+use async_io::Async;
+use async_net::TcpStream;
+use futures_lite::future;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+
+use super::chunked::{ChunkEnd, ChunkWalk};
+use super::frame::{Fault, Framing};
+
+const READ_BYTES: usize = 4 << 10;
+const MAX_READ_BYTES: usize = 256 << 10;
+
+/// Why a whole message could not be read.
+#[derive(Debug)]
+pub(crate) enum ReadError {
+    /// The stream ended or failed.
+    Cut,
+    /// The message breaks a rule or a bound.
+    Fault(Fault),
+}
+
+impl From<Fault> for ReadError {
+    fn from(fault: Fault) -> Self {
+        Self::Fault(fault)
+    }
+}
+
+impl From<io::Error> for ReadError {
+    fn from(_: io::Error) -> Self {
+        Self::Cut
+    }
+}
+
+/// The body of a message, as it came.
+#[derive(Debug)]
+pub(crate) enum RawBody {
+    /// The content itself.
+    Plain(Vec<u8>),
+    /// Chunks up to the empty one, trailers left out.
+    Chunked(Vec<u8>),
+}
+
+/// A stream with its unread bytes.
+#[derive(Debug)]
+pub(crate) struct Wire {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Wire {
+    pub(crate) const fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Bytes that were read and not yet taken.
+    pub(crate) fn unread(&self) -> &[u8] {
+        &self.buffer
+    }
+
+    /// True when nothing has come since the last read, not even the end of the stream.
+    pub(crate) fn quiet(&self) -> bool {
+        let stream: Arc<Async<std::net::TcpStream>> = self.stream.clone().into();
+        let peeked = stream.get_ref().peek(&mut [0]);
+        let nothing = peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+        nothing && self.buffer.is_empty()
+    }
+
+    /// Reads once; returns false at the end of the stream.
+    pub(crate) async fn fill(&mut self, wanted: usize) -> io::Result<bool> {
+        let start = self.buffer.len();
+        let room = wanted.clamp(READ_BYTES, MAX_READ_BYTES);
+        self.buffer.resize(start + room, 0);
+        let read = self.stream.read(&mut self.buffer[start..]).await;
+        self.buffer
+            .truncate(start + read.as_ref().copied().unwrap_or(0));
+        Ok(read? > 0)
+    }
+
+    /// Waits until the other end closes; keeps up to `limit` bytes that come meanwhile.
+    pub(crate) async fn closed(&mut self, limit: usize) {
+        while self.buffer.len() < limit {
+            if !self.fill(0).await.unwrap_or(false) {
+                return;
+            }
+        }
+        future::pending::<()>().await;
+    }
+
+    /// Reads until `parse` finds a whole head in at most `limit` bytes.
+    pub(crate) async fn head<T>(
+        &mut self,
+        limit: usize,
+        parse: impl Fn(&[u8]) -> Result<Option<T>, Fault>,
+    ) -> Result<T, ReadError> {
+        loop {
+            if !self.buffer.is_empty() {
+                let seen = self.buffer.len().min(limit);
+                if let Some(head) = parse(&self.buffer[..seen])? {
+                    return Ok(head);
+                }
+                if self.buffer.len() >= limit {
+                    return Err(Fault::new(431, "head over the limit").into());
+                }
+            }
+            if !self.fill(0).await? {
+                return Err(ReadError::Cut);
+            }
+        }
+    }
+
+    /// Removes the next `size` bytes, which must have been read.
+    pub(crate) fn take(&mut self, size: usize) -> Vec<u8> {
+        let rest = self.buffer.split_off(size);
+        std::mem::replace(&mut self.buffer, rest)
+    }
+
+    /// Reads the whole body that follows a head.
+    pub(crate) async fn body(
+        &mut self,
+        framing: Framing,
+        max_body: usize,
+    ) -> Result<RawBody, ReadError> {
+        match framing {
+            Framing::Empty => Ok(RawBody::Plain(Vec::new())),
+            Framing::Fixed(size) if size > max_body => {
+                Err(Fault::new(413, "body over the limit").into())
+            }
+            Framing::Fixed(size) => self.fixed(size).await,
+            Framing::Chunked => self.chunked(max_body).await,
+        }
+    }
+
+    async fn fixed(&mut self, size: usize) -> Result<RawBody, ReadError> {
+        while self.buffer.len() < size {
+            let missing = size - self.buffer.len();
+            if !self.fill(missing).await? {
+                return Err(ReadError::Cut);
+            }
+        }
+        Ok(RawBody::Plain(self.take(size)))
+    }
+
+    async fn chunked(&mut self, max_body: usize) -> Result<RawBody, ReadError> {
+        let mut walk = ChunkWalk::default();
+        loop {
+            if let Some(ChunkEnd { chunks, whole }) = walk.advance(&self.buffer, max_body)? {
+                let mut body = self.take(whole);
+                body.truncate(chunks);
+                body.extend_from_slice(b"\r\n");
+                return Ok(RawBody::Chunked(body));
+            }
+            if !self.fill(READ_BYTES).await? {
+                return Err(ReadError::Cut);
+            }
+        }
+    }
+
+    /// Writes all bytes and adds to `written` what the kernel took.
+    pub(crate) async fn write(&mut self, bytes: &[u8], written: &mut usize) -> io::Result<()> {
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let n = self.stream.write(rest).await?;
+            if n == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            *written += n;
+            rest = &rest[n..];
+        }
+        Ok(())
+    }
+
+    /// Ends the own side and reads what the other end still sends, up to `limit` bytes,
+    /// since closing with unread bytes would reset the answer away.
+    pub(crate) async fn finish(&mut self, limit: usize) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+        let mut seen = 0;
+        while seen < limit {
+            self.buffer.clear();
+            if !self.fill(READ_BYTES).await.unwrap_or(false) {
+                return;
+            }
+            seen += self.buffer.len();
+        }
+    }
+}
