Authenticate messages between processes

The destination is part of the code since a copy sent to another process would run a caller's request twice; messages older than the start of the receiver are refused since its forerunner may have handled them.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -97,6 +97,19 @@
         handler: impl Handler,
     ) -> io::Result<Self> {
         let listener = std::net::TcpListener::bind(address)?;
+        Self::listen(listener, runtime, limits, handler)
+    }
+
+    /// Serves an address that is bound already.
+    ///
+    /// # Errors
+    /// Fails when the listener can't be used without blocking.
+    pub fn listen(
+        listener: std::net::TcpListener,
+        runtime: &Runtime,
+        limits: ServerLimits,
+        handler: impl Handler,
+    ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let listener = TcpListener::try_from(listener)?;
         let gauge = Arc::new(Gauge::default());
--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,92 @@
+//! Asks another process and checks its answer.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use super::seal::{REPLY_MAC, Seal};
+use super::{PeerReply, PeerRequest};
+use crate::http::{FailureKind, Limits, Pool, Request};
+use crate::secret::FleetSecret;
+
+/// Why another process gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerError {
+    /// No connection was made; the message has had no effect.
+    Unreachable(String),
+    /// The other process refused the message unread, with this HTTP status.
+    Refused(u16),
+    /// The message may have been handled.
+    Unknown(String),
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable(cause) => write!(f, "not reached: {cause}"),
+            Self::Refused(status) => write!(f, "refused with status {status}"),
+            Self::Unknown(cause) => write!(f, "no answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for PeerError {}
+
+/// Sends messages to other processes over connections that are kept open.
+#[derive(Debug)]
+pub struct Client {
+    secret: FleetSecret,
+    pool: Pool,
+}
+
+impl Client {
+    /// A client that shares `secret` with the other processes.
+    #[must_use]
+    pub fn new(secret: FleetSecret) -> Self {
+        Self {
+            secret,
+            pool: Pool::new(),
+        }
+    }
+
+    /// Sends `message` to `address` and waits for the answer.
+    ///
+    /// # Errors
+    /// Tells whether the message may have been handled.
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        message: &PeerRequest,
+        limits: &Limits,
+    ) -> Result<PeerReply, PeerError> {
+        let body = rmp_serde::to_vec(message).map_err(|e| PeerError::Unreachable(e.to_string()))?;
+        let seal = Seal::now();
+        let mut request = Request::new("POST", "/peer", body);
+        request.headers = seal.headers(&self.secret, address, &request.body);
+        let reply = self
+            .pool
+            .send(address, &request, repeatable(message), limits)
+            .await
+            .map_err(|failure| match failure.kind {
+                _ if failure.written == 0 => PeerError::Unreachable(failure.detail),
+                FailureKind::Connect => PeerError::Unreachable(failure.detail),
+                kind => PeerError::Unknown(format!("{kind:?}: {}", failure.detail)),
+            })?;
+        if reply.status != 200 {
+            return Err(PeerError::Refused(reply.status));
+        }
+        let mac = reply.header(REPLY_MAC).unwrap_or_default();
+        if !seal.check_reply(&self.secret, &reply.body, mac) {
+            return Err(PeerError::Unknown("answer is forged".to_owned()));
+        }
+        rmp_serde::from_slice(&reply.body).map_err(|e| PeerError::Unknown(e.to_string()))
+    }
+
+    /// Closes connections that have been idle too long.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+}
+
+fn repeatable(message: &PeerRequest) -> bool {
+    matches!(message, PeerRequest::Heartbeat(_))
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,5 +1,10 @@
 //! Typed messages between the system's processes.
 
+mod client;
 mod message;
+mod seal;
+mod server;
 
+pub use client::{Client, PeerError};
 pub use message::{Forward, Heartbeat, PeerReply, PeerRequest};
+pub use server::{Handler, Rejects, Server};
