Add the fold, the control thread, rendezvous ranks and a thin planner

Two property tests first claimed that any changed byte is refused. That was wrong: a changed length marker can decode to the same value.

--- /dev/null
+++ b/src/control/commands.rs
@@ -0,0 +1,84 @@
+//! Answers what other threads ask.
+
+use std::time::Instant;
+
+use async_channel::Receiver;
+use serde_json::{Value, json};
+
+use super::core::Core;
+use super::shell::Shell;
+use super::{Command, FleetState};
+use crate::document::hex;
+use crate::ledger::is_ended;
+
+pub(super) async fn run<L, V, P>(shell: &Shell<L, V, P>, received: &Receiver<Command>) {
+    while let Ok(command) = received.recv().await {
+        answer(&mut shell.core.borrow_mut(), command, Instant::now());
+        shell.kick();
+    }
+}
+
+/// An answer whose asker has left is dropped.
+fn answer(core: &mut Core, command: Command, now: Instant) {
+    let facts = core.state.facts();
+    match command {
+        Command::Propose(proposal, reply) => core.propose(proposal, reply, now),
+        Command::Register(peer) => {
+            core.set_peer(peer);
+            core.register(now);
+        }
+        Command::Heartbeat(heartbeat, reply) => {
+            core.hear(&heartbeat, now);
+            let _ = reply.try_send(core.heartbeat(now));
+        }
+        Command::Job(id, reply) => drop(reply.try_send(facts.jobs.get(&id).cloned())),
+        Command::Section(id, reply) => drop(reply.try_send(facts.sections.get(&id).cloned())),
+        Command::Verdict(id, reply) => drop(reply.try_send(core.state.verdict(id).cloned())),
+        Command::Fleet(reply) => drop(reply.try_send(fleet(core))),
+        Command::Dump(reply) => drop(reply.try_send(dump(core, now))),
+    }
+}
+
+fn fleet(core: &Core) -> FleetState {
+    let facts = core.state.facts();
+    let jobs = facts.jobs.values().filter(|state| !is_ended(&state.phase));
+    FleetState {
+        offset: facts.offset,
+        document: core.state.document().cloned(),
+        vms: core.vms.clone(),
+        assignment: facts.assignment.clone(),
+        stops: facts.stops.clone(),
+        planner: facts.planner.clone(),
+        jobs: jobs.cloned().collect(),
+    }
+}
+
+fn dump(core: &Core, now: Instant) -> Value {
+    let facts = core.state.facts();
+    let age = core.verified.map(|at| now.saturating_duration_since(at));
+    let sections = facts.sections.iter();
+    let revisions: serde_json::Map<String, Value> = sections
+        .map(|(id, section)| (id.to_string(), section.revision.0.into()))
+        .collect();
+    json!({
+        "member": core.common.id,
+        "incarnation": core.incarnation,
+        "data_centre": core.common.data_centre,
+        "offset": facts.offset,
+        "rules": facts.rules,
+        "unknown_rules": facts.unknown,
+        "digest": hex::encode(core.state.digest()),
+        "snapshot": facts.snapshot,
+        "skipped": facts.skipped,
+        "verified_ms": age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        "sections": revisions,
+        "assignment": facts.assignment,
+        "stops": facts.stops,
+        "allotments": facts.allotments,
+        "planner": facts.planner,
+        "members": facts.members,
+        "jobs": facts.jobs.len(),
+        "vms": core.vms.len(),
+        "outbox": core.outbox.len(),
+    })
+}
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -1,15 +1,19 @@
 //! What other threads may ask of the control thread.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::id::{JobId, RecordId, Revision, SectionId};
-use crate::ledger::{Job, JobPhase, Proposal, Verdict};
+use crate::document::Document;
+use crate::id::{JobId, Offset, PoolId, RecordId, Revision, SectionId, VmId};
+use crate::ledger::{Holding, Job, JobPhase, Proposal, StopReason, Verdict};
 use crate::peer::Heartbeat;
+use crate::platform::Vm;
 use crate::view::View;
 
 const COMMANDS: usize = 1_024;
@@ -23,6 +27,10 @@
     Job(JobId, Sender<Option<JobState>>),
     /// Hands over a heartbeat of another process; answered with the own one.
     Heartbeat(Heartbeat, Sender<Heartbeat>),
+    /// Makes this process known to the others at this address for their messages.
+    Register(SocketAddr),
+    /// Asks for what the planner decides on.
+    Fleet(Sender<FleetState>),
     /// Asks for the accepted text of a section.
     Section(SectionId, Sender<Option<SectionState>>),
     /// Asks for the verdict on a record, while it is still remembered.
@@ -62,6 +70,25 @@
     pub step: u32,
 }
 
+/// What the planner decides on, all from one offset.
+#[derive(Clone, Debug)]
+pub struct FleetState {
+    /// Next offset to be folded.
+    pub offset: Offset,
+    /// The accepted document, once there is one.
+    pub document: Option<Arc<Document>>,
+    /// The platform's list as last read; empty until it has been.
+    pub vms: Vec<Vm>,
+    /// Pool of each VM that is in one.
+    pub assignment: IndexMap<VmId, PoolId>,
+    /// Planned stops that are not resolved.
+    pub stops: IndexMap<VmId, StopReason>,
+    /// Holder of the planner role.
+    pub planner: Option<Holding>,
+    /// Jobs that have not ended, in the order of their submission.
+    pub jobs: Vec<JobState>,
+}
+
 /// The accepted text of a section.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SectionState {
@@ -71,7 +98,7 @@
     pub text: Arc<str>,
 }
 
-/// Handle of the control thread; cheap to clone.
+/// Handle of the control thread, which ends when the last clone is dropped.
 #[derive(Clone, Debug)]
 pub struct Control {
     view: Arc<ArcSwap<View>>,
@@ -93,6 +120,11 @@
         self.view.load_full()
     }
 
+    /// The cell that holds the newest view, for the control thread.
+    pub(super) fn shared(&self) -> Arc<ArcSwap<View>> {
+        Arc::clone(&self.view)
+    }
+
     /// Replaces the view; called by the control thread alone.
     pub fn publish(&self, view: View) {
         self.view.store(Arc::new(view));
@@ -127,6 +159,16 @@
             .flatten()
     }
 
+    /// Makes this process known to the others at this address for their messages.
+    pub async fn register(&self, peer: SocketAddr) {
+        let _ = self.commands.send(Command::Register(peer)).await;
+    }
+
+    /// What the planner decides on; `None` when the control thread has ended.
+    pub async fn fleet(&self) -> Option<FleetState> {
+        self.ask(Command::Fleet).await
+    }
+
     /// Verdict on a record, while it is still remembered.
     pub async fn verdict(&self, id: RecordId) -> Option<Verdict> {
         self.ask(|reply| Command::Verdict(id, reply))
--- /dev/null
+++ b/src/control/picture.rs
@@ -0,0 +1,81 @@
+//! Draws the view that traffic threads read.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use super::core::Core;
+use crate::document::Document;
+use crate::id::{PoolId, TeamId};
+use crate::ledger::Registration;
+use crate::platform::{Vm, VmPhase};
+use crate::view::{Member, Target, View};
+
+pub(super) fn draw(core: &Core, now: Instant) -> View {
+    let facts = core.state.facts();
+    let document = core.state.document().cloned();
+    let held = facts.planner.as_ref();
+    View {
+        offset: facts.offset,
+        targets: document
+            .as_deref()
+            .map_or_else(IndexMap::new, |document| targets(core, document)),
+        allotments: allotments(core),
+        members: facts
+            .members
+            .values()
+            .map(|registration| member(core, registration, now))
+            .collect(),
+        planner: held.map(|held| (held.holder.clone(), held.epoch)),
+        verified: core.verified,
+        document,
+    }
+}
+
+fn targets(core: &Core, document: &Document) -> IndexMap<PoolId, Vec<Target>> {
+    let pools = document.teams.values().flat_map(|team| team.pools.keys());
+    let mut targets: IndexMap<PoolId, Vec<Target>> =
+        pools.map(|pool| (pool.clone(), Vec::new())).collect();
+    for vm in &core.vms {
+        let pool = core.state.facts().assignment.get(&vm.id);
+        let place = pool.and_then(|pool| targets.get_mut(pool));
+        if let Some((place, target)) = place.zip(target(core, document, vm)) {
+            place.push(target);
+        }
+    }
+    targets
+}
+
+fn target(core: &Core, document: &Document, vm: &Vm) -> Option<Target> {
+    let class = document.fleet.classes.get(&vm.class)?;
+    let stopping = core.state.facts().stops.contains_key(&vm.id);
+    Some(Target {
+        vm: vm.id.clone(),
+        data_centre: vm.data_centre.clone(),
+        rack: vm.rack.clone(),
+        address: vm.address?,
+        slots: class.slots,
+        connections: class.connections,
+        leaving: stopping || vm.phase != VmPhase::Live,
+    })
+}
+
+fn allotments(core: &Core) -> IndexMap<TeamId, u32> {
+    let own = &core.common.data_centre;
+    let teams = core.state.facts().allotments.keys();
+    teams
+        .map(|team| (team.clone(), core.state.allotment(team, own)))
+        .collect()
+}
+
+fn member(core: &Core, registration: &Registration, now: Instant) -> Member {
+    let own = registration.id == core.common.id;
+    let alive = own || !core.beats || core.roster.is_alive(&registration.id, now);
+    Member {
+        id: registration.id.clone(),
+        incarnation: registration.incarnation,
+        data_centre: registration.data_centre.clone(),
+        peer: registration.peer,
+        alive,
+    }
+}
--- /dev/null
+++ b/src/control/publisher.rs
@@ -0,0 +1,50 @@
+//! Appends what the outbox hands out.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_lite::future;
+
+use super::follower::STREAM;
+use super::outbox::APPEND_GAP_MS;
+use super::shell::Shell;
+use crate::platform::Log;
+
+pub(super) async fn run<L: Log, V, P>(shell: Rc<Shell<L, V, P>>) {
+    loop {
+        let batch = shell.core.borrow_mut().outbox.take(Instant::now());
+        if batch.is_empty() {
+            wait(&shell).await;
+        } else {
+            append(&shell, &batch).await;
+        }
+    }
+}
+
+async fn append<L: Log, V, P>(shell: &Shell<L, V, P>, batch: &[Vec<u8>]) {
+    let result = shell.log.append(STREAM, batch).await;
+    let mut core = shell.core.borrow_mut();
+    match result {
+        Ok(_) => core.outbox.succeed(),
+        Err(error) => {
+            spdlog::warn!("log_append_failed", kv: { error = error.to_string() });
+            core.outbox.fail(&error, Instant::now());
+        }
+    }
+}
+
+/// Waits for a new record; while records wait for an append, not past its time.
+async fn wait<L, V, P>(shell: &Shell<L, V, P>) {
+    let idle = shell.core.borrow().outbox.is_empty();
+    let kicked = async {
+        let _ = shell.kicked.recv().await;
+    };
+    if idle {
+        return kicked.await;
+    }
+    let due = async {
+        Timer::after(Duration::from_millis(APPEND_GAP_MS)).await;
+    };
+    future::or(kicked, due).await;
+}
--- /dev/null
+++ b/src/ledger/chain.rs
@@ -0,0 +1,72 @@
+//! Hash chain over records and verdicts; equal chains mean equal decisions.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::Verdict;
+use crate::id::Offset;
+
+/// SHA-256 of everything decided before an offset.
+pub type ChainDigest = [u8; 32];
+
+/// Offsets between two remembered digests; snapshots are made at multiples of it.
+pub const CHECKPOINT_OFFSETS: u64 = 16;
+
+/// Digests remembered.
+const MAX_CHECKPOINTS: usize = 256;
+
+/// The chain and its digests at recent checkpoints.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chain {
+    head: ChainDigest,
+    checkpoints: VecDeque<Checkpoint>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Checkpoint {
+    offset: Offset,
+    digest: ChainDigest,
+}
+
+impl Chain {
+    /// Digest over all records so far.
+    #[must_use]
+    pub const fn head(&self) -> &ChainDigest {
+        &self.head
+    }
+
+    /// Digest before `offset`, if it is a remembered checkpoint.
+    #[must_use]
+    pub fn at(&self, offset: Offset) -> Option<&ChainDigest> {
+        self.checkpoints
+            .iter()
+            .find(|checkpoint| checkpoint.offset == offset)
+            .map(|checkpoint| &checkpoint.digest)
+    }
+
+    /// Adds the record at `offset`; `verdict` is `None` when it had no effect.
+    pub(super) fn extend(&mut self, offset: Offset, bytes: &[u8], verdict: Option<&Verdict>) {
+        let verdict = rmp_serde::to_vec(&verdict).expect("plain data always serializes");
+        let mut hasher = Sha256::new();
+        hasher.update(self.head);
+        hasher.update(offset.0.to_be_bytes());
+        hasher.update((bytes.len() as u64).to_be_bytes());
+        hasher.update(bytes);
+        hasher.update(verdict);
+        self.head = hasher.finalize().into();
+        self.mark(offset.next());
+    }
+
+    fn mark(&mut self, offset: Offset) {
+        if !offset.0.is_multiple_of(CHECKPOINT_OFFSETS) {
+            return;
+        }
+        let digest = self.head;
+        self.checkpoints.push_back(Checkpoint { offset, digest });
+        if self.checkpoints.len() > MAX_CHECKPOINTS {
+            self.checkpoints.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/src/ledger/fold/job.rs
@@ -0,0 +1,116 @@
+//! Jobs: submitted once, changed by compare-and-set on their steps.
+
+use crate::control::JobState;
+use crate::document::{Document, Kind};
+use crate::id::{DataCentre, TeamId};
+use crate::ledger::fold::allotment::JOBS;
+use crate::ledger::{Job, JobPhase, JobUpdate, Refusal, State};
+
+/// Ended jobs that are remembered.
+const MAX_ENDED: usize = 4_096;
+
+impl State {
+    pub(super) fn submit(&mut self, job: Job) -> Result<(), Refusal> {
+        if self.facts.jobs.contains_key(&job.id) {
+            return Err(Refusal::Repeated);
+        }
+        let Some(document) = &self.document else {
+            return Err(Refusal::Missing(job.team.to_string()));
+        };
+        check_size(document, &job)?;
+        let state = JobState {
+            job,
+            phase: JobPhase::Waiting,
+            step: 0,
+        };
+        self.facts.jobs.insert(state.job.id.clone(), state);
+        Ok(())
+    }
+
+    pub(super) fn update(&mut self, update: JobUpdate) -> Result<(), Refusal> {
+        match update.epoch {
+            Some(epoch) => self.check_epoch(epoch)?,
+            None => check_cancellation(&update)?,
+        }
+        let Some(known) = self.facts.jobs.get(&update.id) else {
+            return Err(Refusal::Missing(update.id.to_string()));
+        };
+        if known.step != update.step || is_ended(&known.phase) {
+            return Err(Refusal::Stepped(known.step));
+        }
+        let placed = matches!(known.phase, JobPhase::Placed(_));
+        if matches!(update.phase, JobPhase::Placed(_)) && !placed {
+            self.check_share(&known.job.team)?;
+        }
+        self.step(update);
+        Ok(())
+    }
+
+    pub(super) fn placed_jobs(&self, team: &TeamId) -> u32 {
+        let placed = self
+            .facts
+            .jobs
+            .values()
+            .filter(|state| state.job.team == *team)
+            .filter(|state| matches!(state.phase, JobPhase::Placed(_)));
+        u32::try_from(placed.count()).unwrap_or(u32::MAX)
+    }
+
+    fn check_share(&self, team: &TeamId) -> Result<(), Refusal> {
+        let share = self.share(team, &DataCentre::new(JOBS));
+        if self.placed_jobs(team) < share {
+            return Ok(());
+        }
+        Err(Refusal::Allotment(share))
+    }
+
+    fn step(&mut self, update: JobUpdate) {
+        let ended = is_ended(&update.phase);
+        if let Some(state) = self.facts.jobs.get_mut(&update.id) {
+            state.phase = update.phase;
+            state.step += 1;
+        }
+        if ended {
+            self.facts.ended.push_back(update.id);
+        }
+        if self.facts.ended.len() > MAX_ENDED
+            && let Some(oldest) = self.facts.ended.pop_front()
+        {
+            self.facts.jobs.swap_remove(&oldest);
+        }
+    }
+}
+
+/// True once a job can't run again.
+#[must_use]
+pub const fn is_ended(phase: &JobPhase) -> bool {
+    !matches!(phase, JobPhase::Waiting | JobPhase::Placed(_))
+}
+
+fn check_cancellation(update: &JobUpdate) -> Result<(), Refusal> {
+    if update.phase == JobPhase::Cancelled {
+        return Ok(());
+    }
+    Err(Refusal::Unsigned)
+}
+
+fn check_size(document: &Document, job: &Job) -> Result<(), Refusal> {
+    let Some(team) = document.teams.get(&job.team) else {
+        return Err(Refusal::Missing(job.team.to_string()));
+    };
+    if team.ceiling == 0 {
+        return Err(Refusal::Impossible("the team's ceiling is 0".to_owned()));
+    }
+    let fits = document.fleet.classes.values().any(|class| {
+        class.kind == Kind::Worker
+            && class.cores >= job.cores
+            && class.memory_mb >= job.memory_mb
+            && class.accelerators >= job.accelerators
+    });
+    if fits {
+        return Ok(());
+    }
+    Err(Refusal::Impossible(
+        "no class of workers is large enough".to_owned(),
+    ))
+}
--- /dev/null
+++ b/src/ledger/fold/mod.rs
@@ -0,0 +1,123 @@
+//! The fold: the one judge of every proposal.
+//!
+//! It reads no clock, does no I/O and iterates only over ordered collections,
+//! so every process gives the same verdict at the same offset.
+
+mod allotment;
+mod assignment;
+mod claim;
+mod edit;
+mod job;
+mod member;
+mod snapshot;
+
+pub use allotment::{JOBS, Shares};
+pub use job::is_ended;
+
+use super::record::{DecodeError, RULES, Record, decode};
+use super::window::WINDOW_OFFSETS;
+use super::{Proposal, Refusal, State, Verdict};
+use crate::id::{Epoch, Offset, RecordId};
+
+impl State {
+    /// Folds the record at `offset`, which must be the next one.
+    ///
+    /// `None` when the bytes have no effect: another offset than the next, a forged
+    /// or unreadable record, a repeat, or rules that this build does not know.
+    pub fn apply(&mut self, offset: Offset, bytes: &[u8]) -> Option<(RecordId, Verdict)> {
+        if offset != self.facts.offset || self.facts.unknown.is_some() {
+            return None;
+        }
+        let decoded = decode(bytes, &self.trust.secret);
+        if let Err(DecodeError::Rules(rules)) = decoded {
+            self.facts.unknown = Some(rules);
+            return None;
+        }
+        self.facts.offset = offset.next();
+        let entry = decoded.ok().and_then(|record| self.judge(offset, record));
+        if entry.is_none() {
+            self.facts.skipped += 1;
+        }
+        let verdict = entry.as_ref().map(|(_, verdict)| verdict);
+        self.facts.chain.extend(offset, bytes, verdict);
+        entry
+    }
+
+    fn judge(&mut self, offset: Offset, record: Record) -> Option<(RecordId, Verdict)> {
+        let Record {
+            id,
+            after,
+            proposal,
+        } = record;
+        if self.facts.window.get(id).is_some() {
+            return None;
+        }
+        let result = check_age(offset, after, &proposal);
+        let verdict = match result.and_then(|()| self.decide(offset, proposal)) {
+            Ok(()) => Verdict::Accepted(offset),
+            Err(refusal) => Verdict::Refused(offset, refusal),
+        };
+        self.facts.window.insert(id, verdict.clone());
+        Some((id, verdict))
+    }
+
+    fn decide(&mut self, offset: Offset, proposal: Proposal) -> Result<(), Refusal> {
+        match proposal {
+            Proposal::Edit(edit) => self.edit(edit),
+            Proposal::Assign {
+                vm,
+                from,
+                to,
+                epoch,
+            } => self.assign(vm, from.as_ref(), to, epoch),
+            Proposal::Stop { vm, reason, epoch } => self.stop(vm, reason, epoch),
+            Proposal::Stopped { vm, epoch, .. } => self.stopped(&vm, epoch),
+            Proposal::Transfer {
+                team,
+                from,
+                to,
+                amount,
+            } => self.transfer(&team, &from, &to, amount),
+            Proposal::Claim(claim) => self.claim(offset, claim),
+            Proposal::Register(registration) => self.register(registration),
+            Proposal::Submit(job) => self.submit(job),
+            Proposal::Update(update) => self.update(update),
+            Proposal::Snapshot { offset, digest } => self.note_snapshot(offset, &digest),
+            Proposal::Upgrade { version } => self.upgrade(version),
+        }
+    }
+
+    /// Switches the rules; a build that does not know them stops at the next record.
+    fn upgrade(&mut self, version: u16) -> Result<(), Refusal> {
+        if version != self.facts.rules + 1 {
+            return Err(Refusal::Missing(format!("rules {version}")));
+        }
+        self.facts.rules = version;
+        if version > RULES {
+            self.facts.unknown = Some(version);
+        }
+        Ok(())
+    }
+
+    /// Refuses a step of a planner that has been replaced.
+    fn check_epoch(&self, epoch: Epoch) -> Result<(), Refusal> {
+        let current = self
+            .facts
+            .planner
+            .as_ref()
+            .map_or(Epoch(0), |held| held.epoch);
+        if epoch == current {
+            return Ok(());
+        }
+        Err(Refusal::Fenced(current))
+    }
+}
+
+/// A record older than the window may be a repeat that is no longer remembered.
+fn check_age(offset: Offset, after: Offset, proposal: &Proposal) -> Result<(), Refusal> {
+    let repeatable = matches!(proposal, Proposal::Edit(_));
+    if repeatable || (after <= offset && offset.0 - after.0 < WINDOW_OFFSETS) {
+        return Ok(());
+    }
+    Err(Refusal::Expired)
+}
--- /dev/null
+++ b/src/ledger/fold/snapshot.rs
@@ -0,0 +1,23 @@
+//! Announced snapshots: their digest is checked by every process.
+
+use crate::id::Offset;
+use crate::ledger::{ChainDigest, Refusal, State};
+
+impl State {
+    /// Notes a stored snapshot whose digest matches this fold's own.
+    pub(super) fn note_snapshot(
+        &mut self,
+        offset: Offset,
+        digest: &ChainDigest,
+    ) -> Result<(), Refusal> {
+        match self.facts.chain.at(offset) {
+            None => Err(Refusal::Expired),
+            Some(own) if own != digest => Err(Refusal::Digest),
+            Some(_) => {
+                let newest = self.facts.snapshot.max(Some(offset));
+                self.facts.snapshot = newest;
+                Ok(())
+            }
+        }
+    }
+}
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,8 +1,20 @@
 //! Proposals in the platform's log and the fold that accepts or refuses them.
 
+mod chain;
+mod fold;
 mod proposal;
+mod record;
+mod snapshot;
+mod state;
+mod window;
 
+pub use chain::{CHECKPOINT_OFFSETS, Chain, ChainDigest};
+pub use fold::{JOBS, Shares, is_ended};
 pub use proposal::{
     Claim, Edit, Job, JobPhase, JobUpdate, Proposal, Refusal, Registration, Role, StopReason,
     Verdict,
 };
+pub use record::{DecodeError, RULES, Record, decode, encode, encode_edit};
+pub use snapshot::{SnapshotError, restore, store};
+pub use state::{Facts, Holding, State, Trust};
+pub use window::{WINDOW_OFFSETS, Window};
--- a/src/ledger/proposal.rs
+++ b/src/ledger/proposal.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::ChainDigest;
 use crate::finding::Findings;
 use crate::id::{
     DataCentre, Epoch, Incarnation, JobId, MemberId, Offset, OperatorId, PoolId, Revision,
@@ -63,6 +64,13 @@
     Submit(Job),
     /// Changes the state of long work.
     Update(JobUpdate),
+    /// Says that a snapshot has been stored.
+    Snapshot {
+        /// Next offset to be folded after it; a multiple of the checkpoint distance.
+        offset: Offset,
+        /// Digest of the chain of decisions before `offset`.
+        digest: ChainDigest,
+    },
     /// Switches the rules of the fold.
     Upgrade {
         /// The version from the next record on.
@@ -190,6 +198,16 @@
     Refused(Offset, Refusal),
 }
 
+impl Verdict {
+    /// Offset of the record that it judges.
+    #[must_use]
+    pub const fn offset(&self) -> Offset {
+        match self {
+            Self::Accepted(offset) | Self::Refused(offset, _) => *offset,
+        }
+    }
+}
+
 /// Why the fold refused a proposal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
@@ -217,6 +235,10 @@
     Repeated,
     /// The job has taken another step meanwhile.
     Stepped(u32),
+    /// The record is too old to be told from a repeat, or cites what has expired.
+    Expired,
+    /// The digest is not that of the fold; one of the two processes is faulty.
+    Digest,
     /// No worker of the document could ever run the job.
     Impossible(String),
 }
--- /dev/null
+++ b/src/ledger/state.rs
@@ -0,0 +1,166 @@
+//! What the fold knows after a prefix of the log.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::chain::{Chain, ChainDigest};
+use super::fold::Shares;
+use super::window::Window;
+use super::{Registration, StopReason, Verdict};
+use crate::control::{JobState, SectionState};
+use crate::document::{Document, PublicKey, SectionCache};
+use crate::id::{
+    DataCentre, Epoch, JobId, MemberId, Offset, PoolId, RecordId, SectionId, TeamId, VmId,
+};
+use crate::secret::FleetSecret;
+
+/// What the fold trusts from the start; taken from the settings, never from the log.
+#[derive(Clone, Debug)]
+pub struct Trust {
+    /// Seals the records of the system's processes.
+    pub secret: FleetSecret,
+    /// Operator key that may create the fleet section.
+    pub root: PublicKey,
+}
+
+/// Holder of a role.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// Who holds it.
+    pub holder: MemberId,
+    /// Number of times that it has changed hands.
+    pub epoch: Epoch,
+    /// Offset of the last accepted claim.
+    pub renewed: Offset,
+}
+
+/// What a prefix of the log amounts to; the whole of a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Facts {
+    /// Next offset to be folded.
+    pub offset: Offset,
+    /// Version of the rules in force.
+    pub rules: u16,
+    /// Rules that this build does not know; nothing more is folded.
+    pub unknown: Option<u16>,
+    /// Records without effect: forged, unreadable or repeated.
+    pub skipped: u64,
+    /// Chain over all decisions.
+    pub chain: Chain,
+    /// Verdicts of recent records.
+    pub window: Window,
+    /// Newest announced snapshot.
+    pub snapshot: Option<Offset>,
+    /// Accepted texts.
+    pub sections: IndexMap<SectionId, SectionState>,
+    /// Pool of each VM that is in one.
+    pub assignment: IndexMap<VmId, PoolId>,
+    /// Planned stops that are not resolved.
+    pub stops: IndexMap<VmId, StopReason>,
+    /// Parts of each team's ceiling.
+    pub allotments: IndexMap<TeamId, Shares>,
+    /// Holder of the planner role.
+    pub planner: Option<Holding>,
+    /// Processes that have registered.
+    pub members: IndexMap<MemberId, Registration>,
+    /// Long work.
+    pub jobs: IndexMap<JobId, JobState>,
+    /// Ended jobs, oldest first.
+    pub ended: VecDeque<JobId>,
+}
+
+impl Facts {
+    fn empty() -> Self {
+        Self {
+            offset: Offset(0),
+            rules: 1,
+            unknown: None,
+            skipped: 0,
+            chain: Chain::default(),
+            window: Window::default(),
+            snapshot: None,
+            sections: IndexMap::new(),
+            assignment: IndexMap::new(),
+            stops: IndexMap::new(),
+            allotments: IndexMap::new(),
+            planner: None,
+            members: IndexMap::new(),
+            jobs: IndexMap::new(),
+            ended: VecDeque::new(),
+        }
+    }
+}
+
+/// The fold and all that it has accepted.
+#[derive(Clone, Debug)]
+pub struct State {
+    pub(super) trust: Trust,
+    pub(super) document: Option<Arc<Document>>,
+    pub(super) facts: Facts,
+    pub(super) cache: SectionCache,
+}
+
+impl State {
+    /// The state before the first record.
+    #[must_use]
+    pub fn empty(trust: Trust) -> Self {
+        Self {
+            trust,
+            document: None,
+            facts: Facts::empty(),
+            cache: SectionCache::default(),
+        }
+    }
+
+    /// Next offset to be folded.
+    #[must_use]
+    pub const fn offset(&self) -> Offset {
+        self.facts.offset
+    }
+
+    /// Everything that has been accepted.
+    #[must_use]
+    pub const fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    /// The accepted document.
+    #[must_use]
+    pub const fn document(&self) -> Option<&Arc<Document>> {
+        self.document.as_ref()
+    }
+
+    /// Verdict on a recent record.
+    #[must_use]
+    pub fn verdict(&self, id: RecordId) -> Option<&Verdict> {
+        self.facts.window.get(id)
+    }
+
+    /// Digest of the chain of decisions so far.
+    #[must_use]
+    pub const fn digest(&self) -> &ChainDigest {
+        self.facts.chain.head()
+    }
+
+    /// Part of a team's ceiling that a data centre may use.
+    #[must_use]
+    pub fn allotment(&self, team: &TeamId, data_centre: &DataCentre) -> u32 {
+        let shares = self.facts.allotments.get(team);
+        shares
+            .and_then(|shares| shares.get(data_centre))
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// Accepted texts by section.
+    pub(super) fn texts(&self) -> IndexMap<SectionId, Arc<str>> {
+        self.facts
+            .sections
+            .iter()
+            .map(|(id, section)| (id.clone(), Arc::clone(&section.text)))
+            .collect()
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,1 +1,9 @@
 //! Which processes are alive and which of them owns a queue.
+
+mod peers;
+mod rank;
+mod roster;
+
+pub use peers::{NoPeers, Peers};
+pub use rank::rank;
+pub use roster::{Roster, SUSPECT_MS};
--- /dev/null
+++ b/src/membership/rank.rs
@@ -0,0 +1,30 @@
+//! Rendezvous hashing: every process ranks the owners of a queue alike.
+
+use std::cmp::Reverse;
+
+use sha2::{Digest, Sha256};
+
+use crate::id::{MemberId, QueueId};
+use crate::view::Member;
+
+/// Live members in the order in which they own `queue`; the first is its owner.
+///
+/// `members` are those of one data centre. The loss of a member moves only the
+/// queues that it owned.
+pub fn rank<'a>(queue: &QueueId, members: impl IntoIterator<Item = &'a Member>) -> Vec<&'a Member> {
+    let mut live: Vec<&Member> = members.into_iter().filter(|m| m.alive).collect();
+    live.sort_by_cached_key(|member| (Reverse(weight(queue, &member.id)), member.id.clone()));
+    live
+}
+
+/// Stable across builds and machines, unlike the standard library's hashers.
+fn weight(queue: &QueueId, member: &MemberId) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update((queue.as_str().len() as u64).to_be_bytes());
+    hasher.update(queue.as_str());
+    hasher.update(member.as_str());
+    let digest: [u8; 32] = hasher.finalize().into();
+    let mut head = [0; 8];
+    head.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(head)
+}
--- a/src/view.rs
+++ b/src/view.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::document::Document;
-use crate::id::{DataCentre, Epoch, Incarnation, MemberId, Offset, PoolId, Rack, VmId};
+use crate::id::{DataCentre, Epoch, Incarnation, MemberId, Offset, PoolId, Rack, TeamId, VmId};
 
 /// A back end: one VM in a pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,6 +52,8 @@
     pub document: Option<Arc<Document>>,
     /// Targets of each pool.
     pub targets: IndexMap<PoolId, Vec<Target>>,
+    /// Part of each team's ceiling that this data centre may use.
+    pub allotments: IndexMap<TeamId, u32>,
     /// Entries of all data centres, this one included.
     pub members: Vec<Member>,
     /// Holder of the planner role and its epoch.
@@ -68,6 +70,7 @@
             offset: Offset(0),
             document: None,
             targets: IndexMap::new(),
+            allotments: IndexMap::new(),
             members: Vec::new(),
             planner: None,
             verified: None,
--- /dev/null
+++ b/tests/ledger/fold.rs
@@ -0,0 +1,352 @@
+use amaranthwick::id::{
+    DataCentre, Epoch, Incarnation, JobId, MemberId, Offset, Revision, TeamId, VmId,
+};
+use amaranthwick::ledger::{
+    JOBS, JobPhase, JobUpdate, Proposal, Refusal, StopReason, Verdict, WINDOW_OFFSETS, encode,
+};
+
+use crate::fixtures::{
+    Log, assign, claim, fleet_text, job, record, register, team_text, transfer, trust,
+};
+
+fn refusal(verdict: Verdict) -> Option<Refusal> {
+    match verdict {
+        Verdict::Accepted(_) => None,
+        Verdict::Refused(_, refusal) => Some(refusal),
+    }
+}
+
+#[test]
+fn of_two_edits_from_one_base_the_second_is_refused() {
+    let mut log = Log::with_teams();
+
+    let first = log.edit("red", 1, &team_text("red", 20, "red-ops"), "red-ops");
+    let second = log.edit("red", 1, &team_text("red", 30, "red-ops"), "red-ops");
+
+    assert_eq!(refusal(first), None);
+    assert_eq!(refusal(second), Some(Refusal::Conflict(Revision(2))));
+    let document = log.state.document().expect("accepted");
+    assert_eq!(document.teams[&TeamId::new("red")].ceiling, 20);
+}
+
+#[test]
+fn edits_of_different_sections_do_not_block_each_other() {
+    let mut log = Log::with_teams();
+
+    let red = log.edit("red", 1, &team_text("red", 20, "red-ops"), "red-ops");
+    let blue = log.edit("blue", 1, &team_text("blue", 30, "blue-ops"), "blue-ops");
+
+    assert_eq!((refusal(red), refusal(blue)), (None, None));
+}
+
+#[test]
+fn only_the_root_key_creates_the_fleet_section() {
+    let mut log = Log::empty();
+
+    let stranger = log.edit("fleet", 0, &fleet_text(50), "stranger");
+    let root = log.edit("fleet", 0, &fleet_text(50), "root");
+    let again = log.edit("fleet", 1, &fleet_text(40), "root");
+    let operator = log.edit("fleet", 1, &fleet_text(40), "fleet-ops");
+
+    assert_eq!(refusal(stranger), Some(Refusal::Unsigned));
+    assert_eq!(refusal(root), None);
+    assert_eq!(refusal(again), Some(Refusal::Unsigned));
+    assert_eq!(refusal(operator), None);
+}
+
+#[test]
+fn an_operator_of_another_section_is_refused() {
+    let mut log = Log::with_teams();
+
+    let other = log.edit("red", 1, &team_text("red", 20, "red-ops"), "blue-ops");
+    let fleet = log.edit("red", 1, &team_text("red", 20, "red-ops"), "fleet-ops");
+
+    assert_eq!(refusal(other), Some(Refusal::Unsigned));
+    assert_eq!(refusal(fleet), Some(Refusal::Unsigned));
+}
+
+#[test]
+fn an_operator_withdrawn_by_its_own_section_signs_no_more_but_the_owner_does() {
+    let mut log = Log::with_teams();
+
+    let withdrawal = log.edit("red", 1, &team_text("red", 12, "red-ops-2"), "red-ops");
+    let withdrawn = log.edit("red", 2, &team_text("red", 13, "red-ops"), "red-ops");
+    let recovery = log.edit("red", 2, &team_text("red", 13, "red-ops-3"), "red-owner");
+
+    assert_eq!(refusal(withdrawal), None);
+    assert_eq!(refusal(withdrawn), Some(Refusal::Unsigned));
+    assert_eq!(refusal(recovery), None);
+}
+
+#[test]
+fn an_edit_that_breaks_the_document_leaves_it_as_it_was() {
+    let mut log = Log::with_teams();
+    let stolen = team_text("red", 12, "blue-ops").replace("red-ops", "blue-ops");
+    let stolen = stolen.replace("red-pool", "blue-pool");
+    let before = log.state.document().cloned();
+
+    let verdict = log.edit("red", 1, &stolen, "red-ops");
+
+    assert!(matches!(refusal(verdict), Some(Refusal::Invalid(_))));
+    assert_eq!(log.state.document().cloned(), before);
+}
+
+#[test]
+fn a_paused_planner_that_writes_after_its_replacement_is_refused() {
+    let mut log = Log::with_teams();
+    let first = log.propose(claim("p1", 1, None));
+    let offset = first.offset().0;
+
+    let takeover = log.propose(claim("p2", 2, Some(offset)));
+    let late = log.propose(assign("v1", None, Some("red-pool"), 1));
+    let renewal = log.propose(claim("p1", 1, Some(offset)));
+    let fresh = log.propose(assign("v1", None, Some("red-pool"), 2));
+
+    assert_eq!(refusal(takeover), None);
+    assert_eq!(refusal(late), Some(Refusal::Fenced(Epoch(2))));
+    let held = Refusal::Held(MemberId::new("p2"), Epoch(2));
+    assert_eq!(refusal(renewal), Some(held));
+    assert_eq!(refusal(fresh), None);
+}
+
+#[test]
+fn a_takeover_that_missed_a_renewal_is_refused() {
+    let mut log = Log::with_teams();
+    let first = log.propose(claim("p1", 1, None)).offset().0;
+
+    let renewal = log.propose(claim("p1", 1, Some(first)));
+    let takeover = log.propose(claim("p2", 2, Some(first)));
+
+    assert_eq!(refusal(renewal), None);
+    let held = Refusal::Held(MemberId::new("p1"), Epoch(1));
+    assert_eq!(refusal(takeover), Some(held));
+}
+
+#[test]
+fn of_two_first_claims_one_is_accepted() {
+    let mut log = Log::empty();
+
+    let one = log.propose(claim("p1", 1, None));
+    let two = log.propose(claim("p2", 1, None));
+
+    assert_eq!(refusal(one), None);
+    let held = Refusal::Held(MemberId::new("p1"), Epoch(1));
+    assert_eq!(refusal(two), Some(held));
+}
+
+#[test]
+fn a_vm_moves_only_from_the_pool_that_it_is_in() {
+    let mut log = Log::with_teams();
+    log.propose(claim("p1", 1, None));
+
+    let placed = log.propose(assign("v1", None, Some("red-pool"), 1));
+    let again = log.propose(assign("v1", None, Some("blue-pool"), 1));
+    let unknown = log.propose(assign("v2", None, Some("green-pool"), 1));
+    let moved = log.propose(assign("v1", Some("red-pool"), Some("blue-pool"), 1));
+
+    assert_eq!(refusal(placed), None);
+    assert_eq!(
+        refusal(again),
+        Some(Refusal::Moved(Some("red-pool".into())))
+    );
+    assert_eq!(
+        refusal(unknown),
+        Some(Refusal::Missing("green-pool".to_owned()))
+    );
+    assert_eq!(refusal(moved), None);
+}
+
+#[test]
+fn stops_beyond_the_budget_are_refused_until_one_is_resolved() {
+    let mut log = Log::with_teams();
+    log.propose(claim("p1", 1, None));
+    for vm in ["v1", "v2", "v3", "v4"] {
+        log.propose(assign(vm, None, Some("red-pool"), 1));
+    }
+    let stop = |vm: &str, epoch| Proposal::Stop {
+        vm: VmId::new(vm),
+        reason: StopReason::Maintenance,
+        epoch: Epoch(epoch),
+    };
+
+    let first = log.propose(stop("v1", 1));
+    let second = log.propose(stop("v2", 1));
+    let third = log.propose(stop("v3", 1));
+    let at = log
+        .state
+        .facts()
+        .planner
+        .as_ref()
+        .map(|held| held.renewed.0);
+    log.propose(claim("p2", 2, at));
+    let adopted = log.propose(stop("v3", 2));
+    let resolved = log.propose(Proposal::Stopped {
+        vm: VmId::new("v1"),
+        healthy: true,
+        epoch: Epoch(2),
+    });
+    let freed = log.propose(stop("v3", 2));
+
+    assert_eq!((refusal(first), refusal(second)), (None, None));
+    assert!(matches!(refusal(third), Some(Refusal::Budget(_))));
+    assert!(matches!(refusal(adopted), Some(Refusal::Budget(_))));
+    assert_eq!((refusal(resolved), refusal(freed)), (None, None));
+}
+
+#[test]
+fn an_older_incarnation_of_a_member_is_refused() {
+    let mut log = Log::empty();
+
+    let newer = log.propose(register("e1", 20, 7_001));
+    let older = log.propose(register("e1", 10, 7_000));
+
+    assert_eq!(refusal(newer), None);
+    assert_eq!(refusal(older), Some(Refusal::Outdated(Incarnation(20))));
+    assert_eq!(
+        log.state.facts().members[&MemberId::new("e1")].peer.port(),
+        7_001
+    );
+}
+
+#[test]
+fn a_data_centre_gives_no_more_than_it_has() {
+    let mut log = Log::with_teams();
+    let red = TeamId::new("red");
+    let share = |log: &Log, name: &str| log.state.allotment(&red, &DataCentre::new(name));
+
+    let given = log.propose(transfer("red", "a", "b", 3));
+    let beyond = log.propose(transfer("red", "a", "b", 2));
+    let nowhere = log.propose(transfer("red", "a", "c", 1));
+
+    assert_eq!(refusal(given), None);
+    assert_eq!(refusal(beyond), Some(Refusal::Allotment(1)));
+    assert_eq!(refusal(nowhere), Some(Refusal::Missing("c".to_owned())));
+    assert_eq!(
+        [share(&log, "a"), share(&log, "b"), share(&log, JOBS)],
+        [1, 7, 4]
+    );
+}
+
+#[test]
+fn a_submitted_job_is_known_once_and_steps_in_order() {
+    let mut log = Log::with_teams();
+    log.propose(claim("p1", 1, None));
+    let place = |step, vm: &str| {
+        Proposal::Update(JobUpdate {
+            id: JobId::new("j1"),
+            step,
+            phase: JobPhase::Placed(VmId::new(vm)),
+            epoch: Some(Epoch(1)),
+        })
+    };
+
+    let submitted = log.propose(Proposal::Submit(job("j1", "red", 4)));
+    let repeated = log.propose(Proposal::Submit(job("j1", "red", 4)));
+    let large = log.propose(Proposal::Submit(job("j2", "red", 17)));
+    let placed = log.propose(place(0, "w1"));
+    let raced = log.propose(place(0, "w2"));
+
+    assert_eq!(refusal(submitted), None);
+    assert_eq!(refusal(repeated), Some(Refusal::Repeated));
+    assert!(matches!(refusal(large), Some(Refusal::Impossible(_))));
+    assert_eq!(refusal(placed), None);
+    assert_eq!(refusal(raced), Some(Refusal::Stepped(1)));
+}
+
+#[test]
+fn a_team_cancels_its_job_but_can_not_end_it_otherwise() {
+    let mut log = Log::with_teams();
+    log.propose(Proposal::Submit(job("j1", "red", 4)));
+    let update = |phase| {
+        Proposal::Update(JobUpdate {
+            id: JobId::new("j1"),
+            step: 0,
+            phase,
+            epoch: None,
+        })
+    };
+
+    let done = log.propose(update(JobPhase::Done(String::new())));
+    let cancelled = log.propose(update(JobPhase::Cancelled));
+    let revived = log.propose(update(JobPhase::Cancelled));
+
+    assert_eq!(refusal(done), Some(Refusal::Unsigned));
+    assert_eq!(refusal(cancelled), None);
+    assert_eq!(refusal(revived), Some(Refusal::Stepped(1)));
+}
+
+#[test]
+fn placed_jobs_never_pass_their_part_of_the_ceiling() {
+    let mut log = Log::with_teams();
+    log.propose(claim("p1", 1, None));
+    let place = |id: &str| {
+        Proposal::Update(JobUpdate {
+            id: JobId::new(id),
+            step: 0,
+            phase: JobPhase::Placed(VmId::new("w1")),
+            epoch: Some(Epoch(1)),
+        })
+    };
+    for id in ["1", "2", "3", "4"] {
+        log.propose(Proposal::Submit(job(id, "blue", 1)));
+    }
+
+    let placed = ["1", "2", "3"].map(|id| refusal(log.propose(place(id))));
+    let beyond = refusal(log.propose(place("4")));
+    let taken = refusal(log.propose(transfer("blue", JOBS, "a", 1)));
+
+    assert_eq!(placed, [None, None, None]);
+    assert_eq!(beyond, Some(Refusal::Allotment(3)));
+    assert_eq!(taken, Some(Refusal::Allotment(0)));
+}
+
+#[test]
+fn a_record_that_arrives_after_the_window_is_refused() {
+    let mut log = Log::empty();
+    let late = log.bytes(register("e1", 1, 7_000));
+    for _ in 0..WINDOW_OFFSETS {
+        assert_eq!(log.raw(b""), None);
+    }
+
+    let verdict = log.raw(&late).expect("judged");
+
+    assert_eq!(refusal(verdict), Some(Refusal::Expired));
+}
+
+#[test]
+fn a_record_from_the_future_is_refused() {
+    let mut log = Log::empty();
+    let bytes = encode(&record(1, 5, register("e1", 1, 7_000)), &trust().secret);
+
+    let verdict = log.raw(&bytes).expect("judged");
+
+    assert_eq!(refusal(verdict), Some(Refusal::Expired));
+}
+
+#[test]
+fn unknown_rules_stop_the_fold_and_are_reported() {
+    let mut log = Log::with_teams();
+    let before = log.state.document().cloned();
+
+    let upgrade = log.propose(Proposal::Upgrade { version: 2 });
+    let offset = log.state.offset();
+    let next = log.bytes(claim("p1", 1, None));
+    let folded = log.raw(&next);
+
+    assert_eq!(refusal(upgrade), None);
+    assert_eq!(folded, None);
+    assert_eq!(log.state.facts().unknown, Some(2));
+    assert_eq!(log.state.offset(), offset);
+    assert_eq!(log.state.document().cloned(), before);
+}
+
+#[test]
+fn only_the_next_offset_is_folded() {
+    let mut log = Log::empty();
+    let bytes = log.bytes(claim("p1", 1, None));
+
+    let ahead = log.state.apply(Offset(1), &bytes);
+
+    assert_eq!(ahead, None);
+    assert_eq!(log.state.offset(), Offset(0));
+}
--- /dev/null
+++ b/tests/ledger/main.rs
@@ -0,0 +1,7 @@
+//! The log's records, the fold and its snapshots.
+
+mod fixtures;
+mod fold;
+mod invariants;
+mod record;
+mod snapshot;
--- /dev/null
+++ b/tests/ledger/record.rs
@@ -0,0 +1,107 @@
+use amaranthwick::id::{Offset, RecordId};
+use amaranthwick::ledger::{DecodeError, Proposal, Verdict, decode, encode, encode_edit};
+use amaranthwick::secret::FleetSecret;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::fixtures::{Log, cases, claim, edit, record, register, trust};
+
+fn secret() -> FleetSecret {
+    trust().secret
+}
+
+#[rstest]
+#[case::claim(claim("p1", 1, None))]
+#[case::member(register("e1", 5, 7_000))]
+fn a_sealed_record_is_read_back(#[case] proposal: Proposal) {
+    let record = record(u128::MAX - 3, 9, proposal);
+
+    let read = decode(&encode(&record, &secret()), &secret());
+
+    assert_eq!(read, Ok(record));
+}
+
+#[test]
+fn an_edit_needs_no_fleet_secret() {
+    let record = record(1, 0, Proposal::Edit(edit("red", 0, "{}", "red-ops")));
+
+    let read = decode(&encode_edit(&record), &secret());
+
+    assert_eq!(read, Ok(record));
+}
+
+#[test]
+fn another_proposal_without_the_fleet_secret_is_refused() {
+    let record = record(1, 0, claim("p1", 1, None));
+
+    let read = decode(&encode_edit(&record), &secret());
+
+    assert_eq!(read, Err(DecodeError::Seal));
+}
+
+#[test]
+fn a_record_of_another_fleet_is_refused() {
+    let record = record(1, 0, claim("p1", 1, None));
+
+    let read = decode(&encode(&record, &FleetSecret::new([8; 32])), &secret());
+
+    assert_eq!(read, Err(DecodeError::Seal));
+}
+
+#[test]
+fn forged_records_are_skipped_counted_and_stall_nothing() {
+    let mut log = Log::empty();
+    let forged = encode(
+        &record(1, 0, claim("x", 1, None)),
+        &FleetSecret::new([8; 32]),
+    );
+
+    let skipped = [log.raw(&forged), log.raw(b"\xff\x00"), log.raw(b"")];
+    let next = log.propose(claim("p1", 1, None));
+
+    assert_eq!(skipped, [None, None, None]);
+    assert_eq!(log.state.facts().skipped, 3);
+    assert_eq!(next, Verdict::Accepted(Offset(3)));
+}
+
+#[test]
+fn a_repeat_has_no_effect_and_keeps_the_first_verdict() {
+    let mut log = Log::empty();
+    let bytes = log.bytes(claim("p1", 1, None));
+
+    let first = log.raw(&bytes);
+    let second = log.raw(&bytes);
+
+    assert_eq!(first, Some(Verdict::Accepted(Offset(0))));
+    assert_eq!(second, None);
+    assert_eq!(log.state.verdict(RecordId(1)), first.as_ref());
+}
+
+proptest! {
+    #![proptest_config(cases(2_000))]
+
+    #[test]
+    fn any_bytes_are_read_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode(&bytes, &secret());
+    }
+
+    #[test]
+    fn a_changed_record_is_never_read_as_another(at in any::<prop::sample::Index>(), flip in 1..=255_u8) {
+        let record = record(77, 3, register("e1", 5, 7_000));
+        let mut bytes = encode(&record, &secret());
+        let at = at.index(bytes.len());
+        bytes[at] ^= flip;
+
+        let read = decode(&bytes, &secret());
+
+        prop_assert!(read.is_err() || read == Ok(record));
+    }
+
+    #[test]
+    fn a_cut_record_is_never_accepted(at in any::<prop::sample::Index>()) {
+        let bytes = encode(&record(77, 3, register("e1", 5, 7_000)), &secret());
+        let cut = at.index(bytes.len());
+
+        prop_assert!(decode(&bytes[..cut], &secret()).is_err());
+    }
+}
