Publish a section from the command line

The section's text is cut out of the file, signed, appended to the log and judged by the fold; the command reads its verdict through any admin address.

--- a/src/bin/amaranthwick/admin.rs
+++ b/src/bin/amaranthwick/admin.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use amaranthwick::http::{Limits, Request, SendError, send};
+use serde::de::DeserializeOwned;
 
 const LIMITS: Limits = Limits {
     connect_ms: 1_000,
@@ -44,6 +45,27 @@
     }
 }
 
+/// Reads a resource from the first process that has it.
+pub(crate) async fn get_any<T: DeserializeOwned>(
+    addresses: &[SocketAddr],
+    path: &str,
+) -> Result<T, AdminError> {
+    let mut last = AdminError::Failed("no admin address is given".to_owned());
+    for &address in addresses {
+        match get(address, path).await {
+            Ok(body) => return parse(address, &body),
+            Err(AdminError::Missing) => last = AdminError::Missing,
+            Err(error) if !matches!(last, AdminError::Missing) => last = error,
+            Err(_) => {}
+        }
+    }
+    Err(last)
+}
+
+fn parse<T: DeserializeOwned>(address: SocketAddr, body: &[u8]) -> Result<T, AdminError> {
+    serde_json::from_slice(body).map_err(|e| AdminError::Failed(format!("{address}: {e}")))
+}
+
 fn failed(address: SocketAddr, error: &SendError) -> AdminError {
     AdminError::Failed(format!("{address}: {error}"))
 }
--- a/src/bin/amaranthwick/args.rs
+++ b/src/bin/amaranthwick/args.rs
@@ -3,6 +3,7 @@
 #![allow(unreachable_pub)] // The generated part declares its types `pub`.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 xflags::xflags! {
     src "./src/bin/amaranthwick/args.rs"
@@ -31,6 +32,20 @@
     ///   3  nothing was appended, because a service could not be reached
     ///   4  appended perhaps, but no verdict was seen; repeat with --record
     cmd amaranthwick {
+        /// Signs one section of a document, appends it and waits for the verdict.
+        cmd publish {
+            /// Capacity document, JSON with comments.
+            required file: PathBuf
+            /// Section to publish: fleet, or the name of a team.
+            required --section name: String
+            /// Settings of the operator (default: operator.jsonc).
+            optional --config path: PathBuf
+            /// Revision that the text was made from (default: the current one).
+            optional --base revision: u64
+            /// Record id of an earlier try whose verdict was not seen.
+            optional --record id: String
+        }
+
         /// Prints the state of a process as JSON.
         cmd state {
             /// Admin address of the process.
@@ -49,9 +64,20 @@
 
 #[derive(Debug)]
 pub enum AmaranthwickCmd {
+    Publish(Publish),
     State(State),
 }
 
+#[derive(Debug)]
+pub struct Publish {
+    pub file: PathBuf,
+
+    pub section: String,
+    pub config: Option<PathBuf>,
+    pub base: Option<u64>,
+    pub record: Option<String>,
+}
+
 #[derive(Debug)]
 pub struct State {
     pub address: SocketAddr,
--- a/src/bin/amaranthwick/exit.rs
+++ b/src/bin/amaranthwick/exit.rs
@@ -7,10 +7,14 @@
 pub(crate) enum Exit {
     /// Done; an edit was accepted.
     Done = 0,
+    /// The input has faults or the edit was refused; nothing has changed.
+    Refused = 1,
     /// The command line or a settings file is wrong.
     Usage = 2,
     /// A service was not reached; nothing has changed.
     NotSent = 3,
+    /// The change may have taken effect; its verdict was not seen.
+    Unknown = 4,
 }
 
 impl From<Exit> for ExitCode {
--- a/src/bin/amaranthwick/main.rs
+++ b/src/bin/amaranthwick/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod args;
 mod exit;
+mod publish;
 mod state;
 
 use std::process::ExitCode;
@@ -22,6 +23,7 @@
 
 fn run(command: AmaranthwickCmd) -> Result<Exit> {
     match command {
+        AmaranthwickCmd::Publish(args) => publish::run(args),
         AmaranthwickCmd::State(args) => state::run(args.address),
     }
 }
--- /dev/null
+++ b/src/bin/amaranthwick/publish/report.rs
@@ -0,0 +1,33 @@
+//! Words for a refusal.
+
+use amaranthwick::finding::Findings;
+use amaranthwick::id::SectionId;
+use amaranthwick::ledger::Refusal;
+
+use super::source::Source;
+
+/// Reason of a refusal as `key=value` pairs.
+pub(super) fn reason(refusal: &Refusal) -> String {
+    match refusal {
+        Refusal::Conflict(current) => format!("reason=conflict current={current}"),
+        Refusal::Unsigned => "reason=unsigned".to_owned(),
+        Refusal::Invalid(Findings(findings)) => {
+            format!("reason=invalid findings={}", findings.len())
+        }
+        other => format!("reason=other detail=\"{other:?}\""),
+    }
+}
+
+/// Prints the findings of a refusal, those of the section at their place in the file.
+pub(super) fn print_findings(refusal: &Refusal, section: &SectionId, source: &Source) {
+    let Refusal::Invalid(Findings(findings)) = refusal else {
+        return;
+    };
+    for finding in findings {
+        if finding.file == section.as_str() {
+            println!("{}", source.locate(finding));
+        } else {
+            println!("{finding}");
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/amaranthwick/publish/source.rs
@@ -0,0 +1,42 @@
+//! The section's text and its place in the operator's file.
+
+use amaranthwick::finding::{Finding, Place};
+
+/// Text of a section, cut out of a whole document.
+#[derive(Debug)]
+pub(crate) struct Source {
+    file: String,
+    start: Place,
+    pub(super) text: String,
+}
+
+impl Source {
+    /// `text` is part of `whole`, the text of `file`.
+    pub(super) fn new(file: &str, whole: &str, text: String) -> Self {
+        let before = &whole[..whole.find(&text).unwrap_or_default()];
+        let line = before.matches('\n').count() + 1;
+        let column = before.chars().rev().take_while(|&c| c != '\n').count() + 1;
+        Self {
+            file: file.to_owned(),
+            start: Place {
+                line: u32::try_from(line).unwrap_or(u32::MAX),
+                column: u32::try_from(column).unwrap_or(u32::MAX),
+            },
+            text,
+        }
+    }
+
+    /// The same finding with its place in the file instead of the section.
+    pub(super) fn locate(&self, finding: &Finding) -> Finding {
+        let Place { line, column } = finding.place;
+        let shift = if line == 1 { self.start.column - 1 } else { 0 };
+        Finding {
+            file: self.file.clone(),
+            place: Place {
+                line: self.start.line.saturating_add(line).saturating_sub(1),
+                column: column.saturating_add(shift),
+            },
+            message: finding.message.clone(),
+        }
+    }
+}
--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -10,7 +10,7 @@
 use crate::platform::{Batch, Log, LogError};
 
 /// Stream that carries proposals.
-pub(super) const STREAM: &str = "control";
+pub const STREAM: &str = "control";
 
 /// Records read at a time.
 const MAX_RECORDS: usize = 1_024;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod vms;
 
 pub use backoff::Backoff;
+pub use follower::STREAM;
 pub use handle::{Command, Control, FleetState, JobState, ProposeError, SectionState};
 pub use outbox::{APPEND_GAP_MS, DEADLINE_MS, MAX_BATCH, Outbox, Overdue};
 pub use shell::spawn;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod config;
 pub mod control;
+pub mod dev;
 pub mod document;
 pub mod entry;
 pub mod finding;
--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -1,7 +1,7 @@
 //! Admin address of a process, for operators and probes.
 //!
-//! `GET /healthz`, `/state`, `/metrics-snapshot`, `/sections/{name}` and
-//! `/verdicts/{record id}`.
+//! `GET /healthz`, `/state`, `/position`, `/metrics-snapshot`,
+//! `/sections/{name}` and `/verdicts/{record id}`.
 
 use std::future::Future;
 use std::io;
@@ -13,8 +13,8 @@
 
 use super::Metrics;
 use crate::control::Control;
-use crate::http::{Handler, Reply, Request, Server, ServerLimits};
-use crate::id::{DataCentre, Incarnation, MemberId, RecordId, Revision, SectionId};
+use crate::http::{Conclusion, Handler, Problem, Reply, Request, Server, ServerLimits};
+use crate::id::{DataCentre, Incarnation, MemberId, Offset, RecordId, Revision, SectionId};
 use crate::ledger::Verdict;
 use crate::runtime::Runtime;
 use crate::view::View;
@@ -43,6 +43,15 @@
     }
 }
 
+/// How far the process has followed the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Position {
+    /// Next offset to be folded.
+    pub offset: Offset,
+    /// Age of the last verified head of the log, in ms.
+    pub verified_ms: Option<u64>,
+}
+
 /// Accepted text of a section, as the admin address gives it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Section {
@@ -100,6 +109,7 @@
         match path {
             "/healthz" => self.health(),
             "/state" => json_reply(&self.state().await),
+            "/position" => json_reply(&self.position()),
             "/metrics-snapshot" => text_reply(200, self.metrics.snapshot()),
             _ => self.look_up(path).await,
         }
@@ -123,6 +133,14 @@
         }
     }
 
+    fn position(&self) -> Position {
+        let view = self.control.view();
+        Position {
+            offset: view.offset,
+            verified_ms: view.verified.map(millis_since),
+        }
+    }
+
     async fn state(&self) -> Value {
         let process = &self.process;
         json!({
@@ -244,12 +262,14 @@
 }
 
 fn problem(status: u16, title: &str, detail: &str) -> Reply {
-    let body = json!({ "title": title, "status": status, "detail": detail });
-    reply(
+    Problem {
         status,
-        "application/problem+json",
-        body.to_string().into_bytes(),
-    )
+        title,
+        detail,
+        outcome: Conclusion::NotRun,
+        request: None,
+    }
+    .reply()
 }
 
 fn reply(status: u16, kind: &str, body: Vec<u8>) -> Reply {
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -120,6 +120,15 @@
     assert_eq!(state["daemon"]["queues"], 3);
 }
 
+#[test]
+fn the_position_is_that_of_the_view() {
+    let fixture = Fixture::open(true);
+
+    let reply = fixture.send("GET", "/position");
+
+    assert_eq!(body(&reply), json!({ "offset": 0, "verified_ms": null }));
+}
+
 #[test]
 fn metrics_are_lines_of_pairs() {
     let fixture = Fixture::open(true);
