--- a/src/bin/amaranthwick/publish/appender.rs
+++ b/src/bin/amaranthwick/publish/appender.rs
@@ -13,7 +13,7 @@
 use crate::admin::{self, AdminError};
 
 /// Time to append the record, in ms.
-const APPEND_TIMEOUT_MS: u64 = 15_000;
+const APPEND_TIMEOUT_MS: u64 = 10_000;
 
 /// Time from the append to the verdict, in ms; more than a process needs to read the log anew.
 const VERDICT_TIMEOUT_MS: u64 = 15_000;
--- /dev/null
+++ b/tests/support/directory.rs
@@ -0,0 +1,34 @@
+//! Directory of one test, removed when dropped.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A directory that no other test uses.
+pub struct Directory(PathBuf);
+
+impl Directory {
+    /// Creates a new directory.
+    pub fn create() -> Self {
+        let next = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("amaranthwick-{}-{next}", std::process::id());
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&path).expect("create a directory");
+        Self(path)
+    }
+
+    /// Writes a file into it.
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        fs::write(&path, text).expect("write a file");
+        path
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,13 @@
+//! Fixtures shared by the tests of whole processes.
+
+#![allow(dead_code, unreachable_pub)] // Each test crate uses a part of it.
+
+pub mod directory;
+pub mod node;
+pub mod operator;
+pub mod pairs;
+pub mod process;
+pub mod wait;
+
+/// Example document that the tests run.
+pub const NERETVA: &str = include_str!("../../examples/neretva.jsonc");
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -6,11 +6,10 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::pairs;
-
-const START_TIMEOUT: Duration = Duration::from_secs(30);
+use super::wait::WAIT_TIMEOUT;
 
 /// A daemon started by the test; killed when dropped.
 pub struct Process {
@@ -56,7 +55,7 @@
 
     /// Waits for the first line that `wanted` accepts.
     pub fn wait_line(&self, what: &str, wanted: impl Fn(&str) -> bool) -> String {
-        let deadline = Instant::now() + START_TIMEOUT;
+        let deadline = Instant::now() + WAIT_TIMEOUT;
         let mut lines = self.log.lines.lock().unwrap();
         loop {
             if let Some(line) = lines.iter().find(|line| wanted(line)) {
@@ -98,7 +97,10 @@
     // The standard library sends no signal but KILL.
     fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
+        let sent = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(pid)
+            .status();
         assert!(sent.is_ok_and(|s| s.success()), "kill -{name} failed");
     }
 }
--- /dev/null
+++ b/tests/support/wait.rs
@@ -0,0 +1,18 @@
+//! Waits for what happens in other threads and processes.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Bound of every wait: an order of magnitude above what a busy machine takes.
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+
+const POLL: Duration = Duration::from_millis(20);
+
+/// Waits until `happened` is true.
+pub fn wait_until(what: &str, mut happened: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while !happened() {
+        assert!(Instant::now() < deadline, "not seen in time: {what}");
+        thread::sleep(POLL);
+    }
+}
