Tighten three tests of the entry that did not see their break

Each break of the entry was made alone and the tests run: header stripping, team and key checks, key index, stale rule, retry after a written byte, retry at all, busy answer, slot kept for a caller who left, queue bound, leaving target, slot limit, ceiling and forwarding were each seen to fail. Three breaks passed: walking to one owner only (the local fallback hid it), not waiting for running work at a stop (the threads of the test went on), and not leaving the queue (the run of the first request hid it). The tests now look at the second owner, at the work left when the stop returns, and at the next request; with these the three breaks fail too.

--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -5,12 +5,14 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use amaranthwick::id::TeamId;
 use common::{
-    Act, FakeTarget, bearer, fleet, nobody, request, single, status, talk, target, view, wait_until,
+    Act, FakeTarget, Fixture, bearer, fleet, nobody, request, single, status, talk, target, view,
+    wait_until,
 };
 use futures_lite::future::block_on;
 use rstest::rstest;
@@ -319,7 +321,7 @@
         answers.iter().all(|answer| status(answer) == "200"),
         "{answers:?}"
     );
-    assert_eq!(fake.most.load(std::sync::atomic::Ordering::SeqCst), 3);
+    assert_eq!(fake.most.load(Ordering::SeqCst), 3);
 }
 
 #[test]
@@ -336,7 +338,7 @@
     let next = talk(address, &request("GET", "/q/open/2", "", ""));
 
     assert_eq!(status(&next), "200", "{next}");
-    assert_eq!(fake.most.load(std::sync::atomic::Ordering::SeqCst), 1);
+    assert_eq!(fake.most.load(Ordering::SeqCst), 1);
 }
 
 #[test]
@@ -353,10 +355,13 @@
 
     drop(gone);
     wait_until(|| fixture.entry.dump()["owner"]["pools"][0]["waiting"] == 0);
+    let running = fake.running.load(Ordering::SeqCst);
     first.join().expect("join");
-    thread::sleep(Duration::from_millis(100));
+    let third = talk(address, &request("GET", "/q/open/3", "", ""));
 
-    assert_eq!(fake.runs(), 1);
+    assert_eq!(running, 1, "left before the first run had ended");
+    assert_eq!(status(&third), "200", "{third}");
+    assert_eq!(fake.runs(), 2);
 }
 
 #[test]
@@ -407,7 +412,14 @@
         answers.iter().all(|answer| status(answer) == "200"),
         "{answers:?}"
     );
-    assert_eq!(fake.most.load(std::sync::atomic::Ordering::SeqCst), 2);
+    assert_eq!(fake.most.load(Ordering::SeqCst), 2);
+}
+
+/// Indices of the entries that have run requests themselves.
+fn owners(fixtures: &[Fixture]) -> Vec<usize> {
+    (0..fixtures.len())
+        .filter(|i| fixtures[*i].entry.dump()["owner"]["pools"] != serde_json::json!([]))
+        .collect()
 }
 
 #[test]
@@ -432,16 +444,8 @@
         "{answers:?}"
     );
     assert_eq!(fake.runs(), 18);
-    assert_eq!(fake.most.load(std::sync::atomic::Ordering::SeqCst), 2);
-    let owners = fixtures
-        .iter()
-        .filter(|f| {
-            f.entry.dump()["owner"]["pools"]
-                .as_array()
-                .is_some_and(|p| !p.is_empty())
-        })
-        .count();
-    assert_eq!(owners, 1);
+    assert_eq!(fake.most.load(Ordering::SeqCst), 2);
+    assert_eq!(owners(&fixtures).len(), 1);
 }
 
 #[test]
@@ -450,14 +454,7 @@
     let mut fixtures = fleet(&["a", "b", "c"], &[target(0, fake.address, 8)]);
     let post = request("POST", "/q/open/x", "", "body");
     talk(fixtures[0].entry.callers(), &post);
-    let owner = fixtures
-        .iter()
-        .position(|f| {
-            f.entry.dump()["owner"]["pools"]
-                .as_array()
-                .is_some_and(|p| !p.is_empty())
-        })
-        .expect("owner");
+    let owner = owners(&fixtures)[0];
 
     // The others still hold it for alive.
     block_on(fixtures.remove(owner).entry.stop());
@@ -471,6 +468,11 @@
         "{answers:?}"
     );
     assert_eq!(fake.runs(), 3);
+    assert_eq!(
+        owners(&fixtures).len(),
+        1,
+        "both walk to the same next owner"
+    );
 }
 
 #[test]
@@ -488,8 +490,10 @@
     wait_until(|| !state.healthy());
     let health = talk(address, &request("GET", "/healthz", "", ""));
     stopping.join().expect("join");
+    let busy = state.dump()["busy"].clone();
 
     assert_eq!(status(&health), "503", "{health}");
+    assert_eq!(busy, 0);
     for caller in callers {
         let answer = caller.join().expect("join");
         assert_eq!(status(&answer), "200", "{answer}");
