Test the stand-ins' faults, cuts, VMs, workers and binary

Each service and each kind of fault gets a test over HTTP; lags, leases and speeds are tested in virtual time. The VM list showed the present instead of the start when the lag was longer than the machine had been up, since the moment before the clock's origin can't be expressed; it is an option now.

--- a/standins/src/vms/machine.rs
+++ b/standins/src/vms/machine.rs
@@ -80,8 +80,9 @@
     }
 
     /// What it was at a moment; before its start, what it was at its start.
-    fn at(&self, moment: Instant) -> VmState {
-        let found = self.changes.iter().rev().find(|c| c.at <= moment);
+    fn at(&self, moment: Option<Instant>) -> VmState {
+        let passed = |change: &&Change| moment.is_some_and(|m| change.at <= m);
+        let found = self.changes.iter().rev().find(passed);
         let mut state = self.first.clone();
         if let Some(change) = found.or(self.changes.front()) {
             state.phase = change.phase;
@@ -126,18 +127,18 @@
 
     /// What the list shows now.
     pub(crate) fn list(&self, now: Instant) -> Vec<VmState> {
-        let moment = now.checked_sub(self.lag).unwrap_or(now);
+        let moment = now.checked_sub(self.lag);
         self.lock().values().map(|m| m.at(moment)).collect()
     }
 
     /// What is true now.
     pub(crate) fn current(&self, now: Instant) -> Vec<VmState> {
-        self.lock().values().map(|m| m.at(now)).collect()
+        self.lock().values().map(|m| m.at(Some(now))).collect()
     }
 
     /// What is true of one VM now.
     pub(crate) fn get(&self, vm: &str, now: Instant) -> Option<VmState> {
-        self.lock().get(vm).map(|m| m.at(now))
+        self.lock().get(vm).map(|m| m.at(Some(now)))
     }
 
     /// Changes a VM if it has the generation; returns the next one.
@@ -151,14 +152,16 @@
     ) -> Result<u64, Mismatch> {
         let mut machines = self.lock();
         let machine = machines.get_mut(vm).ok_or(Mismatch::Missing)?;
-        let state = machine.at(now);
+        let state = machine.at(Some(now));
         if state.generation != generation {
             return Err(Mismatch::Generation(state.generation));
         }
         if !allowed.contains(&state.phase) {
             return Err(Mismatch::Phase(state.phase));
         }
-        machine.forget(now.checked_sub(self.lag).unwrap_or(now));
+        if let Some(shown) = now.checked_sub(self.lag) {
+            machine.forget(shown);
+        }
         machine.push(now, phase, generation + 1);
         Ok(generation + 1)
     }
@@ -167,7 +170,7 @@
     pub(crate) fn set(&self, vm: &str, phase: Phase, at: Instant) -> Result<(), Mismatch> {
         let mut machines = self.lock();
         let machine = machines.get_mut(vm).ok_or(Mismatch::Missing)?;
-        let generation = machine.at(at).generation;
+        let generation = machine.at(Some(at)).generation;
         machine.push(at, phase, generation);
         Ok(())
     }
--- a/standins/src/vms/mod.rs
+++ b/standins/src/vms/mod.rs
@@ -2,6 +2,8 @@
 
 mod machine;
 mod service;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use machine::{Machine, Machines, Mismatch};
 pub use machine::{Phase, VmState};
--- /dev/null
+++ b/standins/src/vms/tests.rs
@@ -0,0 +1,105 @@
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::{Machine, Machines, Mismatch, Phase, VmState};
+
+const LAG: Duration = Duration::from_secs(2);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn machines(start: Instant) -> Machines {
+    let state = VmState {
+        id: "vm-1".to_owned(),
+        class: "small".to_owned(),
+        data_centre: "split".to_owned(),
+        rack: "rack-1".to_owned(),
+        address: None,
+        phase: Phase::Live,
+        generation: 0,
+    };
+    let one = IndexMap::from([("vm-1".to_owned(), Machine::new(state, start))]);
+    Machines::new(LAG, one)
+}
+
+fn shown(machines: &Machines, now: Instant) -> (Phase, u64) {
+    let list = machines.list(now);
+    (list[0].phase, list[0].generation)
+}
+
+fn drain(machines: &Machines, generation: u64, now: Instant) -> Result<u64, Mismatch> {
+    machines.advance("vm-1", generation, &[Phase::Live], Phase::Leaving, now)
+}
+
+#[test]
+fn the_list_shows_a_change_after_its_lag() {
+    let start = Instant::now();
+    let machines = machines(start);
+    let drained = start + 10 * SECOND;
+
+    drain(&machines, 0, drained).unwrap();
+
+    let before = drained + LAG.checked_sub(Duration::from_millis(1)).unwrap();
+    assert_eq!(shown(&machines, before), (Phase::Live, 0));
+    assert_eq!(shown(&machines, drained + LAG), (Phase::Leaving, 1));
+}
+
+#[test]
+fn the_list_shows_the_start_until_the_lag_has_passed() {
+    let start = Instant::now();
+    let machines = machines(start);
+
+    drain(&machines, 0, start + SECOND).unwrap();
+
+    assert_eq!(shown(&machines, start + SECOND), (Phase::Live, 0));
+}
+
+#[test]
+fn a_change_ahead_comes_true_in_its_time() {
+    let start = Instant::now();
+    let machines = machines(start);
+    let up = start + 30 * SECOND;
+
+    machines
+        .advance("vm-1", 0, &[Phase::Live], Phase::Down, start + SECOND)
+        .unwrap();
+    machines.set("vm-1", Phase::Live, up).unwrap();
+
+    let just_before = up.checked_sub(Duration::from_millis(1)).unwrap();
+    assert_eq!(
+        machines.get("vm-1", just_before).unwrap().phase,
+        Phase::Down
+    );
+    assert_eq!(machines.get("vm-1", up).unwrap().phase, Phase::Live);
+}
+
+#[test]
+fn a_failure_takes_the_place_of_a_change_ahead() {
+    let start = Instant::now();
+    let machines = machines(start);
+    machines
+        .advance("vm-1", 0, &[Phase::Live], Phase::Down, start + SECOND)
+        .unwrap();
+    machines
+        .set("vm-1", Phase::Live, start + 30 * SECOND)
+        .unwrap();
+
+    machines
+        .set("vm-1", Phase::Down, start + 2 * SECOND)
+        .unwrap();
+
+    let much_later = start + 600 * SECOND;
+    assert_eq!(machines.get("vm-1", much_later).unwrap().phase, Phase::Down);
+}
+
+#[test]
+fn a_change_needs_the_generation_and_the_phase() {
+    let start = Instant::now();
+    let machines = machines(start);
+    drain(&machines, 0, start + SECOND).unwrap();
+
+    let late = drain(&machines, 0, start + 2 * SECOND);
+    let again = drain(&machines, 1, start + 2 * SECOND);
+
+    assert_eq!(late, Err(Mismatch::Generation(1)));
+    assert_eq!(again, Err(Mismatch::Phase(Phase::Leaving)));
+}
--- a/standins/src/workers/mod.rs
+++ b/standins/src/workers/mod.rs
@@ -5,6 +5,8 @@
 mod service;
 mod state;
 mod task;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use host::{Host, Size};
 pub(crate) use service::WorkersService;
--- a/standins/src/workers/service.rs
+++ b/standins/src/workers/service.rs
@@ -142,13 +142,10 @@
     fn usage(&self, vm: &str) -> Reply {
         let lag = self.workers.usage_lag();
         self.on_host(vm, |host| {
-            let now = Instant::now();
-            let moment = now.checked_sub(lag).unwrap_or(now);
+            let moment = Instant::now().checked_sub(lag);
+            let tasks = moment.map(|moment| host.usage(moment)).unwrap_or_default();
             let age_ms = u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
-            Reply::json(
-                200,
-                &json!({ "age_ms": age_ms, "tasks": host.usage(moment) }),
-            )
+            Reply::json(200, &json!({ "age_ms": age_ms, "tasks": tasks }))
         })
     }
 
--- /dev/null
+++ b/standins/tests/binary.rs
@@ -0,0 +1,107 @@
+//! The binary: its settings and what it prints.
+
+mod common;
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use common::ask;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_amaranthwick-standins");
+
+/// A running process that is ended when it is dropped.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn spec_file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+fn spawn(spec: &PathBuf) -> Running {
+    let child = Command::new(BINARY)
+        .arg("--spec")
+        .arg(spec)
+        .stdout(Stdio::piped())
+        .spawn();
+    Running(child.unwrap())
+}
+
+fn lines_until_ready(running: &mut Running) -> Vec<String> {
+    let out = BufReader::new(running.0.stdout.take().unwrap());
+    let lines = out.lines().map(Result::unwrap);
+    lines.take_while(|line| line != "event=ready").collect()
+}
+
+fn address(lines: &[String], site: &str) -> SocketAddr {
+    let prefix = format!("site={site} ");
+    let line = lines.iter().find(|line| line.starts_with(&prefix)).unwrap();
+    line.rsplit_once("address=").unwrap().1.parse().unwrap()
+}
+
+#[test]
+fn prints_an_address_for_each_site_and_serves_there() {
+    let spec = spec_file(
+        "fleet.json",
+        r#"{"classes": {"small": {"kind": "executor"}},
+            "data_centres": {"split": {"vms": {"small": 1}}}}"#,
+    );
+    let mut running = spawn(&spec);
+
+    let lines = lines_until_ready(&mut running);
+    let vms = ask(address(&lines, "vms"), "GET /vms", &[], "").json();
+    let executor = address(&lines, "executor:split-small-0");
+    let echoed = ask(executor, "POST /", &[], "sheep");
+    let faults = ask(address(&lines, "control"), "GET /faults", &[], "");
+
+    assert_eq!(lines.len(), 6);
+    assert_eq!(vms["vms"][0]["address"], executor.to_string());
+    assert_eq!((echoed.text().as_str(), faults.status), ("sheep", 200));
+}
+
+#[test]
+fn names_the_place_of_a_fault_in_its_description() {
+    let spec = spec_file("odd.json", "{\n  \"racks\": 3\n}");
+
+    let output = Command::new(BINARY)
+        .arg("--spec")
+        .arg(&spec)
+        .output()
+        .unwrap();
+
+    let words = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success());
+    assert!(
+        words.contains("odd.json") && words.contains("line 2"),
+        "{words}"
+    );
+    assert!(words.contains("unknown field `racks`"), "{words}");
+}
+
+#[test]
+fn names_a_class_that_is_not_described() {
+    let spec = spec_file(
+        "class.json",
+        r#"{"data_centres": {"split": {"vms": {"small": 1}}}}"#,
+    );
+
+    let output = Command::new(BINARY)
+        .arg("--spec")
+        .arg(&spec)
+        .output()
+        .unwrap();
+
+    let words = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success());
+    assert!(words.contains("unknown class small"), "{words}");
+}
--- /dev/null
+++ b/standins/tests/vms.rs
@@ -0,0 +1,194 @@
+//! VM list with lag; drains, reboots and failures.
+
+mod common;
+
+use amaranthwick_standins::{Fleet, FleetSpec, Phase, VmState};
+use common::{Answer, Client, ask, fleet, spec, wait_until};
+use rstest::rstest;
+use serde_json::json;
+
+const EXECUTOR: &str = "split-small-0";
+const LONG_MS: u64 = 600_000;
+
+fn change(fleet: &Fleet, vm: &str, change: &str, generation: u64) -> Answer {
+    let line = format!("POST /vms/{vm}/{change}");
+    let condition = format!("If-Match: \"{generation}\"");
+    ask(fleet.pools_address(), &line, &[&condition], "")
+}
+
+fn listed(fleet: &Fleet, vm: &str) -> VmState {
+    let answer = ask(fleet.vms_address(), "GET /vms", &[], "").json();
+    let vms: Vec<VmState> = serde_json::from_value(answer["vms"].clone()).unwrap();
+    vms.into_iter().find(|v| v.id == vm).unwrap()
+}
+
+fn current(fleet: &Fleet, vm: &str) -> VmState {
+    let vms = fleet.control().vms();
+    vms.into_iter().find(|v| v.id == vm).unwrap()
+}
+
+#[test]
+fn lists_every_vm_with_its_place() {
+    let fleet = fleet();
+
+    let answer = ask(fleet.vms_address(), "GET /vms", &[], "").json();
+    let executor = listed(&fleet, EXECUTOR);
+    let worker = listed(&fleet, "zadar-guarded-2");
+
+    assert_eq!(answer["vms"].as_array().unwrap().len(), 10);
+    assert_eq!(executor.address, Some(fleet.executors()[0].address));
+    assert_eq!(executor.rack, "split-rack-0");
+    assert_eq!(worker.address, None);
+    assert_eq!(
+        (worker.rack.as_str(), worker.generation),
+        ("zadar-rack-2", 0)
+    );
+}
+
+#[test]
+fn the_list_lags_behind_the_truth() {
+    let fleet = Fleet::open(&FleetSpec {
+        list_lag_ms: LONG_MS,
+        ..spec()
+    })
+    .unwrap();
+
+    change(&fleet, EXECUTOR, "drain", 0);
+    let shown = listed(&fleet, EXECUTOR);
+    let truth = current(&fleet, EXECUTOR);
+
+    assert_eq!((shown.phase, shown.generation), (Phase::Live, 0));
+    assert_eq!((truth.phase, truth.generation), (Phase::Leaving, 1));
+}
+
+#[test]
+fn a_drained_vm_serves_until_its_reboot_and_comes_back() {
+    let fleet = fleet();
+    let address = fleet.executors()[0].address;
+
+    let drained = change(&fleet, EXECUTOR, "drain", 0);
+    let serving = ask(address, "GET /", &[], "");
+    let rebooted = change(&fleet, EXECUTOR, "reboot", 1);
+    wait_until("it is back", || {
+        current(&fleet, EXECUTOR).phase == Phase::Live && Client::connect(address).is_ok()
+    });
+    let back = ask(address, "GET /", &[], "");
+
+    assert_eq!(drained.json(), json!({"generation": 1}));
+    assert!(drained.has("ETag: \"1\""));
+    assert_eq!(rebooted.json(), json!({"generation": 2}));
+    assert_eq!((serving.status, back.status), (200, 200));
+    assert_eq!(current(&fleet, EXECUTOR).generation, 2);
+}
+
+#[rstest]
+#[case::drain("drain")]
+#[case::reboot("reboot")]
+fn a_late_change_is_refused_with_the_generation(#[case] late: &str) {
+    let fleet = fleet();
+    change(&fleet, EXECUTOR, "drain", 0);
+
+    let refused = change(&fleet, EXECUTOR, late, 0);
+
+    assert_eq!(refused.status, 412);
+    assert_eq!(refused.json(), json!({"generation": 1}));
+    assert_eq!(current(&fleet, EXECUTOR).phase, Phase::Leaving);
+}
+
+#[test]
+fn a_drain_can_be_taken_back() {
+    let fleet = fleet();
+    change(&fleet, EXECUTOR, "drain", 0);
+
+    let restored = change(&fleet, EXECUTOR, "restore", 1);
+
+    assert_eq!(restored.json(), json!({"generation": 2}));
+    assert_eq!(current(&fleet, EXECUTOR).phase, Phase::Live);
+}
+
+#[rstest]
+#[case::restore_of_a_live_vm("restore", "If-Match: \"0\"", EXECUTOR, 409)]
+#[case::unknown_vm("drain", "If-Match: \"0\"", "none", 404)]
+#[case::no_condition("drain", "X-None: 0", EXECUTOR, 428)]
+#[case::odd_condition("drain", "If-Match: odd", EXECUTOR, 400)]
+fn other_changes_are_refused(
+    #[case] change: &str,
+    #[case] header: &str,
+    #[case] vm: &str,
+    #[case] status: u16,
+) {
+    let fleet = fleet();
+
+    let line = format!("POST /vms/{vm}/{change}");
+    let answer = ask(fleet.pools_address(), &line, &[header], "");
+
+    assert_eq!(answer.status, status);
+}
+
+#[test]
+fn a_failed_vm_stays_down_until_it_is_repaired() {
+    let fleet = fleet();
+    let control = fleet.control_address();
+    let address = fleet.executors()[0].address;
+
+    ask(control, &format!("POST /vms/{EXECUTOR}/fail"), &[], "");
+    let down = (current(&fleet, EXECUTOR), Client::connect(address));
+    ask(control, &format!("POST /vms/{EXECUTOR}/repair"), &[], "");
+    let back = ask(address, "GET /", &[], "");
+
+    assert_eq!((down.0.phase, down.0.generation), (Phase::Down, 0));
+    assert!(down.1.is_err());
+    assert_eq!(back.status, 200);
+}
+
+#[test]
+fn a_failed_vm_comes_back_by_a_reboot() {
+    let fleet = fleet();
+    fleet.control().fail_vm(EXECUTOR).unwrap();
+
+    change(&fleet, EXECUTOR, "reboot", 0);
+
+    wait_until("it is back", || {
+        Client::connect(fleet.executors()[0].address).is_ok()
+    });
+}
+
+#[test]
+fn a_vm_that_fails_during_a_reboot_stays_down() {
+    let fleet = fleet();
+    change(&fleet, EXECUTOR, "reboot", 0);
+
+    fleet.control().fail_vm(EXECUTOR).unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(2 * spec().reboot_ms));
+
+    assert_eq!(current(&fleet, EXECUTOR).phase, Phase::Down);
+    assert!(Client::connect(fleet.executors()[0].address).is_err());
+}
+
+#[test]
+fn a_rack_fails_as_a_whole() {
+    let fleet = fleet();
+
+    let line = "POST /racks/split-rack-0/fail";
+    ask(fleet.control_address(), line, &[], "");
+
+    let vms = fleet.control().vms();
+    let down: Vec<_> = vms.iter().filter(|vm| vm.phase == Phase::Down).collect();
+    assert_eq!(down.len(), 2);
+    assert!(down.iter().all(|vm| vm.rack == "split-rack-0"));
+}
+
+#[test]
+fn a_reboot_takes_its_time() {
+    let fleet = Fleet::open(&FleetSpec {
+        reboot_ms: LONG_MS,
+        ..spec()
+    })
+    .unwrap();
+
+    change(&fleet, EXECUTOR, "reboot", 0);
+    std::thread::sleep(std::time::Duration::from_millis(50));
+
+    assert_eq!(current(&fleet, EXECUTOR).phase, Phase::Down);
+    assert!(Client::connect(fleet.executors()[0].address).is_err());
+}
