--- a/src/document/check/key.rs
+++ b/src/document/check/key.rs
@@ -26,7 +26,8 @@
             };
             let path = ["keys", other_id.as_str()];
             let place = other.site.reference(&path);
-            let message = format!("key `{id}` is the same as `{other_id}` at {place}");
+            let team = other.id;
+            let message = format!("key `{id}` is the same as `{other_id}` of `{team}` at {place}");
             let path = ["keys", id.as_str(), "sha256"];
             findings.push(part.site.finding(&path, message));
         }
--- a/src/document/check/reference.rs
+++ b/src/document/check/reference.rs
@@ -143,7 +143,7 @@
 
 fn unknown<'k>(what: &str, name: &str, known: impl IntoIterator<Item = &'k str>) -> String {
     match nearest(name, known) {
-        Some(near) => format!("unknown {what} `{name}`, did you mean `{near}`?"),
+        Some(near) => format!("unknown {what} `{name}` (did you mean `{near}`?)"),
         None => format!("unknown {what} `{name}`"),
     }
 }
--- a/src/document/decode/fleet.rs
+++ b/src/document/decode/fleet.rs
@@ -40,7 +40,7 @@
     let fields = node.fields(&FLEET)?;
     let data_centres = fields
         .required("data_centres")
-        .and_then(|node| not_empty(node)?.map(data_centre));
+        .and_then(|node| node.not_empty()?.map(data_centre));
     let classes = fields.required("classes").and_then(|node| node.map(class));
     let services = fields
         .required("services")
@@ -48,7 +48,7 @@
     let budgets = fields.required("budgets").and_then(budgets);
     let operators = fields
         .required("operators")
-        .and_then(|node| not_empty(node)?.map(public_key));
+        .and_then(|node| node.not_empty()?.map(public_key));
     let owners = fields
         .required("owners")
         .and_then(|node| node.map(public_key));
@@ -62,14 +62,6 @@
     })
 }
 
-fn not_empty(node: Node<'_>) -> Option<Node<'_>> {
-    let empty = node.entries()?.is_empty();
-    if empty {
-        node.fault("must not be empty");
-    }
-    (!empty).then_some(node)
-}
-
 fn data_centre(node: Node<'_>) -> Option<DataCentreSpec> {
     let fields = node.fields(&["region"])?;
     let region = fields.required("region")?.name()?.to_owned();
--- a/src/jsonc/guard.rs
+++ b/src/jsonc/guard.rs
@@ -14,6 +14,9 @@
     let mut after_value = false;
     while let Some(token) = scanner.scan().map_err(|e| (e.range().start, message(&e)))? {
         let start = scanner.token_start();
+        if depth > 0 && after_value && starts_value(&token) {
+            return Err((start, "expected a comma before this".to_owned()));
+        }
         match token {
             Token::CommentLine(_) | Token::CommentBlock(_) => continue,
             Token::OpenBrace | Token::OpenBracket => depth += 1,
@@ -23,9 +26,6 @@
         if depth > MAX_DEPTH {
             return Err((start, format!("nested deeper than {MAX_DEPTH} levels")));
         }
-        if depth > 0 && after_value && starts_value(&token) {
-            return Err((start, "expected a comma before this".to_owned()));
-        }
         after_value = ends_value(&token);
     }
     Ok(())
--- a/src/jsonc/node.rs
+++ b/src/jsonc/node.rs
@@ -74,6 +74,15 @@
         Some(entries.into_values().collect())
     }
 
+    /// The same object, if it has a field.
+    pub(crate) fn not_empty(self) -> Option<Self> {
+        let empty = self.entries()?.is_empty();
+        if empty {
+            self.fault(format!("`{}` must not be empty", self.name));
+        }
+        (!empty).then_some(self)
+    }
+
     /// An object with fixed fields; others are faults.
     pub(crate) fn fields(self, known: &[&str]) -> Option<Fields<'a>> {
         Some(Fields::new(self, self.entries()?, known))
@@ -116,7 +125,7 @@
     /// A whole number within bounds.
     pub(crate) fn number<T: TryFrom<u64>>(self, range: &RangeInclusive<u64>) -> Option<T> {
         let Value::NumberLit(literal) = self.value else {
-            return self.wrong(&unit::expected(self.name));
+            return self.not_a_number();
         };
         let digits = literal.value.strip_prefix('-').unwrap_or(literal.value);
         if !digits.bytes().all(|b| b.is_ascii_digit()) {
@@ -191,6 +200,18 @@
         address
     }
 
+    fn not_a_number<T>(self) -> Option<T> {
+        let expected = unit::expected(self.name);
+        let (Value::StringLit(literal), Some(_)) = (self.value, unit::unit(self.name)) else {
+            return self.wrong(&expected);
+        };
+        let (name, found) = (self.name, &literal.value);
+        self.fault(format!(
+            "wrong unit: `{name}` holds {expected}, found \"{found}\""
+        ));
+        None
+    }
+
     fn wrong<T>(self, expected: &str) -> Option<T> {
         let (name, found) = (self.name, found(self.value));
         if name.contains(' ') {
