Make, grant and withdraw keys, and compare an edit that came second

Operators had to compute hashes and edit keys by hand. The library now draws secrets and operator keys, changes the keys of a team in the text of a document, replaces the file through a draft and a rename if it is still the same, and compares three texts of a section by lines.

Ruled out: removing a key through the syntax tree of jsonc-parser. It takes the comments on the line of the key with it (seen on an example with comments before, inside and behind a key). A withdrawn key is cut from the text with its comma instead, and all comments around it stay. Granting goes through the tree.

A text with `keys` twice was edited in its first place only, so a key could have seemed withdrawn and gone on working; the test of it failed, and a repeated name on the way to the keys is now refused with its place.

--- /dev/null
+++ b/src/bin/amaranthwick/key.rs
@@ -0,0 +1,64 @@
+//! Makes callers' and operators' keys.
+
+use std::fs;
+use std::path::Path;
+use std::process::ExitCode;
+
+use amaranthwick::config::KeyFile;
+use amaranthwick::document::{
+    check_name, format_secret, grant_key, hex, key_hash, new_secret, replace_file, withdraw_key,
+};
+use amaranthwick::id::{KeyId, TeamId};
+use anyhow::{Context, Result};
+
+/// Prints a new secret, and the line that lets it in.
+pub(crate) fn new(name: &str) -> Result<ExitCode> {
+    let name = check_name(name)?;
+    let secret = new_secret()?;
+    let hash = hex::encode(&key_hash(&secret));
+    println!("secret, shown only now: {}", format_secret(&secret));
+    println!("line for `keys`: \"{name}\": {{ \"sha256\": \"{hash}\" }}");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Adds a new key to the section of a team in a file, and prints its secret.
+pub(crate) fn grant(team: &str, name: &str, file: &Path) -> Result<ExitCode> {
+    let team = TeamId::new(check_name(team)?);
+    let name = KeyId::new(check_name(name)?);
+    let secret = new_secret()?;
+    let text = read(file)?;
+    let hash = key_hash(&secret);
+    let changed = grant_key(&file.display().to_string(), &text, &team, &name, &hash)?;
+    replace(file, &text, &changed)?;
+    println!("secret, shown only now: {}", format_secret(&secret));
+    println!("publish section `{team}` to put key `{name}` in force");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Takes a key out of the section of a team in a file.
+pub(crate) fn withdraw(team: &str, name: &str, file: &Path) -> Result<ExitCode> {
+    let team = TeamId::new(check_name(team)?);
+    let name = KeyId::new(check_name(name)?);
+    let text = read(file)?;
+    let changed = withdraw_key(&file.display().to_string(), &text, &team, &name)?;
+    replace(file, &text, &changed)?;
+    println!("publish section `{team}` to end key `{name}`");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Writes the key file of a new operator, and prints the line that lets the operator in.
+pub(crate) fn operator(name: &str, file: &Path) -> Result<ExitCode> {
+    let name = check_name(name)?;
+    let key = KeyFile::create(file).with_context(|| format!("create {}", file.display()))?;
+    let public = hex::encode(&key.public());
+    println!("line for `operators`: \"{name}\": \"{public}\"");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn read(file: &Path) -> Result<String> {
+    fs::read_to_string(file).with_context(|| format!("read {}", file.display()))
+}
+
+fn replace(file: &Path, old: &str, new: &str) -> Result<()> {
+    replace_file(file, old, new).with_context(|| format!("write {}", file.display()))
+}
--- a/src/config/key.rs
+++ b/src/config/key.rs
@@ -8,7 +8,7 @@
 
 use anyhow::Result;
 
-use crate::document::{OperatorKey, hex, new_secret};
+use crate::document::{OperatorKey, RandomError, hex, new_secret};
 use crate::finding::Findings;
 use crate::jsonc;
 
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub enum KeyFileError {
     /// The operating system has no randomness to give.
-    Random(getrandom::Error),
+    Random(RandomError),
     /// The file exists already or can't be written.
     Write(io::Error),
 }
@@ -69,7 +69,7 @@
 impl fmt::Display for KeyFileError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Random(e) => write!(f, "no randomness: {e}"),
+            Self::Random(e) => e.fmt(f),
             Self::Write(e) => write!(f, "key file not written: {e}"),
         }
     }
--- /dev/null
+++ b/src/document/edit.rs
@@ -0,0 +1,107 @@
+//! Changes of callers' keys in the text of a document; comments stay.
+
+use std::fmt;
+
+use jsonc_parser::cst::{CstInputValue, CstObject, CstRootNode};
+
+use super::hex;
+use crate::finding::Findings;
+use crate::id::{KeyId, TeamId};
+use crate::jsonc::{self, Node};
+
+/// Why a text was not changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EditError {
+    /// The text can't be read as far as the keys of the team.
+    Invalid(Findings),
+    /// No section of that team is in the text.
+    NoTeam(TeamId),
+    /// A key of that name is in the section already.
+    Exists(KeyId),
+    /// No key of that name is in the section.
+    NoKey(KeyId),
+    /// The syntax tree does not hold what the text does.
+    Tree,
+}
+
+impl fmt::Display for EditError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Invalid(findings) => findings.fmt(f),
+            Self::NoTeam(team) => write!(f, "no section `{team}`"),
+            Self::Exists(key) => write!(f, "key `{key}` exists already; withdraw it first"),
+            Self::NoKey(key) => write!(f, "no key `{key}`"),
+            Self::Tree => f.write_str("the text can't be changed in place"),
+        }
+    }
+}
+
+impl std::error::Error for EditError {}
+
+/// Adds the hash of a caller's secret to the section of a team.
+///
+/// # Errors
+/// Leaves a key of the same name alone.
+pub fn grant_key(
+    file: &str,
+    text: &str,
+    team: &TeamId,
+    key: &KeyId,
+    hash: &[u8; 32],
+) -> Result<String, EditError> {
+    let root = open(file, text, team)?;
+    let section = section(&root, team)?;
+    let keys = section
+        .object_value_or_create("keys")
+        .ok_or(EditError::Tree)?;
+    if keys.get(key.as_str()).is_some() {
+        return Err(EditError::Exists(key.clone()));
+    }
+    let hash = CstInputValue::String(hex::encode(hash));
+    let value = CstInputValue::Object(vec![("sha256".to_owned(), hash)]);
+    keys.append(key.as_str(), value);
+    Ok(root.to_string())
+}
+
+/// Takes a caller's key out of the section of a team.
+///
+/// # Errors
+/// Fails when the section has no such key.
+pub fn withdraw_key(
+    file: &str,
+    text: &str,
+    team: &TeamId,
+    key: &KeyId,
+) -> Result<String, EditError> {
+    section(&open(file, text, team)?, team)?;
+    let path = ["teams", team.as_str(), "keys", key.as_str()];
+    jsonc::without(text, &path).ok_or_else(|| EditError::NoKey(key.clone()))
+}
+
+fn open(file: &str, text: &str, team: &TeamId) -> Result<CstRootNode, EditError> {
+    let path = ["teams", team.as_str(), "keys"];
+    let (_, findings) = jsonc::survey(file, text, |root| check_path(root, &path));
+    if !findings.is_empty() {
+        return Err(EditError::Invalid(Findings(findings)));
+    }
+    CstRootNode::parse(text, &jsonc::OPTIONS).map_err(|_| EditError::Tree)
+}
+
+/// Reports a key that stands twice, or a value that is no object, along a path.
+fn check_path(node: Node<'_>, path: &[&str]) {
+    let entries = node.entries().unwrap_or_default();
+    let Some((key, rest)) = path.split_first() else {
+        return;
+    };
+    if let Some(entry) = entries.iter().find(|entry| entry.key == *key) {
+        check_path(entry.node, rest);
+    }
+}
+
+fn section(root: &CstRootNode, team: &TeamId) -> Result<CstObject, EditError> {
+    let teams = root
+        .object_value()
+        .and_then(|root| root.object_value("teams"));
+    let section = teams.and_then(|teams| teams.object_value(team.as_str()));
+    section.ok_or_else(|| EditError::NoTeam(team.clone()))
+}
--- /dev/null
+++ b/src/document/file.rs
@@ -0,0 +1,51 @@
+//! Replacement of a file as a whole.
+
+use std::ffi::OsString;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::process;
+
+/// Replaces the text of a file that still holds `old`; a reader sees the old or the new text.
+///
+/// # Errors
+/// Fails when the file has changed or can't be written; it is then as it was.
+pub fn replace_file(path: &Path, old: &str, new: &str) -> io::Result<()> {
+    let path = fs::canonicalize(path)?;
+    let draft = draft_path(&path);
+    let replaced = write_draft(&path, &draft, new).and_then(|()| swap(&path, &draft, old));
+    if replaced.is_err() {
+        // The draft may not exist; the first error is the one to report.
+        let _ = fs::remove_file(&draft);
+    }
+    replaced
+}
+
+fn draft_path(path: &Path) -> PathBuf {
+    let mut name = OsString::from(".");
+    name.push(path.file_name().unwrap_or_default());
+    name.push(format!(".{}", process::id()));
+    path.with_file_name(name)
+}
+
+fn write_draft(path: &Path, draft: &Path, text: &str) -> io::Result<()> {
+    let permissions = fs::metadata(path)?.permissions();
+    let mut file = OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .open(draft)?;
+    file.set_permissions(permissions)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()
+}
+
+fn swap(path: &Path, draft: &Path, old: &str) -> io::Result<()> {
+    if fs::read_to_string(path)? != old {
+        return Err(io::Error::other("the file has changed meanwhile"));
+    }
+    fs::rename(draft, path)?;
+    match path.parent() {
+        Some(directory) => File::open(directory)?.sync_all(),
+        None => Ok(()),
+    }
+}
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -3,18 +3,26 @@
 mod cache;
 mod check;
 pub(crate) mod decode;
+mod diff;
+mod edit;
 pub mod example;
+mod file;
 pub mod hex;
 mod model;
+mod name;
 mod secret;
 mod section;
 mod sign;
 
 pub use cache::SectionCache;
+pub use diff::{Hunk, three_way};
+pub use edit::{EditError, grant_key, withdraw_key};
+pub use file::replace_file;
 pub use model::{
     Access, Budgets, Class, DataCentreSpec, Document, Fleet, Kind, OnStale, PoolSpec, PublicKey,
     QueueSpec, Service, Team, TeamKey,
 };
-pub use secret::{format_secret, key_hash, new_secret, parse_secret, same_hash};
+pub use name::{BadName, check_name};
+pub use secret::{RandomError, format_secret, key_hash, new_secret, parse_secret, same_hash};
 pub use section::{FLEET, assemble, parse, section_text};
 pub use sign::{OperatorKey, sign, verify};
--- /dev/null
+++ b/src/document/name.rs
@@ -0,0 +1,31 @@
+//! Rule for the names of sections, pools, queues, keys and all else.
+
+use std::fmt;
+
+const MAX_NAME: usize = 63;
+
+/// A text that can't be a name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadName(String);
+
+impl fmt::Display for BadName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = &self.0;
+        write!(
+            f,
+            "bad name \"{name}\": 1 to {MAX_NAME} lower-case letters, digits and `-` are allowed"
+        )
+    }
+}
+
+impl std::error::Error for BadName {}
+
+/// Gives the text back if it can be a name.
+///
+/// # Errors
+/// Names are 1 to 63 lower-case letters, digits and `-`.
+pub fn check_name(text: &str) -> Result<&str, BadName> {
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    let good = (1..=MAX_NAME).contains(&text.len()) && text.bytes().all(allowed);
+    good.then_some(text).ok_or_else(|| BadName(text.to_owned()))
+}
--- a/src/document/secret.rs
+++ b/src/document/secret.rs
@@ -1,5 +1,7 @@
 //! Callers' secrets; the document holds only their hashes.
 
+use std::fmt;
+
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
@@ -7,13 +9,25 @@
 
 const PREFIX: &str = "amw_";
 
+/// The operating system gave no randomness.
+#[derive(Clone, Copy, Debug)]
+pub struct RandomError(getrandom::Error);
+
+impl fmt::Display for RandomError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "no randomness: {}", self.0)
+    }
+}
+
+impl std::error::Error for RandomError {}
+
 /// Draws a new secret of 256 bits from the operating system.
 ///
 /// # Errors
 /// Fails when the operating system has no randomness to give.
-pub fn new_secret() -> Result<[u8; 32], getrandom::Error> {
+pub fn new_secret() -> Result<[u8; 32], RandomError> {
     let mut secret = [0; 32];
-    getrandom::fill(&mut secret)?;
+    getrandom::fill(&mut secret).map_err(RandomError)?;
     Ok(secret)
 }
 
--- a/src/jsonc/mod.rs
+++ b/src/jsonc/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use fault::Faults;
 pub(crate) use field::Fields;
 pub(crate) use hint::nearest;
-pub(crate) use locate::{Site, span};
+pub(crate) use locate::{Site, span, without};
 pub(crate) use node::{Entry, Node};
 
 use jsonc_parser::ast::Value;
@@ -22,7 +22,8 @@
 /// Name of the outermost value in messages.
 const ROOT: &str = "the whole text";
 
-const OPTIONS: ParseOptions = ParseOptions {
+/// What the texts may contain beyond JSON.
+pub(crate) const OPTIONS: ParseOptions = ParseOptions {
     allow_comments: true,
     allow_loose_object_property_names: false,
     allow_trailing_commas: true,
--- a/src/jsonc/node.rs
+++ b/src/jsonc/node.rs
@@ -11,9 +11,7 @@
 use super::field::Fields;
 use super::hint::nearest;
 use super::unit;
-use crate::document::hex;
-
-const MAX_NAME: usize = 63;
+use crate::document::{self, hex};
 
 /// A value with the name of its field.
 #[derive(Clone, Copy, Debug)]
@@ -248,20 +246,11 @@
 }
 
 fn check_name<'a>(text: &'a str, offset: usize, faults: &Faults<'_>) -> Option<&'a str> {
-    let good = !text.is_empty()
-        && text.len() <= MAX_NAME
-        && text
-            .bytes()
-            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-');
-    if !good {
-        faults.add(
-            offset,
-            format!(
-                "bad name \"{text}\": 1 to {MAX_NAME} lower-case letters, digits and `-` are allowed"
-            ),
-        );
+    let checked = document::check_name(text);
+    if let Err(e) = &checked {
+        faults.add(offset, e.to_string());
     }
-    good.then_some(text)
+    checked.ok()
 }
 
 fn found(value: &Value<'_>) -> String {
