Add the planner daemon and its tests on stand-ins

The daemon follows the log, claims its role and acts while it holds it. On the stand-ins a published document fills its pools, a submitted job runs to its end, and a second planner takes over after the first is dropped.

It now waits for a verified head. Moves were logged before the fold had judged them; they are now logged with the offset of their acceptance.

--- /dev/null
+++ b/src/bin/amaranthwick-planner.rs
@@ -0,0 +1,90 @@
+//! Places VMs and jobs while it holds the planner role.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use amaranthwick::config::{Common, PlannerConfig};
+use amaranthwick::control::{self, Control};
+use amaranthwick::id::Incarnation;
+use amaranthwick::membership::NoPeers;
+use amaranthwick::planner;
+use amaranthwick::platform::{LogClient, VmsClient, WorkersClient};
+use amaranthwick::runtime::Runtime;
+use amaranthwick::telemetry::log::Stream;
+use amaranthwick::telemetry::{Admin, Dump, Metrics, Process, log};
+use anyhow::{Context, Result};
+use async_signal::{Signal, Signals};
+use flags::AmaranthwickPlanner;
+use futures_lite::StreamExt;
+use futures_lite::future::block_on;
+use serde_json::{Value, json};
+
+const THREADS: usize = 2;
+
+mod flags {
+    #![allow(missing_docs)] // The macro gives its types no documentation.
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Places VMs and jobs of the fleet while it holds the planner role.
+        cmd amaranthwick-planner {
+            /// Settings: JSON with comments.
+            required --config file: PathBuf
+        }
+    }
+}
+
+/// The daemon keeps no state beyond what the control thread dumps.
+struct State;
+
+impl Dump for State {
+    async fn dump(&self) -> Value {
+        json!({})
+    }
+}
+
+fn main() -> Result<()> {
+    let flags = AmaranthwickPlanner::from_env_or_exit();
+    let config = PlannerConfig::read(&flags.config)?;
+    log::open(Stream::Stdout)?;
+    block_on(run(&config))
+}
+
+async fn run(config: &PlannerConfig) -> Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let runtime = Runtime::open(THREADS)?;
+    let control = open_control(&config.common)?;
+    let workers = WorkersClient::new(config.common.platform.workers, &config.common.data_centre);
+    let _planner = planner::spawn(config, control.clone(), workers, &runtime);
+    let process = process(&config.common);
+    let admin = Admin::bind(
+        config.common.admin,
+        &runtime,
+        process,
+        control,
+        Metrics::open(),
+        State,
+    )
+    .context("listen on the admin address")?;
+    spdlog::info!("planner_started", kv: { admin = admin.address().to_string() });
+    signals.next().await;
+    Ok(())
+}
+
+fn open_control(common: &Common) -> Result<Control> {
+    let platform = &common.platform;
+    let log = LogClient::new(platform.log, &common.data_centre);
+    let vms = VmsClient::new(platform.vms, &common.data_centre);
+    control::spawn(common, log, vms, NoPeers)
+}
+
+fn process(common: &Common) -> Process {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = since.map_or(0, |since| since.as_micros());
+    Process {
+        program: env!("CARGO_BIN_NAME"),
+        id: common.id.clone(),
+        data_centre: common.data_centre.clone(),
+        incarnation: Incarnation(u64::try_from(micros).unwrap_or(u64::MAX)),
+    }
+}
--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -44,6 +44,7 @@
     let jobs = facts.jobs.values().filter(|state| !is_ended(&state.phase));
     FleetState {
         offset: facts.offset,
+        verified: core.verified,
         document: core.state.document().cloned(),
         vms: core.vms.clone(),
         assignment: facts.assignment.clone(),
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
@@ -75,6 +76,8 @@
 pub struct FleetState {
     /// Next offset to be folded.
     pub offset: Offset,
+    /// When the head of the log was last known to be folded.
+    pub verified: Option<Instant>,
     /// The accepted document, once there is one.
     pub document: Option<Arc<Document>>,
     /// The platform's list as last read; empty until it has been.
--- a/src/planner/shell.rs
+++ b/src/planner/shell.rs
@@ -9,11 +9,12 @@
 use futures_lite::future;
 
 use super::claimant::Claimant;
+use super::jobs;
+use super::placement::{self, Step};
 use super::runner::{Call, Runner, TASK_LEASE_MS};
-use super::{jobs, placement};
 use crate::config::PlannerConfig;
 use crate::control::{Control, FleetState, JobState};
-use crate::id::Epoch;
+use crate::id::{Epoch, Offset, PoolId};
 use crate::ledger::{JobPhase, JobUpdate, Proposal, Verdict};
 use crate::platform::{PlatformError, Workers};
 use crate::runtime::Runtime;
@@ -64,6 +65,10 @@
     while let Some(fleet) = acting.control.fleet().await {
         let now = Instant::now();
         let held = fleet.planner.as_ref();
+        if fleet.verified.is_none() {
+            Timer::after(Duration::from_millis(TICK_MS)).await;
+            continue;
+        }
         if let Some(claim) = claimant.step(held, now) {
             acting.propose_all(vec![Proposal::Claim(claim)]).await;
         }
@@ -88,16 +93,19 @@
             return;
         };
         let steps = placement::steps(document, &fleet.vms, &fleet.assignment);
-        let proposals = steps.into_iter().take(MAX_STEPS).map(|step| {
-            spdlog::info!("vm_moved", kv: { vm = step.vm.as_str() });
-            Proposal::Assign {
-                vm: step.vm,
-                from: step.from,
-                to: step.to,
-                epoch,
-            }
+        let steps: Vec<Step> = steps.into_iter().take(MAX_STEPS).collect();
+        let proposals = steps.iter().map(|step| Proposal::Assign {
+            vm: step.vm.clone(),
+            from: step.from.clone(),
+            to: step.to.clone(),
+            epoch,
         });
-        self.propose_all(proposals.collect()).await;
+        let verdicts = self.propose_all(proposals.collect()).await;
+        for (step, verdict) in steps.iter().zip(verdicts) {
+            if let Some(Verdict::Accepted(offset)) = verdict {
+                log_move(step, offset);
+            }
+        }
     }
 
     async fn place_jobs(self: &Arc<Self>, fleet: &FleetState, epoch: Epoch) {
@@ -192,6 +200,12 @@
     }
 }
 
+fn log_move(step: &Step, offset: Offset) {
+    let name = |pool: &Option<PoolId>| pool.as_ref().map_or("", PoolId::as_str).to_owned();
+    let (vm, from, to) = (step.vm.as_str(), name(&step.from), name(&step.to));
+    spdlog::info!("vm_moved", kv: { vm, from, to, offset = offset.0 });
+}
+
 /// A call without an answer in time may have taken effect.
 async fn within<T>(
     call: impl Future<Output = Result<T, PlatformError>>,
--- /dev/null
+++ b/tests/planner/fleet.rs
@@ -0,0 +1,174 @@
+//! The planner on the platform's stand-ins, over loopback.
+
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use amaranthwick::config::{Common, PlannerConfig, Platform};
+use amaranthwick::control::{self, Control};
+use amaranthwick::document::{example, sign};
+use amaranthwick::id::{
+    DataCentre, JobId, MemberId, Offset, OperatorId, PoolId, RecordId, Revision, SectionId,
+};
+use amaranthwick::ledger::{Edit, JobPhase, Proposal, Record, Verdict, encode_edit};
+use amaranthwick::membership::NoPeers;
+use amaranthwick::planner::{self, Planner};
+use amaranthwick::platform::{Log, LogClient, VmsClient, WorkersClient};
+use amaranthwick::runtime::Runtime;
+use amaranthwick::secret::FleetSecret;
+use amaranthwick_standins::{ClassSpec, DataCentreSpec, Fleet, FleetSpec, Kind};
+use futures_lite::future::block_on;
+
+use crate::fixtures::{fleet_text, job, office_text, red_text};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn standins() -> Fleet {
+    let class = |kind| ClassSpec {
+        kind,
+        ..ClassSpec::default()
+    };
+    let site = |executors, workers| DataCentreSpec {
+        vms: [
+            ("executor".to_owned(), executors),
+            ("worker".to_owned(), workers),
+        ]
+        .into(),
+        ..DataCentreSpec::default()
+    };
+    let spec = FleetSpec {
+        classes: [
+            ("executor".to_owned(), class(Kind::Executor)),
+            ("worker".to_owned(), class(Kind::Worker)),
+        ]
+        .into(),
+        data_centres: [("a".to_owned(), site(3, 2)), ("b".to_owned(), site(1, 0))].into(),
+        list_lag_ms: 0,
+        ..FleetSpec::default()
+    };
+    Fleet::open(&spec).expect("stand-ins")
+}
+
+fn common(fleet: &Fleet, id: &str) -> Common {
+    let any = ([127, 0, 0, 1], 0).into();
+    Common {
+        id: MemberId::new(id),
+        data_centre: DataCentre::new("a"),
+        peer: any,
+        admin: any,
+        platform: Platform {
+            log: fleet.log_address(),
+            vms: fleet.vms_address(),
+            pools: fleet.pools_address(),
+            workers: fleet.workers_address(),
+        },
+        secret: FleetSecret::new([7; 32]),
+        root_key: example::operator("root").public(),
+    }
+}
+
+fn open_control(fleet: &Fleet, id: &str) -> Control {
+    let common = common(fleet, id);
+    let log = LogClient::new(fleet.log_address(), &common.data_centre);
+    let vms = VmsClient::new(fleet.vms_address(), &common.data_centre);
+    control::spawn(&common, log, vms, NoPeers).expect("control thread")
+}
+
+fn open_planner(fleet: &Fleet, id: &str, runtime: &Runtime) -> (Control, Planner) {
+    let config = PlannerConfig {
+        common: common(fleet, id),
+        lease_ms: 1_500,
+        snapshot_every: 1_000,
+    };
+    let control = open_control(fleet, id);
+    let workers = WorkersClient::new(fleet.workers_address(), &config.common.data_centre);
+    let planner = planner::spawn(&config, control.clone(), workers, runtime);
+    (control, planner)
+}
+
+fn publish(fleet: &Fleet, section: &str, text: &str, operator: &str) -> RecordId {
+    let id = SectionId::new(section);
+    let signature = sign(&example::operator(operator), &id, Revision(0), text);
+    let record = Record {
+        id: RecordId::random(),
+        after: Offset(0),
+        proposal: Proposal::Edit(Edit {
+            section: id,
+            base: Revision(0),
+            text: text.to_owned(),
+            operator: OperatorId::new(operator),
+            signature,
+        }),
+    };
+    let log = LogClient::new(fleet.log_address(), &DataCentre::new("a"));
+    block_on(log.append("control", &[encode_edit(&record)])).expect("appended");
+    record.id
+}
+
+fn publish_all(fleet: &Fleet) {
+    publish(fleet, "fleet", &fleet_text(), "root");
+    publish(fleet, "red", &red_text(), "red-owner");
+    publish(fleet, "office", &office_text(), "office-owner");
+}
+
+fn wait(what: &str, mut done: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < PATIENCE, "{what}");
+        sleep(Duration::from_millis(20));
+    }
+}
+
+fn targets(control: &Control, pool: &str) -> usize {
+    let view = control.view();
+    view.targets.get(&PoolId::new(pool)).map_or(0, Vec::len)
+}
+
+#[test]
+fn a_published_document_puts_vms_into_pools() {
+    let (fleet, runtime) = (standins(), Runtime::open(2).expect("threads"));
+    let entry = open_control(&fleet, "e1");
+    let _planner = open_planner(&fleet, "p1", &runtime);
+
+    publish_all(&fleet);
+
+    wait("pools are filled", || {
+        targets(&entry, "red-pool") == 3 && targets(&entry, "spare") == 1
+    });
+}
+
+#[test]
+fn a_submitted_job_runs_on_a_worker_and_ends() {
+    let (fleet, runtime) = (standins(), Runtime::open(2).expect("threads"));
+    let entry = open_control(&fleet, "e1");
+    let _planner = open_planner(&fleet, "p1", &runtime);
+    publish_all(&fleet);
+    wait("the document is accepted", || targets(&entry, "spare") == 1);
+    let mut job = job("j1", "red", 4, JobPhase::Waiting).job;
+    job.task = "sleep:100".to_owned();
+
+    let verdict = block_on(entry.propose(Proposal::Submit(job)));
+
+    assert!(matches!(verdict, Ok(Verdict::Accepted(_))));
+    let phase = || block_on(entry.job(&JobId::new("j1"))).map(|state| state.phase);
+    wait("the job ends", || {
+        matches!(phase(), Some(JobPhase::Done(_)))
+    });
+}
+
+#[test]
+fn another_planner_takes_over_from_one_that_is_gone() {
+    let (fleet, runtime) = (standins(), Runtime::open(2).expect("threads"));
+    let entry = open_control(&fleet, "e1");
+    let holder = || entry.view().planner.clone().map(|(id, _)| id);
+    let first = open_planner(&fleet, "p1", &runtime);
+    wait("the role is held", || holder() == Some(MemberId::new("p1")));
+    let _second = open_planner(&fleet, "p2", &runtime);
+
+    drop(first);
+
+    wait("the role is taken over", || {
+        holder() == Some(MemberId::new("p2"))
+    });
+    publish_all(&fleet);
+    wait("the new planner acts", || targets(&entry, "red-pool") == 3);
+}
