Call check, diff and key from the command line

The entry's test view also gets the allotments that the shared view has had since the last merge; without them the test crate did not compile.

--- a/src/bin/amaranthwick/args.rs
+++ b/src/bin/amaranthwick/args.rs
@@ -19,7 +19,11 @@
     ///   $ amaranthwick check fleet.jsonc
     ///
     ///   Publish one section and wait until the fleet has judged it:
-    ///   $ amaranthwick publish --section herd --config operator.jsonc fleet.jsonc
+    ///   $ amaranthwick publish --section herds --config operator.jsonc fleet.jsonc
+    ///
+    ///   Withdraw a key, then put the change in force:
+    ///   $ amaranthwick key withdraw herds app fleet.jsonc
+    ///   $ amaranthwick publish --section herds fleet.jsonc
     ///
     ///   See what a process knows and does:
     ///   $ amaranthwick state 10.1.0.4:7300
@@ -32,6 +36,12 @@
     ///   3  nothing was appended, because a service could not be reached
     ///   4  appended perhaps, but no verdict was seen; repeat with --record
     cmd amaranthwick {
+        /// Prints every fault of a document as FILE:LINE:COLUMN: what is wrong.
+        cmd check {
+            /// Capacity document, JSON with comments.
+            required file: PathBuf
+        }
+
         /// Signs one section of a document, appends it and waits for the verdict.
         cmd publish {
             /// Capacity document, JSON with comments.
@@ -46,12 +56,58 @@
             optional --record id: String
         }
 
+        /// Shows what two texts changed since the base that both were made from.
+        cmd diff {
+            /// Text that both were made from.
+            required base: PathBuf
+            /// Text that was refused.
+            required mine: PathBuf
+            /// Text that is in force.
+            required current: PathBuf
+        }
+
+        /// Makes the keys of callers and operators.
+        cmd key {
+            /// Prints a new secret of a caller and the line that lets it in.
+            cmd new {
+                /// Name of the key.
+                required name: String
+            }
+
+            /// Adds a new key to a team's section in a file and prints its secret.
+            cmd grant {
+                /// Team that the key is for.
+                required team: String
+                /// Name of the key.
+                required name: String
+                /// Capacity document, JSON with comments.
+                required file: PathBuf
+            }
+
+            /// Takes a key out of a team's section in a file.
+            cmd withdraw {
+                /// Team that the key is for.
+                required team: String
+                /// Name of the key.
+                required name: String
+                /// Capacity document, JSON with comments.
+                required file: PathBuf
+            }
+
+            /// Writes the key file of a new operator and prints the line that lets it in.
+            cmd operator {
+                /// Name of the operator.
+                required name: String
+                /// Key file, which must not exist yet.
+                required file: PathBuf
+            }
+        }
+
         /// Prints the state of a process as JSON.
         cmd state {
             /// Admin address of the process.
             required address: SocketAddr
         }
-
     }
 }
 // generated start
@@ -64,10 +120,18 @@
 
 #[derive(Debug)]
 pub enum AmaranthwickCmd {
+    Check(Check),
     Publish(Publish),
+    Diff(Diff),
+    Key(Key),
     State(State),
 }
 
+#[derive(Debug)]
+pub struct Check {
+    pub file: PathBuf,
+}
+
 #[derive(Debug)]
 pub struct Publish {
     pub file: PathBuf,
@@ -78,6 +142,51 @@
     pub record: Option<String>,
 }
 
+#[derive(Debug)]
+pub struct Diff {
+    pub base: PathBuf,
+    pub mine: PathBuf,
+    pub current: PathBuf,
+}
+
+#[derive(Debug)]
+pub struct Key {
+    pub subcommand: KeyCmd,
+}
+
+#[derive(Debug)]
+pub enum KeyCmd {
+    New(New),
+    Grant(Grant),
+    Withdraw(Withdraw),
+    Operator(Operator),
+}
+
+#[derive(Debug)]
+pub struct New {
+    pub name: String,
+}
+
+#[derive(Debug)]
+pub struct Grant {
+    pub team: String,
+    pub name: String,
+    pub file: PathBuf,
+}
+
+#[derive(Debug)]
+pub struct Withdraw {
+    pub team: String,
+    pub name: String,
+    pub file: PathBuf,
+}
+
+#[derive(Debug)]
+pub struct Operator {
+    pub name: String,
+    pub file: PathBuf,
+}
+
 #[derive(Debug)]
 pub struct State {
     pub address: SocketAddr,
--- a/tests/common/entry.rs
+++ b/tests/common/entry.rs
@@ -143,6 +143,7 @@
         offset: Offset(1),
         document: Some(Arc::new(document())),
         targets: IndexMap::from([(PoolId::new("herd"), targets)]),
+        allotments: IndexMap::new(),
         members,
         planner: None,
         verified: Some(Instant::now() + Duration::from_mins(1)),
