--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use super::Metrics;
+use super::{Metrics, log};
 use crate::control::Control;
 use crate::http::{Conclusion, Handler, Problem, Reply, Request, Server, ServerLimits};
 use crate::id::{DataCentre, Incarnation, MemberId, Offset, RecordId, Revision, SectionId};
@@ -102,7 +102,9 @@
             metrics,
             dump,
         };
-        Server::bind(address, runtime, ServerLimits::default(), admin)
+        let server = Server::bind(address, runtime, ServerLimits::default(), admin)?;
+        log::listening("admin", server.address());
+        Ok(server)
     }
 
     async fn get(&self, path: &str) -> Reply {
--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -4,6 +4,7 @@
 //! `time=2026-03-01T04:05:06.789Z level=info event=listening address=127.0.0.1:4000`.
 
 use std::env;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::{Context, Result};
@@ -53,6 +54,11 @@
     Ok(())
 }
 
+/// Says that the process listens on `address` in `role`: `callers`, `peers` or `admin`.
+pub fn listening(role: &str, address: SocketAddr) {
+    spdlog::info!("listening", kv: { role, address = address.to_string() });
+}
+
 fn parse_level(name: &str) -> Result<Level> {
     name.parse::<Level>()
         .with_context(|| format!("{LEVEL_VARIABLE}={name:?} names no log level"))
