Add the entry daemon and join it to the control thread

The daemon registers its address for peers, sends heartbeats through the peer client, and stops on SIGTERM: health fails first, the listeners stay for the drain time, and requests in work end. The state dump goes to the admin address.

--- /dev/null
+++ b/src/bin/amaranthwick-entry.rs
@@ -0,0 +1,86 @@
+//! Serves callers: queues their requests and sends them to targets.
+
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use amaranthwick::config::{Common, EntryConfig};
+use amaranthwick::control::{self, Control};
+use amaranthwick::entry::Entry;
+use amaranthwick::id::Incarnation;
+use amaranthwick::peer::Client;
+use amaranthwick::platform::{LogClient, VmsClient};
+use amaranthwick::runtime::Runtime;
+use amaranthwick::telemetry::log::Stream;
+use amaranthwick::telemetry::{Admin, Metrics, Process, log};
+use anyhow::{Context, Result};
+use async_signal::{Signal, Signals};
+use flags::AmaranthwickEntry;
+use futures_lite::StreamExt;
+use futures_lite::future::block_on;
+
+mod flags {
+    #![allow(missing_docs)] // The macro gives its types no documentation.
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Serves callers of one data centre.
+        cmd amaranthwick-entry {
+            /// Settings: JSON with comments.
+            required --config file: PathBuf
+        }
+    }
+}
+
+fn main() -> Result<()> {
+    let flags = AmaranthwickEntry::from_env_or_exit();
+    let config = EntryConfig::read(&flags.config)?;
+    log::open(Stream::Stdout)?;
+    block_on(run(&config))
+}
+
+async fn run(config: &EntryConfig) -> Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let runtime = Runtime::open(config.threads)?;
+    let control = open_control(&config.common)?;
+    let metrics = Metrics::open();
+    let entry = Entry::open_on(config, control.clone(), &runtime)?;
+    control.register(entry.peers()).await;
+    let admin = Admin::bind(
+        config.common.admin,
+        &runtime,
+        process(&config.common),
+        control,
+        metrics,
+        entry.state(),
+    )
+    .context("listen on the admin address")?;
+    announce("callers", entry.callers());
+    announce("peers", entry.peers());
+    announce("admin", admin.address());
+    signals.next().await;
+    entry.stop().await;
+    Ok(())
+}
+
+fn open_control(common: &Common) -> Result<Control> {
+    let platform = &common.platform;
+    let log = LogClient::new(platform.log, &common.data_centre);
+    let vms = VmsClient::new(platform.vms, &common.data_centre);
+    control::spawn(common, log, vms, Client::new(common.secret.clone()))
+}
+
+fn announce(role: &str, address: SocketAddr) {
+    spdlog::info!("listening", kv: { role, address:? });
+}
+
+fn process(common: &Common) -> Process {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = since.map_or(0, |since| since.as_micros());
+    Process {
+        program: env!("CARGO_BIN_NAME"),
+        id: common.id.clone(),
+        data_centre: common.data_centre.clone(),
+        incarnation: Incarnation(u64::try_from(micros).unwrap_or(u64::MAX)),
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,7 +13,6 @@
 mod peers;
 mod pool_queue;
 mod queue;
-mod rank;
 mod retry;
 mod route;
 mod scheduler;
@@ -33,6 +32,7 @@
 use crate::http::{Server, ServerLimits};
 use crate::peer;
 use crate::runtime::Runtime;
+use crate::telemetry::Dump;
 
 use auth::Gate;
 use callers::Callers;
@@ -206,6 +206,16 @@
     }
 }
 
+impl Dump for State {
+    async fn dump(&self) -> serde_json::Value {
+        Self::dump(self)
+    }
+
+    fn healthy(&self) -> bool {
+        Self::healthy(self)
+    }
+}
+
 async fn tick(shared: Arc<Shared>) {
     loop {
         Timer::after(Duration::from_millis(TICK_MS)).await;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! Typed messages between the system's processes.
 
+mod beat;
 mod client;
 mod message;
 mod seal;
--- a/tests/common/entry.rs
+++ b/tests/common/entry.rs
@@ -144,6 +144,7 @@
         document: Some(Arc::new(document())),
         targets: IndexMap::from([(PoolId::new("herd"), targets)]),
         members,
+        allotments: IndexMap::new(),
         planner: None,
         verified: Some(Instant::now() + Duration::from_mins(1)),
     }
--- /dev/null
+++ b/tests/entry_daemon.rs
@@ -0,0 +1,88 @@
+//! The entry as a process of its own, without any platform to reach.
+
+#[path = "common/entry.rs"]
+mod common;
+#[allow(dead_code, unreachable_pub)] // Other tests use the rest.
+mod support {
+    #[path = "../support/pairs.rs"]
+    pub(crate) mod pairs;
+    #[path = "../support/process.rs"]
+    pub(crate) mod process;
+}
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::thread;
+
+use common::{bearer, nobody, request, status, talk, wait_until};
+use support::process::Process;
+
+struct Daemon {
+    process: Process,
+    directory: PathBuf,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.process.kill();
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// The example's settings with ports from the kernel and a platform that is not there.
+fn settings() -> String {
+    let text = include_str!("../examples/entry.jsonc");
+    let nobody = nobody().to_string();
+    (7000..7004)
+        .map(|port| format!("127.0.0.1:{port}"))
+        .fold(text.to_owned(), |text, platform| {
+            text.replace(&platform, &nobody)
+        })
+        .replace("127.0.0.1:7100", "127.0.0.1:0")
+        .replace("127.0.0.1:7101", "127.0.0.1:0")
+        .replace("127.0.0.1:8080", "127.0.0.1:0")
+        .replace("\"drain_ms\": 5000", "\"drain_ms\": 300")
+}
+
+fn start(name: &str) -> Daemon {
+    let directory = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+    fs::create_dir_all(&directory).expect("directory");
+    let file = directory.join("entry.jsonc");
+    fs::write(&file, settings()).expect("settings");
+    let program = Path::new(env!("CARGO_BIN_EXE_amaranthwick-entry"));
+    let process = Process::spawn(program, &["--config", file.to_str().expect("path")]);
+    Daemon { process, directory }
+}
+
+#[test]
+fn entry_without_a_document_refuses_and_lives() {
+    let daemon = start("entry-alone");
+    let callers = daemon.process.address("callers");
+    let admin = daemon.process.address("admin");
+
+    let health = talk(callers, &request("GET", "/healthz", "", ""));
+    let queue = talk(callers, &request("GET", "/q/own/x", &bearer("neretva"), ""));
+    let state = talk(admin, &request("GET", "/state", "", ""));
+
+    assert_eq!(status(&health), "200", "{health}");
+    assert_eq!(status(&queue), "503", "{queue}");
+    assert!(queue.contains(r#""outcome":"not_run""#), "{queue}");
+    assert!(state.contains(r#""not_run": 1"#), "{state}");
+}
+
+#[test]
+fn term_signal_fails_health_first_and_ends_well() {
+    let mut daemon = start("entry-term");
+    let callers = daemon.process.address("callers");
+    let watch = thread::spawn(move || {
+        wait_until(|| {
+            let health = talk(callers, &request("GET", "/healthz", "", ""));
+            status(&health) == "503"
+        });
+    });
+
+    let code = daemon.process.stop();
+
+    assert!(watch.join().is_ok(), "health failed before the end");
+    assert_eq!(code, Some(0));
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -98,7 +98,10 @@
     // The standard library sends no signal but KILL.
     fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
+        let sent = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(pid)
+            .status();
         assert!(sent.is_ok_and(|s| s.success()), "kill -{name} failed");
     }
 }
