--- a/src/bin/amaranthwick-planner.rs
+++ b/src/bin/amaranthwick-planner.rs
@@ -1,10 +1,7 @@
 //! Places VMs and jobs while it holds the planner role.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use amaranthwick::config::{Common, PlannerConfig};
 use amaranthwick::control::{self, Control};
-use amaranthwick::id::Incarnation;
 use amaranthwick::membership::NoPeers;
 use amaranthwick::planner;
 use amaranthwick::platform::{LogClient, VmsClient, WorkersClient};
@@ -56,7 +53,7 @@
     let control = open_control(&config.common)?;
     let workers = WorkersClient::new(config.common.platform.workers, &config.common.data_centre);
     let _planner = planner::spawn(config, control.clone(), workers, &runtime);
-    let process = process(&config.common);
+    let process = Process::new(env!("CARGO_BIN_NAME"), &config.common);
     let admin = Admin::bind(
         config.common.admin,
         &runtime,
@@ -77,14 +74,3 @@
     let vms = VmsClient::new(platform.vms, &common.data_centre);
     control::spawn(common, log, vms, NoPeers)
 }
-
-fn process(common: &Common) -> Process {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let micros = since.map_or(0, |since| since.as_micros());
-    Process {
-        program: env!("CARGO_BIN_NAME"),
-        id: common.id.clone(),
-        data_centre: common.data_centre.clone(),
-        incarnation: Incarnation(u64::try_from(micros).unwrap_or(u64::MAX)),
-    }
-}
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
 use arc_swap::ArcSwap;
@@ -61,7 +61,7 @@
 ) -> Result<Control> {
     let (control, received) = Control::channel();
     let (kick, kicked) = async_channel::bounded(1);
-    let core = Core::open(common, incarnation(), Instant::now());
+    let core = Core::open(common, Incarnation::now(), Instant::now());
     let view = control.shared();
     thread::Builder::new()
         .name("control".to_owned())
@@ -98,10 +98,3 @@
         Timer::after(Duration::from_millis(TICK_MS)).await;
     }
 }
-
-/// Microseconds since 1970; a later run has a larger one unless the clock was set back.
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let micros = since.map_or(0, |since| since.as_micros());
-    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,7 +13,6 @@
 mod peers;
 mod pool_queue;
 mod queue;
-mod rank;
 mod retry;
 mod route;
 mod scheduler;
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -4,10 +4,10 @@
 
 use super::auth::find_queue;
 use super::owner::{Owner, is_idempotent};
-use super::rank::rank;
 use crate::control::Control;
 use crate::http::Limits;
 use crate::id::{DataCentre, MemberId, PoolId, QueueId};
+use crate::membership::rank;
 use crate::outcome::{Outcome, Reason};
 use crate::peer::{Client, Forward, PeerError, PeerReply, PeerRequest};
 use crate::view::{Member, View};
--- a/src/id.rs
+++ b/src/id.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
@@ -121,6 +122,16 @@
     Generation;
 }
 
+impl Incarnation {
+    /// Microseconds since 1970, so that a process that starts again gets a higher one.
+    #[must_use]
+    pub fn now() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let micros = since.map_or(0, |since| since.as_micros());
+        Self(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
+
 /// Unique id of a record; repeats of the same id are ignored by the fold.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -2,7 +2,14 @@
 
 use std::net::SocketAddr;
 
-use crate::peer::Heartbeat;
+use crate::http::Limits;
+use crate::peer::{Client, Heartbeat, PeerReply, PeerRequest};
+
+/// Time to connect and time to answer, in ms; a heartbeat that takes longer is lost.
+const BEAT_LIMIT_MS: u64 = 1_000;
+
+/// Largest answer to a heartbeat, in bytes.
+const MAX_BEAT_BYTES: usize = 4 << 10;
 
 /// Sends heartbeats.
 pub trait Peers: Send + Sync + 'static {
@@ -23,3 +30,18 @@
         None
     }
 }
+
+impl Peers for Client {
+    async fn beat(&self, to: SocketAddr, heartbeat: &Heartbeat) -> Option<Heartbeat> {
+        let limits = Limits {
+            connect_ms: BEAT_LIMIT_MS,
+            answer_ms: BEAT_LIMIT_MS,
+            max_body: MAX_BEAT_BYTES,
+        };
+        let message = PeerRequest::Heartbeat(heartbeat.clone());
+        match self.ask(to, &message, &limits).await {
+            Ok(PeerReply::Heartbeat(own)) => Some(own),
+            _ => None,
+        }
+    }
+}
--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 
 use super::Metrics;
+use crate::config::Common;
 use crate::control::Control;
 use crate::http::{Conclusion, Handler, Problem, Reply, Request, Server, ServerLimits};
 use crate::id::{DataCentre, Incarnation, MemberId, Offset, RecordId, Revision, SectionId};
@@ -32,6 +33,19 @@
     pub incarnation: Incarnation,
 }
 
+impl Process {
+    /// Describes the process that runs now.
+    #[must_use]
+    pub fn new(program: &'static str, common: &Common) -> Self {
+        Self {
+            program,
+            id: common.id.clone(),
+            data_centre: common.data_centre.clone(),
+            incarnation: Incarnation::now(),
+        }
+    }
+}
+
 /// The part of the state dump that only the daemon knows.
 pub trait Dump: Send + Sync + 'static {
     /// State of the daemon; holds no secret.
--- a/tests/common/entry.rs
+++ b/tests/common/entry.rs
@@ -142,6 +142,7 @@
     View {
         offset: Offset(1),
         document: Some(Arc::new(document())),
+        allotments: IndexMap::new(),
         targets: IndexMap::from([(PoolId::new("herd"), targets)]),
         members,
         planner: None,
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -228,7 +228,7 @@
 #[test]
 fn busy_target_has_not_run_the_request() {
     let busy = FakeTarget::open(Act::Say(
-        b"HTTP/1.1 503 Busy\r\nBusy: 1\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 503 Busy\r\nBusy: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
     ));
     let good = FakeTarget::open(Act::Echo);
     let both = single(&[target(0, busy.address, 8), target(1, good.address, 8)]);
