--- a/src/bin/amaranthwick-entry.rs
+++ b/src/bin/amaranthwick-entry.rs
@@ -1,12 +1,10 @@
 //! Serves callers: queues their requests and sends them to targets.
 
 use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use amaranthwick::config::{Common, EntryConfig};
 use amaranthwick::control::{self, Control};
 use amaranthwick::entry::Entry;
-use amaranthwick::id::Incarnation;
 use amaranthwick::peer::Client;
 use amaranthwick::platform::{LogClient, VmsClient};
 use amaranthwick::runtime::Runtime;
@@ -43,15 +41,14 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let runtime = Runtime::open(config.threads)?;
     let control = open_control(&config.common)?;
-    let metrics = Metrics::open();
     let entry = Entry::open_on(config, control.clone(), &runtime)?;
     control.register(entry.peers()).await;
     let admin = Admin::bind(
         config.common.admin,
         &runtime,
-        process(&config.common),
+        Process::new(env!("CARGO_BIN_NAME"), &config.common),
         control,
-        metrics,
+        Metrics::open(),
         entry.state(),
     )
     .context("listen on the admin address")?;
@@ -73,14 +70,3 @@
 fn announce(role: &str, address: SocketAddr) {
     spdlog::info!("listening", kv: { role, address:? });
 }
-
-fn process(common: &Common) -> Process {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let micros = since.map_or(0, |since| since.as_micros());
-    Process {
-        program: env!("CARGO_BIN_NAME"),
-        id: common.id.clone(),
-        data_centre: common.data_centre.clone(),
-        incarnation: Incarnation(u64::try_from(micros).unwrap_or(u64::MAX)),
-    }
-}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,5 @@
 //! Typed messages between the system's processes.
 
-mod beat;
 mod client;
 mod message;
 mod seal;
