Prove the whole path with the daemons as separate processes

Two entries and a planner run as processes of their own on stand-ins inside the test; the document is published section by section with the command. A request is answered through the owner and through a forward, an unknown key is refused with nothing run, a withdrawn key is refused by both entries, jobs run and are stopped on workers, and the daemons end well when told to.

The test of the deleted job passed at first without the stop, because the worker's lease ran out within the bound; it now asks for the task to have been stopped, not lapsed.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub)] // Each test crate uses a part of it.
 
+pub mod caller;
+pub mod daemons;
 pub mod directory;
 pub mod node;
 pub mod operator;
--- a/tests/support/operator.rs
+++ b/tests/support/operator.rs
@@ -1,5 +1,6 @@
 //! Runs the operators' command.
 
+use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Command, Output};
@@ -56,6 +57,14 @@
         }
     }
 
+    /// The document without a key of a team.
+    pub fn withdraw_key(&self, team: &str, key: &str, document: &str) -> String {
+        let file = self.directory.write("withdraw.jsonc", document);
+        let ended = run(&["key", "withdraw", team, key, file.to_str().expect("text")]);
+        assert_eq!(ended.code, Some(0), "{ended:?}");
+        fs::read_to_string(file).expect("changed document")
+    }
+
     fn config(&self, name: &str) -> std::path::PathBuf {
         let seed = hex::encode(&example::seed(name));
         let key = format!("{name}.key.jsonc");
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,207 @@
+//! A caller's request through the daemons as separate processes, under a
+//! document that operators published to the log.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use amaranthwick::dev::fleet_spec;
+use amaranthwick::document;
+use amaranthwick_standins::{Fleet, FleetSpec, TaskState};
+use serde_json::{Value, json};
+use support::NERETVA;
+use support::caller::{ask, json, keyed, open, state, text, with_secret};
+use support::daemons::{Daemon, Starter};
+use support::operator::Operator;
+use support::wait::wait_until;
+
+const DATA_CENTRE: &str = "ploce";
+const QUEUE: &str = "/q/headcount/count";
+
+/// Time for a withdrawal to reach every entry; generous, for a busy machine.
+const WITHDRAWAL: Duration = Duration::from_secs(10);
+
+/// Two entries and a planner in one data centre, without a document.
+struct Fixture {
+    entries: [Daemon; 2],
+    planner: Daemon,
+    operator: Operator,
+    fleet: Fleet,
+}
+
+impl Fixture {
+    fn start() -> Self {
+        let document = document::parse("neretva.jsonc", NERETVA).expect("valid");
+        let spec = FleetSpec {
+            list_lag_ms: 50,
+            ..fleet_spec(&document)
+        };
+        let fleet = Fleet::open(&spec).expect("stand-ins");
+        let starter = Starter::new(&fleet);
+        let entries = ["entry-1", "entry-2"].map(|id| starter.entry(id, DATA_CENTRE));
+        let planner = starter.planner("planner-1", DATA_CENTRE);
+        let admins = [entries[0].admin, entries[1].admin, planner.admin];
+        Self {
+            operator: Operator::new(fleet.log_address(), &admins),
+            entries,
+            planner,
+            fleet,
+        }
+    }
+
+    /// With the document accepted and its pools filled by the planner.
+    fn serving() -> Self {
+        let fixture = Self::start();
+        fixture.operator.publish_all(NERETVA);
+        for entry in &fixture.entries {
+            wait_until("targets of the pool", || has_targets(entry));
+        }
+        fixture
+    }
+}
+
+fn has_targets(entry: &Daemon) -> bool {
+    let view = &state(entry.admin)["view"];
+    let count = |value: &Value| value.as_array().map_or(0, Vec::len);
+    count(&view["targets"]["headcount"]) == 12 && count(&view["members"]) == 2
+}
+
+/// True if the entry has run requests of the pool itself.
+fn owns(entry: &Daemon, pool: &str) -> bool {
+    let pools = &state(entry.admin)["daemon"]["owner"]["pools"];
+    let mut pools = pools.as_array().into_iter().flatten();
+    pools.any(|owned| owned["pool"] == pool)
+}
+
+fn callers(entry: &Daemon) -> SocketAddr {
+    entry.callers.expect("an entry has callers")
+}
+
+#[test]
+fn one_entry_owns_the_queue_and_the_other_forwards() {
+    let fixture = Fixture::serving();
+    let control = fixture.fleet.control();
+
+    let replies = fixture.entries.each_ref().map(|entry| {
+        let request = keyed("POST", QUEUE, "herds", "17 sheep");
+        ask(callers(entry), &request)
+    });
+
+    for reply in &replies {
+        assert_eq!((reply.status, text(reply).as_str()), (200, "17 sheep"));
+        let executor = reply.header("x-executor").expect("answered by an executor");
+        assert!(executor.starts_with("ploce-executor-"), "{executor}");
+        let id = reply.header("x-request-id").expect("request id");
+        assert_eq!(control.runs_of(id), 1);
+    }
+    let owners = fixture
+        .entries
+        .iter()
+        .filter(|entry| owns(entry, "headcount"));
+    assert_eq!(owners.count(), 1);
+    assert_eq!(control.counters().teams["herds"].runs, 2);
+}
+
+#[test]
+fn an_open_queue_takes_a_request_without_a_key() {
+    let fixture = Fixture::serving();
+
+    for entry in &fixture.entries {
+        let request = open("POST", "/q/flood-alerts/parcel", "water");
+        let reply = ask(callers(entry), &request);
+        assert_eq!((reply.status, text(&reply).as_str()), (200, "water"));
+    }
+}
+
+#[test]
+fn a_key_that_nobody_granted_is_refused_and_nothing_runs() {
+    let fixture = Fixture::serving();
+
+    for entry in &fixture.entries {
+        let request = with_secret("POST", QUEUE, &[7; 32], "");
+        let reply = ask(callers(entry), &request);
+        assert_eq!(reply.status, 401, "{}", text(&reply));
+        assert_eq!(json(&reply)["outcome"], "not_run");
+    }
+    assert_eq!(fixture.fleet.control().counters().runs, 0);
+}
+
+#[test]
+fn a_withdrawn_key_is_refused_by_every_entry() {
+    let fixture = Fixture::serving();
+    let request = keyed("POST", QUEUE, "herds", "");
+    for entry in &fixture.entries {
+        assert_eq!(ask(callers(entry), &request).status, 200);
+    }
+
+    let withdrawn = fixture.operator.withdraw_key("herds", "app", NERETVA);
+    let ended = fixture
+        .operator
+        .publish("herds-ops", "herds", &withdrawn, &[]);
+
+    assert_eq!(ended.code, Some(0), "{ended:?}");
+    let deadline = Instant::now() + WITHDRAWAL;
+    for entry in &fixture.entries {
+        wait_until("a refusal", || ask(callers(entry), &request).status == 401);
+    }
+    assert!(Instant::now() < deadline, "withdrawal took too long");
+    let before = fixture.fleet.control().counters().runs;
+    for entry in &fixture.entries {
+        assert_eq!(json(&ask(callers(entry), &request))["outcome"], "not_run");
+    }
+    assert_eq!(fixture.fleet.control().counters().runs, before);
+}
+
+#[test]
+fn a_job_is_placed_on_a_worker_and_its_output_returned() {
+    let fixture = Fixture::serving();
+    let [first, second] = fixture.entries.each_ref().map(callers);
+    let order = json!({ "id": "count-1", "task": "echo:50", "input": "9 cattle",
+        "cores": 1, "memory_mb": 512 });
+
+    let submitted = ask(first, &keyed("POST", "/jobs", "herds", &order.to_string()));
+
+    assert_eq!(submitted.status, 202, "{}", text(&submitted));
+    let show = keyed("GET", "/jobs/count-1", "herds", "");
+    wait_until("the end of the job", || {
+        json(&ask(second, &show))["state"] == "done"
+    });
+    assert_eq!(json(&ask(second, &show))["output"], "9 cattle");
+    let stranger = keyed("GET", "/jobs/count-1", "claims", "");
+    assert_eq!(ask(second, &stranger).status, 404);
+}
+
+#[test]
+fn a_job_that_is_deleted_is_stopped_on_its_worker() {
+    let fixture = Fixture::serving();
+    let address = callers(&fixture.entries[0]);
+    let order = json!({ "id": "count-2", "task": "hang", "cores": 1, "memory_mb": 512 });
+    let submitted = ask(
+        address,
+        &keyed("POST", "/jobs", "herds", &order.to_string()),
+    );
+    assert_eq!(submitted.status, 202, "{}", text(&submitted));
+    let is = |wanted| {
+        let tasks = fixture.fleet.control().tasks();
+        tasks.values().flatten().any(|task| task.state == wanted)
+    };
+    wait_until("the task", || is(TaskState::Running));
+
+    let deleted = ask(address, &keyed("DELETE", "/jobs/count-2", "herds", ""));
+
+    assert_eq!(deleted.status, 200, "{}", text(&deleted));
+    assert_eq!(json(&deleted)["state"], "cancelled");
+    wait_until("the end of the task", || !is(TaskState::Running));
+    assert!(is(TaskState::Stopped), "not left to its lease");
+}
+
+#[test]
+fn daemons_end_well_when_told_to() {
+    let mut fixture = Fixture::serving();
+
+    let codes = fixture.entries.each_mut().map(|entry| entry.process.stop());
+
+    assert_eq!(codes, [Some(0), Some(0)]);
+    assert_eq!(fixture.planner.process.stop(), Some(0));
+}
