--- a/standins/src/fault/site.rs
+++ b/standins/src/fault/site.rs
@@ -218,6 +218,11 @@
         self.until(|state| connection < state.cut_below).await;
     }
 
+    /// Waits until every call is answered by 503.
+    pub(crate) async fn until_unavailable(&self) {
+        self.until(|state| state.faults.unavailable).await;
+    }
+
     /// Waits until the site is not frozen.
     pub(crate) async fn until_thawed(&self) {
         self.until(|state| !state.faults.frozen).await;
--- a/standins/src/log/service.rs
+++ b/standins/src/log/service.rs
@@ -22,7 +22,6 @@
 const MAX_WAIT_MS: u64 = 60_000;
 const MAX_READ_RECORDS: u64 = 10_000;
 const MAX_RECORD_BYTES: usize = 8 << 20;
-const WAIT_SLICE_MS: u64 = 50; // a poll that waits has to notice an outage
 
 /// The log service.
 #[derive(Debug)]
@@ -147,20 +146,24 @@
             limit,
         };
         let end = Instant::now() + Duration::from_millis(wait_ms);
+        let unavailable = async {
+            self.site.until_unavailable().await;
+            Reply::unavailable()
+        };
+        Ok(future::or(unavailable, self.poll(&wanted, end)).await)
+    }
+
+    async fn poll(&self, wanted: &Wanted<'_>, end: Instant) -> Reply {
         loop {
-            if self.site.is_unavailable() {
-                return Err(Reply::error(503, "unavailable").with("Retry-After", "1"));
-            }
             let appended = self.appended.listen();
             let now = Instant::now();
-            if let Some(reply) = self.read(&wanted, now >= end, now) {
-                return Ok(reply);
+            if let Some(reply) = self.read(wanted, now >= end, now) {
+                return reply;
             }
-            let slice = end.min(now + Duration::from_millis(WAIT_SLICE_MS));
-            let slice_end = async {
-                Timer::at(slice).await;
+            let timeout = async {
+                Timer::at(end).await;
             };
-            future::or(appended, slice_end).await;
+            future::or(appended, timeout).await;
         }
     }
 
--- a/standins/src/serve/connection.rs
+++ b/standins/src/serve/connection.rs
@@ -108,8 +108,10 @@
         Timer::after(Duration::from_millis(slow_ms)).await;
     }
     if site.is_unavailable() {
-        let reply = Reply::error(503, "unavailable").with("Retry-After", "1");
-        let bytes = reply.encode(http_types::Method::Get).await.ok()?;
+        let bytes = Reply::unavailable()
+            .encode(http_types::Method::Get)
+            .await
+            .ok()?;
         return Some(write(connection, bytes).await);
     }
     None
--- a/standins/src/serve/message.rs
+++ b/standins/src/serve/message.rs
@@ -110,6 +110,11 @@
         Self::json(status, &json!({ "error": words }))
     }
 
+    /// A refusal of a service that is not available.
+    pub(crate) fn unavailable() -> Self {
+        Self::error(503, "unavailable").with("Retry-After", "1")
+    }
+
     /// Adds a header.
     pub(crate) fn with(mut self, name: &str, value: &str) -> Self {
         self.response.insert_header(name, value);
--- a/standins/src/workers/service.rs
+++ b/standins/src/workers/service.rs
@@ -107,7 +107,7 @@
 
     fn throttle(&self, vm: &str, id: &str, call: &Call) -> Reply {
         match call.json::<ThrottleCall>() {
-            Ok(body) => self.on_task(vm, id, |task, now| task.throttle(body.percent, now)),
+            Ok(body) => self.on_task(vm, id, |task, _| task.throttle(body.percent)),
             Err(reply) => reply,
         }
     }
--- a/standins/src/workers/task.rs
+++ b/standins/src/workers/task.rs
@@ -159,9 +159,8 @@
         }
     }
 
-    /// Extends the lease.
+    /// Extends the lease; valid after [`Task::settle`].
     pub(crate) fn renew(&mut self, lease_ms: u64, now: Instant) {
-        self.settle(now);
         if self.runs() {
             self.lease_end = now + Duration::from_millis(lease_ms);
         }
@@ -175,9 +174,8 @@
         }
     }
 
-    /// Sets its speed, in percent of full speed.
-    pub(crate) fn throttle(&mut self, percent: u32, now: Instant) {
-        self.settle(now);
+    /// Sets its speed, in percent of full speed; valid after [`Task::settle`].
+    pub(crate) fn throttle(&mut self, percent: u32) {
         if self.runs() {
             self.percent = percent.min(FULL_SPEED_PERCENT);
         }
--- a/standins/src/workers/tests.rs
+++ b/standins/src/workers/tests.rs
@@ -152,7 +152,7 @@
     let mut host = host();
     start(&mut host, "t-1", "sleep:4000", begun);
     let half = begun + ms(2_000);
-    host.task("t-1", half).unwrap().throttle(50, half);
+    host.task("t-1", half).unwrap().throttle(50);
 
     let slowed = status(&mut host, "t-1", begun + ms(5_999));
     let done = status(&mut host, "t-1", begun + ms(6_000));
@@ -170,7 +170,7 @@
     let mut host = host();
     start(&mut host, "t-1", "sleep:4000", begun);
     let paused = begun + ms(1_000);
-    host.task("t-1", paused).unwrap().throttle(0, paused);
+    host.task("t-1", paused).unwrap().throttle(0);
 
     let status = status(&mut host, "t-1", begun + ms(9_000));
 
@@ -203,7 +203,7 @@
     start(&mut host, "t-1", "hog:1000:9000", begun);
     start(&mut host, "t-2", "sleep:9000", begun + ms(500));
     let half = begun + ms(600);
-    host.task("t-2", half).unwrap().throttle(50, half);
+    host.task("t-2", half).unwrap().throttle(50);
     host.settle(begun + ms(1_500));
 
     let first = host.usage(begun + ms(400));
--- a/standins/tests/executor.rs
+++ b/standins/tests/executor.rs
@@ -85,6 +85,21 @@
     assert_eq!(counts.refused_connections, 1);
 }
 
+#[test]
+fn a_connection_is_kept_unless_the_request_closes_it() {
+    let fleet = fleet();
+    let mut client = Client::connect(fleet.executors()[0].address).unwrap();
+
+    let kept = client.ask("POST /", &[], "first").unwrap();
+    let last = client.ask("POST /", &["Connection: close"], "last");
+
+    assert_eq!(
+        (kept.text(), last.unwrap().text()),
+        ("first".into(), "last".into())
+    );
+    assert!(client.is_closed());
+}
+
 #[test]
 fn a_cut_request_does_not_run() {
     let fleet = fleet();
--- a/standins/tests/faults.rs
+++ b/standins/tests/faults.rs
@@ -91,6 +91,7 @@
     let mut client = Client::connect(fleet.log_address()).unwrap();
     let line = "GET /streams/fleet/records?from=0&wait_ms=60000";
     client.send(line, &[], "").unwrap();
+    assert!(client.is_silent(SILENCE));
 
     set(&fleet, &SiteName::Log, &Fault::Unavailable);
     let answer = client.read().unwrap();
--- a/standins/tests/workers.rs
+++ b/standins/tests/workers.rs
@@ -60,7 +60,8 @@
 #[test]
 fn a_task_resumes_from_a_checkpoint_on_another_worker() {
     let fleet = fleet();
-    start(&fleet, "t-1", "sleep:60000");
+    start(&fleet, "t-1", "hang");
+    std::thread::sleep(std::time::Duration::from_millis(30));
 
     let saved = call(&fleet, "POST", "tasks/t-1/checkpoints", &Value::Null);
     let checkpoint = saved.json()["checkpoint"].clone();
@@ -69,6 +70,7 @@
     let resumed = ask(fleet.workers_address(), line, &[], &body.to_string());
 
     assert_eq!((saved.status, resumed.status), (200, 201));
+    assert!(resumed.json()["progress_ms"].as_u64().unwrap() >= 30);
 }
 
 #[test]
