Measure reading at the target's size; make joining independent of order

An edit of one section out of 140 must not parse the other 139.

The joined document and its findings depended on the order in which sections arrived: two processes that learnt sections in different orders would have named the two places of a clash the other way round. Sections are now read in the order of their names.

A property test compares the cache with a fresh reader over random edits, some of them refused, with the sections in reverse order.

--- /dev/null
+++ b/benches/document.rs
@@ -0,0 +1,118 @@
+//! Cost of reading the capacity document, printed as one line of key=value pairs a case.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use amaranthwick::document::example::{self, Size};
+use amaranthwick::document::{OperatorKey, SectionCache, assemble, parse, sign, verify};
+use amaranthwick::id::{Revision, SectionId};
+use indexmap::IndexMap;
+
+const WHOLE_RUNS: u32 = 50;
+const EDITS: usize = 2_000;
+const BURST: usize = 200;
+const SIZES: [Size; 3] = [
+    Size {
+        teams: 6,
+        pools: 6,
+        data_centres: 3,
+    },
+    Size {
+        teams: 70,
+        pools: 35,
+        data_centres: 10,
+    },
+    Size::TARGET,
+];
+
+fn main() {
+    for size in SIZES {
+        whole(size);
+        edits(size);
+    }
+    signatures();
+}
+
+fn whole(size: Size) {
+    let sections = example::sections(size);
+    let bytes: usize = sections.values().map(|text| text.len()).sum();
+    let text = joined(&sections);
+    let parsed = mean(WHOLE_RUNS, || {
+        black_box(parse("a", &text).is_ok());
+    });
+    let assembled = mean(WHOLE_RUNS, || {
+        black_box(assemble(&sections).is_ok());
+    });
+    println!(
+        "case=whole teams={} pools={} data_centres={} bytes={bytes} parse_us={} assemble_us={}",
+        size.teams,
+        size.pools,
+        size.data_centres,
+        parsed.as_micros(),
+        assembled.as_micros()
+    );
+}
+
+fn edits(size: Size) {
+    let mut sections = example::sections(size);
+    let mut cache = SectionCache::default();
+    cache.assemble(&sections).expect("valid");
+    let mut times: Vec<Duration> = (0..EDITS)
+        .map(|n| {
+            let i = n % size.teams;
+            let id = SectionId::new(&format!("team-{i}"));
+            let text = example::team(size, i, 2 + n);
+            sections.insert(id, Arc::from(text));
+            let start = Instant::now();
+            black_box(cache.assemble(&sections).expect("valid"));
+            start.elapsed()
+        })
+        .collect();
+    let burst: Duration = times.iter().take(BURST).sum();
+    times.sort_unstable();
+    println!(
+        "case=edit teams={} pools={} edits={EDITS} p50_us={} p99_us={} burst={BURST} burst_us={}",
+        size.teams,
+        size.pools,
+        times[EDITS / 2].as_micros(),
+        times[EDITS * 99 / 100].as_micros(),
+        burst.as_micros()
+    );
+}
+
+fn signatures() {
+    let key: OperatorKey = example::operator("team-0-ops");
+    let section = SectionId::new("team-0");
+    let text = example::team(Size::TARGET, 0, 1);
+    let signature = sign(&key, &section, Revision(1), &text);
+    let public = key.public();
+    let verified = mean(1_000, || {
+        assert!(verify(&public, &section, Revision(1), &text, &signature));
+    });
+    println!(
+        "case=verify bytes={} verify_us={}",
+        text.len(),
+        verified.as_micros()
+    );
+}
+
+fn joined(sections: &IndexMap<SectionId, Arc<str>>) -> String {
+    let mut sections = sections.iter();
+    let fleet = sections.next().map_or("", |(_, text)| text);
+    let teams: Vec<String> = sections
+        .map(|(id, text)| format!("\"{id}\": {text}"))
+        .collect();
+    format!(
+        "{{ \"fleet\": {fleet}, \"teams\": {{ {} }} }}",
+        teams.join(",\n")
+    )
+}
+
+fn mean(runs: u32, mut work: impl FnMut()) -> Duration {
+    let start = Instant::now();
+    for _ in 0..runs {
+        work();
+    }
+    start.elapsed() / runs
+}
--- a/src/document/cache.rs
+++ b/src/document/cache.rs
@@ -40,7 +40,10 @@
     ) -> Result<Document, Findings> {
         let mut fresh = IndexMap::with_capacity(sections.len());
         let mut findings = Vec::new();
-        for (id, text) in sections {
+        // The order of arrival must not show, neither in the document nor in the findings.
+        let mut ordered: Vec<_> = sections.iter().collect();
+        ordered.sort_unstable_by_key(|(id, _)| *id);
+        for (id, text) in ordered {
             match self.section(id, text) {
                 Ok(cached) => {
                     fresh.insert(id.clone(), cached);
--- a/src/document/example.rs
+++ b/src/document/example/mod.rs
@@ -1,8 +1,12 @@
-//! Keys of the example documents; known to everyone, so for trials alone.
+//! Keys of the example documents, known to everyone and so for trials alone, and sized documents.
+
+mod sized;
+
+pub use sized::{Size, sections, team};
 
 use sha2::{Digest, Sha256};
 
-use super::sign::OperatorKey;
+use super::OperatorKey;
 
 /// Secret of the callers of a team: SHA-256 of `amaranthwick example caller TEAM`.
 #[must_use]
--- /dev/null
+++ b/src/document/example/sized.rs
@@ -0,0 +1,143 @@
+//! Documents of any size, for benches and tests of load.
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{operator, secret};
+use crate::document::{FLEET, hex, key_hash};
+use crate::id::SectionId;
+
+const EXECUTORS_A_POOL: usize = 5;
+const WORKERS_A_POOL: usize = 18;
+const QUEUES_A_POOL: usize = 4;
+
+/// Numbers that make up the size of a document.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Teams, named `team-0` and so on.
+    pub teams: usize,
+    /// Pools, one a team from the first on; every other one is of workers.
+    pub pools: usize,
+    /// Data centres; each pool has VMs in all of them.
+    pub data_centres: usize,
+}
+
+impl Size {
+    /// What the system has to carry in the long run: about 3,100 workers in 10 data centres.
+    pub const TARGET: Self = Self {
+        teams: 140,
+        pools: 35,
+        data_centres: 10,
+    };
+}
+
+/// Sections of a valid document of the given size.
+#[must_use]
+pub fn sections(size: Size) -> IndexMap<SectionId, Arc<str>> {
+    let fleet = (SectionId::from(FLEET), Arc::from(fleet(size)));
+    let teams = (0..size.teams).map(|i| {
+        let id = SectionId::new(&format!("team-{i}"));
+        (id, Arc::from(team(size, i, 1)))
+    });
+    std::iter::once(fleet).chain(teams).collect()
+}
+
+/// Text of the section of team number `i`.
+#[must_use]
+pub fn team(size: Size, i: usize, share: usize) -> String {
+    let pools = if i < size.pools {
+        pool(size, i)
+    } else {
+        String::new()
+    };
+    let hash = hex::encode(&key_hash(&secret(&format!("team-{i}"))));
+    let ops = hex::encode(&operator(&format!("team-{i}-ops")).public());
+    format!(
+        r#"{{
+  // Weight when the fleet is full.
+  "share": {share},
+  "ceiling": 100,
+{pools}  "keys": {{
+    // The team's own apps.
+    "app": {{ "sha256": "{hash}" }}
+  }},
+  "operators": {{ "team-{i}-ops": "{ops}" }},
+  "on_stale": "refuse"
+}}
+"#
+    )
+}
+
+fn fleet(size: Size) -> String {
+    let mut text = String::from("{\n  \"data_centres\": {\n");
+    for i in 0..size.data_centres {
+        let region = i % 4;
+        push(
+            &mut text,
+            &format!("    \"dc-{i}\": {{ \"region\": \"region-{region}\" }},"),
+        );
+    }
+    push(&mut text, "  },\n  \"classes\": {");
+    push(
+        &mut text,
+        r#"    "small": { "kind": "executor", "cores": 4, "memory_mb": 8192, "slots": 8, "connections": 64 },"#,
+    );
+    push(
+        &mut text,
+        r#"    "large": { "kind": "worker", "cores": 64, "memory_mb": 131072, "accelerators": 2 }"#,
+    );
+    push(&mut text, "  },\n  \"services\": {");
+    push(
+        &mut text,
+        r#"    "main": { "class": "small", "run_limit_ms": 30000 }"#,
+    );
+    push(&mut text, "  },");
+    push(
+        &mut text,
+        r#"  "budgets": { "pool_percent": 25, "racks": 1, "vms": 4, "cycle_days": 42 },"#,
+    );
+    let ops = hex::encode(&operator("fleet-ops").public());
+    push(
+        &mut text,
+        &format!("  \"operators\": {{ \"fleet-ops\": \"{ops}\" }},\n  \"owners\": {{"),
+    );
+    for i in 0..size.teams {
+        let owner = hex::encode(&operator(&format!("team-{i}-owner")).public());
+        push(&mut text, &format!("    \"team-{i}\": \"{owner}\","));
+    }
+    push(&mut text, "  }\n}");
+    text
+}
+
+fn pool(size: Size, i: usize) -> String {
+    let (kind, each) = match i % 2 {
+        0 => (r#""service": "main", "class": "small""#, EXECUTORS_A_POOL),
+        _ => (r#""class": "large""#, WORKERS_A_POOL),
+    };
+    let vms: Vec<String> = (0..size.data_centres)
+        .map(|dc| format!("\"dc-{dc}\": {each}"))
+        .collect();
+    let vms = vms.join(", ");
+    let mut text =
+        format!("  \"pools\": {{\n    \"pool-{i}\": {{ {kind}, \"vms\": {{ {vms} }} }}\n  }},\n");
+    if i.is_multiple_of(2) {
+        text.push_str("  \"queues\": {\n");
+        for queue in 0..QUEUES_A_POOL {
+            push(
+                &mut text,
+                &format!(
+                    "    \"queue-{i}-{queue}\": {{ \"pool\": \"pool-{i}\", \"access\": \"teams\", \
+                 \"max_queued\": 1000, \"max_bytes\": 16777216, \"wait_ms\": 5000 }},"
+                ),
+            );
+        }
+        text.push_str("  },\n");
+    }
+    text
+}
+
+fn push(text: &mut String, line: &str) {
+    let _ = writeln!(text, "{line}");
+}
--- a/tests/document.rs
+++ b/tests/document.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use amaranthwick::document::{
-    self, Access, Document, FLEET, example, key_hash, section_text, sign, verify,
+    self, Access, Document, FLEET, SectionCache, example, key_hash, section_text, sign, verify,
 };
 use amaranthwick::id::{OperatorId, Revision, SectionId};
 use indexmap::IndexMap;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 use rstest::rstest;
 
 const NERETVA: &str = include_str!("../examples/neretva.jsonc");
@@ -106,3 +108,87 @@
     let other = example::operator("claims-ops").public();
     assert!(!verify(&other, &section, Revision(3), "{}", &signature));
 }
+
+#[test]
+fn section_keeps_its_comments_and_nothing_else() {
+    let text = "{ \"fleet\": 1, \"teams\": { // a\n  \"herds\": { // b\n    \"share\": 1 /* c */ } // d\n} }";
+
+    let herds = section_text("a", text, &SectionId::new("herds"));
+    let claims = section_text("a", text, &SectionId::new("claims"));
+
+    assert_eq!(herds.as_deref(), Ok("{ // b\n    \"share\": 1 /* c */ }"));
+    let findings = claims.expect_err("missing").to_string();
+    assert_eq!(findings, "a:1:1: no section `claims`");
+}
+
+#[test]
+fn sections_before_the_fleet_section_are_refused() {
+    let mut sections = sections(NERETVA);
+    sections.shift_remove(&SectionId::from(FLEET));
+
+    let findings = document::assemble(&sections).expect_err("no fleet section");
+
+    let expected = "claims:1:1: no `fleet` section has been published";
+    assert_eq!(findings.to_string(), expected);
+}
+
+#[test]
+fn sections_can_be_published_one_after_the_other() {
+    let mut published = IndexMap::new();
+
+    for (id, text) in sections(KON_JALAN) {
+        published.insert(id, text);
+        let result = document::assemble(&published);
+        assert!(result.is_ok(), "{result:?}");
+    }
+}
+
+/// Texts that a section is replaced by: valid, valid in some documents only, and broken.
+fn replacement(team: usize, kind: usize) -> String {
+    let text = example::team(SMALL, team, 1 + kind);
+    match kind {
+        0..=3 => text,
+        4 => text.replace("\"ceiling\": 100", "\"ceiling\": 100000"),
+        5 => text.replace("team-", "team-1"),
+        6 => example::team(SMALL, (team + 1) % SMALL.teams, 1),
+        _ => text.replace('}', ""),
+    }
+}
+
+const SMALL: example::Size = example::Size {
+    teams: 6,
+    pools: 4,
+    data_centres: 3,
+};
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 60,
+        rng_seed: RngSeed::Fixed(20_262),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn cache_gives_what_a_fresh_reader_gives(
+        edits in prop::collection::vec((0..SMALL.teams, 0..8_usize), 1..30),
+    ) {
+        let mut accepted = example::sections(SMALL);
+        let mut cache = SectionCache::default();
+
+        for (team, kind) in edits {
+            let mut edited = accepted.clone();
+            let id = SectionId::new(&format!("team-{team}"));
+            edited.insert(id, Arc::from(replacement(team, kind)));
+            let cached = cache.assemble(&edited);
+            let mut reversed = edited.clone();
+            reversed.reverse();
+            let fresh = document::assemble(&reversed);
+            // Maps are equal in any order; the printed form shows the order too.
+            prop_assert_eq!(format!("{cached:?}"), format!("{fresh:?}"));
+            if cached.is_ok() {
+                accepted = edited;
+            }
+        }
+    }
+}
