--- a/tests/common/entry.rs
+++ b/tests/common/entry.rs
@@ -145,7 +145,6 @@
         allotments: IndexMap::new(),
         targets: IndexMap::from([(PoolId::new("herd"), targets)]),
         members,
-        allotments: IndexMap::new(),
         planner: None,
         verified: Some(Instant::now() + Duration::from_mins(1)),
     }
