--- a/src/bin/amaranthwick-planner.rs
+++ b/src/bin/amaranthwick-planner.rs
@@ -3,9 +3,9 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use amaranthwick::config::{Common, PlannerConfig};
-use amaranthwick::control::{self, Control};
+use amaranthwick::control::{self, Control, Settings};
 use amaranthwick::id::Incarnation;
-use amaranthwick::membership::NoPeers;
+use amaranthwick::membership::PeerLink;
 use amaranthwick::planner;
 use amaranthwick::platform::{LogClient, VmsClient, WorkersClient};
 use amaranthwick::runtime::Runtime;
@@ -53,7 +53,7 @@
 async fn run(config: &PlannerConfig) -> Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let runtime = Runtime::open(THREADS)?;
-    let control = open_control(&config.common)?;
+    let control = open_control(config)?;
     let workers = WorkersClient::new(config.common.platform.workers, &config.common.data_centre);
     let _planner = planner::spawn(config, control.clone(), workers, &runtime);
     let process = process(&config.common);
@@ -71,11 +71,16 @@
     Ok(())
 }
 
-fn open_control(common: &Common) -> Result<Control> {
-    let platform = &common.platform;
-    let log = LogClient::new(platform.log, &common.data_centre);
-    let vms = VmsClient::new(platform.vms, &common.data_centre);
-    control::spawn(common, log, vms, NoPeers)
+fn open_control(config: &PlannerConfig) -> Result<Control> {
+    let common = &config.common;
+    let settings = Settings {
+        snapshot_every: config.snapshot_every,
+        ..Settings::default()
+    };
+    let log = LogClient::new(common.platform.log, &common.data_centre);
+    let vms = VmsClient::new(common.platform.vms, &common.data_centre);
+    let peers = PeerLink::silent(common.secret.clone());
+    control::spawn_with(common, settings, log, vms, peers)
 }
 
 fn process(common: &Common) -> Process {
--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -9,7 +9,7 @@
 use super::shell::Shell;
 use super::{Command, FleetState};
 use crate::document::hex;
-use crate::ledger::is_ended;
+use crate::ledger::{is_ended, store};
 
 pub(super) async fn run<L, V, P>(shell: &Shell<L, V, P>, received: &Receiver<Command>) {
     while let Ok(command) = received.recv().await {
@@ -23,10 +23,8 @@
     let facts = core.state.facts();
     match command {
         Command::Propose(proposal, reply) => core.propose(proposal, reply, now),
-        Command::Register(peer) => {
-            core.set_peer(peer);
-            core.register(now);
-        }
+        Command::Register(peer) => core.set_peer(peer, now),
+        Command::State(reply) => drop(reply.try_send(store(&core.state))),
         Command::Heartbeat(heartbeat, reply) => {
             core.hear(&heartbeat, now);
             let _ = reply.try_send(core.heartbeat(now));
@@ -44,7 +42,7 @@
     let jobs = facts.jobs.values().filter(|state| !is_ended(&state.phase));
     FleetState {
         offset: facts.offset,
-        verified: core.verified,
+        verified: core.verified(),
         document: core.state.document().cloned(),
         vms: core.vms.clone(),
         assignment: facts.assignment.clone(),
@@ -56,14 +54,14 @@
 
 fn dump(core: &Core, now: Instant) -> Value {
     let facts = core.state.facts();
-    let age = core.verified.map(|at| now.saturating_duration_since(at));
+    let age = core.verified().map(|at| now.saturating_duration_since(at));
     let sections = facts.sections.iter();
     let revisions: serde_json::Map<String, Value> = sections
         .map(|(id, section)| (id.to_string(), section.revision.0.into()))
         .collect();
     json!({
         "member": core.common.id,
-        "incarnation": core.incarnation,
+        "incarnation": core.registrar.incarnation,
         "data_centre": core.common.data_centre,
         "offset": facts.offset,
         "rules": facts.rules,
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -6,62 +6,105 @@
 use async_channel::Sender;
 use indexmap::IndexMap;
 
+use super::freshness::Freshness;
+use super::keeper::Keeper;
 use super::outbox::Outbox;
-use super::{ProposeError, picture};
+use super::registrar::Registrar;
+use super::{ProposeError, Settings, picture};
 use crate::config::Common;
-use crate::id::{Incarnation, Offset, RecordId};
-use crate::ledger::{Proposal, Record, Refusal, Registration, State, Trust, Verdict, encode};
+use crate::id::{Incarnation, MemberId, Offset, RecordId};
+use crate::ledger::{Proposal, Record, Refusal, State, Trust, Verdict, encode};
 use crate::membership::Roster;
 use crate::peer::Heartbeat;
-use crate::platform::{Batch, Vm};
+use crate::platform::{Batch, LogError, Vm};
 use crate::view::View;
 
-pub(super) type Answer = Result<Verdict, ProposeError>;
+/// Answer to a proposal.
+pub type Answer = Result<Verdict, ProposeError>;
 
 /// What the control thread knows.
-pub(super) struct Core {
+#[derive(Debug)]
+pub struct Core {
     pub(super) common: Common,
     pub(super) state: State,
     pub(super) vms: Vec<Vm>,
     pub(super) roster: Roster,
     pub(super) outbox: Outbox,
-    pub(super) verified: Option<Instant>,
-    pub(super) incarnation: Incarnation,
+    pub(super) freshness: Freshness,
+    pub(super) keeper: Keeper,
+    pub(super) registrar: Registrar,
     /// True when heartbeats are exchanged, so that silence means something.
     pub(super) beats: bool,
-    peer: Option<SocketAddr>,
-    registering: Option<RecordId>,
     waiting: IndexMap<RecordId, Sender<Answer>>,
 }
 
+/// Records between the fold and what the log still has are gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gap;
+
 impl Core {
-    pub(super) fn open(common: &Common, incarnation: Incarnation, now: Instant) -> Self {
+    /// The control state of a process that knows nothing yet.
+    #[must_use]
+    pub fn open(
+        common: &Common,
+        settings: &Settings,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> Self {
         let trust = Trust {
             secret: common.secret.clone(),
             root: common.root_key,
         };
+        let (id, home) = (&common.id, &common.data_centre);
         Self {
             common: common.clone(),
             state: State::empty(trust),
             vms: Vec::new(),
-            roster: Roster::default(),
+            roster: Roster::open(id, home, incarnation, incarnation.0),
             outbox: Outbox::open(now),
-            verified: None,
-            incarnation,
-            beats: false,
-            peer: None,
-            registering: None,
+            freshness: Freshness::default(),
+            keeper: Keeper::open(id, settings.snapshot_every, now),
+            registrar: Registrar::open(incarnation),
+            beats: settings.beats,
             waiting: IndexMap::new(),
         }
     }
 
+    /// The fold.
+    #[must_use]
+    pub const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// When the head of the log was last known to be folded.
+    #[must_use]
+    pub const fn verified(&self) -> Option<Instant> {
+        self.freshness.verified()
+    }
+
+    /// The own next offset, and the highest head of the log that is known.
+    #[must_use]
+    pub fn heads(&self) -> (Offset, Offset) {
+        (self.state.offset(), self.freshness.head())
+    }
+
+    /// Addresses of the other members.
+    #[must_use]
+    pub fn other_peers(&self) -> Vec<SocketAddr> {
+        let members = self.state.facts().members.values();
+        members
+            .filter(|member| member.id != self.common.id)
+            .map(|member| member.peer)
+            .collect()
+    }
+
     /// Queues a proposal of this process; `answer` gets the verdict.
-    pub(super) fn propose(&mut self, proposal: Proposal, answer: Sender<Answer>, now: Instant) {
+    pub fn propose(&mut self, proposal: Proposal, answer: Sender<Answer>, now: Instant) {
         let id = self.enqueue(proposal, now);
         self.waiting.insert(id, answer);
     }
 
-    fn enqueue(&mut self, proposal: Proposal, now: Instant) -> RecordId {
+    pub(super) fn enqueue(&mut self, proposal: Proposal, now: Instant) -> RecordId {
         let record = Record {
             id: RecordId::random(),
             after: self.state.offset(),
@@ -72,121 +115,142 @@
         record.id
     }
 
-    /// Folds a batch; `false` when records between the fold and the batch are gone.
-    pub(super) fn fold(&mut self, batch: &Batch, asked: Instant) -> bool {
+    /// Records to append now.
+    pub fn take(&mut self, now: Instant) -> Vec<Vec<u8>> {
+        self.outbox.take(now)
+    }
+
+    /// Notes how the append of the records last taken ended.
+    pub fn appended(&mut self, result: Result<Offset, &LogError>, now: Instant) {
+        match result {
+            Ok(_) => self.outbox.succeed(),
+            Err(error) => self.outbox.fail(error, now),
+        }
+    }
+
+    /// Folds records read by a question asked at `asked`.
+    ///
+    /// # Errors
+    /// Folds nothing when records before the batch are missing.
+    pub fn fold(&mut self, batch: &Batch, asked: Instant, now: Instant) -> Result<(), Gap> {
         if batch.first > self.state.offset() {
-            return false;
+            return Err(Gap);
         }
         for (offset, bytes) in (batch.first.0..).zip(&batch.records) {
             if let Some((id, verdict)) = self.state.apply(Offset(offset), bytes) {
                 self.settle(id, verdict);
             }
+            let leads = self.leads();
+            self.keeper.look(&self.state, leads, now);
+        }
+        self.freshness.read(batch.head, self.state.offset(), asked);
+        Ok(())
+    }
+
+    /// Takes over a later state of the same log; `false` when it is not later.
+    pub fn adopt(&mut self, state: State) -> bool {
+        if state.offset() <= self.state.offset() {
+            return false;
         }
-        if self.state.offset() >= batch.head {
-            self.verified = Some(asked);
+        self.state = state;
+        let ids: Vec<RecordId> = self.waiting.keys().copied().collect();
+        for id in ids {
+            if let Some(verdict) = self.state.verdict(id).cloned() {
+                self.settle(id, verdict);
+            }
         }
         true
     }
 
     fn settle(&mut self, id: RecordId, verdict: Verdict) {
         self.outbox.settle(id);
-        if self.registering == Some(id) {
-            self.registering = None;
-            self.raise_incarnation(&verdict);
+        self.registrar.settle(id, Some(&verdict));
+        self.roster.set_incarnation(self.registrar.incarnation);
+        if let Verdict::Refused(offset, Refusal::Digest) = verdict {
+            spdlog::error!("snapshot_digest_differs", kv: { offset = offset.0 });
         }
         if let Some(answer) = self.waiting.swap_remove(&id) {
             let _ = answer.try_send(Ok(verdict));
         }
     }
 
-    /// A clock that was set back draws an incarnation older than the last run's.
-    fn raise_incarnation(&mut self, verdict: &Verdict) {
-        if let Verdict::Refused(_, Refusal::Outdated(known)) = verdict {
-            self.incarnation = known.next();
-        }
+    fn leads(&self) -> bool {
+        let held = self.state.facts().planner.as_ref();
+        held.is_some_and(|held| held.holder == self.common.id)
     }
 
-    /// Answers proposals whose deadline has passed.
-    pub(super) fn expire(&mut self, now: Instant) {
-        for overdue in self.outbox.expire(now) {
-            if self.registering == Some(overdue.id) {
-                self.registering = None;
-            }
-            if let Some(answer) = self.waiting.swap_remove(&overdue.id) {
-                let _ = answer.try_send(Err(overdue.error));
-            }
-        }
+    /// Sets the address at which others reach this process, and registers it.
+    pub fn set_peer(&mut self, peer: SocketAddr, now: Instant) {
+        self.registrar.set_peer(peer);
+        self.register(now);
     }
 
-    pub(super) const fn set_peer(&mut self, peer: SocketAddr) {
-        self.peer = Some(peer);
+    fn register(&mut self, now: Instant) {
+        if let Some(wanted) = self.registrar.wanted(&self.common, &self.state) {
+            let id = self.enqueue(Proposal::Register(wanted), now);
+            self.registrar.proposed(id);
+        }
     }
 
-    /// Proposes the registration of this process until the fold shows it.
-    pub(super) fn register(&mut self, now: Instant) {
-        let Some(wanted) = self.registration() else {
-            return;
-        };
-        let known = self.state.facts().members.get(&wanted.id);
-        if known == Some(&wanted) || self.registering.is_some() {
-            return;
-        }
-        let id = self.enqueue(Proposal::Register(wanted), now);
-        self.registering = Some(id);
+    /// The log said that it is unavailable: nobody can append anything.
+    pub fn note_unavailable(&mut self, asked: Instant) {
+        self.freshness.closed(self.state.offset(), asked);
     }
 
-    fn registration(&self) -> Option<Registration> {
-        Some(Registration {
-            id: self.common.id.clone(),
-            incarnation: self.incarnation,
-            data_centre: self.common.data_centre.clone(),
-            peer: self.peer?,
-        })
+    /// The log gave no answer; if every data centre is reached and none knows more,
+    /// nothing can have been accepted.
+    pub fn note_unreachable(&mut self, asked: Instant) {
+        if self.beats && self.roster.reaches_all(asked) {
+            self.freshness.closed(self.state.offset(), asked);
+        }
     }
 
     /// Notes a heartbeat and what it says of the head of the log.
-    pub(super) fn hear(&mut self, heartbeat: &Heartbeat, now: Instant) {
+    pub fn hear(&mut self, heartbeat: &Heartbeat, now: Instant) {
         self.roster.hear(heartbeat, now);
         let age = heartbeat.verified_ms.map(Duration::from_millis);
-        let at = age.and_then(|age| now.checked_sub(age));
-        if heartbeat.offset <= self.state.offset() {
-            self.verified = self.verified.max(at);
-        }
-    }
-
-    /// The log said that it is unavailable: nobody can append anything.
-    ///
-    /// It counts as a verified head only if no process has seen a later one.
-    pub(super) fn note_unavailable(&mut self, asked: Instant) {
-        let head = self.roster.highest();
-        if self.verified.is_some() && head <= self.state.offset() {
-            self.verified = Some(asked);
-        }
+        let folded = self.state.offset();
+        self.freshness.hear(heartbeat.offset, age, folded, now);
     }
 
-    pub(super) fn heartbeat(&self, now: Instant) -> Heartbeat {
-        let age = self.verified.map(|at| now.saturating_duration_since(at));
+    /// A new heartbeat of this process.
+    pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
+        let verified = self.freshness.verified();
+        let age = verified.map(|at| now.saturating_duration_since(at));
         Heartbeat {
             member: self.common.id.clone(),
-            incarnation: self.incarnation,
+            incarnation: self.registrar.incarnation,
             offset: self.state.offset(),
             verified_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
+            heard: self.roster.beat(now),
+            zones: self.roster.zones(),
         }
     }
 
-    /// Keeps the roster to the registered members.
-    pub(super) fn tick(&mut self, now: Instant) {
+    /// Addresses to send a heartbeat to now.
+    pub fn receivers(&mut self) -> Vec<SocketAddr> {
+        let ids = self.roster.receivers();
         let members = &self.state.facts().members;
-        self.roster.retain(|id| members.contains_key(id));
-        for (id, registration) in members {
-            self.roster.watch(id, registration.incarnation, now);
-        }
+        let address = |id: &MemberId| members.get(id).map(|member| member.peer);
+        ids.iter().filter_map(address).collect()
+    }
+
+    /// Looks at deadlines and members; called several times a second.
+    pub fn tick(&mut self, now: Instant) {
+        self.roster.watch(&self.state.facts().members, now);
         self.roster.tick(now);
-        self.expire(now);
+        for overdue in self.outbox.expire(now) {
+            self.registrar.settle(overdue.id, None);
+            if let Some(answer) = self.waiting.swap_remove(&overdue.id) {
+                let _ = answer.try_send(Err(overdue.error));
+            }
+        }
         self.register(now);
     }
 
-    pub(super) fn view(&self, now: Instant) -> View {
+    /// What traffic threads are to know.
+    #[must_use]
+    pub fn view(&self, now: Instant) -> View {
         picture::draw(self, now)
     }
 }
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -30,6 +30,8 @@
     Heartbeat(Heartbeat, Sender<Heartbeat>),
     /// Makes this process known to the others at this address for their messages.
     Register(SocketAddr),
+    /// Asks for the whole folded state as a sealed snapshot.
+    State(Sender<Vec<u8>>),
     /// Asks for what the planner decides on.
     Fleet(Sender<FleetState>),
     /// Asks for the accepted text of a section.
@@ -167,6 +169,11 @@
         let _ = self.commands.send(Command::Register(peer)).await;
     }
 
+    /// The whole folded state as a sealed snapshot; `None` when the control thread has ended.
+    pub async fn state(&self) -> Option<Vec<u8>> {
+        self.ask(Command::State).await
+    }
+
     /// What the planner decides on; `None` when the control thread has ended.
     pub async fn fleet(&self) -> Option<FleetState> {
         self.ask(Command::Fleet).await
--- a/src/control/picture.rs
+++ b/src/control/picture.rs
@@ -27,7 +27,7 @@
             .map(|registration| member(core, registration, now))
             .collect(),
         planner: held.map(|held| (held.holder.clone(), held.epoch)),
-        verified: core.verified,
+        verified: core.verified(),
         document,
     }
 }
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -13,7 +13,7 @@
 
 pub(super) async fn run<L: Log, V, P>(shell: Rc<Shell<L, V, P>>) {
     loop {
-        let batch = shell.core.borrow_mut().outbox.take(Instant::now());
+        let batch = shell.core.borrow_mut().take(Instant::now());
         if batch.is_empty() {
             wait(&shell).await;
         } else {
@@ -24,14 +24,11 @@
 
 async fn append<L: Log, V, P>(shell: &Shell<L, V, P>, batch: &[Vec<u8>]) {
     let result = shell.log.append(STREAM, batch).await;
-    let mut core = shell.core.borrow_mut();
-    match result {
-        Ok(_) => core.outbox.succeed(),
-        Err(error) => {
-            spdlog::warn!("log_append_failed", kv: { error = error.to_string() });
-            core.outbox.fail(&error, Instant::now());
-        }
+    if let Err(error) = &result {
+        spdlog::warn!("log_append_failed", kv: { error = error.to_string() });
     }
+    let mut core = shell.core.borrow_mut();
+    core.appended(result.as_ref().copied(), Instant::now());
 }
 
 /// Waits for a new record; while records wait for an append, not past its time.
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -1,6 +1,7 @@
 //! Runs the control thread's tasks; all I/O happens here and in the tasks.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
@@ -14,7 +15,9 @@
 use futures_lite::future::block_on;
 
 use super::core::Core;
-use super::{Command, Control, commands, follower, heartbeats, publisher, vms};
+use super::{
+    Command, Control, Settings, commands, follower, heartbeats, publisher, snapshots, vms,
+};
 use crate::config::Common;
 use crate::id::Incarnation;
 use crate::membership::Peers;
@@ -31,6 +34,7 @@
     pub(super) log: L,
     pub(super) vms: V,
     pub(super) peers: P,
+    pub(super) seeds: Vec<SocketAddr>,
     pub(super) kick: Sender<()>,
     pub(super) kicked: Receiver<()>,
 }
@@ -49,7 +53,7 @@
     }
 }
 
-/// Starts the control thread; it ends when the last handle is dropped.
+/// Starts the control thread with default settings; it ends when the last handle is dropped.
 ///
 /// # Errors
 /// Fails when the operating system refuses a thread.
@@ -58,10 +62,28 @@
     log: L,
     vms: V,
     peers: P,
+) -> Result<Control> {
+    let settings = Settings {
+        beats: peers.beats(),
+        ..Settings::default()
+    };
+    spawn_with(common, settings, log, vms, peers)
+}
+
+/// Starts the control thread; it ends when the last handle is dropped.
+///
+/// # Errors
+/// Fails when the operating system refuses a thread.
+pub fn spawn_with<L: Log, V: VmList, P: Peers>(
+    common: &Common,
+    settings: Settings,
+    log: L,
+    vms: V,
+    peers: P,
 ) -> Result<Control> {
     let (control, received) = Control::channel();
     let (kick, kicked) = async_channel::bounded(1);
-    let core = Core::open(common, incarnation(), Instant::now());
+    let core = Core::open(common, &settings, incarnation(), Instant::now());
     let view = control.shared();
     thread::Builder::new()
         .name("control".to_owned())
@@ -72,6 +94,7 @@
                 log,
                 vms,
                 peers,
+                seeds: settings.seeds,
                 kick,
                 kicked,
             });
@@ -85,6 +108,7 @@
     let executor = LocalExecutor::new();
     executor.spawn(follower::run(Rc::clone(shell))).detach();
     executor.spawn(publisher::run(Rc::clone(shell))).detach();
+    executor.spawn(snapshots::run(Rc::clone(shell))).detach();
     executor.spawn(vms::run(Rc::clone(shell))).detach();
     executor.spawn(heartbeats::run(Rc::clone(shell))).detach();
     executor.spawn(tick(Rc::clone(shell))).detach();
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// What the fold trusts.
+    #[must_use]
+    pub const fn trust(&self) -> &Trust {
+        &self.trust
+    }
+
     /// Next offset to be folded.
     #[must_use]
     pub const fn offset(&self) -> Offset {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,7 +3,8 @@
 mod peers;
 mod rank;
 mod roster;
+mod zones;
 
-pub use peers::{NoPeers, Peers};
+pub use peers::{NoPeers, PeerLink, Peers};
 pub use rank::rank;
 pub use roster::{Roster, SUSPECT_MS};
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -1,89 +1,238 @@
 //! Decides which processes are suspected of having failed.
+//!
+//! Each process counts its heartbeats. A member is alive while its count is seen
+//! to grow, directly or through others, so a cut in one direction does no harm.
 
 use std::time::{Duration, Instant};
 
+use fastrand::Rng;
 use indexmap::IndexMap;
 
-use crate::id::{Incarnation, MemberId, Offset};
-use crate::peer::Heartbeat;
+use super::zones::Zones;
+use crate::id::{DataCentre, Incarnation, MemberId};
+use crate::ledger::Registration;
+use crate::peer::{Heard, Heartbeat, Zone};
 
-/// Silence after which a member is suspected, in ms; three lost heartbeats.
-pub const SUSPECT_MS: u64 = 3_500;
+/// Silence after which a member of the own data centre is suspected, in ms.
+///
+/// Five heartbeats; news of a member reaches eight others within three.
+pub const SUSPECT_MS: u64 = 5_000;
 
 /// Gap between two ticks, in ms, after which this process itself was paused.
 const PAUSE_MS: u64 = 2_000;
 
 /// What was last heard of each member.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Roster {
-    heard: IndexMap<MemberId, Contact>,
+    own: Heard,
+    home: DataCentre,
+    members: IndexMap<MemberId, Contact>,
+    zones: Zones,
     ticked: Option<Instant>,
+    rng: Rng,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Contact {
+    data_centre: DataCentre,
     incarnation: Incarnation,
+    beat: u64,
     at: Instant,
-    offset: Offset,
+}
+
+impl Contact {
+    /// True if `heard` is newer than what is known.
+    fn is_behind(&self, heard: &Heard) -> bool {
+        (self.incarnation, self.beat) < (heard.incarnation, heard.beat)
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        let limit = Duration::from_millis(SUSPECT_MS);
+        now.saturating_duration_since(self.at) < limit
+    }
 }
 
 impl Roster {
-    /// Starts to watch a member; it is alive until it has been silent for [`SUSPECT_MS`].
-    pub fn watch(&mut self, id: &MemberId, incarnation: Incarnation, now: Instant) {
+    /// The roster of a process that has heard of nobody; `seed` decides whom it asks first.
+    #[must_use]
+    pub fn open(id: &MemberId, home: &DataCentre, incarnation: Incarnation, seed: u64) -> Self {
+        Self {
+            own: Heard {
+                member: id.clone(),
+                incarnation,
+                beat: 0,
+            },
+            home: home.clone(),
+            members: IndexMap::new(),
+            zones: Zones::default(),
+            ticked: None,
+            rng: Rng::with_seed(seed),
+        }
+    }
+
+    /// Changes the incarnation that this process announces.
+    pub const fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.own.incarnation = incarnation;
+    }
+
+    /// Keeps to the registered members; a new one counts as heard now.
+    pub fn watch(&mut self, members: &IndexMap<MemberId, Registration>, now: Instant) {
+        self.members.retain(|id, _| members.contains_key(id));
+        for (id, registration) in members {
+            if *id != self.own.member {
+                self.watch_one(registration, now);
+            }
+        }
+    }
+
+    fn watch_one(&mut self, registration: &Registration, now: Instant) {
         let fresh = Contact {
-            incarnation,
+            data_centre: registration.data_centre.clone(),
+            incarnation: registration.incarnation,
+            beat: 0,
             at: now,
-            offset: Offset(0),
         };
-        let known = self.heard.entry(id.clone()).or_insert(fresh);
-        if known.incarnation < incarnation {
-            *known = fresh;
+        match self.members.get_mut(&registration.id) {
+            Some(known) if known.incarnation >= registration.incarnation => {}
+            Some(known) => *known = fresh,
+            None => {
+                if registration.data_centre != self.home {
+                    self.zones.watch(&registration.data_centre, now);
+                }
+                self.members.insert(registration.id.clone(), fresh);
+            }
         }
     }
 
-    /// Stops watching members that `keep` does not name.
-    pub fn retain(&mut self, keep: impl Fn(&MemberId) -> bool) {
-        self.heard.retain(|id, _| keep(id));
+    /// The signs of life for a heartbeat; each call counts as one beat.
+    pub fn beat(&mut self, now: Instant) -> Vec<Heard> {
+        self.own.beat += 1;
+        let local = self
+            .members
+            .iter()
+            .filter(|(_, contact)| contact.data_centre == self.home && contact.is_fresh(now));
+        let others = local.map(|(id, contact)| Heard {
+            member: id.clone(),
+            incarnation: contact.incarnation,
+            beat: contact.beat,
+        });
+        std::iter::once(self.own.clone()).chain(others).collect()
+    }
+
+    /// What is known of other data centres, for a heartbeat.
+    #[must_use]
+    pub fn zones(&self) -> Vec<Zone> {
+        self.zones.summary()
     }
 
-    /// Notes a heartbeat; one of an older incarnation says nothing of the newer.
+    /// Notes a heartbeat and what its sender has heard of others.
     pub fn hear(&mut self, heartbeat: &Heartbeat, now: Instant) {
-        let Some(known) = self.heard.get_mut(&heartbeat.member) else {
-            return;
+        let mut lives = false;
+        for heard in &heartbeat.heard {
+            let news = self.note(heard, now);
+            lives |= news && heard.member == heartbeat.member;
+        }
+        if lives && let Some(zone) = self.zone_of(heartbeat) {
+            self.zones.hear(&zone, now);
+        }
+        for zone in &heartbeat.zones {
+            if zone.data_centre != self.home && self.note(&zone.witness, now) {
+                self.zones.hear(zone, now);
+            }
+        }
+    }
+
+    /// True if it is news. A sign of life of an older run says nothing of the newer.
+    fn note(&mut self, heard: &Heard, now: Instant) -> bool {
+        let Some(contact) = self.members.get_mut(&heard.member) else {
+            return false;
         };
-        if known.incarnation <= heartbeat.incarnation {
-            known.incarnation = heartbeat.incarnation;
-            known.at = now;
-            known.offset = known.offset.max(heartbeat.offset);
+        if !contact.is_behind(heard) {
+            return false;
+        }
+        contact.incarnation = heard.incarnation;
+        contact.beat = heard.beat;
+        contact.at = now;
+        true
+    }
+
+    /// A heartbeat from another data centre is itself a summary of it.
+    fn zone_of(&self, heartbeat: &Heartbeat) -> Option<Zone> {
+        let sender = self.members.get(&heartbeat.member)?;
+        if sender.data_centre == self.home {
+            return None;
         }
+        let heard = &heartbeat.heard;
+        let witness = heard.iter().find(|h| h.member == heartbeat.member)?;
+        let is_heard = |id: &MemberId| heard.iter().any(|h| h.member == *id);
+        let suspects = self
+            .members
+            .iter()
+            .filter(|(id, contact)| contact.data_centre == sender.data_centre && !is_heard(id));
+        Some(Zone {
+            data_centre: sender.data_centre.clone(),
+            witness: witness.clone(),
+            suspects: suspects.map(|(id, _)| id.clone()).collect(),
+        })
     }
 
-    /// Called at least once a second; after a pause of this process the others'
+    /// Called at least once a second. After a pause of this process the others'
     /// silence proves nothing, so they get the time of the pause on top.
     pub fn tick(&mut self, now: Instant) {
-        let gap = self.ticked.map_or(Duration::ZERO, |last| now - last);
-        self.ticked = Some(now);
+        let last = self.ticked.replace(now);
+        let gap = last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
         if gap < Duration::from_millis(PAUSE_MS) {
             return;
         }
-        for contact in self.heard.values_mut() {
+        for contact in self.members.values_mut() {
             contact.at = (contact.at + gap).min(now);
         }
+        self.zones.excuse(gap, now);
     }
 
     /// True unless the member has been silent for too long.
     #[must_use]
     pub fn is_alive(&self, id: &MemberId, now: Instant) -> bool {
-        let limit = Duration::from_millis(SUSPECT_MS);
-        self.heard
-            .get(id)
-            .is_some_and(|contact| now.saturating_duration_since(contact.at) < limit)
+        let Some(contact) = self.members.get(id) else {
+            return *id == self.own.member;
+        };
+        if contact.data_centre == self.home {
+            return contact.is_fresh(now);
+        }
+        self.zones.is_alive(&contact.data_centre, now)
+            && !self.zones.is_suspected(&contact.data_centre, id)
     }
 
-    /// Highest offset that any member has reported.
+    /// True if every other data centre that has members was heard of lately.
     #[must_use]
-    pub fn highest(&self) -> Offset {
-        let offsets = self.heard.values().map(|contact| contact.offset);
-        offsets.max().unwrap_or_default()
+    pub fn reaches_all(&self, now: Instant) -> bool {
+        self.members
+            .values()
+            .filter(|contact| contact.data_centre != self.home)
+            .all(|contact| self.zones.is_alive(&contact.data_centre, now))
+    }
+
+    /// Members to send a heartbeat to now: one of the own data centre and, once a
+    /// second for the whole data centre, one of another.
+    pub fn receivers(&mut self) -> Vec<MemberId> {
+        let home = self.home.clone();
+        let local = self.pick(|contact| contact.data_centre == home);
+        let peers = self.count_local();
+        let speaks = self.rng.usize(0..=peers) == 0;
+        let remote = speaks.then(|| self.pick(|contact| contact.data_centre != home));
+        local.into_iter().chain(remote.flatten()).collect()
+    }
+
+    fn count_local(&self) -> usize {
+        let members = self.members.values();
+        members
+            .filter(|contact| contact.data_centre == self.home)
+            .count()
+    }
+
+    fn pick(&mut self, wanted: impl Fn(&Contact) -> bool) -> Option<MemberId> {
+        let found = self.members.iter().filter(|(_, contact)| wanted(contact));
+        let ids: Vec<MemberId> = found.map(|(id, _)| id.clone()).collect();
+        self.rng.choice(ids)
     }
 }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -88,5 +88,5 @@
 }
 
 fn repeatable(message: &PeerRequest) -> bool {
-    matches!(message, PeerRequest::Heartbeat(_))
+    matches!(message, PeerRequest::Heartbeat(_) | PeerRequest::State)
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Incarnation, MemberId, Offset, QueueId, RequestId, TeamId};
+use crate::id::{DataCentre, Incarnation, MemberId, Offset, QueueId, RequestId, TeamId};
 use crate::outcome::Outcome;
 
 /// A message to another process.
@@ -12,6 +12,8 @@
     Forward(Forward),
     /// Says that the sender is alive.
     Heartbeat(Heartbeat),
+    /// Asks for the whole folded state.
+    State,
 }
 
 /// Answer to a [`PeerRequest`].
@@ -21,6 +23,8 @@
     Outcome(Outcome),
     /// Answer to [`PeerRequest::Heartbeat`]: the receiver's own state.
     Heartbeat(Heartbeat),
+    /// Answer to [`PeerRequest::State`]: a sealed snapshot.
+    State(#[serde(with = "serde_bytes")] Vec<u8>),
 }
 
 /// A checked request on its way to the owner of its queue.
@@ -62,4 +66,30 @@
     pub offset: Offset,
     /// Age of its last verified head of the log, in ms.
     pub verified_ms: Option<u64>,
+    /// What it has heard of the members of its data centre, itself included.
+    pub heard: Vec<Heard>,
+    /// What it has heard of other data centres.
+    pub zones: Vec<Zone>,
+}
+
+/// Newest sign of life of a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The member.
+    pub member: MemberId,
+    /// Start of its run.
+    pub incarnation: Incarnation,
+    /// Number of heartbeats that the run has made.
+    pub beat: u64,
+}
+
+/// Summary of a data centre for the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Zone {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Its member that was heard last.
+    pub witness: Heard,
+    /// Members that the witness suspects of having failed.
+    pub suspects: Vec<MemberId>,
 }
--- /dev/null
+++ b/tests/control/fake.rs
@@ -0,0 +1,155 @@
+//! A log, a list of VMs and other processes inside this process.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use amaranthwick::id::Offset;
+use amaranthwick::membership::Peers;
+use amaranthwick::peer::Heartbeat;
+use amaranthwick::platform::{Batch, Log, LogError, PlatformError, Vm, VmList};
+use async_io::Timer;
+
+const STEP: Duration = Duration::from_millis(5);
+
+#[derive(Debug, Default)]
+struct Stream {
+    records: Vec<Vec<u8>>,
+    oldest: usize,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    streams: HashMap<String, Stream>,
+    down: Option<LogError>,
+    lose_answers: u32,
+}
+
+/// A log with faults.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FakeLog(Arc<Mutex<Inner>>);
+
+impl FakeLog {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn push(&self, stream: &str, records: &[Vec<u8>]) {
+        let mut inner = self.lock();
+        let stream = inner.streams.entry(stream.to_owned()).or_default();
+        stream.records.extend_from_slice(records);
+    }
+
+    pub(crate) fn len(&self, stream: &str) -> usize {
+        self.lock()
+            .streams
+            .get(stream)
+            .map_or(0, |s| s.records.len())
+    }
+
+    pub(crate) fn set_down(&self, error: Option<LogError>) {
+        self.lock().down = error;
+    }
+
+    /// The next `count` appends take effect without an answer.
+    pub(crate) fn lose_answers(&self, count: u32) {
+        self.lock().lose_answers = count;
+    }
+
+    /// Drops all records of a stream but the last `kept`.
+    pub(crate) fn expire(&self, stream: &str, kept: usize) {
+        let mut inner = self.lock();
+        let stream = inner.streams.entry(stream.to_owned()).or_default();
+        stream.oldest = stream.records.len().saturating_sub(kept);
+    }
+
+    /// Changes a byte of the last record of a stream.
+    pub(crate) fn spoil(&self, stream: &str) {
+        let mut inner = self.lock();
+        let records = &mut inner.streams.entry(stream.to_owned()).or_default().records;
+        if let Some(byte) = records.last_mut().and_then(|bytes| bytes.last_mut()) {
+            *byte ^= 1;
+        }
+    }
+
+    fn batch(&self, stream: &str, from: Offset, limit: usize) -> Result<Batch, LogError> {
+        let mut inner = self.lock();
+        if let Some(error) = &inner.down {
+            return Err(error.clone());
+        }
+        let stream = inner.streams.entry(stream.to_owned()).or_default();
+        let first = usize::try_from(from.0).expect("small");
+        if first < stream.oldest {
+            return Err(LogError::Expired(Offset(stream.oldest as u64)));
+        }
+        let records = stream.records.iter().skip(first).take(limit);
+        Ok(Batch {
+            oldest: Offset(stream.oldest as u64),
+            head: Offset(stream.records.len() as u64),
+            first: from,
+            records: records.cloned().collect(),
+        })
+    }
+}
+
+impl Log for FakeLog {
+    async fn append(&self, stream: &str, records: &[Vec<u8>]) -> Result<Offset, LogError> {
+        if let Some(error) = &self.lock().down {
+            return Err(error.clone());
+        }
+        let first = Offset(self.len(stream) as u64);
+        self.push(stream, records);
+        let mut inner = self.lock();
+        if inner.lose_answers > 0 {
+            inner.lose_answers -= 1;
+            return Err(LogError::Unknown("answer lost".to_owned()));
+        }
+        Ok(first)
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        limit: usize,
+        wait_ms: u64,
+    ) -> Result<Batch, LogError> {
+        let end = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let batch = self.batch(stream, from, limit)?;
+            if !batch.records.is_empty() || Instant::now() >= end {
+                return Ok(batch);
+            }
+            Timer::after(STEP).await;
+        }
+    }
+}
+
+/// A platform without VMs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NoVms;
+
+impl VmList for NoVms {
+    async fn list(&self) -> Result<Vec<Vm>, PlatformError> {
+        Ok(Vec::new())
+    }
+}
+
+/// A process that hands out a state.
+#[derive(Clone, Debug)]
+pub(crate) struct Donor(pub(crate) Option<Vec<u8>>);
+
+impl Peers for Donor {
+    fn beats(&self) -> bool {
+        false
+    }
+
+    async fn beat(&self, _to: SocketAddr, _heartbeat: Heartbeat) -> Option<Heartbeat> {
+        None
+    }
+
+    async fn state(&self, _of: SocketAddr) -> Option<Vec<u8>> {
+        self.0.clone()
+    }
+}
--- /dev/null
+++ b/tests/control/fixtures.rs
@@ -0,0 +1,100 @@
+//! Settings, documents and proposals.
+
+use amaranthwick::config::{Common, Platform};
+use amaranthwick::document::{example, hex, sign};
+use amaranthwick::id::{
+    DataCentre, JobId, MemberId, Offset, OperatorId, RecordId, Revision, SectionId, TeamId,
+};
+use amaranthwick::ledger::{Edit, Job, Proposal, Record, encode_edit};
+use amaranthwick::secret::FleetSecret;
+
+pub(crate) fn common(id: &str) -> Common {
+    let any = ([127, 0, 0, 1], 0).into();
+    Common {
+        id: MemberId::new(id),
+        data_centre: DataCentre::new("a"),
+        peer: any,
+        admin: any,
+        platform: Platform {
+            log: any,
+            vms: any,
+            pools: any,
+            workers: any,
+        },
+        secret: FleetSecret::new([7; 32]),
+        root_key: example::operator("root").public(),
+    }
+}
+
+pub(crate) fn fleet_text() -> String {
+    let key = |name| hex::encode(&example::operator(name).public());
+    format!(
+        r#"{{
+  "data_centres": {{ "a": {{ "region": "r" }} }},
+  "classes": {{ "worker": {{ "kind": "worker", "cores": 16, "memory_mb": 32768 }} }},
+  "services": {{}},
+  "budgets": {{ "pool_percent": 50, "racks": 1, "vms": 4, "cycle_days": 42 }},
+  "operators": {{ "fleet-ops": "{}" }},
+  "owners": {{ "red": "{}" }}
+}}"#,
+        key("fleet-ops"),
+        key("red-owner")
+    )
+}
+
+pub(crate) fn team_text(share: u64) -> String {
+    let key = hex::encode(&example::operator("red-ops").public());
+    format!(
+        r#"{{
+  "share": {share}, "ceiling": 8,
+  "pools": {{ "red-jobs": {{ "class": "worker", "vms": {{ "a": 2 }} }} }},
+  "queues": {{}}, "keys": {{}},
+  "operators": {{ "red-ops": "{key}" }},
+  "on_stale": "refuse"
+}}"#
+    )
+}
+
+pub(crate) fn edit(section: &str, base: u64, text: &str, operator: &str) -> Proposal {
+    let id = SectionId::new(section);
+    let signature = sign(&example::operator(operator), &id, Revision(base), text);
+    Proposal::Edit(Edit {
+        section: id,
+        base: Revision(base),
+        text: text.to_owned(),
+        operator: OperatorId::new(operator),
+        signature,
+    })
+}
+
+/// Records that create the fleet section and the team `red`.
+pub(crate) fn base() -> Vec<Vec<u8>> {
+    let edits = [
+        edit("fleet", 0, &fleet_text(), "root"),
+        edit("red", 0, &team_text(10), "red-owner"),
+    ];
+    edits
+        .into_iter()
+        .map(|proposal| {
+            encode_edit(&Record {
+                id: RecordId::random(),
+                after: Offset(0),
+                proposal,
+            })
+        })
+        .collect()
+}
+
+pub(crate) fn submit(id: &str) -> Proposal {
+    Proposal::Submit(Job {
+        id: JobId::new(id),
+        team: TeamId::new("red"),
+        task: "count".to_owned(),
+        input: String::new(),
+        cores: 1,
+        memory_mb: 1,
+        accelerators: 0,
+        urgency: 3,
+        idempotent: true,
+    })
+}
--- /dev/null
+++ b/tests/control/outbox.rs
@@ -0,0 +1,107 @@
+use std::time::{Duration, Instant};
+
+use amaranthwick::control::{APPEND_GAP_MS, DEADLINE_MS, MAX_BATCH, Outbox, Overdue, ProposeError};
+use amaranthwick::id::RecordId;
+use amaranthwick::platform::LogError;
+
+const GAP: Duration = Duration::from_millis(APPEND_GAP_MS);
+const DEADLINE: Duration = Duration::from_millis(DEADLINE_MS);
+
+fn with(records: u8, now: Instant) -> Outbox {
+    let mut outbox = Outbox::open(now);
+    for n in 0..records {
+        outbox.push(RecordId(n.into()), vec![n], now);
+    }
+    outbox
+}
+
+fn overdue(outbox: &mut Outbox, now: Instant) -> Vec<Overdue> {
+    outbox.expire(now + DEADLINE)
+}
+
+#[test]
+fn records_are_appended_together_within_the_budget() {
+    let now = Instant::now();
+    let mut outbox = with(3, now);
+
+    let first = outbox.take(now);
+    outbox.succeed();
+    outbox.push(RecordId(9), vec![9], now);
+    let early = outbox.take(now + GAP / 2);
+    let second = outbox.take(now + GAP);
+
+    assert_eq!(first, [[0], [1], [2]]);
+    assert!(early.is_empty());
+    assert_eq!(second, [[9]]);
+}
+
+#[test]
+fn a_batch_is_bounded() {
+    let now = Instant::now();
+    let mut outbox = Outbox::open(now);
+    for n in 0..=MAX_BATCH {
+        outbox.push(RecordId(n as u128), Vec::new(), now);
+    }
+
+    assert_eq!(outbox.take(now).len(), MAX_BATCH);
+}
+
+#[test]
+fn the_same_bytes_are_appended_again_after_a_lost_answer() {
+    let now = Instant::now();
+    let mut outbox = with(1, now);
+
+    let first = outbox.take(now);
+    outbox.fail(&LogError::Unknown("cut".to_owned()), now);
+    let second = outbox.take(now + Duration::from_secs(3));
+
+    assert_eq!(first, second);
+}
+
+#[test]
+fn an_appended_record_is_not_appended_again() {
+    let now = Instant::now();
+    let mut outbox = with(1, now);
+    outbox.take(now);
+    outbox.succeed();
+
+    assert!(outbox.take(now + GAP).is_empty());
+}
+
+#[test]
+fn a_record_that_never_left_is_surely_not_appended() {
+    let now = Instant::now();
+    let mut outbox = with(1, now);
+    outbox.take(now);
+    outbox.fail(&LogError::Unavailable, now);
+
+    let late = overdue(&mut outbox, now);
+
+    assert!(matches!(late[0].error, ProposeError::NotAppended(_)));
+    assert!(outbox.is_empty());
+}
+
+#[test]
+fn a_record_whose_answer_was_lost_once_may_still_take_effect() {
+    let now = Instant::now();
+    let mut outbox = with(1, now);
+    outbox.take(now);
+    outbox.fail(&LogError::Unknown("cut".to_owned()), now);
+    outbox.take(now + Duration::from_secs(3));
+    outbox.fail(&LogError::NotSent("refused".to_owned()), now);
+
+    let late = overdue(&mut outbox, now);
+
+    assert!(matches!(late[0].error, ProposeError::Unknown(_)));
+}
+
+#[test]
+fn a_record_on_its_way_at_the_deadline_may_still_take_effect() {
+    let now = Instant::now();
+    let mut outbox = with(1, now);
+    outbox.take(now);
+
+    let late = overdue(&mut outbox, now);
+
+    assert!(matches!(late[0].error, ProposeError::Unknown(_)));
+}
--- /dev/null
+++ b/tests/control/shell.rs
@@ -0,0 +1,173 @@
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use amaranthwick::control::{self, Control, Settings};
+use amaranthwick::id::{JobId, Offset, SectionId};
+use amaranthwick::ledger::Verdict;
+use amaranthwick::platform::LogError;
+use futures_lite::future::block_on;
+
+use crate::fake::{Donor, FakeLog, NoVms};
+use crate::fixtures::{base, common, edit, fleet_text, submit, team_text};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn wait(what: &str, mut done: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < PATIENCE, "{what}");
+        sleep(Duration::from_millis(5));
+    }
+}
+
+fn open(id: &str, log: &FakeLog, peer: Option<Vec<u8>>) -> Control {
+    let settings = Settings {
+        snapshot_every: 16,
+        seeds: vec![([127, 0, 0, 1], 1).into()],
+        beats: false,
+    };
+    control::spawn_with(&common(id), settings, log.clone(), NoVms, Donor(peer)).expect("thread")
+}
+
+fn with_document() -> FakeLog {
+    let log = FakeLog::default();
+    log.push("control", &base());
+    log
+}
+
+fn has_document(control: &Control) -> bool {
+    control.view().document.is_some()
+}
+
+#[test]
+fn a_proposal_gets_its_verdict_and_a_section_its_text() {
+    let control = open("m1", &with_document(), None);
+    wait("the document is accepted", || has_document(&control));
+
+    let verdict = block_on(control.propose(submit("j1")));
+
+    assert_eq!(verdict, Ok(Verdict::Accepted(Offset(2))));
+    let section = block_on(control.section(&SectionId::new("fleet"))).expect("accepted");
+    assert_eq!(&*section.text, fleet_text());
+}
+
+#[test]
+fn an_accepted_edit_is_in_force_in_every_process() {
+    let log = with_document();
+    let controls = ["m1", "m2", "m3"].map(|id| open(id, &log, None));
+    wait("the document is accepted", || {
+        controls.iter().all(has_document)
+    });
+    let proposal = edit("red", 1, &team_text(77), "red-ops");
+
+    let verdict = block_on(controls[0].propose(proposal));
+
+    assert!(matches!(verdict, Ok(Verdict::Accepted(_))));
+    let share = |control: &Control| control.view().document.as_ref().map(|d| d.teams[0].share);
+    wait("the edit is in force", || {
+        controls.iter().all(|c| share(c) == Some(77))
+    });
+}
+
+#[test]
+fn lost_answers_of_the_log_change_nothing_for_the_proposer() {
+    let log = with_document();
+    let control = open("m1", &log, None);
+    wait("the document is accepted", || has_document(&control));
+    log.lose_answers(2);
+
+    let verdict = block_on(control.propose(submit("j1")));
+
+    assert!(matches!(verdict, Ok(Verdict::Accepted(_))));
+    assert!(block_on(control.job(&JobId::new("j1"))).is_some());
+}
+
+#[test]
+fn a_process_starts_from_a_snapshot_when_records_have_expired() {
+    let log = with_document();
+    let first = open("m1", &log, None);
+    wait("the document is accepted", || has_document(&first));
+    for n in 0..70 {
+        block_on(first.propose(submit(&format!("j{n}")))).expect("a verdict");
+    }
+    let announced = || block_on(first.dump())["snapshot"].as_u64();
+    wait("a snapshot is stored", || announced().is_some());
+    let kept = log.len("control") as u64 - announced().expect("stored");
+    log.expire("control", usize::try_from(kept).expect("small"));
+
+    let second = open("m2", &log, None);
+
+    wait("the document is known", || has_document(&second));
+    let head = || Offset(log.len("control") as u64);
+    wait("the head is folded", || second.view().offset == head());
+    assert!(block_on(second.job(&JobId::new("j0"))).is_some());
+}
+
+#[test]
+fn a_spoilt_snapshot_is_passed_over_for_the_one_before() {
+    let log = with_document();
+    let first = open("m1", &log, None);
+    wait("the document is accepted", || has_document(&first));
+    let state = block_on(first.state()).expect("a state");
+    log.push("snapshots", &[state.clone(), state]);
+    log.spoil("snapshots");
+    log.expire("control", 0);
+
+    let second = open("m2", &log, None);
+
+    wait("the document is known", || has_document(&second));
+}
+
+#[test]
+fn a_process_starts_from_another_one_while_the_log_is_away() {
+    let log = with_document();
+    let first = open("m1", &log, None);
+    wait("the document is accepted", || has_document(&first));
+    let state = block_on(first.state()).expect("a state");
+    log.set_down(Some(LogError::NotSent("away".to_owned())));
+
+    let second = open("m2", &log, Some(state));
+
+    wait("the document is known", || has_document(&second));
+    assert_eq!(second.view().verified, None);
+}
+
+#[test]
+fn a_process_without_any_source_knows_nothing_and_waits() {
+    let log = with_document();
+    log.expire("control", 1);
+
+    let control = open("m1", &log, None);
+    sleep(Duration::from_millis(300));
+
+    assert_eq!(control.view().offset, Offset(0));
+    assert!(!has_document(&control));
+}
+
+#[test]
+fn a_log_that_calls_itself_unavailable_keeps_the_head_verified() {
+    let log = with_document();
+    let control = open("m1", &log, None);
+    wait("the document is accepted", || has_document(&control));
+    log.set_down(Some(LogError::Unavailable));
+    sleep(Duration::from_millis(100));
+    let down = Instant::now();
+
+    wait("the head is verified", || {
+        control.view().verified > Some(down)
+    });
+}
+
+#[test]
+fn a_log_that_is_cut_off_leaves_the_head_to_grow_old() {
+    let log = with_document();
+    let control = open("m1", &log, None);
+    wait("the head is verified", || control.view().verified.is_some());
+    log.set_down(Some(LogError::NotSent("cut".to_owned())));
+    sleep(Duration::from_millis(100));
+    let cut = Instant::now();
+
+    sleep(Duration::from_millis(1_500));
+
+    assert!(control.view().verified < Some(cut));
+}
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -21,7 +21,7 @@
         self.0.fetch_add(1, Ordering::SeqCst);
         match message {
             PeerRequest::Heartbeat(heartbeat) => PeerReply::Heartbeat(heartbeat),
-            PeerRequest::Forward(_) => panic!("not sent here"),
+            PeerRequest::Forward(_) | PeerRequest::State => panic!("not sent here"),
         }
     }
 }
@@ -60,6 +60,8 @@
         incarnation: Incarnation(1),
         offset: Offset(2),
         verified_ms: Some(3),
+        heard: Vec::new(),
+        zones: Vec::new(),
     })
 }
 
