--- a/src/bin/amaranthwick-planner.rs
+++ b/src/bin/amaranthwick-planner.rs
@@ -1,11 +1,9 @@
 //! Places VMs and jobs while it holds the planner role.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
-use amaranthwick::config::{Common, PlannerConfig};
+use amaranthwick::config::PlannerConfig;
 use amaranthwick::control::{self, Control, Settings};
-use amaranthwick::id::Incarnation;
-use amaranthwick::membership::PeerLink;
+use amaranthwick::membership::SilentPeers;
+use amaranthwick::peer::Client;
 use amaranthwick::planner;
 use amaranthwick::platform::{LogClient, VmsClient, WorkersClient};
 use amaranthwick::runtime::Runtime;
@@ -56,7 +54,7 @@
     let control = open_control(config)?;
     let workers = WorkersClient::new(config.common.platform.workers, &config.common.data_centre);
     let _planner = planner::spawn(config, control.clone(), workers, &runtime);
-    let process = process(&config.common);
+    let process = Process::new(env!("CARGO_BIN_NAME"), &config.common);
     let admin = Admin::bind(
         config.common.admin,
         &runtime,
@@ -79,17 +77,6 @@
     };
     let log = LogClient::new(common.platform.log, &common.data_centre);
     let vms = VmsClient::new(common.platform.vms, &common.data_centre);
-    let peers = PeerLink::silent(common.secret.clone());
+    let peers = SilentPeers(Client::new(common.secret.clone()));
     control::spawn_with(common, settings, log, vms, peers)
 }
-
-fn process(common: &Common) -> Process {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let micros = since.map_or(0, |since| since.as_micros());
-    Process {
-        program: env!("CARGO_BIN_NAME"),
-        id: common.id.clone(),
-        data_centre: common.data_centre.clone(),
-        incarnation: Incarnation(u64::try_from(micros).unwrap_or(u64::MAX)),
-    }
-}
--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -15,7 +15,7 @@
 use crate::platform::{Log, LogError};
 
 /// Stream that carries proposals.
-pub(super) const STREAM: &str = "control";
+pub const STREAM: &str = "control";
 
 /// Records read at a time.
 const MAX_RECORDS: usize = 1_024;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,6 +19,7 @@
 
 pub use backoff::Backoff;
 pub use core::{Answer, Core, Gap};
+pub use follower::STREAM;
 pub use freshness::Freshness;
 pub use handle::{Command, Control, FleetState, JobState, ProposeError, SectionState};
 pub use keeper::{Capture, Keeper, SNAPSHOT_EVERY};
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,6 +5,6 @@
 mod roster;
 mod zones;
 
-pub use peers::{NoPeers, PeerLink, Peers};
+pub use peers::{NoPeers, Peers, SilentPeers};
 pub use rank::rank;
 pub use roster::{Roster, SUSPECT_MS};
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -4,7 +4,6 @@
 
 use crate::http::Limits;
 use crate::peer::{Client, Heartbeat, PeerReply, PeerRequest};
-use crate::secret::FleetSecret;
 
 /// Asks other processes.
 pub trait Peers: Send + Sync + 'static {
@@ -40,13 +39,6 @@
     }
 }
 
-/// Asks other processes over HTTP.
-#[derive(Debug)]
-pub struct PeerLink {
-    client: Client,
-    beats: bool,
-}
-
 const BEAT_LIMITS: Limits = Limits {
     connect_ms: 500,
     answer_ms: 900,
@@ -59,47 +51,41 @@
     max_body: 64 << 20,
 };
 
-impl PeerLink {
-    /// For an entry: exchanges heartbeats.
-    #[must_use]
-    pub fn new(secret: FleetSecret) -> Self {
-        Self {
-            client: Client::new(secret),
-            beats: true,
-        }
-    }
-
-    /// For a process that is no member: it fetches states and sends no heartbeats.
-    #[must_use]
-    pub fn silent(secret: FleetSecret) -> Self {
-        Self {
-            client: Client::new(secret),
-            beats: false,
-        }
-    }
-}
-
-impl Peers for PeerLink {
+impl Peers for Client {
     fn beats(&self) -> bool {
-        self.beats
+        true
     }
 
     async fn beat(&self, to: SocketAddr, heartbeat: Heartbeat) -> Option<Heartbeat> {
         let message = PeerRequest::Heartbeat(heartbeat);
-        match self.client.ask(to, &message, &BEAT_LIMITS).await {
+        match self.ask(to, &message, &BEAT_LIMITS).await {
             Ok(PeerReply::Heartbeat(answer)) => Some(answer),
             _ => None,
         }
     }
 
     async fn state(&self, of: SocketAddr) -> Option<Vec<u8>> {
-        match self
-            .client
-            .ask(of, &PeerRequest::State, &STATE_LIMITS)
-            .await
-        {
+        match self.ask(of, &PeerRequest::State, &STATE_LIMITS).await {
             Ok(PeerReply::State(bytes)) => Some(bytes),
             _ => None,
         }
     }
 }
+
+/// For a process that is no member: it fetches states and sends no heartbeats.
+#[derive(Debug)]
+pub struct SilentPeers(pub Client);
+
+impl Peers for SilentPeers {
+    fn beats(&self) -> bool {
+        false
+    }
+
+    async fn beat(&self, _to: SocketAddr, _heartbeat: Heartbeat) -> Option<Heartbeat> {
+        None
+    }
+
+    async fn state(&self, of: SocketAddr) -> Option<Vec<u8>> {
+        self.0.state(of).await
+    }
+}
