--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -108,7 +108,9 @@
             Ok(PeerReply::Outcome(Outcome::NotRun(Reason::Stopping)))
             | Err(PeerError::Unreachable(_) | PeerError::Refused(_)) => None,
             Ok(PeerReply::Outcome(outcome)) => Some(outcome),
-            Ok(PeerReply::Heartbeat(_)) => Some(Outcome::Unknown(Reason::BadAnswer)),
+            Ok(PeerReply::Heartbeat(_) | PeerReply::State(_)) => {
+                Some(Outcome::Unknown(Reason::BadAnswer))
+            }
             Err(PeerError::Unknown(_)) if is_idempotent(&forward.method) => None,
             Err(PeerError::Unknown(_)) => Some(Outcome::Unknown(Reason::Cut)),
         }
