--- /dev/null
+++ b/tests/membership/main.rs
@@ -0,0 +1,4 @@
+//! Members: who is alive, and who owns a queue.
+
+mod rank;
+mod roster;
