Run a small fleet in one process, with a smoke test of each kind of request

dev opens stand-ins that match a document, two entries in each data centre and a planner on threads of one process, publishes the document under the example keys and waits until the pools are filled.

--- a/src/bin/amaranthwick/args.rs
+++ b/src/bin/amaranthwick/args.rs
@@ -108,6 +108,14 @@
             /// Admin address of the process.
             required address: SocketAddr
         }
+
+        /// Runs a small fleet with stand-ins for the platform in one process.
+        cmd dev {
+            /// Document to run, neretva or kon-jalan (default: neretva).
+            optional --example name: String
+            /// Sends one request of each kind, prints a line for each and ends.
+            optional --smoke
+        }
     }
 }
 // generated start
@@ -125,6 +133,7 @@
     Diff(Diff),
     Key(Key),
     State(State),
+    Dev(Dev),
 }
 
 #[derive(Debug)]
@@ -192,6 +201,12 @@
     pub address: SocketAddr,
 }
 
+#[derive(Debug)]
+pub struct Dev {
+    pub example: Option<String>,
+    pub smoke: bool,
+}
+
 impl Amaranthwick {
     #[allow(dead_code)]
     pub fn from_env_or_exit() -> Self {
--- /dev/null
+++ b/src/bin/amaranthwick/dev/caller.rs
@@ -0,0 +1,81 @@
+//! Requests of the smoke test.
+
+use std::net::SocketAddr;
+
+use amaranthwick::document::format_secret;
+use amaranthwick::http::{Limits, Reply, Request, send};
+use anyhow::{Result, bail};
+use serde_json::Value;
+
+/// Sends requests to one entry.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Caller {
+    entry: SocketAddr,
+    secret: Option<[u8; 32]>,
+}
+
+impl Caller {
+    /// A caller without a key.
+    pub(super) const fn open(entry: SocketAddr) -> Self {
+        Self {
+            entry,
+            secret: None,
+        }
+    }
+
+    /// A caller with the key that belongs to `secret`.
+    pub(super) const fn keyed(entry: SocketAddr, secret: [u8; 32]) -> Self {
+        Self {
+            entry,
+            secret: Some(secret),
+        }
+    }
+
+    /// Sends a request and reads the whole answer, whatever its status.
+    pub(super) async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Reply> {
+        let mut request = Request::new(method, path, body.as_bytes().to_vec());
+        if let Some(secret) = &self.secret {
+            let bearer = format!("Bearer {}", format_secret(secret));
+            request.headers.push(("authorization".to_owned(), bearer));
+        }
+        for (name, value) in headers {
+            request
+                .headers
+                .push(((*name).to_owned(), (*value).to_owned()));
+        }
+        Ok(send(self.entry, &request, &Limits::default()).await?)
+    }
+}
+
+/// Fails unless the answer has this status.
+pub(super) fn expect_status(reply: &Reply, wanted: u16) -> Result<()> {
+    if reply.status != wanted {
+        let body = String::from_utf8_lossy(&reply.body);
+        bail!("status {} instead of {wanted}: {body}", reply.status);
+    }
+    Ok(())
+}
+
+/// Fails unless the body is exactly this.
+pub(super) fn expect_body(reply: &Reply, wanted: &str) -> Result<()> {
+    if reply.body != wanted.as_bytes() {
+        let body = String::from_utf8_lossy(&reply.body);
+        bail!("body {body:?} instead of {wanted:?}");
+    }
+    Ok(())
+}
+
+/// Fails unless the JSON body has this text in `field`.
+pub(super) fn expect_field(reply: &Reply, field: &str, wanted: &str) -> Result<()> {
+    let body: Value = serde_json::from_slice(&reply.body)?;
+    if body[field] != wanted {
+        bail!("{field} is {} instead of {wanted:?}", body[field]);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/amaranthwick/dev/checks.rs
@@ -0,0 +1,245 @@
+//! What the smoke test checks.
+
+use std::time::{Duration, Instant};
+
+use amaranthwick::dev::Fleet;
+use amaranthwick::document::{Access, example, withdraw_key};
+use amaranthwick::finding::Findings;
+use amaranthwick::id::{KeyId, QueueId, Revision, TeamId};
+use amaranthwick::ledger::{Refusal, Verdict};
+use anyhow::{Context, Result, bail, ensure};
+use async_io::Timer;
+use serde_json::json;
+
+use super::caller::{Caller, expect_body, expect_field, expect_status};
+use super::find_queue;
+
+/// Time for a job to end, or an edit to reach every entry, in ms.
+const WAIT_LIMIT_MS: u64 = 10_000;
+
+/// Time between two looks, in ms.
+const WAIT_POLL_MS: u64 = 20;
+
+const JOB: &str = "smoke-job";
+const HANGING_JOB: &str = "smoke-hanging-job";
+
+/// A fleet and what is asked of it.
+pub(super) struct Checks<'a> {
+    fleet: &'a Fleet,
+    text: &'a str,
+    team: TeamId,
+    queue: QueueId,
+    open_queue: QueueId,
+}
+
+impl<'a> Checks<'a> {
+    /// Picks an open queue, and a queue of a team's own with that team's key.
+    pub(super) fn open(fleet: &'a Fleet, text: &'a str) -> Result<Self> {
+        let document = fleet.document();
+        let (team, queue) =
+            find_queue(document, Access::Own).context("no queue of a team's own")?;
+        let (_, open_queue) = find_queue(document, Access::Open).context("no open queue")?;
+        Ok(Self {
+            fleet,
+            text,
+            team,
+            queue,
+            open_queue,
+        })
+    }
+
+    /// A queue that is open to all takes a request without a key.
+    pub(super) async fn open_queue(&self) -> Result<()> {
+        let caller = Caller::open(self.fleet.entries()[0].callers());
+        let path = format!("/q/{}/smoke", self.open_queue);
+        let reply = caller.send("POST", &path, &[], "open").await?;
+        expect_status(&reply, 200)?;
+        expect_body(&reply, "open")
+    }
+
+    /// A team's own queue takes a request with the team's key.
+    pub(super) async fn keyed_queue(&self) -> Result<()> {
+        self.answered(&[], "keyed").await
+    }
+
+    /// The same through every entry, whether it owns the queue or forwards.
+    pub(super) async fn every_entry(&self) -> Result<()> {
+        for entry in self.fleet.entries() {
+            let caller = Caller::keyed(entry.callers(), self.secret());
+            let reply = caller.send("POST", &self.path(), &[], "each").await?;
+            expect_status(&reply, 200).with_context(|| format!("entry {}", entry.id()))?;
+            expect_body(&reply, "each")?;
+        }
+        Ok(())
+    }
+
+    /// An urgent request.
+    pub(super) async fn urgent(&self) -> Result<()> {
+        self.answered(&[("priority", "u=0")], "urgent").await
+    }
+
+    /// A request with a deadline that can be met.
+    pub(super) async fn deadline(&self) -> Result<()> {
+        self.answered(&[("prefer", "wait=5")], "in time").await
+    }
+
+    /// A deadline that has passed already is refused as not run.
+    pub(super) async fn late_deadline(&self) -> Result<()> {
+        let headers = [("prefer", "wait=0")];
+        let reply = self
+            .caller()
+            .send("POST", &self.path(), &headers, "late")
+            .await?;
+        expect_status(&reply, 503)?;
+        expect_field(&reply, "outcome", "not_run")
+    }
+
+    /// A job is taken.
+    pub(super) async fn submit_job(&self) -> Result<()> {
+        self.submit(JOB, "echo:20").await
+    }
+
+    /// A job ends with its output.
+    pub(super) async fn get_job(&self) -> Result<()> {
+        let path = format!("/jobs/{JOB}");
+        let wait = Wait::start();
+        loop {
+            let reply = self.caller().send("GET", &path, &[], "").await?;
+            expect_status(&reply, 200)?;
+            match expect_field(&reply, "state", "done") {
+                Ok(()) => return expect_field(&reply, "output", "input"),
+                Err(error) => wait.again(error).await?,
+            }
+        }
+    }
+
+    /// A job that would never end is cancelled.
+    pub(super) async fn delete_job(&self) -> Result<()> {
+        self.submit(HANGING_JOB, "hang").await?;
+        let path = format!("/jobs/{HANGING_JOB}");
+        let reply = self.caller().send("DELETE", &path, &[], "").await?;
+        expect_status(&reply, 200)?;
+        expect_field(&reply, "state", "cancelled")
+    }
+
+    /// A key that nobody granted is refused as not run.
+    pub(super) async fn refused_key(&self) -> Result<()> {
+        let caller = Caller::keyed(self.fleet.entries()[0].callers(), [1; 32]);
+        let reply = caller.send("POST", &self.path(), &[], "").await?;
+        expect_status(&reply, 401)?;
+        expect_field(&reply, "outcome", "not_run")
+    }
+
+    /// A queue that is not in the document is refused as not run.
+    pub(super) async fn unknown_queue(&self) -> Result<()> {
+        let reply = self
+            .caller()
+            .send("POST", "/q/nowhere/smoke", &[], "")
+            .await?;
+        expect_status(&reply, 404)?;
+        expect_field(&reply, "outcome", "not_run")
+    }
+
+    /// A broken document is refused with its findings.
+    pub(super) async fn bad_document(&self) -> Result<()> {
+        let broken = self
+            .text
+            .replace("\"access\": \"own\"", "\"access\": \"nobody\"");
+        match self.publish(&broken).await? {
+            Verdict::Refused(_, Refusal::Invalid(Findings(findings))) => {
+                ensure!(!findings.is_empty(), "refused without findings");
+                Ok(())
+            }
+            verdict => bail!("verdict {verdict:?}"),
+        }
+    }
+
+    /// An edit that withdraws the team's keys is in force at every entry.
+    pub(super) async fn edited_document(&self) -> Result<()> {
+        let edited = self.without_keys()?;
+        let verdict = self.publish(&edited).await?;
+        ensure!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+        let wait = Wait::start();
+        for entry in self.fleet.entries() {
+            let caller = Caller::keyed(entry.callers(), self.secret());
+            loop {
+                let reply = caller.send("POST", &self.path(), &[], "").await?;
+                match expect_status(&reply, 401) {
+                    Ok(()) => break,
+                    Err(error) => wait.again(error).await?,
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn without_keys(&self) -> Result<String> {
+        let section = &self.fleet.document().teams[&self.team];
+        let keys: Vec<KeyId> = section.keys.keys().cloned().collect();
+        let mut text = self.text.to_owned();
+        for key in &keys {
+            text = withdraw_key("document", &text, &self.team, key)?;
+        }
+        Ok(text)
+    }
+
+    async fn publish(&self, text: &str) -> Result<Verdict> {
+        let operator = format!("{}-ops", self.team);
+        let publisher = self.fleet.publisher();
+        publisher
+            .publish(self.team.as_str(), &operator, Revision(1), text)
+            .await
+    }
+
+    async fn submit(&self, id: &str, task: &str) -> Result<()> {
+        let order = json!({
+            "id": id, "task": task, "input": "input", "cores": 1, "memory_mb": 64,
+        });
+        let body = order.to_string();
+        let reply = self.caller().send("POST", "/jobs", &[], &body).await?;
+        expect_status(&reply, 202)
+    }
+
+    async fn answered(&self, headers: &[(&str, &str)], body: &str) -> Result<()> {
+        let reply = self
+            .caller()
+            .send("POST", &self.path(), headers, body)
+            .await?;
+        expect_status(&reply, 200)?;
+        expect_body(&reply, body)
+    }
+
+    fn caller(&self) -> Caller {
+        Caller::keyed(self.fleet.entries()[0].callers(), self.secret())
+    }
+
+    fn secret(&self) -> [u8; 32] {
+        example::secret(self.team.as_str())
+    }
+
+    fn path(&self) -> String {
+        format!("/q/{}/smoke", self.queue)
+    }
+}
+
+/// Bounded wait for something that takes effect later.
+struct Wait {
+    deadline: Instant,
+}
+
+impl Wait {
+    fn start() -> Self {
+        Self {
+            deadline: Instant::now() + Duration::from_millis(WAIT_LIMIT_MS),
+        }
+    }
+
+    /// Pauses before another look; past the limit, fails with the last `error`.
+    async fn again(&self, error: anyhow::Error) -> Result<()> {
+        if Instant::now() >= self.deadline {
+            return Err(error);
+        }
+        Timer::after(Duration::from_millis(WAIT_POLL_MS)).await;
+        Ok(())
+    }
+}
--- a/src/bin/amaranthwick/main.rs
+++ b/src/bin/amaranthwick/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod args;
 mod check;
+mod dev;
 mod diff;
 mod exit;
 mod key;
@@ -29,6 +30,7 @@
         AmaranthwickCmd::Publish(args) => publish::run(args).map(Exit::into),
         AmaranthwickCmd::Diff(args) => diff::run(&args.base, &args.mine, &args.current),
         AmaranthwickCmd::Key(args) => run_key(args),
+        AmaranthwickCmd::Dev(args) => dev::run(&args).map(Exit::into),
         AmaranthwickCmd::State(args) => state::run(args.address).map(Exit::into),
     }
 }
--- /dev/null
+++ b/src/dev/fleet.rs
@@ -0,0 +1,140 @@
+//! The fleet: stand-ins, entries in every data centre and a planner.
+
+use std::time::{Duration, Instant};
+
+use amaranthwick_standins as standins;
+use anyhow::{Context, Result, bail};
+use async_io::Timer;
+
+use super::fleet_spec;
+use super::process::{EntryProcess, PlannerProcess, Site};
+use super::publish::Publisher;
+use crate::document::{self, Document};
+use crate::runtime::Runtime;
+use crate::view::View;
+
+/// Threads that carry the traffic of all entries.
+const THREADS: usize = 2;
+
+/// Entries in each data centre; one owns a queue and the other forwards to it.
+const ENTRIES: usize = 2;
+
+/// Time for the fleet to fill its pools, in ms; it takes about one second.
+const FILL_TIMEOUT_MS: u64 = 30_000;
+
+/// Time between two looks at the pools, in ms.
+const FILL_POLL_MS: u64 = 20;
+
+/// A running fleet; it ends when dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    entries: Vec<EntryProcess>,
+    planner: PlannerProcess,
+    document: Document,
+    publisher: Publisher,
+    standins: standins::Fleet,
+    _runtime: Runtime,
+}
+
+impl Fleet {
+    /// Starts a fleet and publishes `text`, a whole document under the example keys.
+    ///
+    /// # Errors
+    /// Fails on a document with findings, when threads or sockets are refused,
+    /// and when the pools are not filled in time.
+    pub async fn open(file: &str, text: &str) -> Result<Self> {
+        let document = document::parse(file, text)?;
+        let standins = standins::Fleet::open(&fleet_spec(&document))?;
+        let runtime = Runtime::open(THREADS)?;
+        let site = Site {
+            standins: &standins,
+            runtime: &runtime,
+        };
+        let entries = open_entries(&document, &site).await?;
+        let first = document.fleet.data_centres.keys().next();
+        let first = first.context("the document has no data centre")?;
+        let planner = site.planner("planner-1", first)?;
+        let publisher = Publisher::new(planner.control().clone());
+        publisher.publish_all(&document, text).await?;
+        let fleet = Self {
+            entries,
+            planner,
+            document,
+            publisher,
+            standins,
+            _runtime: runtime,
+        };
+        fleet.wait_filled().await?;
+        Ok(fleet)
+    }
+
+    /// Entries, data centre by data centre.
+    #[must_use]
+    pub fn entries(&self) -> &[EntryProcess] {
+        &self.entries
+    }
+
+    /// The planner.
+    #[must_use]
+    pub const fn planner(&self) -> &PlannerProcess {
+        &self.planner
+    }
+
+    /// The document that was published first.
+    #[must_use]
+    pub const fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// Publishes edits under the example keys.
+    #[must_use]
+    pub const fn publisher(&self) -> &Publisher {
+        &self.publisher
+    }
+
+    /// The platform's stand-ins.
+    #[must_use]
+    pub const fn standins(&self) -> &standins::Fleet {
+        &self.standins
+    }
+
+    async fn wait_filled(&self) -> Result<()> {
+        let deadline = Instant::now() + Duration::from_millis(FILL_TIMEOUT_MS);
+        while !self.is_filled() {
+            if Instant::now() >= deadline {
+                bail!("the pools were not filled within {FILL_TIMEOUT_MS} ms");
+            }
+            Timer::after(Duration::from_millis(FILL_POLL_MS)).await;
+        }
+        Ok(())
+    }
+
+    /// True when every entry sees all members and the targets of all pools.
+    fn is_filled(&self) -> bool {
+        self.entries.iter().all(|entry| {
+            let view = entry.control().view();
+            view.members.len() == self.entries.len() && has_targets(&view, &self.document)
+        })
+    }
+}
+
+async fn open_entries(document: &Document, site: &Site<'_>) -> Result<Vec<EntryProcess>> {
+    let mut entries = Vec::new();
+    for data_centre in document.fleet.data_centres.keys() {
+        for i in 1..=ENTRIES {
+            let id = format!("{data_centre}-entry-{i}");
+            entries.push(site.entry(&id, data_centre).await?);
+        }
+    }
+    Ok(entries)
+}
+
+fn has_targets(view: &View, document: &Document) -> bool {
+    let pools = document.teams.values().flat_map(|team| &team.pools);
+    let mut serving = pools.filter(|(_, spec)| spec.service.is_some());
+    serving.all(|(id, spec)| {
+        let wanted: u32 = spec.vms.values().sum();
+        let targets = view.targets.get(id).map_or(0, Vec::len);
+        targets >= wanted as usize
+    })
+}
--- a/src/dev/mod.rs
+++ b/src/dev/mod.rs
@@ -1,5 +1,12 @@
-//! A small fleet with stand-ins for the platform, for trials and tests.
+//! A small fleet with stand-ins for the platform in one process, for trials
+//! and tests.
 
+mod fleet;
+mod process;
+mod publish;
 mod spec;
 
+pub use fleet::Fleet;
+pub use process::{EntryProcess, PlannerProcess};
+pub use publish::Publisher;
 pub use spec::fleet_spec;
--- /dev/null
+++ b/src/dev/process.rs
@@ -0,0 +1,194 @@
+//! Daemons of the fleet, run inside this process.
+
+use std::net::SocketAddr;
+
+use amaranthwick_standins as standins;
+use anyhow::{Context, Result};
+use serde_json::{Value, json};
+
+use crate::config::{Common, EntryConfig, PlannerConfig, Platform};
+use crate::control::{self, Control};
+use crate::document::example;
+use crate::entry::Entry;
+use crate::http::Server;
+use crate::id::{DataCentre, MemberId};
+use crate::membership::SilentPeers;
+use crate::peer::Client;
+use crate::planner::{self, Planner};
+use crate::platform::{LogClient, VmsClient, WorkersClient};
+use crate::runtime::Runtime;
+use crate::secret::FleetSecret;
+use crate::telemetry::{Admin, Dump, Metrics, Process};
+
+const MAX_CALLERS: usize = 1_000;
+const MAX_BODY_BYTES: usize = 1 << 20;
+const STALE_MS: u64 = 5_000;
+const LEASE_MS: u64 = 2_000;
+const SNAPSHOT_RECORDS: u64 = 1_000;
+
+/// What all daemons of the fleet share.
+#[derive(Clone, Copy)]
+pub(super) struct Site<'a> {
+    pub(super) standins: &'a standins::Fleet,
+    pub(super) runtime: &'a Runtime,
+}
+
+/// An entry of the fleet.
+#[derive(Debug)]
+pub struct EntryProcess {
+    id: MemberId,
+    entry: Entry,
+    control: Control,
+    admin: Server,
+}
+
+/// A planner of the fleet.
+#[derive(Debug)]
+pub struct PlannerProcess {
+    control: Control,
+    admin: Server,
+    _planner: Planner,
+}
+
+impl Site<'_> {
+    pub(super) async fn entry(&self, id: &str, data_centre: &DataCentre) -> Result<EntryProcess> {
+        let config = EntryConfig {
+            common: self.common(id, data_centre),
+            callers: loopback(),
+            threads: 0,
+            max_callers: MAX_CALLERS,
+            max_body: MAX_BODY_BYTES,
+            stale_ms: STALE_MS,
+            drain_ms: 0,
+        };
+        let common = &config.common;
+        let peers = Client::new(common.secret.clone());
+        let control = control::spawn(common, log(common), vms(common), peers)?;
+        let entry = Entry::open_on(&config, control.clone(), self.runtime)?;
+        control.register(entry.peers()).await;
+        let admin = self.admin("amaranthwick-entry", common, &control, entry.state())?;
+        Ok(EntryProcess {
+            id: common.id.clone(),
+            entry,
+            control,
+            admin,
+        })
+    }
+
+    pub(super) fn planner(&self, id: &str, data_centre: &DataCentre) -> Result<PlannerProcess> {
+        let config = PlannerConfig {
+            common: self.common(id, data_centre),
+            lease_ms: LEASE_MS,
+            snapshot_every: SNAPSHOT_RECORDS,
+        };
+        let common = &config.common;
+        let peers = SilentPeers(Client::new(common.secret.clone()));
+        let control = control::spawn(common, log(common), vms(common), peers)?;
+        let workers = WorkersClient::new(common.platform.workers, data_centre);
+        let planner = planner::spawn(&config, control.clone(), workers, self.runtime);
+        let admin = self.admin("amaranthwick-planner", common, &control, Nothing)?;
+        Ok(PlannerProcess {
+            control,
+            admin,
+            _planner: planner,
+        })
+    }
+
+    fn admin(
+        &self,
+        program: &'static str,
+        common: &Common,
+        control: &Control,
+        dump: impl Dump,
+    ) -> Result<Server> {
+        let process = Process::new(program, common);
+        let control = control.clone();
+        Admin::bind(
+            common.admin,
+            self.runtime,
+            process,
+            control,
+            Metrics::open(),
+            dump,
+        )
+        .context("listen on an admin address")
+    }
+
+    fn common(&self, id: &str, data_centre: &DataCentre) -> Common {
+        Common {
+            id: MemberId::new(id),
+            data_centre: data_centre.clone(),
+            peer: loopback(),
+            admin: loopback(),
+            platform: Platform {
+                log: self.standins.log_address(),
+                vms: self.standins.vms_address(),
+                pools: self.standins.pools_address(),
+                workers: self.standins.workers_address(),
+            },
+            secret: FleetSecret::new(example::fleet_secret()),
+            root_key: example::operator("root").public(),
+        }
+    }
+}
+
+impl EntryProcess {
+    /// Its name.
+    #[must_use]
+    pub const fn id(&self) -> &MemberId {
+        &self.id
+    }
+
+    /// Address for callers.
+    #[must_use]
+    pub const fn callers(&self) -> SocketAddr {
+        self.entry.callers()
+    }
+
+    /// Address for operators.
+    #[must_use]
+    pub const fn admin(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Its control thread.
+    #[must_use]
+    pub const fn control(&self) -> &Control {
+        &self.control
+    }
+}
+
+impl PlannerProcess {
+    /// Address for operators.
+    #[must_use]
+    pub const fn admin(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Its control thread.
+    #[must_use]
+    pub const fn control(&self) -> &Control {
+        &self.control
+    }
+}
+
+/// A planner keeps no state beyond what the control thread dumps.
+struct Nothing;
+
+impl Dump for Nothing {
+    async fn dump(&self) -> Value {
+        json!({})
+    }
+}
+
+fn log(common: &Common) -> LogClient {
+    LogClient::new(common.platform.log, &common.data_centre)
+}
+
+fn vms(common: &Common) -> VmsClient {
+    VmsClient::new(common.platform.vms, &common.data_centre)
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -35,9 +35,17 @@
 /// # Errors
 /// Fails when the variable names no level.
 pub fn open(stream: Stream) -> Result<()> {
+    open_with(stream, Level::Info)
+}
+
+/// The same with another level for when the variable is not set.
+///
+/// # Errors
+/// Fails when the variable names no level.
+pub fn open_with(stream: Stream, default: Level) -> Result<()> {
     let level = match env::var(LEVEL_VARIABLE) {
         Ok(name) => parse_level(&name)?,
-        Err(_) => Level::Info,
+        Err(_) => default,
     };
     let sink = StdStreamSink::builder().style_mode(StyleMode::Never);
     let sink = match stream {
