Script failures of real daemons as scenarios

A runner on goldenscript starts the daemons as processes on stand-ins and brings failures about: edit racing edit, answer lost after the append, bad document, key withdrawn, log away, data centre cut off from the platform, entry and owner killed, owner and planner frozen, target leaving, executor frozen.

The document is published before the planner starts, because VMs are placed in the order in which sections come, and a planner that looks between two of them would place them otherwise.

--- /dev/null
+++ b/tests/scenarios/args.rs
@@ -0,0 +1,52 @@
+//! Reads the arguments of a command.
+
+use std::error::Error;
+use std::str::FromStr;
+
+use goldenscript::{ArgumentConsumer, Command};
+
+pub type Failure = Box<dyn Error>;
+
+/// Arguments of a command, consumed one by one.
+pub struct Args<'a>(ArgumentConsumer<'a>);
+
+impl<'a> Args<'a> {
+    pub fn new(command: &'a Command) -> Self {
+        Self(command.consume_args())
+    }
+
+    /// The next argument without a key.
+    pub fn next(&mut self, what: &str) -> Result<&'a str, Failure> {
+        let argument = self.0.next_pos();
+        argument
+            .map(|argument| argument.value.as_str())
+            .ok_or_else(|| format!("no {what} given").into())
+    }
+
+    /// All further arguments without a key.
+    pub fn rest(&mut self) -> Vec<&'a str> {
+        let rest = self.0.rest_pos();
+        rest.iter()
+            .map(|argument| argument.value.as_str())
+            .collect()
+    }
+
+    /// The argument `key=...`.
+    pub fn key(&mut self, key: &str) -> Option<&'a str> {
+        self.0.lookup(key).map(|argument| argument.value.as_str())
+    }
+
+    /// The argument `key=...` as a number.
+    pub fn number<T: FromStr>(&mut self, key: &str) -> Result<Option<T>, Failure>
+    where
+        T::Err: Error + 'static,
+    {
+        let text = self.key(key);
+        Ok(text.map(str::parse).transpose()?)
+    }
+
+    /// Fails if an argument was not understood.
+    pub fn end(&self) -> Result<(), Failure> {
+        self.0.reject_rest()
+    }
+}
--- /dev/null
+++ b/tests/scenarios/daemons/look.rs
@@ -0,0 +1,131 @@
+//! Looks at the daemons and the platform, and waits for what is to be seen there.
+
+use std::thread;
+use std::time::Duration;
+
+use amaranthwick::control::STREAM;
+use serde_json::Value;
+
+use super::Output;
+use super::site::Site;
+use crate::args::Args;
+use crate::support::caller::state;
+use crate::support::daemons::Daemon;
+use crate::support::wait::wait_until;
+
+/// Pool whose targets show that the planner has placed the VMs.
+const FIRST_POOL: &str = "headcount";
+
+impl Site {
+    /// Waits until every entry sees the others alive and the pools filled.
+    pub fn ready(&self) -> String {
+        let entries = self.daemons.values().filter(|d| d.callers.is_some());
+        let entries: Vec<_> = entries.collect();
+        for entry in &entries {
+            wait_until("a serving entry", || is_serving(entry, entries.len()));
+        }
+        String::new()
+    }
+
+    /// Waits until at least so many records were appended since `from`.
+    pub fn appended(&self, args: &mut Args) -> Output {
+        let wanted: u64 = args.next("number")?.parse()?;
+        let head = self.fleet.control().head(STREAM);
+        wait_until("appends", || {
+            self.fleet.control().head(STREAM) >= head + wanted
+        });
+        Ok(String::new())
+    }
+
+    /// Names the entries that have run requests of a pool.
+    pub fn owner(&self, args: &mut Args) -> Output {
+        let pool = args.next("pool")?;
+        let owns = |daemon: &&Daemon| {
+            let pools = &state(daemon.admin)["daemon"]["owner"]["pools"];
+            let mut pools = pools.as_array().into_iter().flatten();
+            pools.any(|owned| owned["pool"] == pool)
+        };
+        let entries = self.daemons.values().filter(|d| d.callers.is_some());
+        let running = entries.filter(|daemon| !daemon.process.is_frozen());
+        let owners = running.filter(owns).map(|daemon| daemon.id.as_str());
+        Ok(owners.collect::<Vec<_>>().join(" "))
+    }
+
+    /// Requests that executors have run, in all, of a team, or on one VM.
+    pub fn runs(&self, args: &mut Args) -> Output {
+        let (team, vm) = (args.key("team"), args.key("vm"));
+        let runs = || {
+            let counters = self.fleet.control().counters();
+            match (team, vm) {
+                (Some(team), _) => counters.teams.get(team).map_or(0, |team| team.runs),
+                (None, Some(vm)) => counters.executors.get(vm).map_or(0, |vm| vm.runs),
+                (None, None) => counters.runs,
+            }
+        };
+        if let Some(wanted) = args.number::<u64>("until")? {
+            wait_until("runs", || runs() >= wanted);
+        }
+        Ok(format!("runs={}", runs()))
+    }
+
+    /// Waits until an entry takes another for failed.
+    pub fn lost(&self, args: &mut Args) -> Output {
+        let entry = self.daemon(args.next("entry")?)?;
+        let other = args.next("other entry")?;
+        let lost = |member: &Value| member["id"] == other && member["alive"] == false;
+        wait_until("a lost member", || {
+            let members = &state(entry.admin)["view"]["members"];
+            members
+                .as_array()
+                .is_some_and(|members| members.iter().any(lost))
+        });
+        Ok(String::new())
+    }
+
+    /// Waits until an entry knows that a VM leaves.
+    pub fn leaving(&self, args: &mut Args) -> Output {
+        let entry = self.daemon(args.next("entry")?)?;
+        let vm = args.next("VM")?;
+        let leaves = |target: &Value| target["vm"] == vm && target["leaving"] == true;
+        wait_until("a leaving target", || {
+            let targets = &state(entry.admin)["view"]["targets"];
+            let pools = targets
+                .as_object()
+                .into_iter()
+                .flat_map(|pools| pools.values());
+            let mut all = pools.filter_map(Value::as_array).flatten();
+            all.any(leaves)
+        });
+        Ok(String::new())
+    }
+
+    /// Waits until a value in the state of a daemon is as given.
+    pub fn expect(&self, args: &mut Args) -> Output {
+        let daemon = self.daemon(args.next("name")?)?;
+        let pointer = format!("/{}", args.next("JSON pointer")?);
+        let wanted = args.next("value")?;
+        let seen = || {
+            let state = state(daemon.admin);
+            let value = state.pointer(&pointer).cloned().unwrap_or(Value::Null);
+            let text = value.as_str().map(str::to_owned);
+            text.unwrap_or_else(|| value.to_string())
+        };
+        wait_until(&format!("{pointer} {wanted}"), || seen() == wanted);
+        Ok(String::new())
+    }
+}
+
+/// Lets real time pass; for time limits that nothing shows the end of.
+pub fn pass(args: &mut Args) -> Output {
+    let ms: u64 = args.next("ms")?.parse()?;
+    thread::sleep(Duration::from_millis(ms));
+    Ok(String::new())
+}
+
+fn is_serving(entry: &Daemon, entries: usize) -> bool {
+    let view = &state(entry.admin)["view"];
+    let alive = |member: &&Value| member["alive"] == true;
+    let members = view["members"].as_array().into_iter().flatten();
+    let targets = view["targets"][FIRST_POOL].as_array();
+    members.filter(alive).count() == entries && targets.is_some_and(|t| !t.is_empty())
+}
--- /dev/null
+++ b/tests/scenarios/daemons/request.rs
@@ -0,0 +1,77 @@
+//! Sends callers' requests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use amaranthwick::http::{Limits, Reply, Request, SendError, send};
+use futures_lite::future::block_on;
+
+use super::background::Work;
+use super::site::Site;
+use crate::args::{Args, Failure};
+use crate::outcome;
+use crate::support::caller::{keyed, open, with, with_secret};
+use crate::support::wait::wait_until;
+
+impl Site {
+    pub fn request(&self, args: &mut Args) -> Result<Work, Failure> {
+        let entry = self.daemon(args.next("entry")?)?;
+        let address = entry.callers.ok_or("a planner has no callers")?;
+        let until = args.number("until")?;
+        let times = args.number("times")?.unwrap_or(1);
+        let request = request(args)?;
+        Ok(Box::new(move || {
+            if let Some(status) = until {
+                repeat_until(address, &request, status);
+            }
+            count((0..times).map(|_| outcome::describe(&try_ask(address, &request))))
+        }))
+    }
+}
+
+fn try_ask(address: SocketAddr, request: &Request) -> Result<Reply, SendError> {
+    block_on(send(address, request, &Limits::default()))
+}
+
+fn repeat_until(address: SocketAddr, request: &Request, status: u16) {
+    wait_until(&format!("status {status}"), || {
+        try_ask(address, request).is_ok_and(|reply| reply.status == status)
+    });
+}
+
+/// Each outcome once, with the number of times that it was seen.
+fn count(outcomes: impl Iterator<Item = String>) -> String {
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for outcome in outcomes {
+        *counts.entry(outcome).or_default() += 1;
+    }
+    let lines = counts.iter().map(|(outcome, &times)| match times {
+        1 => outcome.clone(),
+        _ => format!("{outcome} times={times}"),
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+fn request(args: &mut Args) -> Result<Request, Failure> {
+    let path = format!("/q/{}/scenario", args.next("queue")?);
+    let body = args.key("body").unwrap_or_default();
+    let method = args.key("method").unwrap_or("POST");
+    let mut request = match args.key("team") {
+        None => open(method, &path, body),
+        Some("nobody") => with_secret(method, &path, &[0xee; 32], body),
+        Some(team) => keyed(method, &path, team, body),
+    };
+    if let Some(ms) = args.key("run") {
+        request = with(request, "x-run-ms", ms);
+    }
+    if let Some(urgency) = args.key("urgency") {
+        request = with(request, "priority", &format!("u={urgency}"));
+    }
+    if let Some(seconds) = args.key("wait") {
+        request = with(request, "prefer", &format!("wait={seconds}"));
+    }
+    if let Some(key) = args.key("once") {
+        request = with(request, "idempotency-key", key);
+    }
+    Ok(request)
+}
--- /dev/null
+++ b/tests/scenarios/daemons/site.rs
@@ -0,0 +1,192 @@
+//! The platform, the daemons on it and the document that is being edited.
+
+use std::net::SocketAddr;
+
+use amaranthwick::dev::fleet_spec;
+use amaranthwick::document;
+use amaranthwick::id::{DataCentre, Generation, VmId};
+use amaranthwick::platform::{Pools, PoolsClient};
+use amaranthwick_standins::{Fault, Fleet, FleetSpec, SiteName};
+use futures_lite::future::block_on;
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+
+use super::Output;
+use super::background::Work;
+use crate::args::{Args, Failure};
+use crate::outcome;
+use crate::support::NERETVA;
+use crate::support::caller::state;
+use crate::support::daemons::{Daemon, Starter};
+use crate::support::operator::Operator;
+
+const DATA_CENTRE: &str = "ploce";
+
+/// One platform with its daemons.
+pub struct Site {
+    pub(super) daemons: IndexMap<String, Daemon>,
+    document: String,
+    starter: Starter,
+    pub(super) fleet: Fleet,
+}
+
+impl Site {
+    pub fn open() -> Self {
+        let parsed = document::parse("neretva.jsonc", NERETVA).expect("valid");
+        let spec = FleetSpec {
+            list_lag_ms: 50,
+            ..fleet_spec(&parsed)
+        };
+        let fleet = Fleet::open(&spec).expect("stand-ins");
+        Self {
+            daemons: IndexMap::new(),
+            document: NERETVA.to_owned(),
+            starter: Starter::new(&fleet),
+            fleet,
+        }
+    }
+
+    pub fn start(&mut self, args: &mut Args) -> Output {
+        let kind = args.next("kind")?;
+        let name = args.next("name")?;
+        let data_centre = args.key("in").unwrap_or(DATA_CENTRE);
+        let daemon = match kind {
+            "entry" => self.starter.entry(name, data_centre),
+            "planner" => self.starter.planner(name, data_centre),
+            _ => return Err(format!("no kind {kind}").into()),
+        };
+        self.daemons.insert(name.to_owned(), daemon);
+        Ok(String::new())
+    }
+
+    pub fn kill(&mut self, args: &mut Args) -> Output {
+        let name = args.next("name")?;
+        self.daemon(name)?;
+        self.daemons.shift_remove(name);
+        Ok(String::new())
+    }
+
+    pub fn stop(&mut self, args: &mut Args) -> Output {
+        let name = args.next("name")?;
+        let daemon = self.daemons.get_mut(name).ok_or("no such daemon")?;
+        let code = daemon.process.stop().unwrap_or(-1);
+        self.daemons.shift_remove(name);
+        Ok(format!("exit={code}"))
+    }
+
+    pub fn freeze(&mut self, args: &mut Args) -> Output {
+        self.daemon(args.next("name")?)?.process.freeze();
+        Ok(String::new())
+    }
+
+    pub fn thaw(&mut self, args: &mut Args) -> Output {
+        self.daemon(args.next("name")?)?.process.thaw();
+        Ok(String::new())
+    }
+
+    pub fn publish_all(&self) -> String {
+        self.operator().publish_all(&self.document);
+        String::new()
+    }
+
+    pub fn change(&mut self, args: &mut Args) -> Output {
+        let from = args.next("old text")?;
+        let to = args.next("new text")?;
+        let found = self.document.matches(from).count();
+        if found != 1 {
+            return Err(format!("{from:?} is {found} times in the document").into());
+        }
+        self.document = self.document.replace(from, to);
+        Ok(String::new())
+    }
+
+    pub fn publish(&self, args: &mut Args) -> Result<Work, Failure> {
+        let section = args.next("section")?.to_owned();
+        let by = args.key("by").ok_or("no by=OPERATOR given")?.to_owned();
+        let base = args.key("base").map(str::to_owned);
+        let operator = self.operator();
+        let text = self.document.clone();
+        Ok(Box::new(move || {
+            let mut more = Vec::new();
+            if let Some(base) = &base {
+                more.extend(["--base", base]);
+            }
+            outcome::command(&operator.publish(&by, &section, &text, &more))
+        }))
+    }
+
+    pub fn fault(&self, args: &mut Args) -> Output {
+        let sites = self.sites(args)?;
+        let mut fault = json!({ "kind": args.next("kind of fault")? });
+        for field in ["ms", "count"] {
+            if let Some(number) = args.number::<u64>(field)? {
+                fault[field] = Value::from(number);
+            }
+        }
+        let fault: Fault = serde_json::from_value(fault)?;
+        for site in sites {
+            self.fleet.control().set(&site, &fault)?;
+        }
+        Ok(String::new())
+    }
+
+    pub fn clear(&self, args: &mut Args) -> Output {
+        for site in self.sites(args)? {
+            self.fleet.control().clear(&site)?;
+        }
+        Ok(String::new())
+    }
+
+    pub fn cut(&self, args: &mut Args) -> Output {
+        let (a, b) = (args.next("place")?, args.next("place")?);
+        self.fleet.control().cut(a, b);
+        Ok(String::new())
+    }
+
+    pub fn heal(&self, args: &mut Args) -> Output {
+        let (a, b) = (args.next("place")?, args.next("place")?);
+        self.fleet.control().heal(a, b);
+        Ok(String::new())
+    }
+
+    /// Lets the platform drain a VM, as for maintenance of its own.
+    pub fn drain(&self, args: &mut Args) -> Output {
+        let vm = VmId::new(args.next("VM")?);
+        let data_centre = DataCentre::new(DATA_CENTRE);
+        let pools = PoolsClient::new(self.fleet.pools_address(), &data_centre);
+        block_on(pools.drain(&vm, Generation(0)))?;
+        Ok(String::new())
+    }
+
+    fn operator(&self) -> Operator {
+        let admins: Vec<SocketAddr> = self.daemons.values().map(|d| d.admin).collect();
+        Operator::new(self.fleet.log_address(), &admins)
+    }
+
+    pub(super) fn daemon(&self, name: &str) -> Result<&Daemon, Failure> {
+        let daemon = self.daemons.get(name);
+        daemon.ok_or_else(|| format!("no daemon {name}").into())
+    }
+
+    /// A service by its name, one VM, or the targets of a pool in a data centre.
+    fn sites(&self, args: &mut Args) -> Result<Vec<SiteName>, Failure> {
+        if let Some(vm) = args.key("vm") {
+            return Ok(vec![SiteName::Executor(vm.to_owned())]);
+        }
+        if let Some(pool) = args.key("pool") {
+            let data_centre = args.key("in").unwrap_or(DATA_CENTRE);
+            return self.targets(pool, data_centre);
+        }
+        Ok(vec![args.next("service")?.parse()?])
+    }
+
+    fn targets(&self, pool: &str, data_centre: &str) -> Result<Vec<SiteName>, Failure> {
+        let daemon = self.daemons.values().next().ok_or("no daemon")?;
+        let state = state(daemon.admin);
+        let targets = state["view"]["targets"][pool].as_array().cloned();
+        let targets = targets.ok_or("no such pool")?;
+        let own = targets.iter().filter(|t| t["data_centre"] == data_centre);
+        let vms = own.filter_map(|target| target["vm"].as_str());
+        Ok(vms.map(|vm| SiteName::Executor(vm.to_owned())).collect())
+    }
+}
--- /dev/null
+++ b/tests/scenarios/outcome.rs
@@ -0,0 +1,39 @@
+//! Results of requests and commands in words that are the same every run.
+
+use amaranthwick::http::{Reply, SendError};
+
+use crate::support::caller::{json, text};
+use crate::support::operator::Ended;
+
+/// Status and outcome of a request.
+pub fn describe(result: &Result<Reply, SendError>) -> String {
+    match result {
+        Ok(reply) => match json(reply)["outcome"].as_str() {
+            Some(outcome) => format!("{} {outcome}", reply.status),
+            None => format!("{} answered {:?}", reply.status, text(reply)),
+        },
+        Err(SendError::NotSent(_)) => "not sent".to_owned(),
+        Err(SendError::Sent(_)) => "cut".to_owned(),
+    }
+}
+
+/// What the command printed, without offsets and record ids.
+pub fn command(ended: &Ended) -> String {
+    let lines = ended.out.lines().map(without_offset);
+    let mut words: Vec<String> = lines.collect();
+    if words.is_empty() {
+        words.push("no verdict".to_owned());
+    }
+    words.push(format!("exit={}", ended.code.unwrap_or(-1)));
+    words.join("\n")
+}
+
+fn without_offset(line: &str) -> String {
+    let words = line.split(' ').filter(|word| !word.starts_with("offset="));
+    let line: Vec<_> = words.collect();
+    let line = line.join(" ");
+    match line.find("document.jsonc:") {
+        Some(start) => line[start..].to_owned(),
+        None => line,
+    }
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Instant;
@@ -15,6 +16,7 @@
 pub struct Process {
     child: Child,
     log: Arc<Log>,
+    frozen: AtomicBool,
 }
 
 /// Lines that a daemon has written to its standard output.
@@ -40,7 +42,11 @@
                 reader.push(line);
             }
         });
-        Self { child, log }
+        Self {
+            child,
+            log,
+            frozen: AtomicBool::new(false),
+        }
     }
 
     /// Waits for the address that the daemon listens on in `role`.
@@ -80,12 +86,19 @@
 
     /// Stops the process from running until [`Self::thaw`].
     pub fn freeze(&self) {
+        self.frozen.store(true, Ordering::Relaxed);
         self.signal("STOP");
     }
 
     /// Lets a frozen process run on.
     pub fn thaw(&self) {
         self.signal("CONT");
+        self.frozen.store(false, Ordering::Relaxed);
+    }
+
+    /// True between [`Self::freeze`] and [`Self::thaw`].
+    pub fn is_frozen(&self) -> bool {
+        self.frozen.load(Ordering::Relaxed)
     }
 
     /// Asks the process to end and waits for it; returns its exit code.
