--- a/src/bin/amaranthwick-entry.rs
+++ b/src/bin/amaranthwick-entry.rs
@@ -1,7 +1,5 @@
 //! Serves callers: queues their requests and sends them to targets.
 
-use std::net::SocketAddr;
-
 use amaranthwick::config::{Common, EntryConfig};
 use amaranthwick::control::{self, Control};
 use amaranthwick::entry::Entry;
@@ -43,7 +41,7 @@
     let control = open_control(&config.common)?;
     let entry = Entry::open_on(config, control.clone(), &runtime)?;
     control.register(entry.peers()).await;
-    let admin = Admin::bind(
+    let _admin = Admin::bind(
         config.common.admin,
         &runtime,
         Process::new(env!("CARGO_BIN_NAME"), &config.common),
@@ -52,9 +50,8 @@
         entry.state(),
     )
     .context("listen on the admin address")?;
-    announce("callers", entry.callers());
-    announce("peers", entry.peers());
-    announce("admin", admin.address());
+    log::listening("callers", entry.callers());
+    log::listening("peers", entry.peers());
     signals.next().await;
     entry.stop().await;
     Ok(())
@@ -66,7 +63,3 @@
     let vms = VmsClient::new(platform.vms, &common.data_centre);
     control::spawn(common, log, vms, Client::new(common.secret.clone()))
 }
-
-fn announce(role: &str, address: SocketAddr) {
-    spdlog::info!("listening", kv: { role, address:? });
-}
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -1,47 +1,91 @@
-//! Heartbeats on their way to other processes.
+//! What the control thread asks of other processes.
 
 use std::net::SocketAddr;
 
 use crate::http::Limits;
 use crate::peer::{Client, Heartbeat, PeerReply, PeerRequest};
 
-/// Time to connect and time to answer, in ms; a heartbeat that takes longer is lost.
-const BEAT_LIMIT_MS: u64 = 1_000;
-
-/// Largest answer to a heartbeat, in bytes.
-const MAX_BEAT_BYTES: usize = 4 << 10;
-
-/// Sends heartbeats.
+/// Asks other processes.
 pub trait Peers: Send + Sync + 'static {
+    /// False when no heartbeats are exchanged, so that silence means nothing.
+    fn beats(&self) -> bool;
+
     /// Sends a heartbeat; the answer is the receiver's own, `None` when there is none.
     fn beat(
         &self,
         to: SocketAddr,
-        heartbeat: &Heartbeat,
+        heartbeat: Heartbeat,
     ) -> impl Future<Output = Option<Heartbeat>> + Send;
+
+    /// Fetches the receiver's folded state as a sealed snapshot.
+    fn state(&self, of: SocketAddr) -> impl Future<Output = Option<Vec<u8>>> + Send;
 }
 
-/// For a process that sends no heartbeats; it takes every member for alive.
+/// For a process that talks to no other; it takes every member for alive.
 #[derive(Clone, Copy, Debug)]
 pub struct NoPeers;
 
 impl Peers for NoPeers {
-    async fn beat(&self, _to: SocketAddr, _heartbeat: &Heartbeat) -> Option<Heartbeat> {
+    fn beats(&self) -> bool {
+        false
+    }
+
+    async fn beat(&self, _to: SocketAddr, _heartbeat: Heartbeat) -> Option<Heartbeat> {
+        None
+    }
+
+    async fn state(&self, _of: SocketAddr) -> Option<Vec<u8>> {
         None
     }
 }
 
+const BEAT_LIMITS: Limits = Limits {
+    connect_ms: 500,
+    answer_ms: 900,
+    max_body: 64 << 10,
+};
+
+const STATE_LIMITS: Limits = Limits {
+    connect_ms: 500,
+    answer_ms: 10_000,
+    max_body: 64 << 20,
+};
+
 impl Peers for Client {
-    async fn beat(&self, to: SocketAddr, heartbeat: &Heartbeat) -> Option<Heartbeat> {
-        let limits = Limits {
-            connect_ms: BEAT_LIMIT_MS,
-            answer_ms: BEAT_LIMIT_MS,
-            max_body: MAX_BEAT_BYTES,
-        };
-        let message = PeerRequest::Heartbeat(heartbeat.clone());
-        match self.ask(to, &message, &limits).await {
-            Ok(PeerReply::Heartbeat(own)) => Some(own),
+    fn beats(&self) -> bool {
+        true
+    }
+
+    async fn beat(&self, to: SocketAddr, heartbeat: Heartbeat) -> Option<Heartbeat> {
+        let message = PeerRequest::Heartbeat(heartbeat);
+        match self.ask(to, &message, &BEAT_LIMITS).await {
+            Ok(PeerReply::Heartbeat(answer)) => Some(answer),
             _ => None,
         }
     }
+
+    async fn state(&self, of: SocketAddr) -> Option<Vec<u8>> {
+        match self.ask(of, &PeerRequest::State, &STATE_LIMITS).await {
+            Ok(PeerReply::State(bytes)) => Some(bytes),
+            _ => None,
+        }
+    }
+}
+
+/// For a process that is no member: it fetches states and sends no heartbeats.
+#[derive(Debug)]
+pub struct SilentPeers(pub Client);
+
+impl Peers for SilentPeers {
+    fn beats(&self) -> bool {
+        false
+    }
+
+    async fn beat(&self, _to: SocketAddr, _heartbeat: Heartbeat) -> Option<Heartbeat> {
+        None
+    }
+
+    async fn state(&self, of: SocketAddr) -> Option<Vec<u8>> {
+        self.0.state(of).await
+    }
 }
--- a/tests/entry_daemon.rs
+++ b/tests/entry_daemon.rs
@@ -8,6 +8,8 @@
     pub(crate) mod pairs;
     #[path = "../support/process.rs"]
     pub(crate) mod process;
+    #[path = "../support/wait.rs"]
+    pub(crate) mod wait;
 }
 
 use std::fs;
