Bound what a faulty section costs the fold

Every process validates each published section.

The text of a section is limited to 256 KB, and a refusal in the fold carries the first 100 findings, since each process keeps it in memory; `check` still shows all.

--- a/benches/document.rs
+++ b/benches/document.rs
@@ -12,6 +12,8 @@
 const WHOLE_RUNS: u32 = 50;
 const EDITS: usize = 2_000;
 const BURST: usize = 200;
+const FAULTY_POOLS: usize = 5_000;
+const FAULTY_RUNS: u32 = 5;
 const SIZES: [Size; 3] = [
     Size {
         teams: 6,
@@ -31,6 +33,7 @@
         whole(size);
         edits(size);
     }
+    faulty();
     signatures();
 }
 
@@ -81,6 +84,32 @@
     );
 }
 
+/// A section with a fault in every pool; the fold must refuse it quickly too.
+fn faulty() {
+    let size = Size::TARGET;
+    let mut text = example::team(size, size.teams - 1, 1);
+    let mut pools = String::from("\"pools\": {");
+    for i in 0..FAULTY_POOLS {
+        pools.push_str("\n\"p");
+        pools.push_str(&i.to_string());
+        pools.push_str("\": { \"class\": \"none\", \"vms\": {} },");
+    }
+    pools.push_str("},\n\"keys\"");
+    text = text.replace("\"keys\"", &pools);
+    let mut sections = example::sections(size);
+    let id = SectionId::new(&format!("team-{}", size.teams - 1));
+    let mut cache = SectionCache::default();
+    cache.assemble(&sections).expect("valid");
+    sections.insert(id, Arc::from(text));
+    let refused = mean(FAULTY_RUNS, || {
+        assert!(cache.assemble(&sections).is_err());
+    });
+    println!(
+        "case=faulty faults={FAULTY_POOLS} refused_us={}",
+        refused.as_micros()
+    );
+}
+
 fn signatures() {
     let key: OperatorKey = example::operator("team-0-ops");
     let section = SectionId::new("team-0");
--- a/src/document/cache.rs
+++ b/src/document/cache.rs
@@ -5,12 +5,18 @@
 use indexmap::IndexMap;
 
 use super::check::{Parts, TeamPart, check};
-use super::section::{FLEET, missing_fleet};
+use super::section::{FLEET, START, missing_fleet};
 use super::{Document, Fleet, Team, decode};
 use crate::finding::{Finding, Findings};
 use crate::id::{SectionId, TeamId};
 use crate::jsonc::{self, Site};
 
+/// Longest text of a section, in bytes.
+pub const MAX_SECTION_BYTES: usize = 262_144; // bounds the time that a faulty edit takes in the fold
+
+// A refusal is kept in the memory of every process.
+const MAX_FINDINGS: usize = 100;
+
 /// Decoded sections of the last valid document.
 #[derive(Clone, Debug, Default)]
 pub struct SectionCache {
@@ -54,7 +60,7 @@
         let whole = findings.is_empty();
         findings.extend(join(sections, &fresh, whole));
         if !findings.is_empty() {
-            return Err(Findings(findings));
+            return Err(Findings(bounded(findings)));
         }
         let document = document(&fresh).ok_or_else(|| Findings(vec![missing_fleet(FLEET)]))?;
         self.sections = fresh;
@@ -68,6 +74,9 @@
             return Ok(cached.clone());
         }
         let file = id.as_str();
+        if text.len() > MAX_SECTION_BYTES {
+            return Err(Findings(vec![too_long(file, text.len())]));
+        }
         let value = if file == FLEET {
             Value::Fleet(Arc::new(jsonc::read(file, text, decode::fleet)?))
         } else {
@@ -79,6 +88,26 @@
     }
 }
 
+fn too_long(file: &str, bytes: usize) -> Finding {
+    Finding {
+        file: file.to_owned(),
+        place: START,
+        message: format!("section has {bytes} bytes, at most {MAX_SECTION_BYTES} are allowed"),
+    }
+}
+
+/// The first findings, and how many more there are.
+fn bounded(mut findings: Vec<Finding>) -> Vec<Finding> {
+    let more = findings.len().saturating_sub(MAX_FINDINGS);
+    findings.truncate(MAX_FINDINGS);
+    if let Some(last) = findings.last().filter(|_| more > 0) {
+        let message = format!("{more} more findings; `amaranthwick check` shows all");
+        let last = last.clone();
+        findings.push(Finding { message, ..last });
+    }
+    findings
+}
+
 /// Checks between sections; each section is a file of its own.
 fn join(
     sections: &IndexMap<SectionId, Arc<str>>,
--- a/src/document/check/budget.rs
+++ b/src/document/check/budget.rs
@@ -42,8 +42,8 @@
 }
 
 /// VMs and largest pool of each data centre.
-fn per_data_centre<'a>(parts: &'a Parts<'_>) -> IndexMap<&'a str, (u64, OwnedPool<'a>)> {
-    let mut counts: IndexMap<&str, (u64, OwnedPool<'_>)> = IndexMap::new();
+fn per_data_centre<'p, 't>(parts: &'p Parts<'t>) -> IndexMap<&'p str, (u64, OwnedPool<'p, 't>)> {
+    let mut counts: IndexMap<&str, (u64, OwnedPool<'_, '_>)> = IndexMap::new();
     for pool in parts.pools() {
         for (name, vms) in &pool.spec.vms {
             let (count, largest) = counts.entry(name.as_str()).or_insert((0, pool));
@@ -73,7 +73,7 @@
     findings.collect()
 }
 
-fn has_spare(parts: &Parts<'_>, pool: &OwnedPool<'_>) -> bool {
+fn has_spare(parts: &Parts<'_>, pool: &OwnedPool<'_, '_>) -> bool {
     parts
         .pools()
         .any(|other| other.spec.spare && other.spec.class == pool.spec.class && other.vms() > 0)
--- a/src/document/check/capacity.rs
+++ b/src/document/check/capacity.rs
@@ -35,7 +35,7 @@
 }
 
 /// Requests or cores that a pool runs at a time; a spare pool runs none.
-fn runs(parts: &Parts<'_>, pool: &OwnedPool<'_>) -> u64 {
+fn runs(parts: &Parts<'_>, pool: &OwnedPool<'_, '_>) -> u64 {
     let class = parts.fleet_value.classes.get(&pool.spec.class);
     let each = class.map_or(0, |class| match class.kind {
         Kind::Executor => class.slots,
@@ -47,14 +47,14 @@
     pool.vms() * u64::from(each)
 }
 
-fn class_kind(parts: &Parts<'_>, pool: &OwnedPool<'_>) -> Option<Kind> {
+fn class_kind(parts: &Parts<'_>, pool: &OwnedPool<'_, '_>) -> Option<Kind> {
     let class = parts.fleet_value.classes.get(&pool.spec.class);
     class.map(|class| class.kind)
 }
 
 /// The pools that run most, with their places.
 fn largest(parts: &Parts<'_>) -> String {
-    let mut pools: Vec<OwnedPool<'_>> = parts.pools().collect();
+    let mut pools: Vec<OwnedPool<'_, '_>> = parts.pools().collect();
     pools.sort_by_key(|pool| std::cmp::Reverse(runs(parts, pool)));
     let named = pools.iter().take(MAX_NAMED_POOLS).map(|pool| {
         let runs = runs(parts, pool);
--- a/src/document/check/key.rs
+++ b/src/document/check/key.rs
@@ -35,14 +35,14 @@
     findings
 }
 
-struct Holder<'a> {
-    site: &'a Site<'a>,
-    id: &'a OperatorId,
+struct Holder<'p, 't> {
+    site: &'p Site<'t>,
+    id: &'p OperatorId,
 }
 
 /// An operator may edit several sections, but under one name, or edits could not be attributed.
 fn operators(parts: &Parts<'_>) -> Vec<Finding> {
-    let mut first: IndexMap<&PublicKey, Holder<'_>> = IndexMap::new();
+    let mut first: IndexMap<&PublicKey, Holder<'_, '_>> = IndexMap::new();
     let mut findings = Vec::new();
     let fleet = (&parts.fleet, &parts.fleet_value.operators);
     let teams = parts.teams.iter();
--- a/src/document/check/mod.rs
+++ b/src/document/check/mod.rs
@@ -35,10 +35,10 @@
 
 /// A pool and the section that owns it.
 #[derive(Clone, Copy)]
-struct OwnedPool<'a> {
-    part: &'a TeamPart<'a>,
-    id: &'a PoolId,
-    spec: &'a PoolSpec,
+struct OwnedPool<'p, 't> {
+    part: &'p TeamPart<'t>,
+    id: &'p PoolId,
+    spec: &'p PoolSpec,
 }
 
 /// Finds every fault between sections.
@@ -55,14 +55,14 @@
     findings
 }
 
-impl Parts<'_> {
+impl<'t> Parts<'t> {
     /// True when every team that the fleet section names has published its section.
     fn is_complete(&self) -> bool {
         let owners = &self.fleet_value.owners;
         self.whole && owners.len() == self.teams.len()
     }
 
-    fn pools(&self) -> impl Iterator<Item = OwnedPool<'_>> {
+    fn pools(&self) -> impl Iterator<Item = OwnedPool<'_, 't>> {
         self.teams.iter().flat_map(|part| {
             let pools = part.team.pools.iter();
             pools.map(move |(id, spec)| OwnedPool { part, id, spec })
@@ -70,7 +70,7 @@
     }
 }
 
-impl OwnedPool<'_> {
+impl OwnedPool<'_, '_> {
     fn vms(&self) -> u64 {
         self.spec.vms.values().copied().map(u64::from).sum()
     }
--- a/src/document/check/name.rs
+++ b/src/document/check/name.rs
@@ -23,14 +23,14 @@
 }
 
 /// First use of each name of one kind.
-struct Uses<'a> {
+struct Uses<'p, 't> {
     kind: &'static str,
     field: &'static str,
-    first: IndexMap<&'a str, &'a TeamPart<'a>>,
+    first: IndexMap<&'p str, &'p TeamPart<'t>>,
     findings: Vec<Finding>,
 }
 
-impl<'a> Uses<'a> {
+impl<'p, 't> Uses<'p, 't> {
     fn new(kind: &'static str, field: &'static str) -> Self {
         Self {
             kind,
@@ -40,7 +40,7 @@
         }
     }
 
-    fn add(&mut self, part: &'a TeamPart<'a>, name: &'a str) {
+    fn add(&mut self, part: &'p TeamPart<'t>, name: &'p str) {
         let Some(first) = self.first.get(name) else {
             self.first.insert(name, part);
             return;
--- a/src/document/check/reference.rs
+++ b/src/document/check/reference.rs
@@ -79,7 +79,7 @@
     }
 }
 
-fn pool_class(parts: &Parts<'_>, pool: OwnedPool<'_>, findings: &mut Vec<Finding>) {
+fn pool_class(parts: &Parts<'_>, pool: OwnedPool<'_, '_>, findings: &mut Vec<Finding>) {
     let classes = &parts.fleet_value.classes;
     let class = &pool.spec.class;
     if !classes.contains_key(class) {
@@ -89,7 +89,7 @@
 }
 
 /// A pool that serves has a service of its class; spares and workers have none.
-fn pool_service(parts: &Parts<'_>, pool: OwnedPool<'_>, findings: &mut Vec<Finding>) {
+fn pool_service(parts: &Parts<'_>, pool: OwnedPool<'_, '_>, findings: &mut Vec<Finding>) {
     let fleet = parts.fleet_value;
     let Some(name) = &pool.spec.service else {
         if needs_service(parts, pool.spec) {
@@ -122,7 +122,7 @@
     !pool.spare && class.is_some_and(|class| class.kind == Kind::Executor)
 }
 
-fn pool_data_centres(parts: &Parts<'_>, pool: OwnedPool<'_>, findings: &mut Vec<Finding>) {
+fn pool_data_centres(parts: &Parts<'_>, pool: OwnedPool<'_, '_>, findings: &mut Vec<Finding>) {
     let known = &parts.fleet_value.data_centres;
     for name in pool.spec.vms.keys() {
         if known.contains_key(name) {
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -14,7 +14,7 @@
 mod section;
 mod sign;
 
-pub use cache::SectionCache;
+pub use cache::{MAX_SECTION_BYTES, SectionCache};
 pub use diff::{Hunk, three_way};
 pub use edit::{EditError, grant_key, withdraw_key};
 pub use file::replace_file;
--- a/src/document/section.rs
+++ b/src/document/section.rs
@@ -4,17 +4,18 @@
 
 use indexmap::IndexMap;
 
-use super::cache::SectionCache;
+use super::cache::{MAX_SECTION_BYTES, SectionCache};
 use super::check::{Parts, TeamPart, check};
 use super::{Document, Fleet, Team, decode};
 use crate::finding::{Finding, Findings, Place};
 use crate::id::{SectionId, TeamId};
-use crate::jsonc::{self, Entry, Faults, Node, Site};
+use crate::jsonc::{self, Entry, Node, Site};
 
 /// Name of the section common to all teams.
 pub const FLEET: &str = "fleet";
 
 const TEAMS: &str = "teams";
+pub(super) const START: Place = Place { line: 1, column: 1 };
 
 /// Reads a whole document: `{ "fleet": {...}, "teams": { "name": {...} } }`.
 ///
@@ -71,7 +72,7 @@
     found.ok_or_else(|| {
         Findings(vec![Finding {
             file: file.to_owned(),
-            place: Place { line: 1, column: 1 },
+            place: START,
             message: format!("no section `{section}`"),
         }])
     })
@@ -88,7 +89,10 @@
 
 fn sections(root: Node<'_>) -> Option<Sections> {
     let fields = root.fields(&[FLEET, TEAMS])?;
-    let fleet = fields.required(FLEET).and_then(decode::fleet);
+    let fleet = fields.required(FLEET).and_then(|node| {
+        check_size(node);
+        decode::fleet(node)
+    });
     let entries = fields.required(TEAMS).and_then(Node::entries)?;
     let wanted = entries.len();
     let teams: IndexMap<TeamId, Team> = entries.iter().filter_map(team).collect();
@@ -105,16 +109,26 @@
     if name == Some(FLEET) {
         entry.fault(format!("`{FLEET}` can't be the name of a team"));
     }
+    check_size(entry.node);
     let team = decode::team(entry.node);
     Some((TeamId::from(name?), team?))
 }
 
+/// Reports a section that could not be published.
+fn check_size(node: Node<'_>) {
+    let bytes = node.width();
+    if bytes > MAX_SECTION_BYTES {
+        node.fault(format!(
+            "section has {bytes} bytes, at most {MAX_SECTION_BYTES} are allowed"
+        ));
+    }
+}
+
 /// Findings about sections that are missing altogether.
 pub(super) fn missing_fleet(file: &str) -> Finding {
-    let faults = Faults::new(file, "");
     Finding {
         file: file.to_owned(),
-        place: faults.place(0),
+        place: START,
         message: format!("no `{FLEET}` section has been published"),
     }
 }
--- /dev/null
+++ b/src/jsonc/cut.rs
@@ -0,0 +1,62 @@
+//! Spans of values, and texts without one.
+
+use jsonc_parser::Scanner;
+use jsonc_parser::common::{Range, Ranged};
+use jsonc_parser::tokens::Token;
+
+use super::site::property;
+
+const SPACES: [char; 2] = [' ', '\t'];
+
+/// Span in bytes of the value at `path`.
+pub(crate) fn span(text: &str, path: &[&str]) -> Option<Range> {
+    let root = super::parse(text).ok()?;
+    let mut value = &root;
+    for key in path {
+        value = &property(value, key)?.value;
+    }
+    Some(value.range())
+}
+
+/// Text without the property at `path` and the comma after it; all comments around it stay.
+pub(crate) fn without(text: &str, path: &[&str]) -> Option<String> {
+    let (key, parents) = path.split_last()?;
+    let root = super::parse(text).ok()?;
+    let mut value = &root;
+    for parent in parents {
+        value = &property(value, parent)?.value;
+    }
+    let range = property(value, key)?.range;
+    let comma = comma_after(text, range.end);
+    let between = comma.map_or("", |comma| &text[range.end..comma]);
+    let after = comma.map_or(range.end, |comma| comma + 1);
+    let before = &text[..range.start];
+    let rest = format!("{}{}", between.trim_end_matches(SPACES), &text[after..]);
+    Some(join_lines(before, &rest))
+}
+
+/// Offset of the comma that follows `offset`, if only comments are between them.
+fn comma_after(text: &str, offset: usize) -> Option<usize> {
+    let mut scanner = Scanner::new(&text[offset..]);
+    loop {
+        match scanner.scan().ok()?? {
+            Token::CommentLine(_) | Token::CommentBlock(_) => {}
+            Token::Comma => return Some(offset + scanner.token_start()),
+            _ => return None,
+        }
+    }
+}
+
+/// Joins two texts; a line that is blank but for the cut is dropped.
+fn join_lines(before: &str, rest: &str) -> String {
+    let line = before.rfind('\n').map_or(0, |newline| newline + 1);
+    let (line_rest, next) = rest.split_once('\n').unwrap_or((rest, ""));
+    let blank = before[line..].trim().is_empty() && line_rest.trim().is_empty();
+    if blank && rest.contains('\n') {
+        return format!("{}{next}", &before[..line]);
+    }
+    if before.ends_with(SPACES) {
+        return format!("{before}{}", rest.trim_start_matches(SPACES));
+    }
+    format!("{before}{rest}")
+}
--- /dev/null
+++ b/src/jsonc/line.rs
@@ -0,0 +1,35 @@
+//! Places of byte offsets.
+
+use std::iter::once;
+
+use crate::finding::Place;
+
+/// Byte offsets at which the lines of a text start.
+#[derive(Clone, Debug)]
+pub(super) struct Lines<'a> {
+    text: &'a str,
+    starts: Vec<usize>,
+}
+
+impl<'a> Lines<'a> {
+    pub(super) fn new(text: &'a str) -> Self {
+        let after_newlines = text.match_indices('\n').map(|(offset, _)| offset + 1);
+        let starts = once(0).chain(after_newlines).collect();
+        Self { text, starts }
+    }
+
+    pub(super) fn place(&self, offset: usize) -> Place {
+        let line = self.starts.partition_point(|start| *start <= offset);
+        let start = self.starts[line - 1];
+        let before = self.text.get(start..offset).unwrap_or_default();
+        let column = before.chars().count() + 1;
+        Place {
+            line: bounded(line),
+            column: bounded(column),
+        }
+    }
+}
+
+fn bounded(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- a/src/jsonc/mod.rs
+++ b/src/jsonc/mod.rs
@@ -1,18 +1,21 @@
 //! Typed reading of JSON with comments; collects every fault with its place.
 
+mod cut;
 mod fault;
 mod field;
 mod guard;
 mod hint;
-mod locate;
+mod line;
 mod node;
+mod site;
 mod unit;
 
+pub(crate) use cut::{span, without};
 pub(crate) use fault::Faults;
 pub(crate) use field::Fields;
 pub(crate) use hint::nearest;
-pub(crate) use locate::{Site, span, without};
 pub(crate) use node::{Entry, Node};
+pub(crate) use site::Site;
 
 use jsonc_parser::ast::Value;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
--- a/src/jsonc/node.rs
+++ b/src/jsonc/node.rs
@@ -51,6 +51,11 @@
         self.value.start()
     }
 
+    /// Length of the value's text in bytes.
+    pub(crate) fn width(self) -> usize {
+        self.value.width()
+    }
+
     /// Fields in the order of the text; a repeated name is a fault.
     pub(crate) fn entries(self) -> Option<Vec<Entry<'a>>> {
         let Value::Object(object) = self.value else {
--- a/tests/document.rs
+++ b/tests/document.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use amaranthwick::document::{
-    self, Access, Document, FLEET, SectionCache, example, key_hash, section_text, sign, verify,
+    self, Access, Document, FLEET, MAX_SECTION_BYTES, SectionCache, example, key_hash,
+    section_text, sign, verify,
 };
+use amaranthwick::finding::Findings;
 use amaranthwick::id::{OperatorId, Revision, SectionId};
 use indexmap::IndexMap;
 use proptest::prelude::*;
@@ -143,6 +145,48 @@
     }
 }
 
+#[test]
+fn refusal_of_a_published_section_is_bounded() {
+    let unknown = |i: usize| format!("\"field-{i}\": 1,");
+    let fields: Vec<String> = (0..1_000).map(unknown).collect();
+    let text = example::team(SMALL, 0, 1).replacen('{', &format!("{{{}", fields.concat()), 1);
+    let mut sections = example::sections(SMALL);
+    sections.insert(SectionId::new("team-0"), Arc::from(text));
+
+    let Findings(findings) = document::assemble(&sections).expect_err("faulty");
+
+    assert_eq!(findings.len(), 101);
+    let last = "900 more findings; `amaranthwick check` shows all";
+    assert_eq!(findings[100].message, last);
+}
+
+#[test]
+fn section_has_a_largest_size() {
+    let padded = |bytes: usize| {
+        let text = example::team(SMALL, 0, 1);
+        let padding = " ".repeat(bytes - text.trim_end().len());
+        text.trim_end().replacen('{', &format!("{{{padding}"), 1)
+    };
+    let assemble = |text: String| {
+        let mut sections = example::sections(SMALL);
+        sections.insert(SectionId::new("team-0"), Arc::from(text));
+        document::assemble(&sections).map(drop)
+    };
+    let whole =
+        |text: String| format!("{{ \"fleet\": {{}}, \"teams\": {{ \"team-0\": {text} }} }}");
+
+    let fits = assemble(padded(MAX_SECTION_BYTES));
+    let published = assemble(padded(MAX_SECTION_BYTES + 1));
+    let checked = document::parse("a", &whole(padded(MAX_SECTION_BYTES + 1)));
+
+    let message = "section has 262145 bytes, at most 262144 are allowed";
+    assert_eq!(fits, Ok(()));
+    let published = published.expect_err("too long").to_string();
+    assert_eq!(published, format!("team-0:1:1: {message}"));
+    let checked = checked.expect_err("too long").to_string();
+    assert!(checked.contains(&format!("a:1:37: {message}")), "{checked}");
+}
+
 /// Texts that a section is replaced by: valid, valid in some documents only, and broken.
 fn replacement(team: usize, kind: usize) -> String {
     let text = example::team(SMALL, team, 1 + kind);
