--- a/src/bin/amaranthwick-entry.rs
+++ b/src/bin/amaranthwick-entry.rs
@@ -1,19 +1,18 @@
-//! Serves callers: checks keys, queues requests and sends them to targets.
+//! Serves callers: queues their requests and sends them to targets.
 
 use amaranthwick::config::{Common, EntryConfig};
 use amaranthwick::control::{self, Control};
-use amaranthwick::entry::{Entry, State};
+use amaranthwick::entry::Entry;
 use amaranthwick::peer::Client;
 use amaranthwick::platform::{LogClient, VmsClient};
 use amaranthwick::runtime::Runtime;
 use amaranthwick::telemetry::log::Stream;
-use amaranthwick::telemetry::{Admin, Dump, Metrics, Process, log};
+use amaranthwick::telemetry::{Admin, Metrics, Process, log};
 use anyhow::{Context, Result};
 use async_signal::{Signal, Signals};
 use flags::AmaranthwickEntry;
 use futures_lite::StreamExt;
 use futures_lite::future::block_on;
-use serde_json::Value;
 
 mod flags {
     #![allow(missing_docs)] // The macro gives its types no documentation.
@@ -21,7 +20,7 @@
     use std::path::PathBuf;
 
     xflags::xflags! {
-        /// Serves callers: checks keys, queues requests and sends them to targets.
+        /// Serves callers of one data centre.
         cmd amaranthwick-entry {
             /// Settings: JSON with comments.
             required --config file: PathBuf
@@ -29,18 +28,6 @@
     }
 }
 
-struct Daemon(State);
-
-impl Dump for Daemon {
-    async fn dump(&self) -> Value {
-        self.0.dump()
-    }
-
-    fn healthy(&self) -> bool {
-        self.0.healthy()
-    }
-}
-
 fn main() -> Result<()> {
     let flags = AmaranthwickEntry::from_env_or_exit();
     let config = EntryConfig::read(&flags.config)?;
@@ -54,20 +41,17 @@
     let control = open_control(&config.common)?;
     let entry = Entry::open_on(config, control.clone(), &runtime)?;
     control.register(entry.peers()).await;
-    let admin = Admin::bind(
+    let _admin = Admin::bind(
         config.common.admin,
         &runtime,
         Process::new(env!("CARGO_BIN_NAME"), &config.common),
         control,
         Metrics::open(),
-        Daemon(entry.state()),
+        entry.state(),
     )
     .context("listen on the admin address")?;
-    spdlog::info!("entry_started", kv: {
-        callers = entry.callers().to_string(),
-        peer = entry.peers().to_string(),
-        admin = admin.address().to_string(),
-    });
+    log::listening("callers", entry.callers());
+    log::listening("peers", entry.peers());
     signals.next().await;
     entry.stop().await;
     Ok(())
