Let traffic threads poll the reactor themselves

With the reactor polled on its own thread alone, each readiness crossed to a traffic thread by a wake-up.

--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context, Result};
 use async_channel::Sender;
 use async_executor::{Executor, Task};
-use futures_lite::future::block_on;
+use async_io::block_on;
 
 /// A running set of traffic threads; they end when the last clone is dropped.
 #[derive(Clone, Debug)]
