Keep deadlines in a table of their own

Setting a timer of async-io wakes the reactor by a system call, and each request sets several that are dropped unused.

--- a/src/http/deadline.rs
+++ b/src/http/deadline.rs
@@ -1,16 +1,134 @@
-//! Bounds work in time.
+//! Bounds work in time, cheaply enough for every request.
+//!
+//! A timer of the reactor wakes the reactor's thread when it is set. Nearly all
+//! deadlines are dropped unused, so they are kept in a table here that one thread looks
+//! through every few milliseconds, and setting one costs no system call.
 
-use std::time::Duration;
+use std::collections::BTreeMap;
+use std::pin::Pin;
+use std::sync::{Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::task::{Context, Poll, Waker};
+use std::thread;
+use std::time::{Duration, Instant};
 
-use async_io::Timer;
 use futures_lite::future;
 
+/// Time between two looks, in ms; deadlines are this much late at most.
+const TICK_MS: u64 = 5;
+
 /// Runs `work` for at most `limit_ms`; `None` when the time is over.
 pub(crate) async fn within<T>(limit_ms: u64, work: impl Future<Output = T>) -> Option<T> {
     let work = async { Some(work.await) };
     let timeout = async {
-        Timer::after(Duration::from_millis(limit_ms)).await;
+        Deadline::after(limit_ms).await;
         None
     };
     future::or(work, timeout).await
 }
+
+/// When it is due, and a number that tells equal times apart.
+type Key = (Instant, u64);
+
+#[derive(Debug, Default)]
+struct Table {
+    wakers: BTreeMap<Key, Waker>,
+    next: u64,
+}
+
+#[derive(Debug, Default)]
+struct Deadlines {
+    table: Mutex<Table>,
+    grown: Condvar,
+}
+
+impl Deadlines {
+    fn shared() -> &'static Self {
+        static SHARED: OnceLock<Deadlines> = OnceLock::new();
+        static STARTED: OnceLock<()> = OnceLock::new();
+        let shared = SHARED.get_or_init(Self::default);
+        STARTED.get_or_init(|| {
+            let thread = thread::Builder::new().name("deadlines".to_owned());
+            thread
+                .spawn(|| shared.run())
+                .expect("the first thread of a process can be started");
+        });
+        shared
+    }
+
+    fn run(&self) {
+        loop {
+            let table = self.lock();
+            let table = self
+                .grown
+                .wait_while(table, |table| table.wakers.is_empty());
+            drop(table);
+            thread::sleep(Duration::from_millis(TICK_MS));
+            for waker in self.due() {
+                waker.wake();
+            }
+        }
+    }
+
+    fn due(&self) -> Vec<Waker> {
+        let now = (Instant::now(), u64::MAX);
+        let mut table = self.lock();
+        let later = table.wakers.split_off(&now);
+        let due = std::mem::replace(&mut table.wakers, later);
+        due.into_values().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Ready once its time has come.
+#[derive(Debug)]
+struct Deadline {
+    at: Instant,
+    key: Option<Key>,
+}
+
+impl Deadline {
+    fn after(limit_ms: u64) -> Self {
+        Self {
+            at: Instant::now() + Duration::from_millis(limit_ms),
+            key: None,
+        }
+    }
+}
+
+impl Future for Deadline {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if Instant::now() >= self.at {
+            return Poll::Ready(());
+        }
+        let deadlines = Deadlines::shared();
+        let mut table = deadlines.lock();
+        let at = self.at;
+        let key = *self.key.get_or_insert_with(|| {
+            table.next += 1;
+            (at, table.next)
+        });
+        if table.wakers.is_empty() {
+            deadlines.grown.notify_one();
+        }
+        match table.wakers.get_mut(&key) {
+            Some(waker) => waker.clone_from(cx.waker()),
+            None => {
+                table.wakers.insert(key, cx.waker().clone());
+            }
+        }
+        Poll::Pending
+    }
+}
+
+impl Drop for Deadline {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            Deadlines::shared().lock().wakers.remove(&key);
+        }
+    }
+}
