Poll an exchange with its target in the caller's own task

It was a task of its own so that it goes on when the caller leaves, at the cost of two wake-ups a request.

--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -4,13 +4,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 
-use async_executor::Task;
-use futures_lite::FutureExt;
 use indexmap::IndexMap;
 
 use super::attempt::{Attempt, attempt};
 use super::auth::find_queue;
-use super::balancer::Avoid;
+use super::balancer::{Avoid, Health};
 use super::ceilings::Ceilings;
 use super::clock::Clock;
 use super::pool_queue::PoolQueue;
@@ -199,14 +197,14 @@
         queue: Arc<PoolQueue>,
         work: &Work,
         grant: Grant,
-    ) -> Background<Attempt> {
+    ) -> impl Future<Output = Attempt> + use<> {
         let owner = Arc::clone(self);
         let request = Arc::clone(&work.request);
         let (repeatable, limits) = (work.repeatable, work.limits);
-        let task = self.runtime.spawn(async move {
+        let exchange = async move {
             let address = grant.choice.address;
             let attempt = attempt(&owner.connections, address, &request, repeatable, &limits).await;
-            if attempt.health() == super::balancer::Health::Bad {
+            if attempt.health() == Health::Bad {
                 spdlog::warn!("attempt_failed", kv: {
                     target = grant.choice.vm.as_str(),
                     request = request.header("x-request-id").unwrap_or_default(),
@@ -217,8 +215,11 @@
                 owner.pump();
             }
             attempt
-        });
-        Background(Some(task))
+        };
+        Unstoppable {
+            work: Some(Box::pin(exchange)),
+            runtime: self.runtime.clone(),
+        }
     }
 
     fn may_retry(&self, work: &Work, unknown: Option<Reason>, reason: Reason) -> bool {
@@ -292,28 +293,40 @@
     }
 }
 
-/// A task that goes on when nobody waits for it any more.
-struct Background<T>(Option<Task<T>>);
+/// Work that goes on as a task of its own when nobody waits for it any more.
+struct Unstoppable<F>
+where
+    F: Future<Output: Send + 'static> + Send + 'static,
+{
+    work: Option<Pin<Box<F>>>,
+    runtime: Runtime,
+}
 
-impl<T> Future for Background<T> {
-    type Output = T;
+impl<F> Future for Unstoppable<F>
+where
+    F: Future<Output: Send + 'static> + Send + 'static,
+{
+    type Output = F::Output;
 
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<T> {
-        let Some(task) = &mut self.0 else {
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
+        let Some(work) = &mut self.work else {
             return Poll::Pending;
         };
-        let result = task.poll(cx);
+        let result = work.as_mut().poll(cx);
         if result.is_ready() {
-            self.0 = None;
+            self.work = None;
         }
         result
     }
 }
 
-impl<T> Drop for Background<T> {
+impl<F> Drop for Unstoppable<F>
+where
+    F: Future<Output: Send + 'static> + Send + 'static,
+{
     fn drop(&mut self) {
-        if let Some(task) = self.0.take() {
-            task.detach();
+        if let Some(work) = self.work.take() {
+            self.runtime.spawn(work).detach();
         }
     }
 }
