--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -24,6 +24,7 @@
     match command {
         Command::Propose(proposal, reply) => core.propose(proposal, reply, now),
         Command::Register(peer) => core.set_peer(peer, now),
+        Command::Report(report) => core.report(&report, now),
         Command::State(reply) => drop(reply.try_send(store(&core.state))),
         Command::Heartbeat(heartbeat, reply) => {
             core.hear(&heartbeat, now);
@@ -47,6 +48,7 @@
         vms: core.vms.clone(),
         assignment: facts.assignment.clone(),
         stops: facts.stops.clone(),
+        allotments: facts.allotments.clone(),
         planner: facts.planner.clone(),
         jobs: jobs.cloned().collect(),
     }
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -14,7 +14,7 @@
 use crate::config::Common;
 use crate::id::{Incarnation, MemberId, Offset, RecordId};
 use crate::ledger::{Proposal, Record, Refusal, State, Trust, Verdict, encode};
-use crate::membership::Roster;
+use crate::membership::{Quota, RETIRE_MS, Report, Roster, longest_run};
 use crate::peer::Heartbeat;
 use crate::platform::{Batch, LogError, Vm};
 use crate::view::View;
@@ -33,6 +33,8 @@
     pub(super) freshness: Freshness,
     pub(super) keeper: Keeper,
     pub(super) registrar: Registrar,
+    pub(super) quota: Quota,
+    retiring: Option<RecordId>,
     /// True when heartbeats are exchanged, so that silence means something.
     pub(super) beats: bool,
     waiting: IndexMap<RecordId, Sender<Answer>>,
@@ -65,6 +67,8 @@
             freshness: Freshness::default(),
             keeper: Keeper::open(id, settings.snapshot_every, now),
             registrar: Registrar::open(incarnation),
+            quota: Quota::open(id),
+            retiring: None,
             beats: settings.beats,
             waiting: IndexMap::new(),
         }
@@ -93,6 +97,7 @@
     pub fn other_peers(&self) -> Vec<SocketAddr> {
         let members = self.state.facts().members.values();
         members
+            .map(|member| &member.registration)
             .filter(|member| member.id != self.common.id)
             .map(|member| member.peer)
             .collect()
@@ -153,6 +158,7 @@
             return false;
         }
         self.state = state;
+        self.quota.review(&self.state);
         let ids: Vec<RecordId> = self.waiting.keys().copied().collect();
         for id in ids {
             if let Some(verdict) = self.state.verdict(id).cloned() {
@@ -165,6 +171,8 @@
     fn settle(&mut self, id: RecordId, verdict: Verdict) {
         self.outbox.settle(id);
         self.registrar.settle(id, Some(&verdict));
+        self.quota.settle(id, &verdict);
+        self.retiring = self.retiring.filter(|pending| *pending != id);
         self.roster.set_incarnation(self.registrar.incarnation);
         if let Verdict::Refused(offset, Refusal::Digest) = verdict {
             spdlog::error!("snapshot_digest_differs", kv: { offset = offset.0 });
@@ -186,9 +194,10 @@
     }
 
     fn register(&mut self, now: Instant) {
-        if let Some(wanted) = self.registrar.wanted(&self.common, &self.state) {
+        let wanted = self.registrar.wanted(&self.common, &self.state, now);
+        if let Some(wanted) = wanted {
             let id = self.enqueue(Proposal::Register(wanted), now);
-            self.registrar.proposed(id);
+            self.registrar.proposed(id, now);
         }
     }
 
@@ -231,7 +240,7 @@
     pub fn receivers(&mut self) -> Vec<SocketAddr> {
         let ids = self.roster.receivers();
         let members = &self.state.facts().members;
-        let address = |id: &MemberId| members.get(id).map(|member| member.peer);
+        let address = |id: &MemberId| members.get(id).map(|member| member.registration.peer);
         ids.iter().filter_map(address).collect()
     }
 
@@ -241,11 +250,57 @@
         self.roster.tick(now);
         for overdue in self.outbox.expire(now) {
             self.registrar.settle(overdue.id, None);
+            self.retiring = self.retiring.filter(|pending| *pending != overdue.id);
+            if matches!(overdue.error, ProposeError::NotAppended(_)) {
+                self.quota.abandon(overdue.id);
+            }
             if let Some(answer) = self.waiting.swap_remove(&overdue.id) {
                 let _ = answer.try_send(Err(overdue.error));
             }
         }
         self.register(now);
+        self.retire(now);
+        self.quota.review(&self.state);
+        self.balance(now);
+    }
+
+    /// Takes and gives parts of ceilings as demand asks.
+    pub fn balance(&mut self, now: Instant) {
+        let run = self.registrar.incarnation;
+        for ask in self.quota.step(&self.state, run, now) {
+            let id = self.enqueue(ask.proposal, now);
+            self.quota.proposed(&ask.team, id, &self.state);
+        }
+    }
+
+    /// Notes what the traffic threads run.
+    pub fn report(&mut self, report: &Report, now: Instant) {
+        self.quota.report(report, now);
+        self.balance(now);
+    }
+
+    /// Until when this process may use its parts of ceilings; `None` before it has any.
+    #[must_use]
+    pub fn tenure_end(&self, now: Instant) -> Option<Instant> {
+        let heard = self.beats.then(|| self.roster.heard_by_most(now)).flatten();
+        self.registrar.tenure.end(heard)
+    }
+
+    /// Proposes to take out a member of the data centre that nobody hears any more.
+    fn retire(&mut self, now: Instant) {
+        if !self.beats || self.retiring.is_some() || !self.roster.hears_most(now) {
+            return;
+        }
+        let silence = Duration::from_millis(RETIRE_MS) + longest_run(&self.state);
+        let silent = self.roster.silent(silence, now);
+        let Some(id) = silent.into_iter().next() else {
+            return;
+        };
+        if let Some(known) = self.state.facts().members.get(&id) {
+            let renewed = known.renewed;
+            spdlog::warn!("member_retired", kv: { member = id.as_str() });
+            self.retiring = Some(self.enqueue(Proposal::Retire { id, renewed }, now));
+        }
     }
 
     /// What traffic threads are to know.
--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -64,6 +64,7 @@
         spdlog::error!("log_went_back", kv: { head = batch.head.0, folded = from.0 });
     }
     if !batch.records.is_empty() {
+        shell.core.borrow_mut().balance(Instant::now());
         shell.refresh();
     }
     Ok(())
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -11,8 +11,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document::Document;
-use crate::id::{JobId, Offset, PoolId, RecordId, Revision, SectionId, VmId};
-use crate::ledger::{Holding, Job, JobPhase, Proposal, StopReason, Verdict};
+use crate::id::{JobId, Offset, PoolId, RecordId, Revision, SectionId, TeamId, VmId};
+use crate::ledger::{Allotment, Holding, Job, JobPhase, Proposal, StopReason, Verdict};
+use crate::membership::Report;
 use crate::peer::Heartbeat;
 use crate::platform::Vm;
 use crate::view::View;
@@ -30,6 +31,8 @@
     Heartbeat(Heartbeat, Sender<Heartbeat>),
     /// Makes this process known to the others at this address for their messages.
     Register(SocketAddr),
+    /// Says what the traffic threads run.
+    Report(Report),
     /// Asks for the whole folded state as a sealed snapshot.
     State(Sender<Vec<u8>>),
     /// Asks for what the planner decides on.
@@ -88,6 +91,8 @@
     pub assignment: IndexMap<VmId, PoolId>,
     /// Planned stops that are not resolved.
     pub stops: IndexMap<VmId, StopReason>,
+    /// Parts of each team's ceiling.
+    pub allotments: IndexMap<TeamId, Allotment>,
     /// Holder of the planner role.
     pub planner: Option<Holding>,
     /// Jobs that have not ended, in the order of their submission.
@@ -169,6 +174,11 @@
         let _ = self.commands.send(Command::Register(peer)).await;
     }
 
+    /// Says what the traffic threads run; drives the limits of the view.
+    pub async fn report(&self, report: Report) {
+        let _ = self.commands.send(Command::Report(report)).await;
+    }
+
     /// The whole folded state as a sealed snapshot; `None` when the control thread has ended.
     pub async fn state(&self) -> Option<Vec<u8>> {
         self.ask(Command::State).await
--- a/src/control/picture.rs
+++ b/src/control/picture.rs
@@ -9,7 +9,7 @@
 use crate::id::{PoolId, TeamId};
 use crate::ledger::Registration;
 use crate::platform::{Vm, VmPhase};
-use crate::view::{Member, Target, View};
+use crate::view::{Limits, Member, Target, View};
 
 pub(super) fn draw(core: &Core, now: Instant) -> View {
     let facts = core.state.facts();
@@ -20,11 +20,11 @@
         targets: document
             .as_deref()
             .map_or_else(IndexMap::new, |document| targets(core, document)),
-        allotments: allotments(core),
+        limits: limits(core, now),
         members: facts
             .members
             .values()
-            .map(|registration| member(core, registration, now))
+            .map(|enrolment| member(core, &enrolment.registration, now))
             .collect(),
         planner: held.map(|held| (held.holder.clone(), held.epoch)),
         verified: core.verified(),
@@ -60,12 +60,24 @@
     })
 }
 
-fn allotments(core: &Core) -> IndexMap<TeamId, u32> {
-    let own = &core.common.data_centre;
+fn limits(core: &Core, now: Instant) -> Limits {
+    let version = core.quota.version();
+    let until = core.tenure_end(now);
+    if until.is_none_or(|until| until <= now) {
+        let teams = IndexMap::new();
+        return Limits {
+            version,
+            until,
+            teams,
+        };
+    }
     let teams = core.state.facts().allotments.keys();
-    teams
-        .map(|team| (team.clone(), core.state.allotment(team, own)))
-        .collect()
+    let limit = |team: &TeamId| core.quota.limit(&core.state, team, now);
+    Limits {
+        version,
+        until,
+        teams: teams.map(|team| (team.clone(), limit(team))).collect(),
+    }
 }
 
 fn member(core: &Core, registration: &Registration, now: Instant) -> Member {
--- a/src/control/registrar.rs
+++ b/src/control/registrar.rs
@@ -1,25 +1,37 @@
 //! Makes this process known through the log.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use crate::config::Common;
 use crate::id::{Incarnation, RecordId};
 use crate::ledger::{Refusal, Registration, State, Verdict};
+use crate::membership::{RENEW_MS, Tenure};
 
-/// Proposes the registration of this process until the fold shows it.
+/// Proposes the registration of this process until the fold shows it, and renews it.
 #[derive(Debug)]
 pub(super) struct Registrar {
     pub(super) incarnation: Incarnation,
+    pub(super) tenure: Tenure,
     peer: Option<SocketAddr>,
-    pending: Option<RecordId>,
+    pending: Option<Pending>,
+    renewed: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    id: RecordId,
+    at: Instant,
 }
 
 impl Registrar {
-    pub(super) const fn open(incarnation: Incarnation) -> Self {
+    pub(super) fn open(incarnation: Incarnation) -> Self {
         Self {
             incarnation,
+            tenure: Tenure::default(),
             peer: None,
             pending: None,
+            renewed: None,
         }
     }
 
@@ -28,7 +40,12 @@
     }
 
     /// What to propose now, if anything.
-    pub(super) fn wanted(&self, common: &Common, state: &State) -> Option<Registration> {
+    pub(super) fn wanted(
+        &self,
+        common: &Common,
+        state: &State,
+        now: Instant,
+    ) -> Option<Registration> {
         let wanted = Registration {
             id: common.id.clone(),
             incarnation: self.incarnation,
@@ -36,21 +53,36 @@
             peer: self.peer?,
         };
         let known = state.facts().members.get(&common.id);
-        (self.pending.is_none() && known != Some(&wanted)).then_some(wanted)
+        let shown = known.is_some_and(|known| known.registration == wanted);
+        let due = !shown || self.is_due(now);
+        (self.pending.is_none() && due).then_some(wanted)
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        let limit = Duration::from_millis(RENEW_MS);
+        self.renewed
+            .is_none_or(|at| now.saturating_duration_since(at) >= limit)
     }
 
-    pub(super) const fn proposed(&mut self, id: RecordId) {
-        self.pending = Some(id);
+    pub(super) const fn proposed(&mut self, id: RecordId, now: Instant) {
+        self.pending = Some(Pending { id, at: now });
     }
 
     /// A clock that was set back draws an incarnation older than the last run's.
     pub(super) fn settle(&mut self, id: RecordId, verdict: Option<&Verdict>) {
-        if self.pending != Some(id) {
+        let Some(pending) = self.pending.filter(|pending| pending.id == id) else {
             return;
-        }
+        };
         self.pending = None;
-        if let Some(Verdict::Refused(_, Refusal::Outdated(known))) = verdict {
-            self.incarnation = known.next();
+        match verdict {
+            Some(Verdict::Accepted(_)) => {
+                self.renewed = Some(pending.at);
+                self.tenure.confirm(pending.at);
+            }
+            Some(Verdict::Refused(_, Refusal::Outdated(known))) => {
+                self.incarnation = known.next();
+            }
+            _ => {}
         }
     }
 }
--- a/src/ledger/fold/job.rs
+++ b/src/ledger/fold/job.rs
@@ -2,8 +2,8 @@
 
 use crate::control::JobState;
 use crate::document::{Document, Kind};
-use crate::id::{DataCentre, TeamId};
-use crate::ledger::fold::allotment::JOBS;
+use crate::id::TeamId;
+use crate::ledger::fold::allotment::Holder;
 use crate::ledger::{Job, JobPhase, JobUpdate, Refusal, State};
 
 /// Ended jobs that are remembered.
@@ -57,7 +57,7 @@
     }
 
     fn check_share(&self, team: &TeamId) -> Result<(), Refusal> {
-        let share = self.share(team, &DataCentre::new(JOBS));
+        let share = self.share(team, &Holder::Jobs);
         if self.placed_jobs(team) < share {
             return Ok(());
         }
--- a/src/ledger/fold/member.rs
+++ b/src/ledger/fold/member.rs
@@ -1,17 +1,50 @@
-//! Addresses of processes.
+//! Processes: registered, renewed and retired.
 
+use crate::id::{Incarnation, MemberId, Offset};
+use crate::ledger::state::Enrolment;
 use crate::ledger::{Refusal, Registration, State};
 
 impl State {
-    pub(super) fn register(&mut self, registration: Registration) -> Result<(), Refusal> {
+    pub(super) fn register(
+        &mut self,
+        offset: Offset,
+        registration: Registration,
+    ) -> Result<(), Refusal> {
         if let Some(known) = self.facts.members.get(&registration.id)
-            && known.incarnation > registration.incarnation
+            && known.registration.incarnation > registration.incarnation
         {
-            return Err(Refusal::Outdated(known.incarnation));
+            return Err(Refusal::Outdated(known.registration.incarnation));
         }
-        self.facts
-            .members
-            .insert(registration.id.clone(), registration);
+        let id = registration.id.clone();
+        let enrolment = Enrolment {
+            registration,
+            renewed: offset,
+        };
+        self.facts.members.insert(id, enrolment);
         Ok(())
     }
+
+    /// Accepted only if the process has not registered again meanwhile.
+    pub(super) fn retire(&mut self, id: &MemberId, renewed: Offset) -> Result<(), Refusal> {
+        let Some(known) = self.facts.members.get(id) else {
+            return Err(Refusal::Missing(id.to_string()));
+        };
+        if known.renewed != renewed {
+            return Err(Refusal::Renewed(known.renewed));
+        }
+        self.facts.members.swap_remove(id);
+        self.release_shares(id);
+        Ok(())
+    }
+
+    /// Refuses what an earlier or unknown run of a process says.
+    pub(super) fn check_run(&self, id: &MemberId, run: Incarnation) -> Result<(), Refusal> {
+        match self.facts.members.get(id) {
+            None => Err(Refusal::Missing(id.to_string())),
+            Some(known) if known.registration.incarnation != run => {
+                Err(Refusal::Outdated(known.registration.incarnation))
+            }
+            Some(_) => Ok(()),
+        }
+    }
 }
--- a/src/ledger/fold/mod.rs
+++ b/src/ledger/fold/mod.rs
@@ -11,7 +11,7 @@
 mod member;
 mod snapshot;
 
-pub use allotment::{JOBS, Shares};
+pub use allotment::{Allotment, Holder, Want};
 pub use job::is_ended;
 
 use super::record::{DecodeError, RULES, Record, decode};
@@ -79,7 +79,8 @@
                 amount,
             } => self.transfer(&team, &from, &to, amount),
             Proposal::Claim(claim) => self.claim(offset, claim),
-            Proposal::Register(registration) => self.register(registration),
+            Proposal::Register(registration) => self.register(offset, registration),
+            Proposal::Retire { id, renewed } => self.retire(&id, renewed),
             Proposal::Submit(job) => self.submit(job),
             Proposal::Update(update) => self.update(update),
             Proposal::Snapshot { offset, digest } => self.note_snapshot(offset, &digest),
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -9,12 +9,12 @@
 mod window;
 
 pub use chain::{CHECKPOINT_OFFSETS, Chain, ChainDigest};
-pub use fold::{JOBS, Shares, is_ended};
+pub use fold::{Allotment, Holder, Want, is_ended};
 pub use proposal::{
-    Claim, Edit, Job, JobPhase, JobUpdate, Proposal, Refusal, Registration, Role, StopReason,
-    Verdict,
+    Claim, Edit, Job, JobPhase, JobUpdate, Party, Proposal, Refusal, Registration, Role,
+    StopReason, Verdict,
 };
 pub use record::{DecodeError, RULES, Record, decode, encode, encode_edit};
 pub use snapshot::{SnapshotError, restore, store};
-pub use state::{Facts, Holding, State, Trust};
+pub use state::{Enrolment, Facts, Holding, State, Trust};
 pub use window::{WINDOW_OFFSETS, Window};
--- a/src/ledger/proposal.rs
+++ b/src/ledger/proposal.rs
@@ -45,21 +45,28 @@
         /// Epoch of the planner that saw it.
         epoch: Epoch,
     },
-    /// Moves part of a team's allotment between data centres.
+    /// Moves part of a team's ceiling between those who may use it.
     Transfer {
         /// The team.
         team: TeamId,
-        /// Data centre that gives.
-        from: DataCentre,
-        /// Data centre that receives.
-        to: DataCentre,
-        /// Requests that may run at a time.
+        /// Who gives; it has stopped using the part.
+        from: Party,
+        /// Who receives.
+        to: Party,
+        /// Requests or jobs that may run at a time.
         amount: u32,
     },
     /// Takes or renews a role.
     Claim(Claim),
-    /// Makes a process known.
+    /// Makes a process known, or says again that it is there.
     Register(Registration),
+    /// Takes out a process that has been silent for long.
+    Retire {
+        /// The process.
+        id: MemberId,
+        /// Offset of its last accepted registration.
+        renewed: Offset,
+    },
     /// Submits long work.
     Submit(Job),
     /// Changes the state of long work.
@@ -78,6 +85,17 @@
     },
 }
 
+/// Side of a transfer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Party {
+    /// What nobody uses.
+    Reserve,
+    /// Jobs, as placed by the planner of this epoch.
+    Jobs(Epoch),
+    /// Requests run by this incarnation of a process.
+    Member(MemberId, Incarnation),
+}
+
 /// New text of one section, signed by an operator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Edit {
@@ -223,10 +241,12 @@
     Fenced(Epoch),
     /// An availability budget would be broken.
     Budget(String),
-    /// The data centre has a smaller allotment than the amount.
+    /// The giver has less to give than the amount.
     Allotment(u32),
     /// The claim cites an older renewal or a wrong epoch.
     Held(MemberId, Epoch),
+    /// The process has registered again since the cited offset.
+    Renewed(Offset),
     /// A newer incarnation of the same process is known.
     Outdated(Incarnation),
     /// Pool, VM, team or job is not known.
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -7,14 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::chain::{Chain, ChainDigest};
-use super::fold::Shares;
+use super::fold::{Allotment, Holder};
 use super::window::Window;
 use super::{Registration, StopReason, Verdict};
 use crate::control::{JobState, SectionState};
 use crate::document::{Document, PublicKey, SectionCache};
-use crate::id::{
-    DataCentre, Epoch, JobId, MemberId, Offset, PoolId, RecordId, SectionId, TeamId, VmId,
-};
+use crate::id::{Epoch, JobId, MemberId, Offset, PoolId, RecordId, SectionId, TeamId, VmId};
 use crate::secret::FleetSecret;
 
 /// What the fold trusts from the start; taken from the settings, never from the log.
@@ -37,6 +35,15 @@
     pub renewed: Offset,
 }
 
+/// A registered process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Enrolment {
+    /// As registered.
+    pub registration: Registration,
+    /// Offset of its last accepted registration.
+    pub renewed: Offset,
+}
+
 /// What a prefix of the log amounts to; the whole of a snapshot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Facts {
@@ -61,11 +68,11 @@
     /// Planned stops that are not resolved.
     pub stops: IndexMap<VmId, StopReason>,
     /// Parts of each team's ceiling.
-    pub allotments: IndexMap<TeamId, Shares>,
+    pub allotments: IndexMap<TeamId, Allotment>,
     /// Holder of the planner role.
     pub planner: Option<Holding>,
     /// Processes that have registered.
-    pub members: IndexMap<MemberId, Registration>,
+    pub members: IndexMap<MemberId, Enrolment>,
     /// Long work.
     pub jobs: IndexMap<JobId, JobState>,
     /// Ended jobs, oldest first.
@@ -151,14 +158,11 @@
         self.facts.chain.head()
     }
 
-    /// Part of a team's ceiling that a data centre may use.
+    /// Part of a team's ceiling that a holder may use.
     #[must_use]
-    pub fn allotment(&self, team: &TeamId, data_centre: &DataCentre) -> u32 {
-        let shares = self.facts.allotments.get(team);
-        shares
-            .and_then(|shares| shares.get(data_centre))
-            .copied()
-            .unwrap_or(0)
+    pub fn share(&self, team: &TeamId, holder: &Holder) -> u32 {
+        let allotment = self.facts.allotments.get(team);
+        allotment.map_or(0, |allotment| allotment.share(holder))
     }
 
     /// Accepted texts by section.
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -8,9 +8,10 @@
 use fastrand::Rng;
 use indexmap::IndexMap;
 
+use super::echo::Echoes;
 use super::zones::Zones;
 use crate::id::{DataCentre, Incarnation, MemberId};
-use crate::ledger::Registration;
+use crate::ledger::Enrolment;
 use crate::peer::{Heard, Heartbeat, Zone};
 
 /// Silence after which a member of the own data centre is suspected, in ms.
@@ -28,6 +29,7 @@
     home: DataCentre,
     members: IndexMap<MemberId, Contact>,
     zones: Zones,
+    echoes: Echoes,
     ticked: Option<Instant>,
     rng: Rng,
 }
@@ -65,6 +67,7 @@
             home: home.clone(),
             members: IndexMap::new(),
             zones: Zones::default(),
+            echoes: Echoes::default(),
             ticked: None,
             rng: Rng::with_seed(seed),
         }
@@ -76,16 +79,17 @@
     }
 
     /// Keeps to the registered members; a new one counts as heard now.
-    pub fn watch(&mut self, members: &IndexMap<MemberId, Registration>, now: Instant) {
+    pub fn watch(&mut self, members: &IndexMap<MemberId, Enrolment>, now: Instant) {
         self.members.retain(|id, _| members.contains_key(id));
-        for (id, registration) in members {
+        for (id, enrolment) in members {
             if *id != self.own.member {
-                self.watch_one(registration, now);
+                self.watch_one(enrolment, now);
             }
         }
     }
 
-    fn watch_one(&mut self, registration: &Registration, now: Instant) {
+    fn watch_one(&mut self, enrolment: &Enrolment, now: Instant) {
+        let registration = &enrolment.registration;
         let fresh = Contact {
             data_centre: registration.data_centre.clone(),
             incarnation: registration.incarnation,
@@ -107,6 +111,7 @@
     /// The signs of life for a heartbeat; each call counts as one beat.
     pub fn beat(&mut self, now: Instant) -> Vec<Heard> {
         self.own.beat += 1;
+        self.echoes.made(self.own.beat, now);
         let local = self
             .members
             .iter()
@@ -129,6 +134,7 @@
     pub fn hear(&mut self, heartbeat: &Heartbeat, now: Instant) {
         let mut lives = false;
         for heard in &heartbeat.heard {
+            self.echo(&heartbeat.member, heard);
             let news = self.note(heard, now);
             lives |= news && heard.member == heartbeat.member;
         }
@@ -142,6 +148,12 @@
         }
     }
 
+    fn echo(&mut self, from: &MemberId, heard: &Heard) {
+        if heard.member == self.own.member && heard.incarnation == self.own.incarnation {
+            self.echoes.hear(from, heard.beat);
+        }
+    }
+
     /// True if it is news. A sign of life of an older run says nothing of the newer.
     fn note(&mut self, heard: &Heard, now: Instant) -> bool {
         let Some(contact) = self.members.get_mut(&heard.member) else {
@@ -212,6 +224,55 @@
             .all(|contact| self.zones.is_alive(&contact.data_centre, now))
     }
 
+    /// When the newest beat was made that most members of the data centre have heard.
+    #[must_use]
+    pub fn heard_by_most(&self, now: Instant) -> Option<Instant> {
+        let local = self
+            .members
+            .iter()
+            .filter(|(_, c)| c.data_centre == self.home);
+        let echoes = local.filter_map(|(id, _)| self.echoes.last(id));
+        let times: Vec<Instant> = echoes.chain([now]).collect();
+        let heard_since = |since: Instant| {
+            self.is_most(|id, _| self.echoes.last(id).is_some_and(|at| at >= since))
+        };
+        times.into_iter().filter(|at| heard_since(*at)).max()
+    }
+
+    /// True if this process hears most members of its data centre now.
+    #[must_use]
+    pub fn hears_most(&self, now: Instant) -> bool {
+        self.is_most(|_, contact| contact.is_fresh(now))
+    }
+
+    /// Counts this process itself; half of the members are most if they hold the first.
+    fn is_most(&self, test: impl Fn(&MemberId, &Contact) -> bool) -> bool {
+        let local = || {
+            self.members
+                .iter()
+                .filter(|(_, c)| c.data_centre == self.home)
+        };
+        let passed = 1 + local().filter(|(id, c)| test(id, c)).count();
+        let all = 1 + local().count();
+        if 2 * passed != all {
+            return 2 * passed > all;
+        }
+        let first = local().map(|(id, _)| id).min();
+        first.is_none_or(|id| {
+            *id > self.own.member || self.members.get(id).is_some_and(|c| test(id, c))
+        })
+    }
+
+    /// Members of the data centre that nobody has heard of for `time`.
+    #[must_use]
+    pub fn silent(&self, time: Duration, now: Instant) -> Vec<MemberId> {
+        let is_silent = |contact: &Contact| {
+            contact.data_centre == self.home && now.saturating_duration_since(contact.at) >= time
+        };
+        let silent = self.members.iter().filter(|(_, c)| is_silent(c));
+        silent.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Members to send a heartbeat to now: one of the own data centre and, once a
     /// second for the whole data centre, one of another.
     pub fn receivers(&mut self) -> Vec<MemberId> {
--- a/src/planner/shell.rs
+++ b/src/planner/shell.rs
@@ -9,9 +9,9 @@
 use futures_lite::future;
 
 use super::claimant::Claimant;
-use super::jobs;
 use super::placement::{self, Step};
 use super::runner::{Call, Runner, TASK_LEASE_MS};
+use super::{jobs, share};
 use crate::config::PlannerConfig;
 use crate::control::{Control, FleetState, JobState};
 use crate::id::{Epoch, Offset, PoolId};
@@ -22,6 +22,9 @@
 /// Time between two looks at the fleet, in ms.
 const TICK_MS: u64 = 200;
 
+/// Time between two rounds of asking for more than a reserve has, in ms.
+const INSIST_MS: u64 = 2_000;
+
 /// Longest call to a worker, in ms; shorter than the time between two renewals.
 const CALL_MS: u64 = 800;
 
@@ -48,6 +51,7 @@
         control,
         workers,
         runner: Mutex::new(Runner::default()),
+        insisted: Mutex::new(None),
         runtime: runtime.clone(),
     });
     let task = runtime.spawn(run(acting, claimant));
@@ -58,6 +62,8 @@
     control: Control,
     workers: W,
     runner: Mutex<Runner>,
+    /// When it last asked for more than a reserve had.
+    insisted: Mutex<Option<Instant>>,
     runtime: Runtime,
 }
 
@@ -84,6 +90,7 @@
 impl<W: Workers> Acting<W> {
     async fn act(self: &Arc<Self>, fleet: &FleetState, epoch: Epoch) {
         self.place_vms(fleet, epoch).await;
+        self.share_ceilings(fleet, epoch).await;
         self.place_jobs(fleet, epoch).await;
         self.run_jobs(epoch).await;
     }
@@ -108,6 +115,19 @@
         }
     }
 
+    async fn share_ceilings(self: &Arc<Self>, fleet: &FleetState, epoch: Epoch) {
+        let now = Instant::now();
+        let mut insisted = self.insisted.lock().await;
+        let gap = Duration::from_millis(INSIST_MS);
+        let insist = insisted.is_none_or(|at| now.saturating_duration_since(at) >= gap);
+        if insist {
+            *insisted = Some(now);
+        }
+        drop(insisted);
+        self.propose_all(share::transfers(fleet, epoch, insist))
+            .await;
+    }
+
     async fn place_jobs(self: &Arc<Self>, fleet: &FleetState, epoch: Epoch) {
         let mut placements = jobs::place(fleet);
         placements.truncate(MAX_STEPS);
--- a/src/view.rs
+++ b/src/view.rs
@@ -43,6 +43,17 @@
     pub alive: bool,
 }
 
+/// Requests of each team that this process may have running at a time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Changes whenever a limit is lowered; a report says which version was kept.
+    pub version: u64,
+    /// Time after which nothing may be started, unless a newer view says otherwise.
+    pub until: Option<Instant>,
+    /// A team that is left out may run nothing.
+    pub teams: IndexMap<TeamId, u32>,
+}
+
 /// What traffic threads know of the fleet; replaced as a whole.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -52,8 +63,8 @@
     pub document: Option<Arc<Document>>,
     /// Targets of each pool.
     pub targets: IndexMap<PoolId, Vec<Target>>,
-    /// Part of each team's ceiling that this data centre may use.
-    pub allotments: IndexMap<TeamId, u32>,
+    /// What this process may run.
+    pub limits: Limits,
     /// Entries of all data centres, this one included.
     pub members: Vec<Member>,
     /// Holder of the planner role and its epoch.
@@ -70,7 +81,7 @@
             offset: Offset(0),
             document: None,
             targets: IndexMap::new(),
-            allotments: IndexMap::new(),
+            limits: Limits::default(),
             members: Vec::new(),
             planner: None,
             verified: None,
--- a/tests/common/entry.rs
+++ b/tests/common/entry.rs
@@ -20,7 +20,7 @@
     TeamId, VmId,
 };
 use amaranthwick::secret::FleetSecret;
-use amaranthwick::view::{Member, Target, View};
+use amaranthwick::view::{Limits, Member, Target, View};
 use indexmap::IndexMap;
 
 pub(crate) fn localhost() -> SocketAddr {
@@ -142,7 +142,7 @@
     View {
         offset: Offset(1),
         document: Some(Arc::new(document())),
-        allotments: IndexMap::new(),
+        limits: Limits::default(),
         targets: IndexMap::from([(PoolId::new("herd"), targets)]),
         members,
         planner: None,
--- /dev/null
+++ b/tests/control/ceilings.rs
@@ -0,0 +1,380 @@
+//! Ceilings over several processes in virtual time: the traffic threads of each
+//! follow the limits of a view that may be old, and requests run on after their
+//! process has died.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use amaranthwick::control::{Core, Gap, Settings};
+use amaranthwick::id::{Incarnation, Offset, TeamId};
+use amaranthwick::ledger::{restore, store};
+use amaranthwick::membership::{Demand, Report};
+use amaranthwick::platform::{Batch, LogError};
+use amaranthwick::view::View;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::fixtures::{base_with, common};
+
+const PROCESSES: usize = 3;
+const RUN_LIMIT: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy, Debug)]
+enum Append {
+    Answered,
+    AnswerLost,
+    RecordLost,
+    Unavailable,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Start(usize),
+    End(usize),
+    Demand(usize, u32),
+    /// The traffic threads take up the newest view.
+    Sync(usize),
+    Report(usize),
+    Append(usize, Append),
+    Poll(usize),
+    Beat(usize, usize),
+    Restart(usize),
+    Repeat(usize),
+    /// Time passes for all; the processes of the mask are paused meanwhile.
+    Advance(u64, usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let process = 0..PROCESSES;
+    let append = prop_oneof![
+        6 => Just(Append::Answered),
+        1 => Just(Append::AnswerLost),
+        1 => Just(Append::RecordLost),
+        1 => Just(Append::Unavailable),
+    ];
+    let time = prop_oneof![
+        6 => 50_u64..1_000,
+        2 => 1_000_u64..6_000,
+        1 => 20_000_u64..70_000,
+    ];
+    prop_oneof![
+        12 => process.clone().prop_map(Event::Start),
+        2 => process.clone().prop_map(Event::End),
+        2 => (process.clone(), 0_u32..30).prop_map(|(p, n)| Event::Demand(p, n)),
+        4 => process.clone().prop_map(Event::Sync),
+        4 => process.clone().prop_map(Event::Report),
+        8 => (process.clone(), append).prop_map(|(p, a)| Event::Append(p, a)),
+        8 => process.clone().prop_map(Event::Poll),
+        3 => (process.clone(), process.clone()).prop_map(|(a, b)| Event::Beat(a, b)),
+        1 => process.prop_map(Event::Restart),
+        1 => (0_usize..500).prop_map(Event::Repeat),
+        6 => (time, 0_usize..8).prop_map(|(ms, mask)| Event::Advance(ms, mask)),
+    ]
+}
+
+struct Process {
+    core: Core,
+    view: Arc<View>,
+    waiting: u32,
+    /// Starts of the requests that run at targets.
+    running: Vec<Instant>,
+}
+
+impl Process {
+    fn open(p: usize, incarnation: u64, now: Instant) -> Self {
+        let settings = Settings {
+            beats: true,
+            ..Settings::default()
+        };
+        let common = common(&format!("m{p}"));
+        let mut core = Core::open(&common, &settings, Incarnation(incarnation), now);
+        core.set_peer(([127, 0, 0, 1], 7_000).into(), now);
+        Self {
+            core,
+            view: Arc::new(View::empty()),
+            waiting: 0,
+            running: Vec::new(),
+        }
+    }
+
+    fn limit(&self, now: Instant) -> usize {
+        let limits = &self.view.limits;
+        if limits.until.is_none_or(|until| until <= now) {
+            return 0;
+        }
+        limits
+            .teams
+            .get(&TeamId::new("red"))
+            .map_or(0, |n| *n as usize)
+    }
+}
+
+struct World {
+    now: Instant,
+    processes: Vec<Process>,
+    /// Starts of requests whose process has died.
+    orphans: Vec<Instant>,
+    records: Vec<Vec<u8>>,
+    runs: u64,
+}
+
+impl World {
+    fn open(ceiling: u32) -> Self {
+        let now = Instant::now();
+        Self {
+            now,
+            processes: (0..PROCESSES).map(|p| Process::open(p, 1, now)).collect(),
+            orphans: Vec::new(),
+            records: base_with(ceiling),
+            runs: 1,
+        }
+    }
+
+    fn run(&mut self, event: Event) {
+        match event {
+            Event::Start(p) => self.start(p),
+            Event::End(p) => drop(self.processes[p].running.pop()),
+            Event::Demand(p, waiting) => self.processes[p].waiting = waiting,
+            Event::Sync(p) => {
+                let view = self.processes[p].core.view(self.now);
+                self.processes[p].view = Arc::new(view);
+            }
+            Event::Report(p) => self.report(p),
+            Event::Append(p, end) => self.append(p, end),
+            Event::Poll(p) => self.poll(p),
+            Event::Beat(a, b) => self.beat(a, b),
+            Event::Restart(p) => self.restart(p),
+            Event::Repeat(n) => {
+                let n = n % self.records.len();
+                self.records.push(self.records[n].clone());
+            }
+            Event::Advance(ms, paused) => self.advance(Duration::from_millis(ms), paused),
+        }
+    }
+
+    fn start(&mut self, p: usize) {
+        let now = self.now;
+        let process = &mut self.processes[p];
+        if process.running.len() < process.limit(now) {
+            process.running.push(now);
+        }
+    }
+
+    fn report(&mut self, p: usize) {
+        let process = &mut self.processes[p];
+        let report = Report {
+            version: process.view.limits.version,
+            demands: vec![Demand {
+                team: TeamId::new("red"),
+                running: u32::try_from(process.running.len()).expect("small"),
+                waiting: process.waiting,
+            }],
+        };
+        process.core.report(&report, self.now);
+    }
+
+    fn append(&mut self, p: usize, end: Append) {
+        let core = &mut self.processes[p].core;
+        let batch = core.take(self.now);
+        let first = Offset(self.records.len() as u64);
+        if matches!(end, Append::Answered | Append::AnswerLost) {
+            self.records.extend(batch);
+        }
+        let lost = LogError::Unknown("cut".to_owned());
+        let result = match end {
+            Append::Answered => Ok(first),
+            Append::AnswerLost | Append::RecordLost => Err(&lost),
+            Append::Unavailable => Err(&LogError::Unavailable),
+        };
+        core.appended(result, self.now);
+    }
+
+    fn poll(&mut self, p: usize) {
+        let core = &mut self.processes[p].core;
+        let first = core.state().offset();
+        let from = usize::try_from(first.0).expect("small");
+        let batch = Batch {
+            oldest: Offset(0),
+            head: Offset(self.records.len() as u64),
+            first,
+            records: self.records[from..].to_vec(),
+        };
+        assert_ne!(core.fold(&batch, self.now, self.now), Err(Gap));
+        core.balance(self.now);
+    }
+
+    fn beat(&mut self, a: usize, b: usize) {
+        let sent = self.processes[a].core.heartbeat(self.now);
+        self.processes[b].core.hear(&sent, self.now);
+        let answer = self.processes[b].core.heartbeat(self.now);
+        self.processes[a].core.hear(&answer, self.now);
+    }
+
+    fn restart(&mut self, p: usize) {
+        self.runs += 1;
+        let state = store(self.processes[p].core.state());
+        let trust = self.processes[p].core.state().trust().clone();
+        let mut process = Process::open(p, self.runs, self.now);
+        process.core.adopt(restore(&state, &trust).expect("valid"));
+        let old = std::mem::replace(&mut self.processes[p], process);
+        self.orphans.extend(old.running);
+    }
+
+    fn advance(&mut self, time: Duration, paused: usize) {
+        self.now += time;
+        let now = self.now;
+        let runs = |start: &Instant| now.saturating_duration_since(*start) < RUN_LIMIT;
+        self.orphans.retain(runs);
+        for (p, process) in self.processes.iter_mut().enumerate() {
+            process.running.retain(runs);
+            if paused & (1 << p) == 0 {
+                process.core.tick(now);
+            }
+        }
+    }
+
+    fn running(&self) -> usize {
+        let running = self.processes.iter().map(|p| p.running.len());
+        running.sum::<usize>() + self.orphans.len()
+    }
+
+    /// A round of everything in good order; requests and the round take 50 ms.
+    fn round(&mut self) {
+        for p in 0..PROCESSES {
+            self.run(Event::Append(p, Append::Answered));
+        }
+        for p in 0..PROCESSES {
+            self.run(Event::Poll(p));
+            self.run(Event::Sync(p));
+            for _ in 0..self.processes[p].waiting {
+                self.run(Event::Start(p));
+            }
+            self.run(Event::Report(p));
+            self.run(Event::Beat(p, (p + 1) % PROCESSES));
+            self.processes[p].running.clear();
+        }
+        self.advance(Duration::from_millis(50), 0);
+    }
+
+    fn rounds(&mut self, time: Duration) {
+        for _ in 0..time.as_millis() / 50 {
+            self.round();
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_interleaving_passes_the_ceiling(
+        events in prop::collection::vec(event(), 0..400),
+    ) {
+        let mut world = World::open(8);
+        let mut most = 0;
+
+        for event in events {
+            world.run(event);
+            most = most.max(world.running());
+        }
+
+        prop_assert!(most <= 8, "{most} running");
+    }
+}
+
+#[test]
+fn demand_in_one_place_gets_the_ceiling_within_about_a_second() {
+    let mut world = World::open(100);
+    for p in 0..PROCESSES {
+        world.processes[p].waiting = 40;
+    }
+    world.rounds(Duration::from_secs(3));
+    let shared = world.processes[0].limit(world.now);
+    for p in 1..PROCESSES {
+        world.processes[p].waiting = 0;
+    }
+    world.processes[0].waiting = 500;
+
+    world.rounds(Duration::from_millis(1_500));
+    let skewed = world.processes[0].limit(world.now);
+
+    assert!((30..=40).contains(&shared), "{shared}");
+    assert!(skewed >= 95, "{skewed}");
+}
+
+#[test]
+fn equal_demands_get_equal_parts() {
+    let mut world = World::open(90);
+    world.processes[0].waiting = 500;
+    world.rounds(Duration::from_secs(3));
+    world.processes[1].waiting = 500;
+    world.processes[2].waiting = 500;
+
+    world.rounds(Duration::from_secs(20));
+
+    for process in &world.processes {
+        let limit = process.limit(world.now);
+        assert!((27..=33).contains(&limit), "{limit}");
+    }
+}
+
+#[test]
+fn a_process_that_is_cut_off_from_all_stops_before_it_is_retired() {
+    let mut world = World::open(8);
+    world.processes[0].waiting = 20;
+    world.rounds(Duration::from_secs(3));
+    let before = world.processes[0].limit(world.now);
+
+    world.advance(Duration::from_secs(41), 1);
+
+    assert!(before > 0);
+    assert_eq!(world.processes[0].limit(world.now), 0);
+}
+
+#[test]
+fn a_data_centre_that_is_cut_off_from_the_log_keeps_its_parts() {
+    let mut world = World::open(8);
+    world.processes[0].waiting = 20;
+    world.rounds(Duration::from_secs(3));
+    let before = world.processes[0].limit(world.now);
+
+    for _ in 0..600 {
+        for p in 0..PROCESSES {
+            world.run(Event::Beat(p, (p + 1) % PROCESSES));
+            world.run(Event::Append(p, Append::Unavailable));
+            world.run(Event::Sync(p));
+        }
+        world.advance(Duration::from_secs(1), 0);
+    }
+
+    assert!(before > 0);
+    assert_eq!(world.processes[0].limit(world.now), before);
+}
+
+#[test]
+fn the_part_of_a_dead_process_comes_back_after_its_requests_have_ended() {
+    let mut world = World::open(8);
+    world.processes[2].waiting = 20;
+    world.rounds(Duration::from_secs(3));
+    assert!(world.processes[2].limit(world.now) >= 4);
+    world.processes[0].waiting = 20;
+
+    for _ in 0..90 {
+        for p in 0..2 {
+            world.run(Event::Append(p, Append::Answered));
+            world.run(Event::Poll(p));
+            world.run(Event::Sync(p));
+            world.run(Event::Report(p));
+        }
+        world.run(Event::Beat(0, 1));
+        world.advance(Duration::from_secs(1), 4);
+    }
+
+    assert_eq!(world.processes[0].core.state().facts().members.len(), 2);
+    assert!(world.processes[0].limit(world.now) >= 7);
+}
--- a/tests/control/fixtures.rs
+++ b/tests/control/fixtures.rs
@@ -31,8 +31,11 @@
     format!(
         r#"{{
   "data_centres": {{ "a": {{ "region": "r" }} }},
-  "classes": {{ "worker": {{ "kind": "worker", "cores": 16, "memory_mb": 32768 }} }},
-  "services": {{}},
+  "classes": {{
+    "executor": {{ "kind": "executor", "cores": 4, "memory_mb": 8192, "slots": 8, "connections": 64 }},
+    "worker": {{ "kind": "worker", "cores": 16, "memory_mb": 32768 }}
+  }},
+  "services": {{ "s": {{ "class": "executor", "run_limit_ms": 5000, "idempotent": true }} }},
   "budgets": {{ "pool_percent": 50, "racks": 1, "vms": 4, "cycle_days": 42 }},
   "operators": {{ "fleet-ops": "{}" }},
   "owners": {{ "red": "{}" }}
@@ -43,11 +46,18 @@
 }
 
 pub(crate) fn team_text(share: u64) -> String {
+    team_text_with(share, 8)
+}
+
+pub(crate) fn team_text_with(share: u64, ceiling: u32) -> String {
     let key = hex::encode(&example::operator("red-ops").public());
     format!(
         r#"{{
-  "share": {share}, "ceiling": 8,
-  "pools": {{ "red-jobs": {{ "class": "worker", "vms": {{ "a": 2 }} }} }},
+  "share": {share}, "ceiling": {ceiling},
+  "pools": {{
+    "red-pool": {{ "service": "s", "class": "executor", "vms": {{ "a": 20 }} }},
+    "red-jobs": {{ "class": "worker", "vms": {{ "a": 2 }} }}
+  }},
   "queues": {{}}, "keys": {{}},
   "operators": {{ "red-ops": "{key}" }},
   "on_stale": "refuse"
@@ -67,11 +77,15 @@
     })
 }
 
-/// Records that create the fleet section and the team `red`.
+/// Records that create the fleet section and the team `red` with a ceiling of 8.
 pub(crate) fn base() -> Vec<Vec<u8>> {
+    base_with(8)
+}
+
+pub(crate) fn base_with(ceiling: u32) -> Vec<Vec<u8>> {
     let edits = [
         edit("fleet", 0, &fleet_text(), "root"),
-        edit("red", 0, &team_text(10), "red-owner"),
+        edit("red", 0, &team_text_with(10, ceiling), "red-owner"),
     ];
     edits
         .into_iter()
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! The control thread: its decisions in virtual time, and the thread itself.
 
+mod ceilings;
 mod fake;
 mod fixtures;
 mod freshness;
--- a/tests/control/simulation.rs
+++ b/tests/control/simulation.rs
@@ -358,7 +358,7 @@
     world.poll(0);
 
     let members = &world.processes[0].state().facts().members;
-    assert_eq!(members[0].incarnation, Incarnation(10));
+    assert_eq!(members[0].registration.incarnation, Incarnation(10));
 }
 
 #[test]
--- a/tests/ledger/fixtures.rs
+++ b/tests/ledger/fixtures.rs
@@ -6,7 +6,7 @@
     Revision, SectionId, TeamId, VmId,
 };
 use amaranthwick::ledger::{
-    Claim, Edit, Job, Proposal, Record, Registration, Role, State, Trust, Verdict, encode,
+    Claim, Edit, Job, Party, Proposal, Record, Registration, Role, State, Trust, Verdict, encode,
     encode_edit,
 };
 use amaranthwick::secret::FleetSecret;
@@ -150,15 +150,20 @@
     }
 }
 
-pub(crate) fn transfer(team: &str, from: &str, to: &str, amount: u32) -> Proposal {
+pub(crate) fn transfer(team: &str, from: Party, to: Party, amount: u32) -> Proposal {
+    let team = TeamId::new(team);
     Proposal::Transfer {
-        team: TeamId::new(team),
-        from: DataCentre::new(from),
-        to: DataCentre::new(to),
+        team,
+        from,
+        to,
         amount,
     }
 }
 
+pub(crate) fn member(id: &str, incarnation: u64) -> Party {
+    Party::Member(MemberId::new(id), Incarnation(incarnation))
+}
+
 pub(crate) fn register(id: &str, incarnation: u64, port: u16) -> Proposal {
     Proposal::Register(Registration {
         id: MemberId::new(id),
--- a/tests/ledger/fold.rs
+++ b/tests/ledger/fold.rs
@@ -1,12 +1,11 @@
-use amaranthwick::id::{
-    DataCentre, Epoch, Incarnation, JobId, MemberId, Offset, Revision, TeamId, VmId,
-};
+use amaranthwick::id::{Epoch, Incarnation, JobId, MemberId, Offset, Revision, TeamId, VmId};
 use amaranthwick::ledger::{
-    JOBS, JobPhase, JobUpdate, Proposal, Refusal, StopReason, Verdict, WINDOW_OFFSETS, encode,
+    Holder, JobPhase, JobUpdate, Party, Proposal, Refusal, StopReason, Verdict, WINDOW_OFFSETS,
+    encode,
 };
 
 use crate::fixtures::{
-    Log, assign, claim, fleet_text, job, record, register, team_text, transfer, trust,
+    Log, assign, claim, fleet_text, job, member, record, register, team_text, transfer, trust,
 };
 
 fn refusal(verdict: Verdict) -> Option<Refusal> {
@@ -203,30 +202,110 @@
     assert_eq!(refusal(newer), None);
     assert_eq!(refusal(older), Some(Refusal::Outdated(Incarnation(20))));
     assert_eq!(
-        log.state.facts().members[&MemberId::new("e1")].peer.port(),
+        log.state.facts().members[&MemberId::new("e1")]
+            .registration
+            .peer
+            .port(),
         7_001
     );
 }
 
+fn share(log: &Log, holder: &Holder) -> u32 {
+    log.state.share(&TeamId::new("red"), holder)
+}
+
+fn held_by(id: &str) -> Holder {
+    Holder::Member(MemberId::new(id))
+}
+
+#[test]
+fn a_member_gives_no_more_than_it_has() {
+    let mut log = Log::with_teams();
+    log.propose(register("e1", 5, 7_000));
+
+    let taken = log.propose(transfer("red", Party::Reserve, member("e1", 5), 10));
+    let beyond = log.propose(transfer("red", Party::Reserve, member("e1", 5), 3));
+    let given = log.propose(transfer("red", member("e1", 5), Party::Reserve, 4));
+    let too_much = log.propose(transfer("red", member("e1", 5), Party::Reserve, 7));
+
+    assert_eq!((refusal(taken), refusal(given)), (None, None));
+    assert_eq!(refusal(beyond), Some(Refusal::Allotment(2)));
+    assert_eq!(refusal(too_much), Some(Refusal::Allotment(6)));
+    assert_eq!(
+        [share(&log, &held_by("e1")), share(&log, &Holder::Reserve)],
+        [6, 6]
+    );
+}
+
+#[test]
+fn a_demand_that_was_not_met_is_shown_to_the_others() {
+    let mut log = Log::with_teams();
+    log.propose(register("e1", 5, 7_000));
+
+    log.propose(transfer("red", Party::Reserve, member("e1", 5), 13));
+
+    let want = log.state.facts().allotments[&TeamId::new("red")]
+        .want
+        .clone();
+    assert_eq!(
+        want.map(|want| (want.holder, want.count)),
+        Some((held_by("e1"), 1))
+    );
+}
+
+#[test]
+fn an_earlier_run_of_a_member_moves_nothing() {
+    let mut log = Log::with_teams();
+    log.propose(register("e1", 5, 7_000));
+    log.propose(transfer("red", Party::Reserve, member("e1", 5), 10));
+    log.propose(register("e1", 6, 7_000));
+
+    let late = log.propose(transfer("red", member("e1", 5), Party::Reserve, 10));
+    let stranger = log.propose(transfer("red", Party::Reserve, member("e2", 1), 1));
+
+    assert_eq!(refusal(late), Some(Refusal::Outdated(Incarnation(6))));
+    assert_eq!(refusal(stranger), Some(Refusal::Missing("e2".to_owned())));
+    assert_eq!(share(&log, &held_by("e1")), 10);
+}
+
 #[test]
-fn a_data_centre_gives_no_more_than_it_has() {
+fn a_retired_member_loses_its_parts_unless_it_has_renewed() {
     let mut log = Log::with_teams();
-    let red = TeamId::new("red");
-    let share = |log: &Log, name: &str| log.state.allotment(&red, &DataCentre::new(name));
+    let first = log.propose(register("e1", 5, 7_000)).offset();
+    log.propose(transfer("red", Party::Reserve, member("e1", 5), 10));
+    let retire = |renewed| Proposal::Retire {
+        id: MemberId::new("e1"),
+        renewed,
+    };
 
-    let given = log.propose(transfer("red", "a", "b", 3));
-    let beyond = log.propose(transfer("red", "a", "b", 2));
-    let nowhere = log.propose(transfer("red", "a", "c", 1));
+    let renewal = log.propose(register("e1", 5, 7_000)).offset();
+    let late = log.propose(retire(first));
+    let kept = share(&log, &held_by("e1"));
+    let retired = log.propose(retire(renewal));
 
-    assert_eq!(refusal(given), None);
-    assert_eq!(refusal(beyond), Some(Refusal::Allotment(1)));
-    assert_eq!(refusal(nowhere), Some(Refusal::Missing("c".to_owned())));
+    assert_eq!(refusal(late), Some(Refusal::Renewed(renewal)));
+    assert_eq!(kept, 10);
+    assert_eq!(refusal(retired), None);
     assert_eq!(
-        [share(&log, "a"), share(&log, "b"), share(&log, JOBS)],
-        [1, 7, 4]
+        [share(&log, &held_by("e1")), share(&log, &Holder::Reserve)],
+        [0, 12]
     );
 }
 
+#[test]
+fn a_lower_ceiling_is_taken_from_the_reserve_first() {
+    let mut log = Log::with_teams();
+    log.propose(register("e1", 5, 7_000));
+    log.propose(transfer("red", Party::Reserve, member("e1", 5), 8));
+
+    log.edit("red", 1, &team_text("red", 9, "red-ops"), "red-ops");
+    let first = [share(&log, &held_by("e1")), share(&log, &Holder::Reserve)];
+    log.edit("red", 2, &team_text("red", 5, "red-ops"), "red-ops");
+    let second = [share(&log, &held_by("e1")), share(&log, &Holder::Reserve)];
+
+    assert_eq!((first, second), ([8, 1], [5, 0]));
+}
+
 #[test]
 fn a_submitted_job_is_known_once_and_steps_in_order() {
     let mut log = Log::with_teams();
@@ -240,6 +319,8 @@
         })
     };
 
+    log.propose(transfer("red", Party::Reserve, Party::Jobs(Epoch(1)), 2));
+
     let submitted = log.propose(Proposal::Submit(job("j1", "red", 4)));
     let repeated = log.propose(Proposal::Submit(job("j1", "red", 4)));
     let large = log.propose(Proposal::Submit(job("j2", "red", 17)));
@@ -291,9 +372,12 @@
         log.propose(Proposal::Submit(job(id, "blue", 1)));
     }
 
+    let jobs = Party::Jobs(Epoch(1));
+    log.propose(transfer("blue", Party::Reserve, jobs.clone(), 3));
+
     let placed = ["1", "2", "3"].map(|id| refusal(log.propose(place(id))));
     let beyond = refusal(log.propose(place("4")));
-    let taken = refusal(log.propose(transfer("blue", JOBS, "a", 1)));
+    let taken = refusal(log.propose(transfer("blue", jobs, Party::Reserve, 1)));
 
     assert_eq!(placed, [None, None, None]);
     assert_eq!(beyond, Some(Refusal::Allotment(3)));
--- a/tests/ledger/invariants.rs
+++ b/tests/ledger/invariants.rs
@@ -1,13 +1,14 @@
 //! What holds for every order of records, repeats, losses and restarts.
 
-use amaranthwick::id::{JobId, Offset, RecordId, TeamId, VmId};
+use amaranthwick::id::{Epoch, JobId, MemberId, Offset, RecordId, TeamId, VmId};
 use amaranthwick::ledger::{
-    JobPhase, JobUpdate, Proposal, State, encode, encode_edit, restore, store,
+    JobPhase, JobUpdate, Party, Proposal, State, decode, encode, encode_edit, restore, store,
 };
 use proptest::prelude::*;
 
 use crate::fixtures::{
-    assign, cases, claim, edit, fleet_text, job, record, register, team_text, transfer, trust,
+    assign, cases, claim, edit, fleet_text, job, member, record, register, team_text, transfer,
+    trust,
 };
 
 /// What happens to one process's copy of the log.
@@ -25,7 +26,13 @@
     let vm = prop::sample::select(vec!["v1", "v2", "v3"]);
     let pool = prop::sample::select(vec![None, Some("red-pool"), Some("blue-pool")]);
     let holder = prop::sample::select(vec!["p1", "p2"]);
-    let place = prop::sample::select(vec!["a", "b", "*jobs"]);
+    let place = prop::sample::select(vec![
+        Party::Reserve,
+        Party::Jobs(Epoch(1)),
+        member("e1", 0),
+        member("e1", 1),
+        member("e2", 1),
+    ]);
     let team = prop::sample::select(vec!["red", "blue"]);
     let renewal = prop::option::of(0_u64..30);
     let ceiling = 0_u32..20;
@@ -36,6 +43,10 @@
         (team.clone(), place.clone(), place, 0_u32..9)
             .prop_map(|(team, from, to, amount)| transfer(team, from, to, amount)),
         (0_u64..3, 1_u16..4).prop_map(|(incarnation, port)| register("e1", incarnation, port)),
+        (0_u64..40).prop_map(|renewed| Proposal::Retire {
+            id: MemberId::new("e1"),
+            renewed: Offset(renewed),
+        }),
         (team.clone(), 0_u64..4, ceiling).prop_map(|(team, base, ceiling)| {
             let operator = format!("{team}-ops");
             let text = team_text(team, ceiling, &operator);
@@ -47,7 +58,7 @@
                 id: JobId::new(&n.to_string()),
                 step,
                 phase: JobPhase::Placed(VmId::new(vm)),
-                epoch: Some(amaranthwick::id::Epoch(epoch)),
+                epoch: Some(Epoch(epoch)),
             })
         }),
     ]
@@ -148,7 +159,7 @@
         fold(&log, true, |state| {
             let Some(document) = state.document() else { return };
             for (team, spec) in &document.teams {
-                let shares = &state.facts().allotments[team];
+                let shares = &state.facts().allotments[team].shares;
                 assert_eq!(shares.values().sum::<u32>(), spec.ceiling);
             }
         });
@@ -174,7 +185,7 @@
 }
 
 fn decoded_before(state: &State, bytes: &[u8]) -> bool {
-    amaranthwick::ledger::decode(bytes, &trust().secret)
+    decode(bytes, &trust().secret)
         .is_ok_and(|record| state.verdict(RecordId(record.id.0)).is_some())
 }
 
--- a/tests/membership/roster.rs
+++ b/tests/membership/roster.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use amaranthwick::id::{DataCentre, Incarnation, MemberId, Offset};
-use amaranthwick::ledger::Registration;
+use amaranthwick::ledger::{Enrolment, Registration};
 use amaranthwick::membership::{Roster, SUSPECT_MS};
 use amaranthwick::peer::Heartbeat;
 use indexmap::IndexMap;
@@ -14,7 +14,7 @@
 struct World {
     now: Instant,
     ids: Vec<MemberId>,
-    members: IndexMap<MemberId, Registration>,
+    members: IndexMap<MemberId, Enrolment>,
     rosters: Vec<Roster>,
     down: Vec<bool>,
     /// Pairs of sender and receiver whose connections fail.
@@ -36,10 +36,15 @@
                 data_centre: DataCentre::new(place),
                 peer: ([127, 0, 0, 1], 7_000).into(),
             };
-            (id.clone(), registration)
+            let enrolment = Enrolment {
+                registration,
+                renewed: Offset(0),
+            };
+            (id.clone(), enrolment)
         });
         let members: IndexMap<_, _> = pairs.collect();
         let rosters = (0..).zip(members.values()).map(|(seed, member)| {
+            let member = &member.registration;
             Roster::open(&member.id, &member.data_centre, member.incarnation, seed)
         });
         let mut world = Self {
@@ -202,7 +207,7 @@
     world.down[3] = true;
     world.run(20 * SECOND);
     let id = world.ids[3].clone();
-    world.members[&id].incarnation = Incarnation(2);
+    world.members[&id].registration.incarnation = Incarnation(2);
     world.rosters[3] = Roster::open(&id, &DataCentre::new("a"), Incarnation(2), 3);
     world.down[3] = false;
     world.watch();
--- a/tests/planner/fixtures.rs
+++ b/tests/planner/fixtures.rs
@@ -114,6 +114,7 @@
         vms,
         assignment: assignment(pairs),
         stops: IndexMap::new(),
+        allotments: IndexMap::new(),
         planner: None,
         jobs,
     }
