--- a/src/bin/amaranthwick-planner.rs
+++ b/src/bin/amaranthwick-planner.rs
@@ -55,7 +55,7 @@
     let workers = WorkersClient::new(config.common.platform.workers, &config.common.data_centre);
     let _planner = planner::spawn(config, control.clone(), workers, &runtime);
     let process = Process::new(env!("CARGO_BIN_NAME"), &config.common);
-    let admin = Admin::bind(
+    let _admin = Admin::bind(
         config.common.admin,
         &runtime,
         process,
@@ -64,7 +64,6 @@
         State,
     )
     .context("listen on the admin address")?;
-    spdlog::info!("planner_started", kv: { admin = admin.address().to_string() });
     signals.next().await;
     Ok(())
 }
