Show holders of ceilings in the dump without ending the control thread

A holder is not a name, so it can't be the key of a JSON object, and the dump panicked as soon as a process held a part of a ceiling. Seven tests of the whole path failed by it; the new test of the dump asks for it with a part held.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -3,13 +3,15 @@
 use std::time::Instant;
 
 use async_channel::Receiver;
+use indexmap::IndexMap;
 use serde_json::{Value, json};
 
 use super::core::Core;
 use super::shell::Shell;
 use super::{Command, FleetState};
 use crate::document::hex;
-use crate::ledger::{is_ended, store};
+use crate::id::TeamId;
+use crate::ledger::{Allotment, is_ended, store};
 
 pub(super) async fn run<L, V, P>(shell: &Shell<L, V, P>, received: &Receiver<Command>) {
     while let Ok(command) = received.recv().await {
@@ -54,6 +56,16 @@
     }
 }
 
+/// Holders are not names, so they can't be the keys of a JSON object.
+fn allotments(allotments: &IndexMap<TeamId, Allotment>) -> Value {
+    let teams = allotments.iter().map(|(team, allotment)| {
+        let shares = allotment.shares.iter();
+        let shares = shares.map(|(holder, share)| json!({ "holder": holder, "share": share }));
+        (team.to_string(), shares.collect::<Vec<Value>>().into())
+    });
+    Value::Object(teams.collect())
+}
+
 fn dump(core: &Core, now: Instant) -> Value {
     let facts = core.state.facts();
     let age = core.verified().map(|at| now.saturating_duration_since(at));
@@ -75,7 +87,7 @@
         "sections": revisions,
         "assignment": facts.assignment,
         "stops": facts.stops,
-        "allotments": facts.allotments,
+        "allotments": allotments(&facts.allotments),
         "planner": facts.planner,
         "members": facts.members,
         "jobs": facts.jobs.len(),
--- a/tests/control/shell.rs
+++ b/tests/control/shell.rs
@@ -2,10 +2,11 @@
 use std::time::{Duration, Instant};
 
 use amaranthwick::control::{self, Control, Settings};
-use amaranthwick::id::{JobId, Offset, SectionId};
+use amaranthwick::id::{JobId, Offset, SectionId, TeamId};
 use amaranthwick::ledger::Verdict;
 use amaranthwick::platform::LogError;
 use futures_lite::future::block_on;
+use serde_json::json;
 
 use crate::fake::{Donor, FakeLog, NoVms};
 use crate::fixtures::{base, common, edit, fleet_text, submit, team_text};
@@ -51,6 +52,31 @@
     assert_eq!(&*section.text, fleet_text());
 }
 
+#[test]
+fn the_dump_shows_who_holds_which_part_of_a_ceiling() {
+    let control = open("m1", &with_document(), None);
+    wait("the document is accepted", || has_document(&control));
+    block_on(control.register(([127, 0, 0, 1], 7_000).into()));
+    let limit = || {
+        control
+            .view()
+            .limits
+            .teams
+            .get(&TeamId::new("red"))
+            .copied()
+    };
+    wait("a part is held", || limit() == Some(4));
+
+    let dump = block_on(control.dump());
+
+    let shares = &dump["allotments"]["red"];
+    assert_eq!(shares[0], json!({ "holder": "Reserve", "share": 4 }));
+    assert_eq!(
+        shares[1],
+        json!({ "holder": { "Member": "m1" }, "share": 4 })
+    );
+}
+
 #[test]
 fn an_accepted_edit_is_in_force_in_every_process() {
     let log = with_document();
