Keep secrets and line breaks out of findings

A caller's secret pasted where its hash or its key belongs was shown in the finding, and a refusal travels through the log and stays in the memory of every process. A line break inside a name broke the one line a finding. Texts and names are now escaped, and from 64 characters on (a secret has 68 with its prefix, a seed 64) shown by their length alone.

A property test grants and withdraws keys in texts with comments, commas inside comments and line ends between all keys and commas: only the key changes and all comments around it stay.

--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -1,4 +1,7 @@
 //! The capacity document: model, parsing and validation.
+//!
+//! The fold accepts an edit only if the document is valid, so every change of what is valid needs
+//! a new version of the rules in [`crate::ledger`].
 
 mod cache;
 mod check;
--- a/src/document/name.rs
+++ b/src/document/name.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::jsonc::quote;
+
 const MAX_NAME: usize = 63;
 
 /// A text that can't be a name.
@@ -10,10 +12,10 @@
 
 impl fmt::Display for BadName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let name = &self.0;
+        let name = quote(&self.0);
         write!(
             f,
-            "bad name \"{name}\": 1 to {MAX_NAME} lower-case letters, digits and `-` are allowed"
+            "bad name {name}: 1 to {MAX_NAME} lower-case letters, digits and `-` are allowed"
         )
     }
 }
--- a/src/jsonc/field.rs
+++ b/src/jsonc/field.rs
@@ -1,6 +1,7 @@
 //! Fields of an object with a fixed set of names.
 
 use super::node::{Entry, Node, with_hint};
+use super::quote::label;
 use super::unit;
 
 /// Fields of one object.
@@ -49,7 +50,12 @@
 fn unknown(key: &str, known: &[&str]) -> String {
     if let Some(field) = unit::same_stem(key, known) {
         let expected = unit::expected(field);
-        return format!("unknown field `{key}`, wrong unit: `{field}` holds {expected}");
+        let name = label(key);
+        return format!("unknown field {name}, wrong unit: `{field}` holds {expected}");
     }
-    with_hint(format!("unknown field `{key}`"), key, known.iter().copied())
+    with_hint(
+        format!("unknown field {}", label(key)),
+        key,
+        known.iter().copied(),
+    )
 }
--- a/src/jsonc/mod.rs
+++ b/src/jsonc/mod.rs
@@ -7,6 +7,7 @@
 mod hint;
 mod line;
 mod node;
+mod quote;
 mod site;
 mod unit;
 
@@ -15,6 +16,7 @@
 pub(crate) use field::Fields;
 pub(crate) use hint::nearest;
 pub(crate) use node::{Entry, Node};
+pub(crate) use quote::quote;
 pub(crate) use site::Site;
 
 use jsonc_parser::ast::Value;
@@ -22,9 +24,6 @@
 
 use crate::finding::{Finding, Findings};
 
-/// Name of the outermost value in messages.
-const ROOT: &str = "the whole text";
-
 /// What the texts may contain beyond JSON.
 pub(crate) const OPTIONS: ParseOptions = ParseOptions {
     allow_comments: true,
@@ -53,7 +52,7 @@
 ) -> (Option<T>, Vec<Finding>) {
     let faults = Faults::new(file, text);
     let decoded = match parse(text) {
-        Ok(value) => Some(decode(Node::new(&value, ROOT, &faults))),
+        Ok(value) => Some(decode(Node::root(&value, &faults))),
         Err((offset, message)) => {
             faults.add(offset, message);
             None
--- a/src/jsonc/node.rs
+++ b/src/jsonc/node.rs
@@ -10,14 +10,21 @@
 use super::fault::Faults;
 use super::field::Fields;
 use super::hint::nearest;
+use super::quote::{label, quote};
 use super::unit;
 use crate::document::{self, hex};
 
+/// Name of the outermost value in messages.
+const ROOT: &str = "the whole text";
+
+const MAX_DIGITS: usize = 24;
+
 /// A value with the name of its field.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Node<'a> {
     value: &'a Value<'a>,
-    name: &'a str,
+    /// Absent for the outermost value.
+    name: Option<&'a str>,
     faults: &'a Faults<'a>,
 }
 
@@ -33,14 +40,23 @@
 }
 
 impl<'a> Node<'a> {
-    pub(crate) const fn new(value: &'a Value<'a>, name: &'a str, faults: &'a Faults<'a>) -> Self {
+    /// The outermost value of a text.
+    pub(super) const fn root(value: &'a Value<'a>, faults: &'a Faults<'a>) -> Self {
         Self {
             value,
-            name,
+            name: None,
             faults,
         }
     }
 
+    const fn child(self, value: &'a Value<'a>, name: &'a str) -> Self {
+        Self {
+            value,
+            name: Some(name),
+            faults: self.faults,
+        }
+    }
+
     /// Reports a fault of this value.
     pub(crate) fn fault(self, message: impl Into<String>) {
         self.faults.add(self.value.start(), message);
@@ -65,10 +81,10 @@
         for property in &object.properties {
             let key = property.name.as_str();
             let offset = property.start();
-            let node = Self::new(&property.value, key, self.faults);
+            let node = self.child(&property.value, key);
             if let Some(first) = entries.get(key) {
                 let place = self.faults.place(first.offset);
-                let message = format!("duplicate key `{key}`, first at {place}");
+                let message = format!("duplicate key {}, first at {place}", label(key));
                 self.faults.add(offset, message);
                 continue;
             }
@@ -81,7 +97,7 @@
     pub(crate) fn not_empty(self) -> Option<Self> {
         let empty = self.entries()?.is_empty();
         if empty {
-            self.fault(format!("`{}` must not be empty", self.name));
+            self.fault(format!("{} must not be empty", self.label()));
         }
         (!empty).then_some(self)
     }
@@ -132,16 +148,16 @@
         };
         let digits = literal.value.strip_prefix('-').unwrap_or(literal.value);
         if !digits.bytes().all(|b| b.is_ascii_digit()) {
-            return self.wrong(&unit::expected(self.name));
+            return self.wrong(&unit::expected(self.key()));
         }
         let number = literal.value.parse().ok().filter(|n| range.contains(n));
         let converted = number.and_then(|n| T::try_from(n).ok());
         if converted.is_none() {
             let (low, high) = (range.start(), range.end());
-            let (name, found) = (self.name, literal.value);
-            let unit = unit::unit(self.name).map_or_else(String::new, |unit| format!(" {unit}"));
+            let (name, found) = (self.label(), found(self.value));
+            let unit = unit::unit(self.key()).map_or_else(String::new, |unit| format!(" {unit}"));
             self.fault(format!(
-                "`{name}` must be {low} to {high}{unit}, found {found}"
+                "{name} must be {low} to {high}{unit}, found {found}"
             ));
         }
         converted
@@ -153,8 +169,8 @@
         let found = choices.iter().find(|(word, _)| *word == text);
         if found.is_none() {
             let words: Vec<String> = choices.iter().map(|(w, _)| format!("\"{w}\"")).collect();
-            let (name, words) = (self.name, words.join(", "));
-            self.fault(format!("`{name}` must be one of {words}, found \"{text}\""));
+            let (name, words, found) = (self.label(), words.join(", "), quote(text));
+            self.fault(format!("{name} must be one of {words}, found {found}"));
         }
         found.map(|(_, value)| *value)
     }
@@ -170,7 +186,7 @@
         let text = self.text()?;
         let decoded = hex::decode(text);
         if let Err(e) = &decoded {
-            self.fault(format!("`{}` {e}", self.name));
+            self.fault(format!("{} {e}", self.label()));
         }
         decoded.ok()
     }
@@ -182,9 +198,9 @@
             _ => None,
         };
         if decoded.is_none() {
-            let name = self.name;
+            let name = self.label();
             self.fault(format!(
-                "`{name}` must be a string of 64 lower-case hexadecimal digits"
+                "{name} must be a string of 64 lower-case hexadecimal digits"
             ));
         }
         decoded
@@ -195,33 +211,37 @@
         let text = self.text()?;
         let address = text.parse().ok();
         if address.is_none() {
-            let name = self.name;
+            let (name, found) = (self.label(), quote(text));
             self.fault(format!(
-                "`{name}` must be an IP address and port such as 127.0.0.1:7100, found \"{text}\""
+                "{name} must be an IP address and port such as 127.0.0.1:7100, found {found}"
             ));
         }
         address
     }
 
     fn not_a_number<T>(self) -> Option<T> {
-        let expected = unit::expected(self.name);
-        let (Value::StringLit(literal), Some(_)) = (self.value, unit::unit(self.name)) else {
+        let expected = unit::expected(self.key());
+        let (Value::StringLit(literal), Some(_)) = (self.value, unit::unit(self.key())) else {
             return self.wrong(&expected);
         };
-        let (name, found) = (self.name, &literal.value);
+        let (name, found) = (self.label(), quote(&literal.value));
         self.fault(format!(
-            "wrong unit: `{name}` holds {expected}, found \"{found}\""
+            "wrong unit: {name} holds {expected}, found {found}"
         ));
         None
     }
 
+    fn key(self) -> &'a str {
+        self.name.unwrap_or_default()
+    }
+
+    fn label(self) -> String {
+        self.name.map_or_else(|| ROOT.to_owned(), label)
+    }
+
     fn wrong<T>(self, expected: &str) -> Option<T> {
-        let (name, found) = (self.name, found(self.value));
-        if name.contains(' ') {
-            self.fault(format!("{name} must be {expected}, found {found}"));
-        } else {
-            self.fault(format!("`{name}` must be {expected}, found {found}"));
-        }
+        let (name, found) = (self.label(), found(self.value));
+        self.fault(format!("{name} must be {expected}, found {found}"));
         None
     }
 }
@@ -260,11 +280,18 @@
 
 fn found(value: &Value<'_>) -> String {
     match value {
-        Value::StringLit(literal) => format!("\"{}\"", literal.value),
-        Value::NumberLit(literal) => literal.value.to_owned(),
+        Value::StringLit(literal) => quote(&literal.value),
+        Value::NumberLit(literal) => number(literal.value),
         Value::BooleanLit(literal) => literal.value.to_string(),
         Value::Object(_) => "an object".to_owned(),
         Value::Array(_) => "an array".to_owned(),
         Value::NullKeyword(_) => "null".to_owned(),
     }
 }
+
+fn number(digits: &str) -> String {
+    if digits.len() > MAX_DIGITS {
+        return format!("a number of {} characters", digits.len());
+    }
+    digits.to_owned()
+}
--- a/tests/findings.rs
+++ b/tests/findings.rs
@@ -1,6 +1,6 @@
 //! Faults of the capacity document: message and place of each.
 
-use amaranthwick::document;
+use amaranthwick::document::{self, example, format_secret};
 use rstest::rstest;
 
 const SMALL: &str = include_str!("data/small.jsonc");
@@ -259,6 +259,46 @@
     );
 }
 
+#[rstest]
+#[case::secret_as_key(
+    "{ \"app\": { \"sha256\": \"5d4ec8c6d2788e963b2c916b074f3b4ba2a9d487558b08ba93960e1a96323188\" } }"
+)]
+#[case::secret_as_hash("\"5d4ec8c6d2788e963b2c916b074f3b4ba2a9d487558b08ba93960e1a96323188\"")]
+fn findings_hide_secrets_in_the_wrong_place(#[case] old: &str) {
+    let secret = format_secret(&example::secret("claims"));
+
+    for wrong in [
+        format!("\"{secret}\""),
+        format!("{{ \"{secret}\": 1 }}"),
+        format!("{{ \"app\": \"{secret}\" }}"),
+        format!("{{ \"app\": {{ \"{secret}\": 1 }} }}"),
+    ] {
+        let findings = findings(&edited(old, &wrong)).join("\n");
+
+        assert_ne!(findings, "");
+        assert!(!findings.contains("amw_"), "{findings}");
+        assert!(!findings.contains(&secret[4..12]), "{findings}");
+    }
+}
+
+#[test]
+fn a_finding_is_one_line() {
+    let text = edited(
+        "\"share\": 2",
+        "\"sha\\nre\": 2, \"on_stale\": \"a\\nb\", \"\\n\": \"c\"",
+    );
+
+    let findings = findings(&text);
+
+    let expected = [
+        "a:23:14: missing field `share`",
+        "a:24:7: unknown field `sha\\nre`; did you mean `share`?",
+        "a:24:33: `on_stale` must be one of \"refuse\", \"serve\", found \"a\\nb\"",
+        "a:24:41: unknown field `\\n`",
+    ];
+    assert_eq!(findings, expected);
+}
+
 #[test]
 fn all_faults_are_reported_together() {
     let text = edited("\"share\": 2", "\"share\": 0")
--- a/tests/mutation.rs
+++ b/tests/mutation.rs
@@ -1,8 +1,9 @@
 //! Any text is either read or refused with places; nothing panics.
 
 use amaranthwick::config::EntryConfig;
-use amaranthwick::document;
+use amaranthwick::document::{self, TeamKey, grant_key, withdraw_key};
 use amaranthwick::finding::Findings;
+use amaranthwick::id::{KeyId, TeamId};
 use proptest::prelude::*;
 use proptest::sample::select;
 use proptest::test_runner::{Config, RngSeed};
@@ -111,6 +112,59 @@
     (start, start + length)
 }
 
+/// Comments and blanks that may stand between any two tokens.
+const GAPS: [&str; 8] = [
+    "",
+    " ",
+    "\n",
+    "\r\n  ",
+    "\t",
+    "/* 1, */",
+    " // 2 \"}\n",
+    "/* 3 // */\n",
+];
+
+/// An object of keys with a gap before each key, each comma and the end.
+fn keys_text(names: &[&str], gaps: &[&str], last_comma: bool) -> String {
+    let mut gaps = gaps.iter();
+    let mut text = String::from("{");
+    for (i, name) in names.iter().enumerate() {
+        let hash = format!("{i}").repeat(64);
+        let comma = if i + 1 < names.len() || last_comma {
+            ","
+        } else {
+            ""
+        };
+        let property = format!("\"{name}\": {{ \"sha256\": \"{hash}\" }}");
+        for token in [property.as_str(), comma] {
+            text.push_str(gaps.next().unwrap_or(&""));
+            text.push_str(token);
+        }
+    }
+    for gap in gaps {
+        text.push_str(gap);
+    }
+    text + "}"
+}
+
+/// The small document with other keys in the section of the herds.
+fn with_keys(keys: &str) -> String {
+    let (before, rest) = SMALL.split_once("\"keys\": ").expect("keys");
+    let (_, after) = rest.split_once(" } }").expect("end of the keys");
+    format!("{before}\"keys\": {keys}{after}")
+}
+
+/// Marks inside the comments of [`GAPS`], in order.
+fn comments(text: &str) -> Vec<&str> {
+    let marks = ["/* 1, */", "// 2 \"}", "/* 3 // */"];
+    let mut found: Vec<(usize, &str)> = Vec::new();
+    for mark in marks {
+        found.extend(text.match_indices(mark));
+    }
+    found.sort_unstable();
+    found.into_iter().map(|(_, mark)| mark).collect()
+}
+
 /// A refusal has findings, in the order of the text and inside it.
 fn check(text: &str, read: impl Fn(&str) -> Result<(), Findings>) {
     let first = read(text);
@@ -148,6 +202,29 @@
         check(&text, |text| document::parse("a", text).map(drop));
     }
 
+    #[test]
+    fn edited_keys_leave_the_rest_alone(
+        names in Just(vec!["app", "web", "till"]).prop_shuffle(),
+        gaps in prop::collection::vec(select(&GAPS[..]), 7),
+        last_comma in any::<bool>(),
+    ) {
+        let text = with_keys(&keys_text(&names, &gaps, last_comma));
+        let (team, app, phone) = (TeamId::new("herds"), KeyId::new("app"), KeyId::new("phone"));
+        let old = document::parse("a", &text).expect("valid");
+
+        let granted = grant_key("a", &text, &team, &phone, &[9; 32]).expect("granted");
+        let withdrawn = withdraw_key("a", &text, &team, &app).expect("withdrawn");
+
+        let mut more = old.clone();
+        more.teams[&team].keys.insert(phone, TeamKey { sha256: [9; 32] });
+        prop_assert_eq!(document::parse("a", &granted), Ok(more));
+        let mut fewer = old;
+        fewer.teams[&team].keys.shift_remove(&app);
+        prop_assert_eq!(document::parse("a", &withdrawn), Ok(fewer));
+        prop_assert_eq!(comments(&granted), comments(&text));
+        prop_assert_eq!(comments(&withdrawn), comments(&text));
+    }
+
     #[test]
     fn changed_settings_are_read_or_refused(changes in prop::collection::vec(change(), 1..6)) {
         let text = apply(ENTRY, &changes);
