Split the reader's scalars from its objects, one form of hint

Scalars have their own file, the hint has one function and reads '(did you mean `x`?)' everywhere. No other finding has changed.

--- a/src/document/check/capacity.rs
+++ b/src/document/check/capacity.rs
@@ -26,32 +26,27 @@
     findings.collect()
 }
 
+/// What all pools of one kind run at a time.
 fn total(parts: &Parts<'_>, kind: Kind) -> u64 {
-    let pools = parts.pools();
-    pools
-        .filter(|pool| class_kind(parts, pool) == Some(kind))
-        .map(|pool| runs(parts, &pool))
-        .sum()
+    let pools = parts.pools().filter(|pool| {
+        let class = parts.class(pool);
+        class.is_some_and(|class| class.kind == kind)
+    });
+    pools.map(|pool| runs(parts, &pool)).sum()
 }
 
 /// Requests or cores that a pool runs at a time; a spare pool runs none.
 fn runs(parts: &Parts<'_>, pool: &OwnedPool<'_, '_>) -> u64 {
-    let class = parts.fleet_value.classes.get(&pool.spec.class);
-    let each = class.map_or(0, |class| match class.kind {
-        Kind::Executor => class.slots,
-        Kind::Worker => class.cores,
-    });
     if pool.spec.spare {
         return 0;
     }
+    let each = parts.class(pool).map_or(0, |class| match class.kind {
+        Kind::Executor => class.slots,
+        Kind::Worker => class.cores,
+    });
     pool.vms() * u64::from(each)
 }
 
-fn class_kind(parts: &Parts<'_>, pool: &OwnedPool<'_, '_>) -> Option<Kind> {
-    let class = parts.fleet_value.classes.get(&pool.spec.class);
-    class.map(|class| class.kind)
-}
-
 /// The pools that run most, with their places.
 fn largest(parts: &Parts<'_>) -> String {
     let mut pools: Vec<OwnedPool<'_, '_>> = parts.pools().collect();
--- a/src/document/check/mod.rs
+++ b/src/document/check/mod.rs
@@ -6,7 +6,7 @@
 mod name;
 mod reference;
 
-use super::{Fleet, PoolSpec, Team};
+use super::{Class, Fleet, PoolSpec, Team};
 use crate::finding::Finding;
 use crate::id::{PoolId, TeamId};
 use crate::jsonc::Site;
@@ -62,6 +62,10 @@
         self.whole && owners.len() == self.teams.len()
     }
 
+    fn class(&self, pool: &OwnedPool<'_, '_>) -> Option<&Class> {
+        self.fleet_value.classes.get(&pool.spec.class)
+    }
+
     fn pools(&self) -> impl Iterator<Item = OwnedPool<'_, 't>> {
         self.teams.iter().flat_map(|part| {
             let pools = part.team.pools.iter();
--- a/src/jsonc/field.rs
+++ b/src/jsonc/field.rs
@@ -1,6 +1,7 @@
 //! Fields of an object with a fixed set of names.
 
-use super::node::{Entry, Node, with_hint};
+use super::hint::with_hint;
+use super::node::{Entry, Node};
 use super::quote::label;
 use super::unit;
 
@@ -53,9 +54,6 @@
         let name = label(key);
         return format!("unknown field {name}, wrong unit: `{field}` holds {expected}");
     }
-    with_hint(
-        format!("unknown field {}", label(key)),
-        key,
-        known.iter().copied(),
-    )
+    let message = format!("unknown field {}", label(key));
+    with_hint(&message, key, known.iter().copied())
 }
--- a/src/jsonc/hint.rs
+++ b/src/jsonc/hint.rs
@@ -2,8 +2,20 @@
 
 const MAX_DISTANCE: usize = 2;
 
+/// Adds the nearest known word to a message about an unknown one.
+pub(crate) fn with_hint<'k>(
+    message: &str,
+    word: &str,
+    known: impl IntoIterator<Item = &'k str>,
+) -> String {
+    match nearest(word, known) {
+        Some(near) => format!("{message} (did you mean `{near}`?)"),
+        None => message.to_owned(),
+    }
+}
+
 /// The known name with the fewest differing letters, if it is close enough.
-pub(crate) fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
     let close = known
         .into_iter()
         .map(|candidate| (distance(name, candidate), candidate))
--- a/src/jsonc/mod.rs
+++ b/src/jsonc/mod.rs
@@ -8,13 +8,14 @@
 mod line;
 mod node;
 mod quote;
+mod scalar;
 mod site;
 mod unit;
 
 pub(crate) use cut::{span, without};
 pub(crate) use fault::Faults;
 pub(crate) use field::Fields;
-pub(crate) use hint::nearest;
+pub(crate) use hint::with_hint;
 pub(crate) use node::{Entry, Node};
 pub(crate) use quote::quote;
 pub(crate) use site::Site;
--- /dev/null
+++ b/src/jsonc/scalar.rs
@@ -0,0 +1,140 @@
+//! Decoding of strings, numbers and flags.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use jsonc_parser::ast::Value;
+
+use super::node::{Node, check_name};
+use super::quote::quote;
+use super::unit;
+use crate::document::hex;
+
+const MAX_DIGITS: usize = 24;
+
+impl<'a> Node<'a> {
+    /// A string.
+    pub(crate) fn text(self) -> Option<&'a str> {
+        match self.value {
+            Value::StringLit(literal) => Some(literal.value.as_ref()),
+            _ => self.wrong("a string"),
+        }
+    }
+
+    /// `true` or `false`.
+    pub(crate) fn flag(self) -> Option<bool> {
+        match self.value {
+            Value::BooleanLit(literal) => Some(literal.value),
+            _ => self.wrong("true or false"),
+        }
+    }
+
+    /// A whole number within bounds.
+    pub(crate) fn number<T: TryFrom<u64>>(self, range: &RangeInclusive<u64>) -> Option<T> {
+        let Value::NumberLit(literal) = self.value else {
+            return self.not_a_number();
+        };
+        let digits = literal.value.strip_prefix('-').unwrap_or(literal.value);
+        if !digits.bytes().all(|b| b.is_ascii_digit()) {
+            return self.wrong(&unit::expected(self.key()));
+        }
+        let number = literal.value.parse().ok().filter(|n| range.contains(n));
+        let converted = number.and_then(|n| T::try_from(n).ok());
+        if converted.is_none() {
+            let (low, high) = (range.start(), range.end());
+            let (name, found) = (self.label(), found(self.value));
+            let unit = unit::unit(self.key()).map_or_else(String::new, |unit| format!(" {unit}"));
+            self.fault(format!(
+                "{name} must be {low} to {high}{unit}, found {found}"
+            ));
+        }
+        converted
+    }
+
+    /// One of several words.
+    pub(crate) fn choice<T: Copy>(self, choices: &[(&str, T)]) -> Option<T> {
+        let text = self.text()?;
+        let found = choices.iter().find(|(word, _)| *word == text);
+        if found.is_none() {
+            let words: Vec<String> = choices.iter().map(|(w, _)| format!("\"{w}\"")).collect();
+            let (name, words, found) = (self.label(), words.join(", "), quote(text));
+            self.fault(format!("{name} must be one of {words}, found {found}"));
+        }
+        found.map(|(_, value)| *value)
+    }
+
+    /// The name of something.
+    pub(crate) fn name(self) -> Option<&'a str> {
+        let text = self.text()?;
+        check_name(text, self.offset(), self.faults)
+    }
+
+    /// 32 bytes as 64 hexadecimal digits.
+    pub(crate) fn bytes(self) -> Option<[u8; 32]> {
+        let text = self.text()?;
+        let decoded = hex::decode(text);
+        if let Err(e) = &decoded {
+            self.fault(format!("{} {e}", self.label()));
+        }
+        decoded.ok()
+    }
+
+    /// 32 secret bytes; a finding never shows them.
+    pub(crate) fn secret(self) -> Option<[u8; 32]> {
+        let decoded = match self.value {
+            Value::StringLit(literal) => hex::decode(literal.value.as_ref()).ok(),
+            _ => None,
+        };
+        if decoded.is_none() {
+            let name = self.label();
+            self.fault(format!(
+                "{name} must be a string of 64 lower-case hexadecimal digits"
+            ));
+        }
+        decoded
+    }
+
+    /// An IP address with a port.
+    pub(crate) fn address(self) -> Option<SocketAddr> {
+        let text = self.text()?;
+        let address = text.parse().ok();
+        if address.is_none() {
+            let (name, found) = (self.label(), quote(text));
+            self.fault(format!(
+                "{name} must be an IP address and port such as 127.0.0.1:7100, found {found}"
+            ));
+        }
+        address
+    }
+
+    fn not_a_number<T>(self) -> Option<T> {
+        let expected = unit::expected(self.key());
+        let (Value::StringLit(literal), Some(_)) = (self.value, unit::unit(self.key())) else {
+            return self.wrong(&expected);
+        };
+        let (name, found) = (self.label(), quote(&literal.value));
+        self.fault(format!(
+            "wrong unit: {name} holds {expected}, found {found}"
+        ));
+        None
+    }
+}
+
+/// What a value is, for messages.
+pub(super) fn found(value: &Value<'_>) -> String {
+    match value {
+        Value::StringLit(literal) => quote(&literal.value),
+        Value::NumberLit(literal) => number(literal.value),
+        Value::BooleanLit(literal) => literal.value.to_string(),
+        Value::Object(_) => "an object".to_owned(),
+        Value::Array(_) => "an array".to_owned(),
+        Value::NullKeyword(_) => "null".to_owned(),
+    }
+}
+
+fn number(digits: &str) -> String {
+    if digits.len() > MAX_DIGITS {
+        return format!("a number of {} characters", digits.len());
+    }
+    digits.to_owned()
+}
