Name the parts of pairs in the reader and checks, measure memory

Errors, loads and matches were pairs whose parts had to be remembered; they are small types now, and the table of common lines has its own.

--- a/benches/document.rs
+++ b/benches/document.rs
@@ -1,5 +1,6 @@
 //! Cost of reading the capacity document, printed as one line of key=value pairs a case.
 
+use std::fs;
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
 
 const WHOLE_RUNS: u32 = 50;
 const EDITS: usize = 2_000;
+const HELD: u64 = 50;
 const BURST: usize = 200;
 const FAULTY_POOLS: usize = 5_000;
 const FAULTY_RUNS: u32 = 5;
@@ -33,6 +35,7 @@
         whole(size);
         edits(size);
     }
+    memory(Size::TARGET);
     faulty();
     signatures();
 }
@@ -110,6 +113,33 @@
     );
 }
 
+/// Resident memory of a document together with its cache and texts.
+fn memory(size: Size) {
+    let before = resident_kb();
+    let held: Vec<_> = (0..HELD)
+        .map(|_| {
+            let sections = example::sections(size);
+            let mut cache = SectionCache::default();
+            let document = cache.assemble(&sections).expect("valid");
+            (sections, cache, document)
+        })
+        .collect();
+    let each = resident_kb().saturating_sub(before) / HELD;
+    println!(
+        "case=memory teams={} pools={} held={} each_kb={each}",
+        size.teams,
+        size.pools,
+        held.len()
+    );
+}
+
+fn resident_kb() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    number.unwrap_or(0)
+}
+
 fn signatures() {
     let key: OperatorKey = example::operator("team-0-ops");
     let section = SectionId::new("team-0");
--- a/src/document/check/budget.rs
+++ b/src/document/check/budget.rs
@@ -23,37 +23,47 @@
     let longest_ms = fleet.services.values().map(|service| service.run_limit_ms);
     let stop_ms = longest_ms.max().unwrap_or(0) + RESTART_MS;
     let mut findings = Vec::new();
-    for (name, (count, largest)) in per_data_centre(parts) {
-        let waves = count.div_ceil(u64::from(budgets.vms));
+    for (name, load) in per_data_centre(parts) {
+        let waves = load.vms.div_ceil(u64::from(budgets.vms));
         if waves * stop_ms <= cycle_ms {
             continue;
         }
         let message = format!(
-            "budget nobody can meet: {count} VMs in `{name}`, {} at a time for {stop_ms} ms each, \
+            "budget nobody can meet: {} VMs in `{name}`, {} at a time for {stop_ms} ms each, \
              take longer than {} days; the largest pool there is `{}` at {}",
+            load.vms,
             budgets.vms,
             budgets.cycle_days,
-            largest.id,
-            largest.reference()
+            load.largest.id,
+            load.largest.reference()
         );
         findings.push(parts.fleet.finding(&["budgets", "cycle_days"], message));
     }
     findings
 }
 
-/// VMs and largest pool of each data centre.
-fn per_data_centre<'p, 't>(parts: &'p Parts<'t>) -> IndexMap<&'p str, (u64, OwnedPool<'p, 't>)> {
-    let mut counts: IndexMap<&str, (u64, OwnedPool<'_, '_>)> = IndexMap::new();
+/// What has to be maintained in a data centre.
+struct Load<'p, 't> {
+    vms: u64,
+    largest: OwnedPool<'p, 't>,
+}
+
+fn per_data_centre<'p, 't>(parts: &'p Parts<'t>) -> IndexMap<&'p str, Load<'p, 't>> {
+    let mut loads: IndexMap<&str, Load<'_, '_>> = IndexMap::new();
     for pool in parts.pools() {
         for (name, vms) in &pool.spec.vms {
-            let (count, largest) = counts.entry(name.as_str()).or_insert((0, pool));
-            *count += u64::from(*vms);
-            if largest.spec.vms.get(name) < Some(vms) {
-                *largest = pool;
+            let empty = Load {
+                vms: 0,
+                largest: pool,
+            };
+            let load = loads.entry(name.as_str()).or_insert(empty);
+            load.vms += u64::from(*vms);
+            if load.largest.spec.vms.get(name) < Some(vms) {
+                load.largest = pool;
             }
         }
     }
-    counts
+    loads
 }
 
 /// A lone VM can be stopped only when a spare takes its place.
--- a/src/document/check/key.rs
+++ b/src/document/check/key.rs
@@ -14,20 +14,25 @@
     findings
 }
 
+struct Entry<'p, 't> {
+    part: &'p TeamPart<'t>,
+    id: &'p KeyId,
+}
+
 /// A caller's key stands for one entry alone, or withdrawing it would leave it working.
 fn callers(parts: &Parts<'_>) -> Vec<Finding> {
-    let mut first: IndexMap<&[u8; 32], (&TeamPart<'_>, &KeyId)> = IndexMap::new();
+    let mut first: IndexMap<&[u8; 32], Entry<'_, '_>> = IndexMap::new();
     let mut findings = Vec::new();
     for part in &parts.teams {
         for (id, key) in &part.team.keys {
-            let Some((other, other_id)) = first.get(&key.sha256) else {
-                first.insert(&key.sha256, (part, id));
+            let Some(other) = first.get(&key.sha256) else {
+                first.insert(&key.sha256, Entry { part, id });
                 continue;
             };
-            let path = ["keys", other_id.as_str()];
-            let place = other.site.reference(&path);
-            let team = other.id;
-            let message = format!("key `{id}` is the same as `{other_id}` of `{team}` at {place}");
+            let path = ["keys", other.id.as_str()];
+            let place = other.part.site.reference(&path);
+            let (team, same) = (other.part.id, other.id);
+            let message = format!("key `{id}` is the same as `{same}` of `{team}` at {place}");
             let path = ["keys", id.as_str(), "sha256"];
             findings.push(part.site.finding(&path, message));
         }
--- a/src/document/diff.rs
+++ b/src/document/diff.rs
@@ -125,17 +125,20 @@
     let base_rest = &base_rest[..base_rest.len() - tail];
     let other_rest = &other_rest[..other_rest.len() - tail];
     let mut pairs = common_lines(base_rest, other_rest);
-    pairs.push((base_rest.len(), other_rest.len()));
+    pairs.push(Pair {
+        base: base_rest.len(),
+        other: other_rest.len(),
+    });
     let (mut i, mut j) = (0, 0);
     let mut found = Vec::new();
-    for (x, y) in pairs {
-        if i < x || j < y {
+    for pair in pairs {
+        if i < pair.base || j < pair.other {
             found.push(Change {
-                base: head + i..head + x,
-                lines: head + j..head + y,
+                base: head + i..head + pair.base,
+                lines: head + j..head + pair.other,
             });
         }
-        (i, j) = (x + 1, y + 1);
+        (i, j) = (pair.base + 1, pair.other + 1);
     }
     found
 }
@@ -144,30 +147,24 @@
     a.zip(b).take_while(|(a, b)| a == b).count()
 }
 
-/// Longest common subsequence, as pairs of line numbers.
-fn common_lines(a: &[&str], b: &[&str]) -> Vec<(usize, usize)> {
-    let width = b.len() + 1;
-    if (a.len() + 1).saturating_mul(width) > MAX_CELLS {
-        return Vec::new();
-    }
-    let mut table = vec![0_u32; (a.len() + 1) * width];
-    for i in (0..a.len()).rev() {
-        for j in (0..b.len()).rev() {
-            let (below, right) = (table[(i + 1) * width + j], table[i * width + j + 1]);
-            table[i * width + j] = if a[i] == b[j] {
-                table[(i + 1) * width + j + 1] + 1
-            } else {
-                below.max(right)
-            };
-        }
-    }
-    let (mut i, mut j) = (0, 0);
+/// Line numbers of a line that both texts have.
+struct Pair {
+    base: usize,
+    other: usize,
+}
+
+/// Longest common subsequence; empty when the table would be too large.
+fn common_lines(a: &[&str], b: &[&str]) -> Vec<Pair> {
     let mut pairs = Vec::new();
+    let Some(table) = Table::new(a, b) else {
+        return pairs;
+    };
+    let (mut i, mut j) = (0, 0);
     while i < a.len() && j < b.len() {
         if a[i] == b[j] {
-            pairs.push((i, j));
+            pairs.push(Pair { base: i, other: j });
             (i, j) = (i + 1, j + 1);
-        } else if table[(i + 1) * width + j] >= table[i * width + j + 1] {
+        } else if table.get(i + 1, j) >= table.get(i, j + 1) {
             i += 1;
         } else {
             j += 1;
@@ -175,3 +172,35 @@
     }
     pairs
 }
+
+/// Length of the longest common subsequence of each pair of tails.
+struct Table {
+    lengths: Vec<u32>,
+    width: usize,
+}
+
+impl Table {
+    fn new(a: &[&str], b: &[&str]) -> Option<Self> {
+        let width = b.len() + 1;
+        let cells = (a.len() + 1).saturating_mul(width);
+        if cells > MAX_CELLS {
+            return None;
+        }
+        let lengths = vec![0; cells];
+        let mut table = Self { lengths, width };
+        for i in (0..a.len()).rev() {
+            for j in (0..b.len()).rev() {
+                table.lengths[i * width + j] = if a[i] == b[j] {
+                    table.get(i + 1, j + 1) + 1
+                } else {
+                    table.get(i + 1, j).max(table.get(i, j + 1))
+                };
+            }
+        }
+        Some(table)
+    }
+
+    fn get(&self, i: usize, j: usize) -> u32 {
+        self.lengths[i * self.width + j]
+    }
+}
--- a/src/document/edit.rs
+++ b/src/document/edit.rs
@@ -80,7 +80,7 @@
 
 fn open(file: &str, text: &str, team: &TeamId) -> Result<CstRootNode, EditError> {
     let path = ["teams", team.as_str(), "keys"];
-    let (_, findings) = jsonc::survey(file, text, |root| check_path(root, &path));
+    let findings = jsonc::survey(file, text, |root| check_path(root, &path)).findings;
     if !findings.is_empty() {
         return Err(EditError::Invalid(Findings(findings)));
     }
--- a/src/document/section.rs
+++ b/src/document/section.rs
@@ -22,8 +22,9 @@
 /// # Errors
 /// Gives every fault of the text and between its sections.
 pub fn parse(file: &str, text: &str) -> Result<Document, Findings> {
-    let (sections, mut findings) = jsonc::survey(file, text, sections);
-    let sections = sections.flatten().unwrap_or_default();
+    let survey = jsonc::survey(file, text, sections);
+    let mut findings = survey.findings;
+    let sections = survey.value.flatten().unwrap_or_default();
     let Some(fleet) = &sections.fleet else {
         return Err(Findings(findings));
     };
--- a/src/jsonc/fault.rs
+++ b/src/jsonc/fault.rs
@@ -13,10 +13,11 @@
     found: RefCell<Vec<Fault>>,
 }
 
+/// What is wrong at a byte offset of the text.
 #[derive(Debug)]
-struct Fault {
-    offset: usize,
-    message: String,
+pub(super) struct Fault {
+    pub(super) offset: usize,
+    pub(super) message: String,
 }
 
 impl<'a> Faults<'a> {
@@ -31,7 +32,11 @@
     /// Adds a fault at a byte offset of the text.
     pub(crate) fn add(&self, offset: usize, message: impl Into<String>) {
         let message = message.into();
-        self.found.borrow_mut().push(Fault { offset, message });
+        self.push(Fault { offset, message });
+    }
+
+    pub(super) fn push(&self, fault: Fault) {
+        self.found.borrow_mut().push(fault);
     }
 
     /// Place of a byte offset.
--- a/src/jsonc/guard.rs
+++ b/src/jsonc/guard.rs
@@ -4,18 +4,20 @@
 use jsonc_parser::tokens::Token;
 use jsonc_parser::{ParseStringErrorKind, Scanner};
 
+use super::fault::Fault;
+
 // The parser recurses once a level; an unbounded depth would overflow the stack.
 const MAX_DEPTH: usize = 32;
 
 /// Refuses texts that are nested too deep or lack a comma between two values.
-pub(super) fn check(text: &str) -> Result<(), (usize, String)> {
+pub(super) fn check(text: &str) -> Result<(), Fault> {
     let mut scanner = Scanner::new(text);
     let mut depth = 0_usize;
     let mut after_value = false;
-    while let Some(token) = scanner.scan().map_err(|e| (e.range().start, message(&e)))? {
+    while let Some(token) = scanner.scan().map_err(|e| fault(&e))? {
         let start = scanner.token_start();
         if depth > 0 && after_value && starts_value(&token) {
-            return Err((start, "expected a comma before this".to_owned()));
+            return Err(at(start, "expected a comma before this".to_owned()));
         }
         match token {
             Token::CommentLine(_) | Token::CommentBlock(_) => continue,
@@ -24,15 +26,24 @@
             _ => {}
         }
         if depth > MAX_DEPTH {
-            return Err((start, format!("nested deeper than {MAX_DEPTH} levels")));
+            return Err(at(start, format!("nested deeper than {MAX_DEPTH} levels")));
         }
         after_value = ends_value(&token);
     }
     Ok(())
 }
 
+/// The parser's error with its place.
+pub(super) fn fault(e: &ParseError) -> Fault {
+    at(e.range().start, message(e))
+}
+
+const fn at(offset: usize, message: String) -> Fault {
+    Fault { offset, message }
+}
+
 /// The parser's message in the form of the other findings.
-pub(super) fn message(e: &ParseError) -> String {
+fn message(e: &ParseError) -> String {
     match e.kind() {
         ParseErrorKind::String(ParseStringErrorKind::UnterminatedStringLiteral) => {
             "string is not closed".to_owned()
--- a/src/jsonc/mod.rs
+++ b/src/jsonc/mod.rs
@@ -13,7 +13,7 @@
 mod unit;
 
 pub(crate) use cut::{span, without};
-pub(crate) use fault::Faults;
+use fault::{Fault, Faults};
 pub(crate) use field::Fields;
 pub(crate) use hint::with_hint;
 pub(crate) use node::{Entry, Node};
@@ -38,36 +38,43 @@
     text: &str,
     decode: impl FnOnce(Node<'_>) -> Option<T>,
 ) -> Result<T, Findings> {
-    let (decoded, found) = survey(file, text, decode);
-    match decoded.flatten() {
-        Some(value) if found.is_empty() => Ok(value),
-        _ => Err(Findings(found)),
+    let survey = survey(file, text, decode);
+    match survey.value.flatten() {
+        Some(value) if survey.findings.is_empty() => Ok(value),
+        _ => Err(Findings(survey.findings)),
     }
 }
 
-/// Decodes as much of `text` as can be read; `None` after a syntax error.
-pub(crate) fn survey<T>(
-    file: &str,
-    text: &str,
-    decode: impl FnOnce(Node<'_>) -> T,
-) -> (Option<T>, Vec<Finding>) {
+/// What could be read of a text, and all that is wrong with it.
+#[derive(Debug)]
+pub(crate) struct Survey<T> {
+    /// Absent after a syntax error.
+    pub(crate) value: Option<T>,
+    /// In the order of the text.
+    pub(crate) findings: Vec<Finding>,
+}
+
+/// Decodes as much of `text` as can be read.
+pub(crate) fn survey<T>(file: &str, text: &str, decode: impl FnOnce(Node<'_>) -> T) -> Survey<T> {
     let faults = Faults::new(file, text);
-    let decoded = match parse(text) {
+    let value = match parse(text) {
         Ok(value) => Some(decode(Node::root(&value, &faults))),
-        Err((offset, message)) => {
-            faults.add(offset, message);
+        Err(fault) => {
+            faults.push(fault);
             None
         }
     };
-    (decoded, faults.into_findings())
+    let findings = faults.into_findings();
+    Survey { value, findings }
 }
 
-/// Parses `text`; a syntax error is given as byte offset and message.
-fn parse(text: &str) -> Result<Value<'_>, (usize, String)> {
+/// Parses `text`, or gives its first syntax error.
+fn parse(text: &str) -> Result<Value<'_>, Fault> {
     guard::check(text)?;
-    let parsed = parse_to_ast(text, &CollectOptions::default(), &OPTIONS)
-        .map_err(|e| (e.range().start, guard::message(&e)))?;
-    parsed
-        .value
-        .ok_or_else(|| (0, "expected an object, found nothing".to_owned()))
+    let parsed =
+        parse_to_ast(text, &CollectOptions::default(), &OPTIONS).map_err(|e| guard::fault(&e))?;
+    parsed.value.ok_or_else(|| Fault {
+        offset: 0,
+        message: "expected an object, found nothing".to_owned(),
+    })
 }
