Give the place of bytes that are not text

A file with a byte that is not UTF-8 was refused without its place, and one that starts with a byte order mark as an unexpected token. Files are read in one function, which the settings and the commands share.

Tests were seen failing with the offset of the byte taken as 0 and the check of the mark left out.

--- a/src/bin/amaranthwick/check.rs
+++ b/src/bin/amaranthwick/check.rs
@@ -1,22 +1,24 @@
 //! Prints every fault of a document.
 
-use std::fs;
 use std::io::{self, Write};
 use std::path::Path;
 use std::process::ExitCode;
 
-use amaranthwick::document;
-use anyhow::{Context, Result};
+use amaranthwick::document::{self, Document};
+use amaranthwick::finding::Findings;
+use anyhow::Result;
 
 /// Prints each finding as `file:line:column: message`; exit code 1 if there are any.
 pub(crate) fn run(file: &Path) -> Result<ExitCode> {
-    let name = file.display().to_string();
-    let text = fs::read_to_string(file).with_context(|| format!("read {name}"))?;
-    match document::parse(&name, &text) {
-        Ok(_) => Ok(ExitCode::SUCCESS),
-        Err(findings) => {
-            writeln!(io::stdout(), "{findings}")?;
-            Ok(ExitCode::FAILURE)
-        }
-    }
+    let Err(error) = read(file) else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    let findings: Findings = error.downcast()?;
+    writeln!(io::stdout(), "{findings}")?;
+    Ok(ExitCode::FAILURE)
+}
+
+fn read(file: &Path) -> Result<Document> {
+    let text = document::read_file(file)?;
+    Ok(document::parse(&file.display().to_string(), &text)?)
 }
--- a/src/bin/amaranthwick/key.rs
+++ b/src/bin/amaranthwick/key.rs
@@ -1,12 +1,12 @@
 //! Makes callers' and operators' keys.
 
-use std::fs;
 use std::path::Path;
 use std::process::ExitCode;
 
 use amaranthwick::config::KeyFile;
 use amaranthwick::document::{
-    check_name, format_secret, grant_key, hex, key_hash, new_secret, replace_file, withdraw_key,
+    check_name, format_secret, grant_key, hex, key_hash, new_secret, read_file, replace_file,
+    withdraw_key,
 };
 use amaranthwick::id::{KeyId, TeamId};
 use anyhow::{Context, Result};
@@ -26,7 +26,7 @@
     let team = TeamId::new(check_name(team)?);
     let name = KeyId::new(check_name(name)?);
     let secret = new_secret()?;
-    let text = read(file)?;
+    let text = read_file(file)?;
     let hash = key_hash(&secret);
     let changed = grant_key(&file.display().to_string(), &text, &team, &name, &hash)?;
     replace(file, &text, &changed)?;
@@ -39,7 +39,7 @@
 pub(crate) fn withdraw(team: &str, name: &str, file: &Path) -> Result<ExitCode> {
     let team = TeamId::new(check_name(team)?);
     let name = KeyId::new(check_name(name)?);
-    let text = read(file)?;
+    let text = read_file(file)?;
     let changed = withdraw_key(&file.display().to_string(), &text, &team, &name)?;
     replace(file, &text, &changed)?;
     println!("publish section `{team}` to end key `{name}`");
@@ -55,10 +55,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn read(file: &Path) -> Result<String> {
-    fs::read_to_string(file).with_context(|| format!("read {}", file.display()))
-}
-
 fn replace(file: &Path, old: &str, new: &str) -> Result<()> {
     replace_file(file, old, new).with_context(|| format!("write {}", file.display()))
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -10,18 +10,17 @@
 pub use key::{KeyFile, KeyFileError};
 pub use model::{Common, EntryConfig, OperatorConfig, PlannerConfig, Platform};
 
-use std::fs;
 use std::path::{Path, PathBuf};
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 
+use crate::document;
 use crate::finding::Findings;
 
 /// Reads a file and hands its name and text to `parse`.
 fn read<T>(path: &Path, parse: impl FnOnce(&str, &str) -> Result<T, Findings>) -> Result<T> {
-    let file = path.display().to_string();
-    let text = fs::read_to_string(path).with_context(|| format!("read {file}"))?;
-    Ok(parse(&file, &text)?)
+    let text = document::read_file(path)?;
+    Ok(parse(&path.display().to_string(), &text)?)
 }
 
 /// A path in a settings file is relative to the file itself.
--- a/src/document/file.rs
+++ b/src/document/file.rs
@@ -1,4 +1,4 @@
-//! Replacement of a file as a whole.
+//! Reading of a file, and its replacement as a whole.
 
 use std::ffi::OsString;
 use std::fs::{self, File, OpenOptions};
@@ -6,6 +6,20 @@
 use std::path::{Path, PathBuf};
 use std::process;
 
+use anyhow::{Context, Result};
+
+use crate::jsonc;
+
+/// Reads a file as text.
+///
+/// # Errors
+/// Fails when the file can't be read; a byte that is not UTF-8 is given with its place.
+pub fn read_file(path: &Path) -> Result<String> {
+    let file = path.display().to_string();
+    let bytes = fs::read(path).with_context(|| format!("read {file}"))?;
+    Ok(jsonc::decode_text(&file, bytes)?)
+}
+
 /// Replaces the text of a file that still holds `old`; a reader sees the old or the new text.
 ///
 /// # Errors
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -20,7 +20,7 @@
 pub use cache::{MAX_SECTION_BYTES, SectionCache};
 pub use diff::{Hunk, three_way};
 pub use edit::{EditError, grant_key, withdraw_key};
-pub use file::replace_file;
+pub use file::{read_file, replace_file};
 pub use model::{
     Access, Budgets, Class, DataCentreSpec, Document, Fleet, Kind, OnStale, PoolSpec, PublicKey,
     QueueSpec, Service, Team, TeamKey,
--- a/src/jsonc/guard.rs
+++ b/src/jsonc/guard.rs
@@ -9,8 +9,13 @@
 // The parser recurses once a level; an unbounded depth would overflow the stack.
 const MAX_DEPTH: usize = 32;
 
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
 /// Refuses texts that are nested too deep or lack a comma between two values.
 pub(super) fn check(text: &str) -> Result<(), Fault> {
+    if text.starts_with(BYTE_ORDER_MARK) {
+        return Err(at(0, "the file starts with a byte order mark".to_owned()));
+    }
     let mut scanner = Scanner::new(text);
     let mut depth = 0_usize;
     let mut after_value = false;
--- a/src/jsonc/mod.rs
+++ b/src/jsonc/mod.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// Takes the bytes of a file as text, or says where they are not.
+pub(crate) fn decode_text(file: &str, bytes: Vec<u8>) -> Result<String, Findings> {
+    String::from_utf8(bytes).map_err(|e| {
+        let offset = e.utf8_error().valid_up_to();
+        let text = String::from_utf8_lossy(&e.as_bytes()[..offset]);
+        let faults = Faults::new(file, &text);
+        faults.add(offset, "not UTF-8");
+        Findings(faults.into_findings())
+    })
+}
+
 /// What could be read of a text, and all that is wrong with it.
 #[derive(Debug)]
 pub(crate) struct Survey<T> {
--- a/src/jsonc/site.rs
+++ b/src/jsonc/site.rs
@@ -12,11 +12,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Site<'a> {
     /// Name for findings.
-    pub(crate) file: &'a str,
+    file: &'a str,
     /// The whole text.
-    pub(crate) text: &'a str,
+    text: &'a str,
     /// Keys from the root of the text to the section.
-    pub(crate) prefix: Vec<&'a str>,
+    prefix: Vec<&'a str>,
     // Only a faulty document needs places; it is read again for the first one.
     index: OnceCell<Index<'a>>,
 }
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -62,6 +62,17 @@
     assert_eq!(stdout(&output), expected);
 }
 
+#[test]
+fn check_names_the_place_of_a_byte_that_is_no_text() {
+    let directory = directory("check-bytes", SMALL);
+    fs::write(directory.join("fleet.jsonc"), b"{\n  // \xc5\xa1\xff\n}").expect("bytes");
+
+    let output = run(&directory, &["check", "fleet.jsonc"]);
+
+    assert_eq!(output.status.code(), Some(1));
+    assert_eq!(stdout(&output), "fleet.jsonc:2:7: not UTF-8\n");
+}
+
 #[test]
 fn check_of_a_missing_file_is_no_finding() {
     let directory = directory("check-missing", SMALL);
--- a/tests/findings.rs
+++ b/tests/findings.rs
@@ -35,6 +35,7 @@
 #[case::string_not_closed("{\n  \"šćž\": \"a }", "a:2:10: string is not closed")]
 #[case::two_values("{}\n{}", "a:2:1: text cannot contain more than one JSON value")]
 #[case::array("[]", "a:1:1: the whole text must be an object, found an array")]
+#[case::byte_order_mark("\u{feff}{}", "a:1:1: the file starts with a byte order mark")]
 #[case::comment_not_closed("{ /* ", "a:1:3: unterminated comment block")]
 fn syntax_errors_have_a_place(#[case] text: &str, #[case] expected: &str) {
     assert_eq!(findings(text), [expected]);
