Hold no room for a request in connections without one

Cause of 52 KB a caller: the codec's futures (4 KB each) were kept in the futures of connections, an async function keeps room for a future argument twice, which multiplied through the nested deadlines, and every waiting read held 4 KB.

--- a/src/http/codec.rs
+++ b/src/http/codec.rs
@@ -1,4 +1,7 @@
 //! Turns checked bytes into messages and back, with async-h1 working in memory.
+//!
+//! Memory never makes the codec wait, so its futures are run to their end here; kept in
+//! the futures of connections they would take 4 KB each.
 
 use std::io;
 use std::pin::Pin;
@@ -6,6 +9,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
+use futures_lite::future::block_on;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
 use http_types::headers::{HeaderName, HeaderValue};
 use http_types::{Body, Method, Response, StatusCode, Url};
@@ -61,12 +65,11 @@
 }
 
 /// Decodes a checked request.
-pub(crate) async fn decode_request(head: &[u8], body: RawBody) -> http_types::Result<Request> {
+pub(crate) fn decode_request(head: &[u8], body: RawBody) -> http_types::Result<Request> {
     let whole = message(head, &body);
-    let (mut incoming, _) = async_h1::server::decode(Memory::new(&whole))
-        .await?
+    let (mut incoming, _) = block_on(async_h1::server::decode(Memory::new(&whole)))?
         .ok_or_else(|| http_types::format_err!("no request"))?;
-    let body = content(body, &mut incoming).await?;
+    let body = content(body, &mut incoming)?;
     let url = incoming.url();
     let path = match url.query() {
         Some(query) => format!("{}?{query}", url.path()),
@@ -81,10 +84,10 @@
 }
 
 /// Decodes a checked answer.
-pub(crate) async fn decode_reply(head: &[u8], body: RawBody) -> http_types::Result<Reply> {
+pub(crate) fn decode_reply(head: &[u8], body: RawBody) -> http_types::Result<Reply> {
     let whole = message(head, &body);
-    let mut incoming = async_h1::client::decode(Memory::new(&whole)).await?;
-    let body = content(body, &mut incoming).await?;
+    let mut incoming = block_on(async_h1::client::decode(Memory::new(&whole)))?;
+    let body = content(body, &mut incoming)?;
     Ok(Reply {
         status: incoming.status() as u16,
         headers: headers(incoming.iter(), head),
@@ -93,7 +96,7 @@
 }
 
 /// Encodes a request for `host`.
-pub(crate) async fn encode_request(host: &str, request: &Request) -> http_types::Result<Vec<u8>> {
+pub(crate) fn encode_request(host: &str, request: &Request) -> http_types::Result<Vec<u8>> {
     let method = Method::from_str(&request.method)?;
     let url = Url::parse(&format!("http://{host}{}", request.path))?;
     let mut outgoing = http_types::Request::new(method, url);
@@ -104,14 +107,13 @@
         outgoing.append_header(name, value);
     }
     let mut bytes = Vec::with_capacity(256 + request.body.len());
-    async_h1::client::Encoder::new(outgoing)
-        .read_to_end(&mut bytes)
-        .await?;
+    let mut encoder = async_h1::client::Encoder::new(outgoing);
+    block_on(encoder.read_to_end(&mut bytes))?;
     Ok(bytes)
 }
 
 /// Encodes an answer to a request with `method`.
-pub(crate) async fn encode_reply(reply: &Reply, method: Method) -> http_types::Result<Vec<u8>> {
+pub(crate) fn encode_reply(reply: &Reply, method: Method) -> http_types::Result<Vec<u8>> {
     let mut outgoing = Response::new(StatusCode::try_from(reply.status)?);
     let length = reply.header("content-length").and_then(|n| n.parse().ok());
     match length {
@@ -127,9 +129,8 @@
         outgoing.append_header(name, value);
     }
     let mut bytes = Vec::with_capacity(256 + reply.body.len());
-    async_h1::server::Encoder::new(outgoing, method)
-        .read_to_end(&mut bytes)
-        .await?;
+    let mut encoder = async_h1::server::Encoder::new(outgoing, method);
+    block_on(encoder.read_to_end(&mut bytes))?;
     if reply.status == 204 || reply.status == 304 {
         remove_line(&mut bytes, b"content-length: 0\r\n");
     }
@@ -166,15 +167,12 @@
     }
 }
 
-async fn content(
-    body: RawBody,
-    decoded: &mut (impl AsyncRead + Unpin),
-) -> http_types::Result<Vec<u8>> {
+fn content(body: RawBody, decoded: &mut (impl AsyncRead + Unpin)) -> http_types::Result<Vec<u8>> {
     match body {
         RawBody::Plain(bytes) => Ok(bytes),
         RawBody::Chunked(_) => {
             let mut bytes = Vec::new();
-            decoded.read_to_end(&mut bytes).await?;
+            block_on(decoded.read_to_end(&mut bytes))?;
             Ok(bytes)
         }
     }
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -70,7 +70,7 @@
     /// Writes an answer; false when the connection is to end.
     pub(crate) async fn write(&mut self, reply: &Reply, method: Method) -> bool {
         let closing = self.close || reply.header("connection") == Some("close");
-        let Ok(mut bytes) = codec::encode_reply(reply, method).await else {
+        let Ok(mut bytes) = codec::encode_reply(reply, method) else {
             let fault = Fault::new(502, "answer can't be encoded");
             self.refuse_as(fault, Conclusion::Unknown).await;
             return false;
@@ -128,9 +128,7 @@
         } else {
             bytes
         };
-        codec::decode_request(&bytes, body)
-            .await
-            .map_err(|_| Fault::new(400, "malformed request").into())
+        codec::decode_request(&bytes, body).map_err(|_| Fault::new(400, "malformed request").into())
     }
 
     /// Tells a waiting caller to send its body, unless it is too large anyway.
@@ -161,7 +159,7 @@
             outcome,
             request: None,
         };
-        let Ok(mut bytes) = codec::encode_reply(&problem.reply(), Method::Get).await else {
+        let Ok(mut bytes) = codec::encode_reply(&problem.reply(), Method::Get) else {
             return;
         };
         add_close(&mut bytes);
--- a/src/http/deadline.rs
+++ b/src/http/deadline.rs
@@ -11,19 +11,41 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use futures_lite::future;
+use pin_project_lite::pin_project;
 
 /// Time between two looks, in ms; deadlines are this much late at most.
 const TICK_MS: u64 = 5;
 
+pin_project! {
+    /// Ends with its work or at its deadline.
+    #[derive(Debug)]
+    pub(crate) struct Within<F> {
+        #[pin]
+        work: F,
+        deadline: Deadline,
+    }
+}
+
 /// Runs `work` for at most `limit_ms`; `None` when the time is over.
-pub(crate) async fn within<T>(limit_ms: u64, work: impl Future<Output = T>) -> Option<T> {
-    let work = async { Some(work.await) };
-    let timeout = async {
-        Deadline::after(limit_ms).await;
-        None
-    };
-    future::or(work, timeout).await
+///
+/// No async function: that would keep room for `work` twice.
+pub(crate) fn within<F: Future>(limit_ms: u64, work: F) -> Within<F> {
+    Within {
+        work,
+        deadline: Deadline::after(limit_ms),
+    }
+}
+
+impl<F: Future> Future for Within<F> {
+    type Output = Option<F::Output>;
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        let this = self.project();
+        if let Poll::Ready(output) = this.work.poll(cx) {
+            return Poll::Ready(Some(output));
+        }
+        Pin::new(this.deadline).poll(cx).map(|()| None)
+    }
 }
 
 /// When it is due, and a number that tells equal times apart.
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -93,7 +93,6 @@
         limits: &Limits,
     ) -> Result<Reply, Failure> {
         let bytes = codec::encode_request(&address.to_string(), request)
-            .await
             .map_err(|e| Failure::new(FailureKind::BadRequest, 0, &e))?;
         let mut wire = match self.reuse(address, repeatable) {
             Some(wire) => wire,
@@ -202,9 +201,8 @@
         .body(head.framing, limits.max_body)
         .await
         .map_err(|e| broken(&e))?;
-    let reply = codec::decode_reply(&raw, body)
-        .await
-        .map_err(|e| (FailureKind::BadAnswer, e.to_string()))?;
+    let reply =
+        codec::decode_reply(&raw, body).map_err(|e| (FailureKind::BadAnswer, e.to_string()))?;
     let clean = !head.close && wire.unread().is_empty();
     Ok((reply, clean))
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -179,7 +179,9 @@
     }
     while let Some(request) = connection.read().await {
         let method = connection.method();
-        let Some(reply) = connection.answer(handler.handle(request, caller)).await else {
+        // Boxed: a connection without a request then holds no room for one.
+        let work = Box::pin(handler.handle(request, caller));
+        let Some(reply) = connection.answer(work).await else {
             return;
         };
         if !connection.write(&reply, method).await {
--- a/src/http/wire.rs
+++ b/src/http/wire.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 
 use async_io::Async;
 use async_net::TcpStream;
@@ -77,18 +77,14 @@
     /// Reads once; returns false at the end of the stream. Dropped before it is done, it
     /// leaves the unread bytes as they were.
     pub(crate) async fn fill(&mut self, wanted: usize) -> io::Result<bool> {
-        let room = wanted.clamp(READ_BYTES, MAX_READ_BYTES);
         let Self { stream, buffer } = self;
-        let start = buffer.len();
         let read = future::poll_fn(|cx| {
-            buffer.resize(start + room, 0);
-            let read = Pin::new(&mut *stream).poll_read(cx, &mut buffer[start..]);
-            let size = match &read {
-                Poll::Ready(Ok(size)) => *size,
-                Poll::Ready(Err(_)) | Poll::Pending => 0,
-            };
-            buffer.truncate(start + size);
-            read
+            let stream = Pin::new(&mut *stream);
+            if wanted > READ_BYTES {
+                poll_large(stream, cx, buffer, wanted.min(MAX_READ_BYTES))
+            } else {
+                poll_small(stream, cx, buffer)
+            }
         });
         Ok(read.await? > 0)
     }
@@ -200,3 +196,34 @@
         }
     }
 }
+
+/// Reads by way of the stack: a connection that waits holds no memory for its next bytes.
+fn poll_small(
+    stream: Pin<&mut TcpStream>,
+    cx: &mut Context<'_>,
+    buffer: &mut Vec<u8>,
+) -> Poll<io::Result<usize>> {
+    let mut bytes = [0; READ_BYTES];
+    let read = stream.poll_read(cx, &mut bytes);
+    if let Poll::Ready(Ok(size)) = &read {
+        buffer.extend_from_slice(&bytes[..*size]);
+    }
+    read
+}
+
+fn poll_large(
+    stream: Pin<&mut TcpStream>,
+    cx: &mut Context<'_>,
+    buffer: &mut Vec<u8>,
+    room: usize,
+) -> Poll<io::Result<usize>> {
+    let start = buffer.len();
+    buffer.resize(start + room, 0);
+    let read = stream.poll_read(cx, &mut buffer[start..]);
+    let size = match &read {
+        Poll::Ready(Ok(size)) => *size,
+        Poll::Ready(Err(_)) | Poll::Pending => 0,
+    };
+    buffer.truncate(start + size);
+    read
+}
