--- a/benches/document.rs
+++ b/benches/document.rs
@@ -1,5 +1,6 @@
 //! Cost of reading the capacity document, printed as one line of key=value pairs a case.
 
+use std::fs;
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,7 +12,10 @@
 
 const WHOLE_RUNS: u32 = 50;
 const EDITS: usize = 2_000;
+const HELD: u64 = 50;
 const BURST: usize = 200;
+const FAULTY_POOLS: usize = 5_000;
+const FAULTY_RUNS: u32 = 5;
 const SIZES: [Size; 3] = [
     Size {
         teams: 6,
@@ -31,6 +35,8 @@
         whole(size);
         edits(size);
     }
+    memory(Size::TARGET);
+    faulty();
     signatures();
 }
 
@@ -81,6 +87,59 @@
     );
 }
 
+/// A section with a fault in every pool; the fold must refuse it quickly too.
+fn faulty() {
+    let size = Size::TARGET;
+    let mut text = example::team(size, size.teams - 1, 1);
+    let mut pools = String::from("\"pools\": {");
+    for i in 0..FAULTY_POOLS {
+        pools.push_str("\n\"p");
+        pools.push_str(&i.to_string());
+        pools.push_str("\": { \"class\": \"none\", \"vms\": {} },");
+    }
+    pools.push_str("},\n\"keys\"");
+    text = text.replace("\"keys\"", &pools);
+    let mut sections = example::sections(size);
+    let id = SectionId::new(&format!("team-{}", size.teams - 1));
+    let mut cache = SectionCache::default();
+    cache.assemble(&sections).expect("valid");
+    sections.insert(id, Arc::from(text));
+    let refused = mean(FAULTY_RUNS, || {
+        assert!(cache.assemble(&sections).is_err());
+    });
+    println!(
+        "case=faulty faults={FAULTY_POOLS} refused_us={}",
+        refused.as_micros()
+    );
+}
+
+/// Resident memory of a document together with its cache and texts.
+fn memory(size: Size) {
+    let before = resident_kb();
+    let held: Vec<_> = (0..HELD)
+        .map(|_| {
+            let sections = example::sections(size);
+            let mut cache = SectionCache::default();
+            let document = cache.assemble(&sections).expect("valid");
+            (sections, cache, document)
+        })
+        .collect();
+    let each = resident_kb().saturating_sub(before) / HELD;
+    println!(
+        "case=memory teams={} pools={} held={} each_kb={each}",
+        size.teams,
+        size.pools,
+        held.len()
+    );
+}
+
+fn resident_kb() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    number.unwrap_or(0)
+}
+
 fn signatures() {
     let key: OperatorKey = example::operator("team-0-ops");
     let section = SectionId::new("team-0");
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -1,4 +1,7 @@
 //! The capacity document: model, parsing and validation.
+//!
+//! The fold accepts an edit only if the document is valid, so every change of what is valid needs
+//! a new version of the rules in [`crate::ledger`].
 
 mod cache;
 mod check;
@@ -14,7 +17,7 @@
 mod section;
 mod sign;
 
-pub use cache::SectionCache;
+pub use cache::{MAX_SECTION_BYTES, SectionCache};
 pub use diff::{Hunk, three_way};
 pub use edit::{EditError, grant_key, withdraw_key};
 pub use file::replace_file;
--- a/src/jsonc/field.rs
+++ b/src/jsonc/field.rs
@@ -1,6 +1,8 @@
 //! Fields of an object with a fixed set of names.
 
-use super::node::{Entry, Node, with_hint};
+use super::hint::with_hint;
+use super::node::{Entry, Node};
+use super::quote::label;
 use super::unit;
 
 /// Fields of one object.
@@ -49,7 +51,9 @@
 fn unknown(key: &str, known: &[&str]) -> String {
     if let Some(field) = unit::same_stem(key, known) {
         let expected = unit::expected(field);
-        return format!("unknown field `{key}`, wrong unit: `{field}` holds {expected}");
+        let name = label(key);
+        return format!("unknown field {name}, wrong unit: `{field}` holds {expected}");
     }
-    with_hint(format!("unknown field `{key}`"), key, known.iter().copied())
+    let message = format!("unknown field {}", label(key));
+    with_hint(&message, key, known.iter().copied())
 }
