Script decisions in virtual time

The processes of a script are control states and claims over one log, driven in steps of 50 ms of virtual time: edit racing edit, lost answers, the log away for ten minutes with all entries replaced, a data centre cut off, records that expire while a process is paused, a planner and a member that are paused.

Each was seen failing. edit_race: the base not compared, and repeats counted. answer_lost: repeats counted. log_down: a closed log not counted as verified. cut_off: data centres never taken for cut off. expired: records folded over a gap. member_paused: nobody suspected. planner_paused: claims that do not cite the last renewal, no takeover, and a holder that ignores the end of its lease.

Seen on the way: in a data centre that is cut off from the platform and from all others, keys stay good for 20 to 25 s after the cut, since another data centre counts as reached for 15 s and the age of keys is counted from then. The script states this as it is.

--- /dev/null
+++ b/tests/scenarios/decisions/log.rs
@@ -0,0 +1,81 @@
+//! The platform's log in virtual time.
+
+use amaranthwick::id::Offset;
+use amaranthwick::platform::{Batch, LogError};
+
+use crate::args::Failure;
+
+/// What the log does with calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing is wrong.
+    None,
+    /// Nobody reaches it.
+    Down,
+    /// It says that it is not available.
+    Unavailable,
+    /// Appends take effect, and no answer arrives.
+    Lost,
+}
+
+/// Records and the fault in force.
+#[derive(Debug)]
+pub struct Log {
+    records: Vec<Vec<u8>>,
+    oldest: usize,
+    pub fault: Fault,
+}
+
+impl Log {
+    pub fn open() -> Self {
+        Self {
+            records: Vec::new(),
+            oldest: 0,
+            fault: Fault::None,
+        }
+    }
+
+    pub fn append(&mut self, records: &[Vec<u8>]) -> Result<Offset, LogError> {
+        let first = Offset(self.records.len() as u64);
+        match self.fault {
+            Fault::Down => return Err(LogError::NotSent("down".to_owned())),
+            Fault::Unavailable => return Err(LogError::Unavailable),
+            Fault::None | Fault::Lost => self.records.extend_from_slice(records),
+        }
+        if self.fault == Fault::Lost {
+            return Err(LogError::Unknown("answer lost".to_owned()));
+        }
+        Ok(first)
+    }
+
+    pub fn read(&self, from: Offset) -> Result<Batch, LogError> {
+        match self.fault {
+            Fault::Down => return Err(LogError::NotSent("down".to_owned())),
+            Fault::Unavailable => return Err(LogError::Unavailable),
+            Fault::Lost => return Err(LogError::Unknown("answer lost".to_owned())),
+            Fault::None => {}
+        }
+        let first = usize::try_from(from.0).expect("small").max(self.oldest);
+        Ok(Batch {
+            oldest: Offset(self.oldest as u64),
+            head: Offset(self.records.len() as u64),
+            first: Offset(first as u64),
+            records: self.records[first..].to_vec(),
+        })
+    }
+
+    /// Lets all records so far expire.
+    pub fn expire(&mut self) {
+        self.oldest = self.records.len();
+    }
+}
+
+/// Reads the name of a fault.
+pub fn fault(name: &str) -> Result<Fault, Failure> {
+    match name {
+        "down" => Ok(Fault::Down),
+        "unavailable" => Ok(Fault::Unavailable),
+        "lost" => Ok(Fault::Lost),
+        _ => Err(format!("no fault {name}").into()),
+    }
+}
--- /dev/null
+++ b/tests/scenarios/decisions/process.rs
@@ -0,0 +1,114 @@
+//! One process: its control state and, in a planner, its claim.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use amaranthwick::config::{Common, Platform};
+use amaranthwick::control::{Core, Settings};
+use amaranthwick::document::example;
+use amaranthwick::id::{DataCentre, Incarnation, MemberId, SectionId};
+use amaranthwick::ledger::{Holding, Proposal};
+use amaranthwick::planner::Claimant;
+use amaranthwick::secret::FleetSecret;
+
+/// Time after which a silent planner may be replaced.
+const LEASE: Duration = Duration::from_secs(5);
+
+/// Age of the last verified head after which keys may be out of date.
+const STALE: Duration = Duration::from_secs(5);
+
+/// A process of the script.
+pub struct Process {
+    pub core: Core,
+    pub data_centre: String,
+    pub frozen: bool,
+    claimant: Option<Claimant>,
+}
+
+/// What a process is started as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Entry,
+    Planner,
+}
+
+impl Process {
+    /// Starts a process without any memory; `run` numbers the starts of the script.
+    pub fn start(kind: Kind, name: &str, data_centre: &str, run: u16, now: Instant) -> Self {
+        let settings = Settings {
+            beats: kind == Kind::Entry,
+            ..Settings::default()
+        };
+        let common = common(name, data_centre);
+        let run_number = Incarnation(u64::from(run));
+        let mut core = Core::open(&common, &settings, run_number, now);
+        if kind == Kind::Entry {
+            core.set_peer(peer(run), now);
+        }
+        let claimant = Claimant::new(MemberId::new(name), LEASE);
+        Self {
+            core,
+            data_centre: data_centre.to_owned(),
+            frozen: false,
+            claimant: (kind == Kind::Planner).then_some(claimant),
+        }
+    }
+
+    /// Proposes the claim that is due, as the planner does.
+    pub fn claim(&mut self, now: Instant) {
+        let held = self.holding();
+        let Some(claimant) = &mut self.claimant else {
+            return;
+        };
+        if let Some(claim) = claimant.step(held.as_ref(), now) {
+            let (answer, _) = async_channel::bounded(1);
+            self.core.propose(Proposal::Claim(claim), answer, now);
+        }
+    }
+
+    /// True while a planner may act.
+    pub fn holds(&self, now: Instant) -> bool {
+        let held = self.holding();
+        let claimant = self.claimant.as_ref();
+        claimant.is_some_and(|claimant| claimant.holds(held.as_ref(), now))
+    }
+
+    /// True while keys can be trusted.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        let verified = self.core.verified();
+        verified.is_some_and(|at| now.saturating_duration_since(at) <= STALE)
+    }
+
+    pub fn revision(&self, section: &str) -> u64 {
+        let sections = &self.core.state().facts().sections;
+        let section = sections.get(&SectionId::new(section));
+        section.map_or(0, |section| section.revision.0)
+    }
+
+    pub fn holding(&self) -> Option<Holding> {
+        self.core.state().facts().planner.clone()
+    }
+}
+
+/// The address of the process that was started as number `run`.
+pub fn peer(run: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], run))
+}
+
+fn common(name: &str, data_centre: &str) -> Common {
+    let nowhere = peer(0);
+    Common {
+        id: MemberId::new(name),
+        data_centre: DataCentre::new(data_centre),
+        peer: nowhere,
+        admin: nowhere,
+        platform: Platform {
+            log: nowhere,
+            vms: nowhere,
+            pools: nowhere,
+            workers: nowhere,
+        },
+        secret: FleetSecret::new(example::fleet_secret()),
+        root_key: example::operator("root").public(),
+    }
+}
--- /dev/null
+++ b/tests/scenarios/decisions/steps.rs
@@ -0,0 +1,125 @@
+//! Steps of the processes: appends, reads, claims and heartbeats.
+
+use std::net::SocketAddr;
+
+use amaranthwick::id::Offset;
+use amaranthwick::ledger::{restore, store};
+use amaranthwick::platform::LogError;
+
+use super::world::{World, ordered};
+
+const PLATFORM: &str = "platform";
+const TICK_MS: u64 = 250;
+const CLAIM_MS: u64 = 200;
+const BEAT_MS: u64 = 1_000;
+
+impl World {
+    fn is_due(&self, period_ms: u64) -> bool {
+        let elapsed = self.now.duration_since(self.start).as_millis();
+        elapsed.is_multiple_of(u128::from(period_ms))
+    }
+
+    pub(super) fn step(&mut self, i: usize) {
+        if self.is_due(TICK_MS) {
+            self.processes[i].core.tick(self.now);
+        }
+        if self.is_due(CLAIM_MS) {
+            self.processes[i].claim(self.now);
+        }
+        self.append(i);
+        self.poll(i);
+        if self.is_due(BEAT_MS) {
+            self.beat(i);
+        }
+    }
+
+    fn append(&mut self, i: usize) {
+        let batch = self.processes[i].core.take(self.now);
+        if batch.is_empty() {
+            return;
+        }
+        let result = if self.reaches(i, PLATFORM) {
+            self.log.append(&batch)
+        } else {
+            Err(LogError::NotSent("cut off".to_owned()))
+        };
+        self.processes[i]
+            .core
+            .appended(result.as_ref().copied(), self.now);
+    }
+
+    fn poll(&mut self, i: usize) {
+        let from = self.processes[i].core.state().offset();
+        let result = if self.reaches(i, PLATFORM) {
+            self.log.read(from)
+        } else {
+            Err(LogError::NotSent("cut off".to_owned()))
+        };
+        let core = &mut self.processes[i].core;
+        match result {
+            Ok(batch) => {
+                if core.fold(&batch, self.now, self.now).is_err() {
+                    self.catch_up(i);
+                }
+            }
+            Err(LogError::Unavailable) => {
+                core.note_unavailable(self.now);
+                self.catch_up_if_blank(i);
+            }
+            Err(_) => {
+                core.note_unreachable(self.now);
+                self.catch_up_if_blank(i);
+            }
+        }
+    }
+
+    fn catch_up_if_blank(&mut self, i: usize) {
+        if self.processes[i].core.state().offset() == Offset(0) {
+            self.catch_up(i);
+        }
+    }
+
+    /// Takes the state of the most advanced process that is reached.
+    fn catch_up(&mut self, i: usize) {
+        let own = self.processes[i].core.state();
+        let others = self.processes.values().filter(|other| {
+            !other.frozen && self.connects(&self.processes[i].data_centre, &other.data_centre)
+        });
+        let best = others.max_by_key(|other| other.core.state().offset());
+        let stored = best.map(|other| store(other.core.state()));
+        let state = stored.and_then(|bytes| restore(&bytes, own.trust()).ok());
+        if let Some(state) = state {
+            self.processes[i].core.adopt(state);
+        }
+    }
+
+    fn beat(&mut self, i: usize) {
+        let receivers = self.processes[i].core.receivers();
+        for receiver in receivers {
+            let Some(j) = self.receiver(i, receiver) else {
+                continue;
+            };
+            let heartbeat = self.processes[i].core.heartbeat(self.now);
+            self.processes[j].core.hear(&heartbeat, self.now);
+            let answer = self.processes[j].core.heartbeat(self.now);
+            self.processes[i].core.hear(&answer, self.now);
+        }
+    }
+
+    /// The process that listens there and can be reached by process `i`.
+    fn receiver(&self, i: usize, address: SocketAddr) -> Option<usize> {
+        let name = self.peers.get(&address)?;
+        let j = self.processes.get_index_of(name)?;
+        let other = &self.processes[j];
+        let reached = self.reaches(i, &other.data_centre);
+        (i != j && reached && !other.frozen).then_some(j)
+    }
+
+    fn reaches(&self, i: usize, place: &str) -> bool {
+        self.connects(&self.processes[i].data_centre, place)
+    }
+
+    fn connects(&self, a: &str, b: &str) -> bool {
+        !self.cuts.contains(&ordered(a, b))
+    }
+}
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -7,6 +7,7 @@
 
 mod args;
 mod daemons;
+mod decisions;
 mod outcome;
 
 use std::path::{Path, PathBuf};
@@ -19,6 +20,12 @@
     run(&mut daemons::Runner::new(), &script);
 }
 
+/// Scripts that drive decisions in virtual time.
+#[rstest]
+fn virtual_time(#[files("tests/scenarios/virtual/*.txt")] script: PathBuf) {
+    run(&mut decisions::Runner::new(), &script);
+}
+
 fn run(runner: &mut impl goldenscript::Runner, script: &Path) {
     let result = goldenscript::run(runner, script);
     if let Err(error) = result {
