Count placed jobs instead of searching for them

Each placement counted all jobs of all teams, so its cost grew with the jobs that wait. The count of each team is now part of the state. The bench gains placements and ends of jobs with as many waiting.

--- a/benches/ledger/fleet.rs
+++ b/benches/ledger/fleet.rs
@@ -6,7 +6,8 @@
     Revision, SectionId, TeamId, VmId,
 };
 use amaranthwick::ledger::{
-    Claim, Edit, Job, Party, Proposal, Record, Registration, Role, State, Trust, Verdict, encode,
+    Claim, Edit, Job, JobPhase, JobUpdate, Party, Proposal, Record, Registration, Role, State,
+    Trust, Verdict, encode,
 };
 use amaranthwick::secret::FleetSecret;
 
@@ -175,6 +176,30 @@
     })
 }
 
+pub(crate) fn share(n: usize, amount: u32) -> Proposal {
+    Proposal::Transfer {
+        team: TeamId::new(&team(n)),
+        from: Party::Reserve,
+        to: Party::Jobs(Epoch(1)),
+        amount,
+    }
+}
+
+/// Places a job with step 0 and ends it with step 1.
+pub(crate) fn update(n: usize, step: usize) -> Proposal {
+    let phase = if step == 0 {
+        JobPhase::Placed(VmId::new(&vm(n % AIM.workers)))
+    } else {
+        JobPhase::Done("rows=120".to_owned())
+    };
+    Proposal::Update(JobUpdate {
+        id: JobId::new(&format!("job-{n:06}")),
+        step: u32::try_from(step).expect("small"),
+        phase,
+        epoch: Some(Epoch(1)),
+    })
+}
+
 /// Folds proposals one after the other.
 pub(crate) struct Writer {
     pub(crate) state: State,
--- a/benches/ledger/fold.rs
+++ b/benches/ledger/fold.rs
@@ -5,7 +5,7 @@
 use amaranthwick::ledger::{Proposal, Verdict};
 
 use crate::fleet::{
-    AIM, ENTRIES, Writer, assign, edit, full, register, submit, team, team_text, transfer,
+    self, AIM, ENTRIES, Writer, assign, edit, full, register, submit, team, team_text, transfer,
 };
 
 const RECORDS: usize = 100_000;
@@ -21,10 +21,34 @@
     );
     measure("assign", &collect(moved));
     measure("submit", &collect(|n| submit(n, AIM.teams)));
+    updates();
     forged();
     edits();
 }
 
+/// Jobs that are placed and end, with as many waiting.
+fn updates() {
+    let mut writer = full(&AIM);
+    let jobs = RECORDS / 4;
+    for n in 0..2 * jobs {
+        writer.accept(submit(n, AIM.teams));
+    }
+    for n in 0..AIM.teams {
+        writer.accept(fleet::share(n, 100));
+    }
+    let start = writer.state.offset();
+    let records: Vec<Vec<u8>> = (0..2 * jobs)
+        .map(|n| writer.bytes(start.0 + n as u64, fleet::update(n / 2, n % 2)))
+        .collect();
+    let began = Instant::now();
+    let accepted = fold(&mut writer, &records);
+    let rate = records.len() as f64 / began.elapsed().as_secs_f64();
+    println!(
+        "fold=update records={} accepted={accepted} rate_per_s={rate:.0}",
+        records.len()
+    );
+}
+
 fn collect(proposal: impl Fn(usize) -> Proposal) -> Vec<Proposal> {
     (0..RECORDS).map(proposal).collect()
 }
--- a/src/ledger/fold/job.rs
+++ b/src/ledger/fold/job.rs
@@ -2,7 +2,7 @@
 
 use crate::control::JobState;
 use crate::document::{Document, Kind};
-use crate::id::TeamId;
+use crate::id::{JobId, TeamId};
 use crate::ledger::fold::allotment::Holder;
 use crate::ledger::{Job, JobPhase, JobUpdate, Refusal, State};
 
@@ -38,8 +38,7 @@
         if known.step != update.step || is_ended(&known.phase) {
             return Err(Refusal::Stepped(known.step));
         }
-        let placed = matches!(known.phase, JobPhase::Placed(_));
-        if matches!(update.phase, JobPhase::Placed(_)) && !placed {
+        if is_placed(&update.phase) && !is_placed(&known.phase) {
             self.check_share(&known.job.team)?;
         }
         self.step(update);
@@ -47,13 +46,7 @@
     }
 
     pub(super) fn placed_jobs(&self, team: &TeamId) -> u32 {
-        let placed = self
-            .facts
-            .jobs
-            .values()
-            .filter(|state| state.job.team == *team)
-            .filter(|state| matches!(state.phase, JobPhase::Placed(_)));
-        u32::try_from(placed.count()).unwrap_or(u32::MAX)
+        self.facts.placed.get(team).copied().unwrap_or(0)
     }
 
     fn check_share(&self, team: &TeamId) -> Result<(), Refusal> {
@@ -65,14 +58,28 @@
     }
 
     fn step(&mut self, update: JobUpdate) {
+        let Some(state) = self.facts.jobs.get_mut(&update.id) else {
+            return;
+        };
+        let team = state.job.team.clone();
+        let before = is_placed(&state.phase);
+        let after = is_placed(&update.phase);
         let ended = is_ended(&update.phase);
-        if let Some(state) = self.facts.jobs.get_mut(&update.id) {
-            state.phase = update.phase;
-            state.step += 1;
-        }
+        state.phase = update.phase;
+        state.step += 1;
+        self.count_placed(team, before, after);
         if ended {
-            self.facts.ended.push_back(update.id);
+            self.forget_oldest(update.id);
         }
+    }
+
+    fn count_placed(&mut self, team: TeamId, before: bool, after: bool) {
+        let count = self.facts.placed.entry(team).or_insert(0);
+        *count = (*count + u32::from(after)).saturating_sub(u32::from(before));
+    }
+
+    fn forget_oldest(&mut self, ended: JobId) {
+        self.facts.ended.push_back(ended);
         if self.facts.ended.len() > MAX_ENDED
             && let Some(oldest) = self.facts.ended.pop_front()
         {
@@ -81,6 +88,10 @@
     }
 }
 
+const fn is_placed(phase: &JobPhase) -> bool {
+    matches!(phase, JobPhase::Placed(_))
+}
+
 /// True once a job can't run again.
 #[must_use]
 pub const fn is_ended(phase: &JobPhase) -> bool {
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -75,6 +75,8 @@
     pub members: IndexMap<MemberId, Enrolment>,
     /// Long work.
     pub jobs: IndexMap<JobId, JobState>,
+    /// Placed jobs of each team.
+    pub placed: IndexMap<TeamId, u32>,
     /// Ended jobs, oldest first.
     pub ended: VecDeque<JobId>,
 }
@@ -96,6 +98,7 @@
             planner: None,
             members: IndexMap::new(),
             jobs: IndexMap::new(),
+            placed: IndexMap::new(),
             ended: VecDeque::new(),
         }
     }
--- a/tests/ledger/fold.rs
+++ b/tests/ledger/fold.rs
@@ -384,6 +384,34 @@
     assert_eq!(taken, Some(Refusal::Allotment(0)));
 }
 
+#[test]
+fn a_job_that_has_ended_leaves_room_for_another() {
+    let mut log = Log::with_teams();
+    log.propose(claim("p1", 1, None));
+    log.propose(transfer("blue", Party::Reserve, Party::Jobs(Epoch(1)), 1));
+    let update = |id: &str, step, phase| {
+        Proposal::Update(JobUpdate {
+            id: JobId::new(id),
+            step,
+            phase,
+            epoch: Some(Epoch(1)),
+        })
+    };
+    let placed = || JobPhase::Placed(VmId::new("w1"));
+    log.propose(Proposal::Submit(job("1", "blue", 1)));
+    log.propose(Proposal::Submit(job("2", "blue", 1)));
+    log.propose(update("1", 0, placed()));
+
+    let moved = refusal(log.propose(update("1", 1, JobPhase::Placed(VmId::new("w2")))));
+    let beyond = refusal(log.propose(update("2", 0, placed())));
+    log.propose(update("1", 2, JobPhase::Done(String::new())));
+    let freed = refusal(log.propose(update("2", 0, placed())));
+
+    assert_eq!(moved, None);
+    assert_eq!(beyond, Some(Refusal::Allotment(1)));
+    assert_eq!(freed, None);
+}
+
 #[test]
 fn a_record_that_arrives_after_the_window_is_refused() {
     let mut log = Log::empty();
