--- a/benches/ledger/spread.rs
+++ b/benches/ledger/spread.rs
@@ -14,6 +14,7 @@
 use amaranthwick::secret::FleetSecret;
 use amaranthwick_standins::{Fleet, FleetSpec};
 use futures_lite::future::block_on;
+use indexmap::IndexMap;
 
 use crate::fleet::{AIM, edit, sections, team, team_text};
 
@@ -43,6 +44,7 @@
         data_centre: DataCentre::new(&format!("dc-{}", n % 10)),
         peer: any,
         admin: any,
+        peers: IndexMap::new(),
         platform: Platform {
             log: fleet.log_address(),
             vms: fleet.vms_address(),
--- a/src/bin/amaranthwick-planner.rs
+++ b/src/bin/amaranthwick-planner.rs
@@ -77,5 +77,5 @@
     let log = LogClient::new(common.platform.log, &common.data_centre);
     let vms = VmsClient::new(common.platform.vms, &common.data_centre);
     let peers = SilentPeers(Client::new(common.secret.clone()));
-    control::spawn_with(common, settings, log, vms, peers)
+    control::spawn_with(common, &settings, log, vms, peers)
 }
--- a/src/config/common.rs
+++ b/src/config/common.rs
@@ -2,6 +2,8 @@
 
 use std::fs;
 
+use indexmap::IndexMap;
+
 use super::beside;
 use super::model::{Common, Platform};
 use crate::document::decode::public_key;
@@ -11,11 +13,12 @@
 use crate::secret::FleetSecret;
 
 /// Names of the fields that [`common`] reads.
-pub(super) const COMMON: [&str; 8] = [
+pub(super) const COMMON: [&str; 9] = [
     "id",
     "data_centre",
     "peer",
     "admin",
+    "peers",
     "platform",
     "secret",
     "secret_file",
@@ -28,6 +31,10 @@
     let data_centre = fields.required("data_centre").and_then(Node::name);
     let peer = fields.required("peer").and_then(Node::address);
     let admin = fields.required("admin").and_then(Node::address);
+    let peers = match fields.optional("peers") {
+        Some(node) => node.map(Node::address),
+        None => Some(IndexMap::new()),
+    };
     let platform = fields.required("platform").and_then(platform);
     let secret = secret(file, fields);
     let root_key = fields.required("root_key").and_then(public_key);
@@ -36,6 +43,7 @@
         data_centre: DataCentre::from(data_centre?),
         peer: peer?,
         admin: admin?,
+        peers: peers?,
         platform: platform?,
         secret: secret?,
         root_key: root_key?,
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -20,6 +20,8 @@
     pub peer: SocketAddr,
     /// Address for operators: state dump and metrics.
     pub admin: SocketAddr,
+    /// Processes to ask for their state when the log is away and no other is known.
+    pub peers: IndexMap<MemberId, SocketAddr>,
     /// Where the platform's services answer.
     pub platform: Platform,
     /// Authenticates processes and their records.
--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -137,8 +137,9 @@
 }
 
 fn sources<L, V, P>(shell: &Shell<L, V, P>) -> Vec<SocketAddr> {
-    let mut found = shell.core.borrow().other_peers();
-    found.extend(&shell.seeds);
+    let core = shell.core.borrow();
+    let mut found = core.other_peers();
+    found.extend(core.common.peers.values());
     fastrand::shuffle(&mut found);
     found.truncate(MAX_ASKED);
     found
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -1,7 +1,6 @@
 //! Runs the control thread's tasks; all I/O happens here and in the tasks.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
@@ -34,7 +33,6 @@
     pub(super) log: L,
     pub(super) vms: V,
     pub(super) peers: P,
-    pub(super) seeds: Vec<SocketAddr>,
     pub(super) kick: Sender<()>,
     pub(super) kicked: Receiver<()>,
 }
@@ -67,7 +65,7 @@
         beats: peers.beats(),
         ..Settings::default()
     };
-    spawn_with(common, settings, log, vms, peers)
+    spawn_with(common, &settings, log, vms, peers)
 }
 
 /// Starts the control thread; it ends when the last handle is dropped.
@@ -76,14 +74,14 @@
 /// Fails when the operating system refuses a thread.
 pub fn spawn_with<L: Log, V: VmList, P: Peers>(
     common: &Common,
-    settings: Settings,
+    settings: &Settings,
     log: L,
     vms: V,
     peers: P,
 ) -> Result<Control> {
     let (control, received) = Control::channel();
     let (kick, kicked) = async_channel::bounded(1);
-    let core = Core::open(common, &settings, Incarnation::now(), Instant::now());
+    let core = Core::open(common, settings, Incarnation::now(), Instant::now());
     let view = control.shared();
     thread::Builder::new()
         .name("control".to_owned())
@@ -94,7 +92,6 @@
                 log,
                 vms,
                 peers,
-                seeds: settings.seeds,
                 kick,
                 kicked,
             });
--- a/src/dev/process.rs
+++ b/src/dev/process.rs
@@ -1,5 +1,6 @@
 //! Daemons of the fleet, run inside this process.
 
+use indexmap::IndexMap;
 use std::net::SocketAddr;
 
 use amaranthwick_standins as standins;
@@ -120,6 +121,7 @@
             data_centre: data_centre.clone(),
             peer: loopback(),
             admin: loopback(),
+            peers: IndexMap::new(),
             platform: Platform {
                 log: self.standins.log_address(),
                 vms: self.standins.vms_address(),
--- a/tests/common/entry.rs
+++ b/tests/common/entry.rs
@@ -157,6 +157,7 @@
             data_centre: DataCentre::new("split"),
             peer: localhost(),
             admin: localhost(),
+            peers: IndexMap::new(),
             platform: Platform {
                 log: localhost(),
                 vms: localhost(),
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -20,6 +20,7 @@
     assert_eq!(entry.stale_ms, 2_000);
     assert_eq!(entry.common.root_key, example::operator("root").public());
     assert_eq!(planner.common.id.as_str(), "planner-1");
+    assert_eq!(planner.common.peers.len(), 2);
     assert_eq!(
         operator.key_file.to_str(),
         Some("examples/herds-ops.key.jsonc")
--- a/tests/control/fixtures.rs
+++ b/tests/control/fixtures.rs
@@ -7,6 +7,7 @@
 };
 use amaranthwick::ledger::{Edit, Job, Proposal, Record, encode_edit};
 use amaranthwick::secret::FleetSecret;
+use indexmap::IndexMap;
 
 pub(crate) fn common(id: &str) -> Common {
     let any = ([127, 0, 0, 1], 0).into();
@@ -15,6 +16,7 @@
         data_centre: DataCentre::new("a"),
         peer: any,
         admin: any,
+        peers: IndexMap::new(),
         platform: Platform {
             log: any,
             vms: any,
--- a/tests/control/shell.rs
+++ b/tests/control/shell.rs
@@ -2,7 +2,7 @@
 use std::time::{Duration, Instant};
 
 use amaranthwick::control::{self, Control, Settings};
-use amaranthwick::id::{JobId, Offset, SectionId, TeamId};
+use amaranthwick::id::{JobId, MemberId, Offset, SectionId, TeamId};
 use amaranthwick::ledger::Verdict;
 use amaranthwick::platform::LogError;
 use futures_lite::future::block_on;
@@ -24,10 +24,12 @@
 fn open(id: &str, log: &FakeLog, peer: Option<Vec<u8>>) -> Control {
     let settings = Settings {
         snapshot_every: 16,
-        seeds: vec![([127, 0, 0, 1], 1).into()],
         beats: false,
     };
-    control::spawn_with(&common(id), settings, log.clone(), NoVms, Donor(peer)).expect("thread")
+    let mut common = common(id);
+    let seed = ([127, 0, 0, 1], 1).into();
+    common.peers.insert(MemberId::new("seed"), seed);
+    control::spawn_with(&common, &settings, log.clone(), NoVms, Donor(peer)).expect("thread")
 }
 
 fn with_document() -> FakeLog {
--- a/tests/planner/fleet.rs
+++ b/tests/planner/fleet.rs
@@ -17,6 +17,7 @@
 use amaranthwick::secret::FleetSecret;
 use amaranthwick_standins::{ClassSpec, DataCentreSpec, Fleet, FleetSpec, Kind};
 use futures_lite::future::block_on;
+use indexmap::IndexMap;
 
 use crate::fixtures::{fleet_text, job, office_text, red_text};
 
@@ -55,6 +56,7 @@
         data_centre: DataCentre::new("a"),
         peer: any,
         admin: any,
+        peers: IndexMap::new(),
         platform: Platform {
             log: fleet.log_address(),
             vms: fleet.vms_address(),
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -13,6 +13,7 @@
 use amaranthwick::secret::FleetSecret;
 use amaranthwick::telemetry::{Admin, Dump, Metrics, Process};
 use amaranthwick_standins::Fleet;
+use indexmap::IndexMap;
 use serde_json::Value;
 
 /// A follower of the log with an admin address.
@@ -71,6 +72,7 @@
         data_centre: DataCentre::new("ploce"),
         peer: loopback(),
         admin: loopback(),
+        peers: IndexMap::new(),
         platform: Platform {
             log: fleet.log_address(),
             vms: fleet.vms_address(),
