--- a/tests/scenarios/decisions/steps.rs
+++ b/tests/scenarios/decisions/steps.rs
@@ -4,6 +4,7 @@
 
 use amaranthwick::id::Offset;
 use amaranthwick::ledger::{restore, store};
+use amaranthwick::membership::BEAT_MS;
 use amaranthwick::platform::LogError;
 
 use super::world::{World, ordered};
@@ -11,7 +12,6 @@
 const PLATFORM: &str = "platform";
 const TICK_MS: u64 = 250;
 const CLAIM_MS: u64 = 200;
-const BEAT_MS: u64 = 1_000;
 
 impl World {
     fn is_due(&self, period_ms: u64) -> bool {
