Let a replaced process use its name's part while the log is away

A process that starts while the log is down can't register, so it held no part of any ceiling, and after all entries had been replaced nothing would run. A run that is newer than the one the fold shows now takes over the part of its name once most members of its data centre have heard it and 40 s and the longest request have passed. An earlier run that is still there is no longer heard by then and has stopped by itself. Such a process also shows itself as a member in its own view.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -267,7 +267,8 @@
     /// Takes and gives parts of ceilings as demand asks.
     pub fn balance(&mut self, now: Instant) {
         let run = self.registrar.incarnation;
-        for ask in self.quota.step(&self.state, run, now) {
+        let heard = self.heard(now).is_some();
+        for ask in self.quota.step(&self.state, run, heard, now) {
             let id = self.enqueue(ask.proposal, now);
             self.quota.proposed(&ask.team, id, &self.state);
         }
@@ -282,8 +283,13 @@
     /// Until when this process may use its parts of ceilings; `None` before it has any.
     #[must_use]
     pub fn tenure_end(&self, now: Instant) -> Option<Instant> {
-        let heard = self.beats.then(|| self.roster.heard_by_most(now)).flatten();
-        self.registrar.tenure.end(heard)
+        self.registrar.tenure.end(self.heard(now))
+    }
+
+    /// When the newest beat was made that most members of the data centre have heard.
+    fn heard(&self, now: Instant) -> Option<Instant> {
+        let takes_part = self.beats && self.registrar.peer().is_some();
+        takes_part.then(|| self.roster.heard_by_most(now)).flatten()
     }
 
     /// Proposes to take out a member of the data centre that nobody hears any more.
--- a/src/control/picture.rs
+++ b/src/control/picture.rs
@@ -21,11 +21,7 @@
             .as_deref()
             .map_or_else(IndexMap::new, |document| targets(core, document)),
         limits: limits(core, now),
-        members: facts
-            .members
-            .values()
-            .map(|enrolment| member(core, &enrolment.registration, now))
-            .collect(),
+        members: members(core, now),
         planner: held.map(|held| (held.holder.clone(), held.epoch)),
         verified: core.verified(),
         document,
@@ -80,6 +76,17 @@
     }
 }
 
+/// A process whose registration the log has not taken yet still knows itself.
+fn members(core: &Core, now: Instant) -> Vec<Member> {
+    let known = core.state.facts().members.values();
+    let others = known.filter(|known| known.registration.id != core.common.id);
+    let own = core.registrar.registration(&core.common);
+    others
+        .map(|known| member(core, &known.registration, now))
+        .chain(own.map(|own| member(core, &own, now)))
+        .collect()
+}
+
 fn member(core: &Core, registration: &Registration, now: Instant) -> Member {
     let own = registration.id == core.common.id;
     let alive = own || !core.beats || core.roster.is_alive(&registration.id, now);
--- a/src/control/registrar.rs
+++ b/src/control/registrar.rs
@@ -39,6 +39,21 @@
         self.peer = Some(peer);
     }
 
+    /// Address at which others reach this process, once it has one.
+    pub(super) const fn peer(&self) -> Option<SocketAddr> {
+        self.peer
+    }
+
+    /// The registration of this run, once it has an address.
+    pub(super) fn registration(&self, common: &Common) -> Option<Registration> {
+        Some(Registration {
+            id: common.id.clone(),
+            incarnation: self.incarnation,
+            data_centre: common.data_centre.clone(),
+            peer: self.peer?,
+        })
+    }
+
     /// What to propose now, if anything.
     pub(super) fn wanted(
         &self,
@@ -46,12 +61,7 @@
         state: &State,
         now: Instant,
     ) -> Option<Registration> {
-        let wanted = Registration {
-            id: common.id.clone(),
-            incarnation: self.incarnation,
-            data_centre: common.data_centre.clone(),
-            peer: self.peer?,
-        };
+        let wanted = self.registration(common)?;
         let known = state.facts().members.get(&common.id);
         let shown = known.is_some_and(|known| known.registration == wanted);
         let due = !shown || self.is_due(now);
--- a/src/membership/quota.rs
+++ b/src/membership/quota.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 
+use super::FENCE_MS;
 use super::account::{Account, Giving, Size};
 use crate::id::{Incarnation, MemberId, RecordId, TeamId};
 use crate::ledger::{Holder, Party, Proposal, State, Verdict, WINDOW_OFFSETS};
@@ -98,8 +99,8 @@
         self.held(state, team, now).saturating_sub(given)
     }
 
-    /// What may be used now: nothing before the registration of this run is accepted,
-    /// and what an earlier run held only once its requests have surely ended.
+    /// What may be used now: nothing before this run is known to others, and what an
+    /// earlier run held only once its requests have surely ended.
     fn held(&self, state: &State, team: &TeamId, now: Instant) -> u32 {
         let Some(inherited) = &self.inherited else {
             return 0;
@@ -113,9 +114,11 @@
         share.saturating_sub(blocked)
     }
 
-    /// Transfers to propose now.
-    pub fn step(&mut self, state: &State, run: Incarnation, now: Instant) -> Vec<Ask> {
-        if !self.is_enrolled(state, run, now) {
+    /// Transfers to propose now; `heard` tells whether most members of the data centre
+    /// have heard this run.
+    pub fn step(&mut self, state: &State, run: Incarnation, heard: bool, now: Instant) -> Vec<Ask> {
+        self.inherit(state, run, heard, now);
+        if self.shown(state) != Some(run) {
             return Vec::new();
         }
         let Some(document) = state.document() else {
@@ -171,29 +174,35 @@
         None
     }
 
+    /// The run of this process that the fold shows.
+    fn shown(&self, state: &State) -> Option<Incarnation> {
+        let known = state.facts().members.get(&self.own);
+        known.map(|known| known.registration.incarnation)
+    }
+
     /// The first time that the fold shows this run, all shares are of an earlier one.
-    fn is_enrolled(&mut self, state: &State, run: Incarnation, now: Instant) -> bool {
-        if self
-            .inherited
-            .as_ref()
-            .is_some_and(|inherited| inherited.run == run)
-        {
-            return true;
-        }
-        let shown = state.facts().members.get(&self.own);
-        if shown.is_none_or(|known| known.registration.incarnation != run) {
-            return false;
+    ///
+    /// While the log is away it can't show it. Then an earlier run, should it still be
+    /// there, stops by itself once most members have heard the newer one.
+    fn inherit(&mut self, state: &State, run: Incarnation, heard: bool, now: Instant) {
+        let known = self.inherited.as_ref().map(|inherited| inherited.run);
+        let fence = match self.shown(state) {
+            Some(shown) if shown == run => Duration::ZERO,
+            Some(shown) if shown < run && heard => Duration::from_millis(FENCE_MS),
+            _ => return,
+        };
+        if known == Some(run) {
+            return;
         }
         let holder = Holder::Member(self.own.clone());
         let shares = state.facts().allotments.iter();
         self.inherited = Some(Inheritance {
             run,
-            until: now + longest_run(state),
+            until: now + fence + longest_run(state),
             shares: shares
                 .map(|(team, a)| (team.clone(), a.share(&holder)))
                 .collect(),
         });
-        true
     }
 
     /// Notes under which id a transfer was proposed, and what the fold had seen then.
--- a/src/membership/tenure.rs
+++ b/src/membership/tenure.rs
@@ -32,10 +32,11 @@
     }
 
     /// Until when what is held may be used; `heard` is when the newest beat was made
-    /// that most members of the data centre have heard.
+    /// that most members of the data centre have heard. A run that started while the log
+    /// was away has only that.
     #[must_use]
     pub fn end(&self, heard: Option<Instant>) -> Option<Instant> {
-        let confirmed = self.confirmed?;
-        Some(confirmed.max(heard.unwrap_or(confirmed)) + Duration::from_millis(FENCE_MS))
+        let confirmed = self.confirmed.max(heard)?;
+        Some(confirmed + Duration::from_millis(FENCE_MS))
     }
 }
--- a/tests/control/ceilings.rs
+++ b/tests/control/ceilings.rs
@@ -368,6 +368,42 @@
     assert_eq!(world.processes[0].limit(world.now), 8);
 }
 
+#[test]
+fn processes_replaced_under_their_names_while_the_log_is_away_use_their_parts_in_time() {
+    let mut world = World::open(9);
+    for p in 0..PROCESSES {
+        world.processes[p].waiting = 30;
+    }
+    settle(&mut world, &[0, 1, 2], 30);
+    let before: Vec<usize> = world.processes.iter().map(|p| p.limit(world.now)).collect();
+
+    for p in 0..PROCESSES {
+        world.run(Event::Restart(p));
+        world.processes[p].waiting = 30;
+    }
+    without_the_log(&mut world, 40);
+    let early = world.processes.iter().any(|p| p.limit(world.now) > 0);
+    without_the_log(&mut world, 20);
+
+    let after: Vec<usize> = world.processes.iter().map(|p| p.limit(world.now)).collect();
+    assert_eq!(before.iter().sum::<usize>(), 9);
+    assert!(!early);
+    assert_eq!(after, before);
+}
+
+/// Seconds in which heartbeats are all that passes.
+fn without_the_log(world: &mut World, seconds: usize) {
+    for _ in 0..seconds {
+        for p in 0..PROCESSES {
+            world.run(Event::Append(p, Append::Unavailable));
+            world.run(Event::Beat(p, (p + 1) % PROCESSES));
+            world.run(Event::Sync(p));
+            world.run(Event::Report(p));
+        }
+        world.advance(Duration::from_secs(1), 0);
+    }
+}
+
 #[test]
 fn nothing_is_given_back_before_the_traffic_threads_have_reported() {
     let mut world = World::open(8);
@@ -431,14 +467,7 @@
     world.rounds(Duration::from_secs(3));
     let before = world.processes[0].limit(world.now);
 
-    for _ in 0..600 {
-        for p in 0..PROCESSES {
-            world.run(Event::Beat(p, (p + 1) % PROCESSES));
-            world.run(Event::Append(p, Append::Unavailable));
-            world.run(Event::Sync(p));
-        }
-        world.advance(Duration::from_secs(1), 0);
-    }
+    without_the_log(&mut world, 600);
 
     assert!(before > 0);
     assert_eq!(world.processes[0].limit(world.now), before);
--- a/tests/control/simulation.rs
+++ b/tests/control/simulation.rs
@@ -340,6 +340,19 @@
     assert_eq!(world.processes[0].state().facts().members.len(), 1);
 }
 
+#[test]
+fn a_process_that_the_log_does_not_know_yet_is_a_member_in_its_own_view() {
+    let mut world = World::open();
+    let now = world.now;
+
+    world.processes[0].set_peer(([127, 0, 0, 1], 7_000).into(), now);
+
+    let view = world.processes[0].view(now);
+    let ids: Vec<&str> = view.members.iter().map(|m| m.id.as_str()).collect();
+    assert_eq!(ids, ["m0"]);
+    assert!(view.members[0].alive);
+}
+
 #[test]
 fn a_process_whose_clock_was_set_back_registers_with_a_newer_incarnation() {
     let mut world = World::open();
