--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -19,6 +19,10 @@
 use crate::platform::{Batch, LogError, Vm};
 use crate::view::View;
 
+/// Age of the last verified head, in ms, up to which a process judges the silence of
+/// others; while the log is away a new run of a member can't make itself known there.
+const FOLLOWS_MS: u64 = 5_000;
+
 /// Answer to a proposal.
 pub type Answer = Result<Verdict, ProposeError>;
 
@@ -292,9 +296,18 @@
         takes_part.then(|| self.roster.heard_by_most(now)).flatten()
     }
 
+    /// True if the head of the log was verified lately.
+    fn follows(&self, now: Instant) -> bool {
+        let limit = Duration::from_millis(FOLLOWS_MS);
+        self.freshness
+            .verified()
+            .is_some_and(|at| now.saturating_duration_since(at) < limit)
+    }
+
     /// Proposes to take out a member of the data centre that nobody hears any more.
     fn retire(&mut self, now: Instant) {
-        if !self.beats || self.retiring.is_some() || !self.roster.hears_most(now) {
+        let idle = self.beats && self.retiring.is_none();
+        if !idle || !self.follows(now) || !self.roster.hears_most(now) {
             return;
         }
         let silence = Duration::from_millis(RETIRE_MS) + longest_run(&self.state);
--- a/tests/control/ceilings.rs
+++ b/tests/control/ceilings.rs
@@ -391,6 +391,25 @@
     assert_eq!(after, before);
 }
 
+#[test]
+fn a_new_run_waits_for_the_earlier_one_from_when_others_have_heard_it() {
+    let mut world = World::open(8);
+    world.processes[0].waiting = 30;
+    settle(&mut world, &[0, 1, 2], 10);
+    world.run(Event::Restart(0));
+    for _ in 0..120 {
+        world.run(Event::Beat(1, 2));
+        world.advance(Duration::from_secs(1), 0);
+    }
+
+    without_the_log(&mut world, 2);
+    let at_once = world.processes[0].limit(world.now);
+    without_the_log(&mut world, 60);
+
+    assert_eq!(at_once, 0);
+    assert!(world.processes[0].limit(world.now) > 0);
+}
+
 /// Seconds in which heartbeats are all that passes.
 fn without_the_log(world: &mut World, seconds: usize) {
     for _ in 0..seconds {
--- a/tests/support/daemons.rs
+++ b/tests/support/daemons.rs
@@ -40,10 +40,23 @@
     }
 
     pub fn entry(&self, id: &str, data_centre: &str) -> Daemon {
-        let own = "\"callers\": \"127.0.0.1:0\", \"threads\": 2, \"max_callers\": 200, \
-                   \"max_body_bytes\": 1048576, \"stale_ms\": 5000, \"drain_ms\": 200";
+        self.entry_with(id, data_centre, &[])
+    }
+
+    /// An entry that asks `peers` for their state when the log is away.
+    pub fn entry_with(&self, id: &str, data_centre: &str, peers: &[&Daemon]) -> Daemon {
+        let peers = peers.iter().map(|peer| {
+            let address = peer.process.address("peers");
+            format!("\"{}\": \"{address}\"", peer.id)
+        });
+        let own = format!(
+            "\"callers\": \"127.0.0.1:0\", \"threads\": 2, \"max_callers\": 200, \
+             \"max_body_bytes\": 1048576, \"stale_ms\": 5000, \"drain_ms\": 200, \
+             \"peers\": {{ {} }}",
+            peers.collect::<Vec<_>>().join(", ")
+        );
         let program = env!("CARGO_BIN_EXE_amaranthwick-entry");
-        let process = self.start(program, id, data_centre, own);
+        let process = self.start(program, id, data_centre, &own);
         Daemon {
             id: id.to_owned(),
             admin: process.address("admin"),
