--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -10,19 +10,16 @@
 use super::keeper::Keeper;
 use super::outbox::Outbox;
 use super::registrar::Registrar;
+use super::retirer::Retirer;
 use super::{ProposeError, Settings, picture};
 use crate::config::Common;
 use crate::id::{Incarnation, MemberId, Offset, RecordId};
 use crate::ledger::{Proposal, Record, Refusal, State, Trust, Verdict, encode};
-use crate::membership::{Quota, RETIRE_MS, Report, Roster, longest_run};
+use crate::membership::{Quota, Report, Roster};
 use crate::peer::Heartbeat;
 use crate::platform::{Batch, LogError, Vm};
 use crate::view::View;
 
-/// Age of the last verified head, in ms, up to which a process judges the silence of
-/// others; while the log is away a new run of a member can't make itself known there.
-const FOLLOWS_MS: u64 = 5_000;
-
 /// Answer to a proposal.
 pub type Answer = Result<Verdict, ProposeError>;
 
@@ -38,7 +35,7 @@
     pub(super) keeper: Keeper,
     pub(super) registrar: Registrar,
     pub(super) quota: Quota,
-    retiring: Option<RecordId>,
+    retirer: Retirer,
     /// True when heartbeats are exchanged, so that silence means something.
     pub(super) beats: bool,
     waiting: IndexMap<RecordId, Sender<Answer>>,
@@ -72,7 +69,7 @@
             keeper: Keeper::open(id, settings.snapshot_every, now),
             registrar: Registrar::open(incarnation),
             quota: Quota::open(id),
-            retiring: None,
+            retirer: Retirer::default(),
             beats: settings.beats,
             waiting: IndexMap::new(),
         }
@@ -176,7 +173,7 @@
         self.outbox.settle(id);
         self.registrar.settle(id, Some(&verdict));
         self.quota.settle(id, &verdict);
-        self.retiring = self.retiring.filter(|pending| *pending != id);
+        self.retirer.settle(id);
         self.roster.set_incarnation(self.registrar.incarnation);
         if let Verdict::Refused(offset, Refusal::Digest) = verdict {
             spdlog::error!("snapshot_digest_differs", kv: { offset = offset.0 });
@@ -254,7 +251,7 @@
         self.roster.tick(now);
         for overdue in self.outbox.expire(now) {
             self.registrar.settle(overdue.id, None);
-            self.retiring = self.retiring.filter(|pending| *pending != overdue.id);
+            self.retirer.settle(overdue.id);
             if matches!(overdue.error, ProposeError::NotAppended(_)) {
                 self.quota.abandon(overdue.id);
             }
@@ -296,29 +293,15 @@
         takes_part.then(|| self.roster.heard_by_most(now)).flatten()
     }
 
-    /// True if the head of the log was verified lately.
-    fn follows(&self, now: Instant) -> bool {
-        let limit = Duration::from_millis(FOLLOWS_MS);
-        self.freshness
-            .verified()
-            .is_some_and(|at| now.saturating_duration_since(at) < limit)
-    }
-
-    /// Proposes to take out a member of the data centre that nobody hears any more.
     fn retire(&mut self, now: Instant) {
-        let idle = self.beats && self.retiring.is_none();
-        if !idle || !self.follows(now) || !self.roster.hears_most(now) {
+        if !self.beats {
             return;
         }
-        let silence = Duration::from_millis(RETIRE_MS) + longest_run(&self.state);
-        let silent = self.roster.silent(silence, now);
-        let Some(id) = silent.into_iter().next() else {
-            return;
-        };
-        if let Some(known) = self.state.facts().members.get(&id) {
-            let renewed = known.renewed;
-            spdlog::warn!("member_retired", kv: { member = id.as_str() });
-            self.retiring = Some(self.enqueue(Proposal::Retire { id, renewed }, now));
+        let (state, roster) = (&self.state, &self.roster);
+        if let Some(proposal) = self.retirer.wanted(state, roster, &self.freshness, now) {
+            let id = self.enqueue(proposal, now);
+            spdlog::warn!("member_silent", kv: { record = id.to_string() });
+            self.retirer.proposed(id);
         }
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod picture;
 mod publisher;
 mod registrar;
+mod retirer;
 mod settings;
 mod shell;
 mod snapshots;
