Spread the head of the log with the news of other data centres

A heartbeat carried the sender's folded offset alone. In a data centre that is cut off from the platform, one entry heard another data centre directly, with its later head; a second heard of it through the first, without the head. The second so took the log for closed to all and its keys for fresh, and the first took this freshness over from a neighbour that knew less than itself. Both called keys fresh while an edit that they had not read was in force elsewhere.

A heartbeat now carries the highest offset that its sender knows of, so that a sign of life never travels without the head, and what a neighbour verified is taken over only if no later head is known.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -230,7 +230,7 @@
         Heartbeat {
             member: self.common.id.clone(),
             incarnation: self.registrar.incarnation,
-            offset: self.state.offset(),
+            offset: self.state.offset().max(self.freshness.head()),
             verified_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
             heard: self.roster.beat(now),
             zones: self.roster.zones(),
--- a/src/control/freshness.rs
+++ b/src/control/freshness.rs
@@ -36,12 +36,12 @@
         }
     }
 
-    /// Another process has folded up to `offset` and verified its head `age` ago.
+    /// Another process knows the log up to `offset` and verified its head `age` ago.
     pub fn hear(&mut self, offset: Offset, age: Option<Duration>, folded: Offset, now: Instant) {
         self.head = self.head.max(offset);
         let at = age.and_then(|age| now.checked_sub(age));
         if let Some(at) = at.filter(|_| offset <= folded) {
-            self.verified = self.verified.max(Some(at));
+            self.verify(folded, at);
         }
     }
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -62,7 +62,7 @@
     pub member: MemberId,
     /// Start of this run of the process.
     pub incarnation: Incarnation,
-    /// Next offset that it will fold.
+    /// Highest offset that it knows of: the next to be folded, or a later head of the log.
     pub offset: Offset,
     /// Age of its last verified head of the log, in ms.
     pub verified_ms: Option<u64>,
--- a/tests/control/freshness.rs
+++ b/tests/control/freshness.rs
@@ -97,3 +97,14 @@
 
     assert_eq!(freshness.verified(), Some(now + SECOND));
 }
+
+#[test]
+fn a_process_that_knows_less_does_not_verify_a_head_that_is_not_folded() {
+    let now = Instant::now();
+    let mut freshness = Freshness::default();
+    freshness.hear(Offset(6), None, Offset(5), now);
+
+    freshness.hear(Offset(5), Some(Duration::ZERO), Offset(5), now + SECOND);
+
+    assert_eq!(freshness.verified(), None);
+}
--- a/tests/scenarios/decisions/mod.rs
+++ b/tests/scenarios/decisions/mod.rs
@@ -47,6 +47,7 @@
             "verdict" => world.verdict(args),
             "fault" => world.fault(args),
             "clear" => Ok(world.clear()),
+            "states" => world.set_states(args),
             "expire" => Ok(world.expire()),
             "cut" => world.cut(args),
             "heal" => world.heal(args),
--- a/tests/scenarios/decisions/steps.rs
+++ b/tests/scenarios/decisions/steps.rs
@@ -64,23 +64,27 @@
             }
             Err(LogError::Unavailable) => {
                 core.note_unavailable(self.now);
-                self.catch_up_if_blank(i);
+                self.catch_up_if_behind(i);
             }
             Err(_) => {
                 core.note_unreachable(self.now);
-                self.catch_up_if_blank(i);
+                self.catch_up_if_behind(i);
             }
         }
     }
 
-    fn catch_up_if_blank(&mut self, i: usize) {
-        if self.processes[i].core.state().offset() == Offset(0) {
+    fn catch_up_if_behind(&mut self, i: usize) {
+        let (folded, head) = self.processes[i].core.heads();
+        if folded == Offset(0) || folded < head {
             self.catch_up(i);
         }
     }
 
     /// Takes the state of the most advanced process that is reached.
     fn catch_up(&mut self, i: usize) {
+        if !self.states {
+            return;
+        }
         let own = self.processes[i].core.state();
         let others = self.processes.values().filter(|other| {
             !other.frozen && self.connects(&self.processes[i].data_centre, &other.data_centre)
--- a/tests/scenarios/decisions/world.rs
+++ b/tests/scenarios/decisions/world.rs
@@ -29,6 +29,8 @@
     pub(super) edits: IndexMap<String, Sent>,
     pub(super) cuts: BTreeSet<(String, String)>,
     pub(super) document: String,
+    /// True while processes give each other their states.
+    pub(super) states: bool,
     /// Records signed so far; the last one's id.
     pub(super) records: u128,
 }
@@ -45,6 +47,7 @@
             edits: IndexMap::new(),
             cuts: BTreeSet::new(),
             document: NERETVA.to_owned(),
+            states: true,
             records: 0,
         }
     }
@@ -102,6 +105,12 @@
         String::new()
     }
 
+    /// Whether processes give each other their states, besides heartbeats.
+    pub fn set_states(&mut self, args: &mut Args) -> Output {
+        self.states = args.next("on or off")? == "on";
+        Ok(String::new())
+    }
+
     pub fn expire(&mut self) -> String {
         self.log.expire();
         String::new()
