Add an open-loop load generator with bursts for the benches

Arrivals are a Poisson process with a seed, steady or in bursts of five times the mean and lulls of a twentieth; latencies count from the due time, and answers with another request's body are counted. The first form worked out the current burst from the clock and could stop at its edge by rounding; it hung a test and now steps from burst to lull instead.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod executor;
 mod fault;
 mod fleet;
+pub mod load;
 mod log;
 mod pools;
 mod power;
--- /dev/null
+++ b/standins/src/load/arrivals.rs
@@ -0,0 +1,124 @@
+//! Times of arrival: a Poisson process whose rate bursts.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+const BURST_FACTOR: f64 = 5.0;
+const LULL_FACTOR: f64 = 0.05;
+
+/// Part of the time in bursts that keeps the mean over a whole cycle.
+const BURST_PART: f64 = (1.0 - LULL_FACTOR) / (BURST_FACTOR - LULL_FACTOR);
+
+/// How the rate changes over time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Shape {
+    /// The mean all the time.
+    Steady,
+    /// Five times the mean in bursts, a twentieth of it between them.
+    Bursts {
+        /// Length of a burst.
+        length: Duration,
+        /// Part of a cycle, from 0 to 1, that lies before the start; queues with
+        /// evenly spread parts burst in turn.
+        offset: f64,
+    },
+}
+
+/// Endless times of arrival, counted from the start; the same seed gives the
+/// same times.
+#[derive(Clone, Debug)]
+pub struct Arrivals {
+    rng: Rng,
+    mean: f64,
+    shape: Shape,
+    now: f64,
+    segment: Segment,
+}
+
+/// A rate, in arrivals a second, and the moment until which it holds, in seconds.
+#[derive(Clone, Copy, Debug)]
+struct Segment {
+    rate: f64,
+    end: f64,
+    burst: bool,
+}
+
+impl Arrivals {
+    /// Arrivals at `mean` a second in the long run.
+    #[must_use]
+    pub fn new(seed: u64, mean: f64, shape: Shape) -> Self {
+        Self {
+            rng: Rng::with_seed(seed),
+            mean,
+            shape,
+            now: 0.0,
+            segment: first_segment(mean, shape),
+        }
+    }
+
+    fn next_segment(&self) -> Segment {
+        let Shape::Bursts { length, .. } = self.shape else {
+            return self.segment;
+        };
+        let burst = length.as_secs_f64();
+        if self.segment.burst {
+            let lull = burst / BURST_PART - burst;
+            return Segment {
+                rate: self.mean * LULL_FACTOR,
+                end: self.segment.end + lull,
+                burst: false,
+            };
+        }
+        Segment {
+            rate: self.mean * BURST_FACTOR,
+            end: self.segment.end + burst,
+            burst: true,
+        }
+    }
+}
+
+impl Iterator for Arrivals {
+    type Item = Duration;
+
+    fn next(&mut self) -> Option<Duration> {
+        // Expected number of arrivals until the next one, used up at the current rate.
+        let mut left = -(1.0 - self.rng.f64()).ln();
+        loop {
+            let Segment { rate, end, .. } = self.segment;
+            let wait = left / rate;
+            if self.now + wait <= end {
+                self.now += wait;
+                return Duration::try_from_secs_f64(self.now).ok();
+            }
+            left = (left - (end - self.now) * rate).max(0.0);
+            self.now = end;
+            self.segment = self.next_segment();
+        }
+    }
+}
+
+fn first_segment(mean: f64, shape: Shape) -> Segment {
+    let Shape::Bursts { length, offset } = shape else {
+        return Segment {
+            rate: mean,
+            end: f64::INFINITY,
+            burst: false,
+        };
+    };
+    let burst = length.as_secs_f64();
+    let cycle = burst / BURST_PART;
+    let before = offset.rem_euclid(1.0) * cycle;
+    if before < burst {
+        return Segment {
+            rate: mean * BURST_FACTOR,
+            end: burst - before,
+            burst: true,
+        };
+    }
+    Segment {
+        rate: mean * LULL_FACTOR,
+        end: cycle - before,
+        burst: false,
+    }
+}
--- /dev/null
+++ b/standins/src/load/connections.rs
@@ -0,0 +1,119 @@
+//! Requests over connections that are kept open.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use anyhow::{Result, anyhow, ensure};
+use async_h1::client::{Encoder, decode};
+use async_lock::Semaphore;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Method, Request, Url};
+
+/// A request to be sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LoadRequest {
+    /// Method in capitals.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<Header>,
+    /// The whole body.
+    pub body: Vec<u8>,
+    /// True when the answer must have the body of the request.
+    pub echo: bool,
+}
+
+/// A header.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// Name.
+    pub name: String,
+    /// Value.
+    pub value: String,
+}
+
+/// A whole answer, reduced to what is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Answer {
+    /// Status.
+    pub(super) status: u16,
+    /// True when a body that had to be echoed was another one.
+    pub(super) crossed: bool,
+}
+
+/// Connections to one address.
+#[derive(Debug)]
+pub(super) struct Connections {
+    address: SocketAddr,
+    idle: Mutex<Vec<TcpStream>>,
+    room: Semaphore,
+}
+
+impl Connections {
+    /// No connection yet; up to `limit` are opened.
+    pub(super) const fn new(address: SocketAddr, limit: usize) -> Self {
+        Self {
+            address,
+            idle: Mutex::new(Vec::new()),
+            room: Semaphore::new(limit),
+        }
+    }
+
+    /// Sends a request and reads the whole answer; waits for a connection.
+    pub(super) async fn exchange(&self, request: &LoadRequest) -> Result<Answer> {
+        let _place = self.room.acquire().await;
+        let mut stream = self.connect().await?;
+        let bytes = encode(self.address, request).await?;
+        stream.write_all(&bytes).await?;
+
+        let mut response = decode(stream.clone()).await.map_err(|e| anyhow!(e))?;
+        let length = response.len();
+        let closes = response
+            .header("connection")
+            .is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"));
+        let body = response.body_bytes().await.map_err(|e| anyhow!(e))?;
+        ensure!(length.is_none_or(|n| n == body.len()), "answer cut");
+        if !closes {
+            self.keep(stream);
+        }
+        let status = response.status() as u16;
+        Ok(Answer {
+            status,
+            crossed: request.echo && status == 200 && body != request.body,
+        })
+    }
+
+    async fn connect(&self) -> Result<TcpStream> {
+        if let Some(stream) = self.take() {
+            return Ok(stream);
+        }
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    fn take(&self) -> Option<TcpStream> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.pop()
+    }
+
+    fn keep(&self, stream: TcpStream) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.push(stream);
+    }
+}
+
+async fn encode(address: SocketAddr, request: &LoadRequest) -> Result<Vec<u8>> {
+    let method: Method = request.method.parse().map_err(|_| anyhow!("odd method"))?;
+    let url = Url::parse(&format!("http://{address}{}", request.path))?;
+    let mut head = Request::new(method, url);
+    for header in &request.headers {
+        head.append_header(header.name.as_str(), header.value.as_str());
+    }
+    head.set_body(request.body.as_slice());
+    let mut bytes = Vec::new();
+    Encoder::new(head).read_to_end(&mut bytes).await?;
+    Ok(bytes)
+}
--- /dev/null
+++ b/standins/src/load/run.rs
@@ -0,0 +1,158 @@
+//! Sends requests when they are due, or one after another.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use anyhow::{Result, bail};
+use async_io::Timer;
+use futures_lite::future::{self, block_on};
+
+use super::arrivals::Arrivals;
+use super::connections::{Answer, Connections, LoadRequest};
+use super::report::LoadReport;
+use crate::threads::{Spawner, Threads};
+
+/// Where a load goes, and its bounds.
+#[derive(Clone, Debug)]
+pub struct LoadSpec {
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Connections open at a time; further requests wait for one.
+    pub connections: usize,
+    /// Time after which a request is given up.
+    pub timeout: Duration,
+    /// Threads that send.
+    pub threads: usize,
+}
+
+/// State shared by the tasks of one load.
+struct Load<F> {
+    connections: Connections,
+    timeout: Duration,
+    request: F,
+    report: Mutex<LoadReport>,
+}
+
+/// Sends `request(0)`, `request(1)`, ... when `arrivals` are due, for `length`,
+/// and waits for all answers. Latencies count from the due time, so that a
+/// server which stalls is charged for what it keeps waiting.
+///
+/// # Errors
+/// Fails when the operating system refuses a thread.
+pub fn run_open<F>(
+    spec: &LoadSpec,
+    arrivals: Arrivals,
+    length: Duration,
+    request: F,
+) -> Result<LoadReport>
+where
+    F: Fn(u64) -> LoadRequest + Send + Sync + 'static,
+{
+    let threads = Threads::open(spec.threads)?;
+    let load = Load::new(spec, request);
+    let due = arrivals.take_while(|at| *at < length);
+    block_on(send_when_due(&load, &threads.spawner(), due));
+    Ok(load.finish())
+}
+
+/// Sends `count` requests over each connection, each after the answer to the
+/// one before.
+///
+/// # Errors
+/// Fails when the operating system refuses a thread.
+pub fn run_closed<F>(spec: &LoadSpec, count: u64, request: F) -> Result<LoadReport>
+where
+    F: Fn(u64) -> LoadRequest + Send + Sync + 'static,
+{
+    let threads = Threads::open(spec.threads)?;
+    let load = Load::new(spec, request);
+    block_on(send_in_turn(&load, &threads.spawner(), spec, count));
+    Ok(load.finish())
+}
+
+async fn send_when_due<F>(
+    load: &Arc<Load<F>>,
+    spawner: &Spawner,
+    due: impl Iterator<Item = Duration>,
+) where
+    F: Fn(u64) -> LoadRequest + Send + Sync + 'static,
+{
+    let start = Instant::now();
+    let (open, all_done) = async_channel::bounded::<()>(1);
+    for (number, at) in (0..).zip(due) {
+        let at = start + at;
+        if at > Instant::now() {
+            Timer::at(at).await;
+        }
+        let load = Arc::clone(load);
+        let open = open.clone();
+        spawner.spawn(async move {
+            load.send(number, at).await;
+            drop(open);
+        });
+    }
+    drop(open);
+    let _ = all_done.recv().await;
+    load.lock().elapsed = start.elapsed();
+}
+
+async fn send_in_turn<F>(load: &Arc<Load<F>>, spawner: &Spawner, spec: &LoadSpec, count: u64)
+where
+    F: Fn(u64) -> LoadRequest + Send + Sync + 'static,
+{
+    let start = Instant::now();
+    let (open, all_done) = async_channel::bounded::<()>(1);
+    for lane in 0..spec.connections as u64 {
+        let load = Arc::clone(load);
+        let open = open.clone();
+        spawner.spawn(async move {
+            for i in 0..count {
+                load.send(lane * count + i, Instant::now()).await;
+            }
+            drop(open);
+        });
+    }
+    drop(open);
+    let _ = all_done.recv().await;
+    load.lock().elapsed = start.elapsed();
+}
+
+impl<F: Fn(u64) -> LoadRequest> Load<F> {
+    fn new(spec: &LoadSpec, request: F) -> Arc<Self> {
+        Arc::new(Self {
+            connections: Connections::new(spec.address, spec.connections),
+            timeout: spec.timeout,
+            request,
+            report: Mutex::new(LoadReport::empty()),
+        })
+    }
+
+    async fn send(&self, number: u64, due: Instant) {
+        self.lock().sent += 1;
+        let request = (self.request)(number);
+        let answer = self.exchange(&request).await;
+        let latency = due.elapsed();
+        let mut report = self.lock();
+        match answer {
+            Ok(answer) => report.answered(answer.status, answer.crossed, latency),
+            Err(_) => report.failed += 1,
+        }
+    }
+
+    async fn exchange(&self, request: &LoadRequest) -> Result<Answer> {
+        let timeout = async {
+            Timer::after(self.timeout).await;
+            bail!("timeout")
+        };
+        future::or(self.connections.exchange(request), timeout).await
+    }
+
+    fn finish(&self) -> LoadReport {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LoadReport> {
+        self.report.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
