--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -3,13 +3,15 @@
 use std::time::Instant;
 
 use async_channel::Receiver;
+use indexmap::IndexMap;
 use serde_json::{Value, json};
 
 use super::core::Core;
 use super::shell::Shell;
 use super::{Command, FleetState};
 use crate::document::hex;
-use crate::ledger::is_ended;
+use crate::id::TeamId;
+use crate::ledger::{Allotment, is_ended, store};
 
 pub(super) async fn run<L, V, P>(shell: &Shell<L, V, P>, received: &Receiver<Command>) {
     while let Ok(command) = received.recv().await {
@@ -23,10 +25,9 @@
     let facts = core.state.facts();
     match command {
         Command::Propose(proposal, reply) => core.propose(proposal, reply, now),
-        Command::Register(peer) => {
-            core.set_peer(peer);
-            core.register(now);
-        }
+        Command::Register(peer) => core.set_peer(peer, now),
+        Command::Report(report) => core.report(&report, now),
+        Command::State(reply) => drop(reply.try_send(store(&core.state))),
         Command::Heartbeat(heartbeat, reply) => {
             core.hear(&heartbeat, now);
             let _ = reply.try_send(core.heartbeat(now));
@@ -44,26 +45,37 @@
     let jobs = facts.jobs.values().filter(|state| !is_ended(&state.phase));
     FleetState {
         offset: facts.offset,
-        verified: core.verified,
+        verified: core.verified(),
         document: core.state.document().cloned(),
         vms: core.vms.clone(),
         assignment: facts.assignment.clone(),
         stops: facts.stops.clone(),
+        allotments: facts.allotments.clone(),
         planner: facts.planner.clone(),
         jobs: jobs.cloned().collect(),
     }
 }
 
+/// Holders are not names, so they can't be the keys of a JSON object.
+fn allotments(allotments: &IndexMap<TeamId, Allotment>) -> Value {
+    let teams = allotments.iter().map(|(team, allotment)| {
+        let shares = allotment.shares.iter();
+        let shares = shares.map(|(holder, share)| json!({ "holder": holder, "share": share }));
+        (team.to_string(), shares.collect::<Vec<Value>>().into())
+    });
+    Value::Object(teams.collect())
+}
+
 fn dump(core: &Core, now: Instant) -> Value {
     let facts = core.state.facts();
-    let age = core.verified.map(|at| now.saturating_duration_since(at));
+    let age = core.verified().map(|at| now.saturating_duration_since(at));
     let sections = facts.sections.iter();
     let revisions: serde_json::Map<String, Value> = sections
         .map(|(id, section)| (id.to_string(), section.revision.0.into()))
         .collect();
     json!({
         "member": core.common.id,
-        "incarnation": core.incarnation,
+        "incarnation": core.registrar.incarnation,
         "data_centre": core.common.data_centre,
         "offset": facts.offset,
         "rules": facts.rules,
@@ -75,7 +87,7 @@
         "sections": revisions,
         "assignment": facts.assignment,
         "stops": facts.stops,
-        "allotments": facts.allotments,
+        "allotments": allotments(&facts.allotments),
         "planner": facts.planner,
         "members": facts.members,
         "jobs": facts.jobs.len(),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -21,6 +21,10 @@
                 Some(own) => PeerReply::Heartbeat(own),
                 None => PeerReply::Outcome(Outcome::NotRun(Reason::Stopping)),
             },
+            PeerRequest::State => match self.0.control.state().await {
+                Some(bytes) => PeerReply::State(bytes),
+                None => PeerReply::Outcome(Outcome::NotRun(Reason::Stopping)),
+            },
         }
     }
 }
--- /dev/null
+++ b/tests/control/main.rs
@@ -0,0 +1,10 @@
+//! The control thread: its decisions in virtual time, and the thread itself.
+
+mod ceilings;
+mod fake;
+mod fixtures;
+mod freshness;
+mod keeper;
+mod outbox;
+mod shell;
+mod simulation;
