--- a/standins/src/control/handle.rs
+++ b/standins/src/control/handle.rs
@@ -1,9 +1,10 @@
 //! What a test or a person may do to the stand-ins.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Instant;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, ensure};
 use indexmap::IndexMap;
 
 use crate::counters::{Counters, Tally};
@@ -94,19 +95,33 @@
     /// Takes all VMs of a rack down.
     ///
     /// # Errors
-    /// Fails when a listener can't be changed.
+    /// Fails when there are none or a listener can't be changed.
     pub fn fail_rack(&self, rack: &str) -> Result<()> {
-        let vms = self.power.pick(|vm| vm.rack == rack);
-        vms.iter().try_for_each(|vm| self.fail_vm(vm))
+        self.power_all(|vm| vm.rack == rack, Power::fail)
     }
 
     /// Brings all VMs of a rack back.
     ///
     /// # Errors
-    /// Fails when a listener can't be changed.
+    /// Fails when there are none or a listener can't be changed.
     pub fn repair_rack(&self, rack: &str) -> Result<()> {
-        let vms = self.power.pick(|vm| vm.rack == rack);
-        vms.iter().try_for_each(|vm| self.repair_vm(vm))
+        self.power_all(|vm| vm.rack == rack, Power::repair)
+    }
+
+    /// Takes all VMs of a data centre down.
+    ///
+    /// # Errors
+    /// Fails when there are none or a listener can't be changed.
+    pub fn fail_data_centre(&self, data_centre: &str) -> Result<()> {
+        self.power_all(|vm| vm.data_centre == data_centre, Power::fail)
+    }
+
+    /// Brings all VMs of a data centre back.
+    ///
+    /// # Errors
+    /// Fails when there are none or a listener can't be changed.
+    pub fn repair_data_centre(&self, data_centre: &str) -> Result<()> {
+        self.power_all(|vm| vm.data_centre == data_centre, Power::repair)
     }
 
     /// Makes every later task of a worker fail at once, or ends that.
@@ -177,6 +192,16 @@
         self.log.expire_before(stream, oldest);
     }
 
+    fn power_all(
+        &self,
+        test: impl Fn(&VmState) -> bool,
+        change: impl Fn(&Power, &str) -> io::Result<()>,
+    ) -> Result<()> {
+        let vms = self.power.pick(test);
+        ensure!(!vms.is_empty(), "no VM is there");
+        Ok(vms.iter().try_for_each(|vm| change(&self.power, vm))?)
+    }
+
     fn site(&self, name: &SiteName) -> Result<&Site> {
         let found = match name {
             SiteName::Executor(vm) => self.power.sites.get(vm),
--- a/standins/src/control/service.rs
+++ b/standins/src/control/service.rs
@@ -134,6 +134,8 @@
             ["vms", vm, "repair"] => done(control.repair_vm(vm)),
             ["racks", rack, "fail"] => done(control.fail_rack(rack)),
             ["racks", rack, "repair"] => done(control.repair_rack(rack)),
+            ["data-centres", name, "fail"] => done(control.fail_data_centre(name)),
+            ["data-centres", name, "repair"] => done(control.repair_data_centre(name)),
             ["workers", vm, "broken"] => self.set_broken(vm, call),
             _ => Reply::error(404, "no such call"),
         }
--- a/standins/src/fault/site.rs
+++ b/standins/src/fault/site.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use event_listener::Event;
-use serde::Serialize;
 
-use super::{Fault, WrongAnswer};
+use super::Fault;
+use super::faults::{Faults, Wrong};
 use crate::serve::Port;
 
 /// Where a site listens and how many connections it takes.
@@ -44,53 +44,6 @@
     cut_below: u64,
 }
 
-/// Faults in force at a site.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
-pub(crate) struct Faults {
-    down: bool,
-    unavailable: bool,
-    frozen: bool,
-    slow_ms: u64,
-    lost: Option<Hits>,
-    wrong: Option<Wrong>,
-}
-
-/// How many more calls a fault hits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-enum Hits {
-    All,
-    Next(u64),
-}
-
-impl Hits {
-    fn new(count: Option<u64>) -> Option<Self> {
-        match count {
-            None => Some(Self::All),
-            Some(0) => None,
-            Some(n) => Some(Self::Next(n)),
-        }
-    }
-
-    const fn after_one(self) -> Option<Self> {
-        match self {
-            Self::All => Some(Self::All),
-            Self::Next(0 | 1) => None,
-            Self::Next(n) => Some(Self::Next(n - 1)),
-        }
-    }
-}
-
-/// A wrong answer to be given.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-pub(crate) struct Wrong {
-    /// How the answer is broken.
-    pub(crate) answer: WrongAnswer,
-    /// Delay before it, in ms.
-    pub(crate) delay_ms: u64,
-    hits: Hits,
-}
-
 /// Connections of a site.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Connections {
@@ -192,20 +145,12 @@
 
     /// True when the next answer is to be lost; counts it.
     pub(crate) fn take_lost(&self) -> bool {
-        let faults = &mut self.lock().faults;
-        let Some(hits) = faults.lost else {
-            return false;
-        };
-        faults.lost = hits.after_one();
-        true
+        self.lock().faults.take_lost()
     }
 
     /// The wrong answer to give next, if any; counts it.
     pub(crate) fn take_wrong(&self) -> Option<Wrong> {
-        let faults = &mut self.lock().faults;
-        let wrong = faults.wrong?;
-        faults.wrong = wrong.hits.after_one().map(|hits| Wrong { hits, ..wrong });
-        Some(wrong)
+        self.lock().faults.take_wrong()
     }
 
     /// Waits until the site accepts connections.
@@ -266,25 +211,9 @@
     }
 
     fn set(&mut self, fault: &Fault) {
-        let faults = &mut self.faults;
         match fault {
-            Fault::Down => faults.down = true,
-            Fault::Unavailable => faults.unavailable = true,
-            Fault::Slow { ms } => faults.slow_ms = *ms,
-            Fault::Frozen => faults.frozen = true,
             Fault::Silent => self.silent_below = self.opened + 1,
-            Fault::Lost { count } => faults.lost = Hits::new(*count),
-            Fault::Wrong {
-                answer,
-                delay_ms,
-                count,
-            } => {
-                faults.wrong = Hits::new(*count).map(|hits| Wrong {
-                    answer: *answer,
-                    delay_ms: *delay_ms,
-                    hits,
-                });
-            }
+            lasting => self.faults.set(lasting),
         }
     }
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A running fleet of stand-ins.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -53,91 +53,32 @@
     /// Fails on an unknown class, or when threads or sockets are refused.
     pub fn open(spec: &FleetSpec) -> Result<Self> {
         let threads = Threads::open(spec.threads)?;
-        let spawner = threads.spawner();
-        let network = Arc::new(Network::default());
-        let tally = Arc::new(Tally::new(spec.tracked_requests));
+        let opener = Opener {
+            spawner: threads.spawner(),
+            network: Arc::new(Network::default()),
+            bind_ip: spec.bind_ip,
+        };
         let vms = spec.vms()?;
-
-        let sites = bind_executors(spec, &vms)?;
-        for vm in &vms {
-            if let Some(site) = sites.get(&vm.id) {
-                let service = ExecutorService::new(&vm.id, vm.size, Arc::clone(&tally));
-                serve(&spawner, site, &network, service);
-            }
-        }
+        let tally = Arc::new(Tally::new(spec.tracked_requests));
+        let sites = opener.open_executors(&vms, &tally)?;
         let executors = list_executors(&vms, &sites);
-        let now = Instant::now();
-        let power = Power {
-            machines: Arc::new(Machines::new(
-                Duration::from_millis(spec.list_lag_ms),
-                machines(&vms, &sites, now),
-            )),
-            sites: Arc::new(sites),
-            workers: Arc::new(Workers::new(
-                Duration::from_millis(spec.usage_lag_ms),
-                hosts(&vms),
-            )),
-            spawner: spawner.clone(),
-            reboot: Duration::from_millis(spec.reboot_ms),
-        };
-
-        let bind = |connections| {
-            Site::bind(&SiteSpec {
-                address: SocketAddr::new(spec.bind_ip, 0),
-                data_centre: PLATFORM,
-                connections,
-            })
-            .context("bind a service")
-        };
-        let log_site = bind(SERVICE_CONNECTIONS)?;
-        let vms_site = bind(SERVICE_CONNECTIONS)?;
-        let pools_site = bind(SERVICE_CONNECTIONS)?;
-        let workers_site = bind(SERVICE_CONNECTIONS)?;
-        let control_site = bind(SERVICE_CONNECTIONS)?;
-
-        let log = Arc::new(LogService::new(&spec.log, Arc::clone(&log_site), now));
-        let vms_service = VmsService::new(Arc::clone(&power.machines));
-        let workers_service = WorkersService::new(Arc::clone(&power.workers), Arc::clone(&network));
-        spawn(
-            &spawner,
-            Arc::clone(&log_site),
-            Arc::clone(&network),
-            Arc::clone(&log),
-        );
-        serve(&spawner, &vms_site, &network, vms_service);
-        serve(
-            &spawner,
-            &pools_site,
-            &network,
-            PoolsService::new(power.clone()),
-        );
-        serve(&spawner, &workers_site, &network, workers_service);
-
-        let services = IndexMap::from([
-            (SiteName::Log.to_string(), Arc::clone(&log_site)),
-            (SiteName::Vms.to_string(), Arc::clone(&vms_site)),
-            (SiteName::Pools.to_string(), Arc::clone(&pools_site)),
-            (SiteName::Workers.to_string(), Arc::clone(&workers_site)),
-        ]);
+        let power = power(spec, &vms, sites, &opener.spawner);
+        let services = opener.open_services(spec, &power)?;
         let control = Control {
-            services: Arc::new(services),
-            network: Arc::clone(&network),
+            services: Arc::new(services.sites),
+            network: Arc::clone(&opener.network),
             power,
             tally,
-            log,
+            log: services.log,
         };
-        serve(
-            &spawner,
-            &control_site,
-            &network,
-            ControlService::new(control.clone()),
-        );
+        let control_path = opener.open_service(ControlService::new(control.clone()))?;
+        let address = |name: &SiteName| control.services[&name.to_string()].address();
         Ok(Self {
-            log: log_site.address(),
-            vms: vms_site.address(),
-            pools: pools_site.address(),
-            workers: workers_site.address(),
-            control_path: control_site.address(),
+            log: address(&SiteName::Log),
+            vms: address(&SiteName::Vms),
+            pools: address(&SiteName::Pools),
+            workers: address(&SiteName::Workers),
+            control_path: control_path.address(),
             executors,
             control,
             _threads: threads,
@@ -187,25 +128,91 @@
     }
 }
 
-fn serve<S: Service>(spawner: &Spawner, site: &Arc<Site>, network: &Arc<Network>, service: S) {
-    let site = Arc::clone(site);
-    let network = Arc::clone(network);
-    spawn(spawner, site, network, Arc::new(service));
+/// Opens sites with what they share.
+struct Opener {
+    spawner: Spawner,
+    network: Arc<Network>,
+    bind_ip: IpAddr,
 }
 
-fn bind_executors(spec: &FleetSpec, vms: &[VmSpec<'_>]) -> Result<IndexMap<String, Arc<Site>>> {
-    let executors = vms.iter().filter(|vm| vm.size.kind == Kind::Executor);
-    executors
-        .map(|vm| {
-            let site = Site::bind(&SiteSpec {
-                address: SocketAddr::new(spec.bind_ip, 0),
-                data_centre: vm.data_centre,
-                connections: vm.size.connections,
-            })
-            .with_context(|| format!("bind executor {}", vm.id))?;
-            Ok((vm.id.clone(), site))
+/// The platform's own services.
+struct Services {
+    sites: IndexMap<String, Arc<Site>>,
+    log: Arc<LogService>,
+}
+
+impl Opener {
+    fn open_executors(
+        &self,
+        vms: &[VmSpec<'_>],
+        tally: &Arc<Tally>,
+    ) -> Result<IndexMap<String, Arc<Site>>> {
+        let mut sites = IndexMap::new();
+        for vm in vms.iter().filter(|vm| vm.size.kind == Kind::Executor) {
+            let site = self
+                .bind(vm.data_centre, vm.size.connections)
+                .with_context(|| format!("bind executor {}", vm.id))?;
+            let service = ExecutorService::new(&vm.id, vm.size, Arc::clone(tally));
+            self.serve(&site, Arc::new(service));
+            sites.insert(vm.id.clone(), site);
+        }
+        Ok(sites)
+    }
+
+    fn open_services(&self, spec: &FleetSpec, power: &Power) -> Result<Services> {
+        let log_site = self.bind(PLATFORM, SERVICE_CONNECTIONS)?;
+        let log = LogService::new(&spec.log, Arc::clone(&log_site), Instant::now());
+        let log = Arc::new(log);
+        self.serve(&log_site, Arc::clone(&log));
+        let vms = VmsService::new(Arc::clone(&power.machines));
+        let pools = PoolsService::new(power.clone());
+        let workers = WorkersService::new(Arc::clone(&power.workers), Arc::clone(&self.network));
+        let sites = IndexMap::from([
+            (SiteName::Log.to_string(), log_site),
+            (SiteName::Vms.to_string(), self.open_service(vms)?),
+            (SiteName::Pools.to_string(), self.open_service(pools)?),
+            (SiteName::Workers.to_string(), self.open_service(workers)?),
+        ]);
+        Ok(Services { sites, log })
+    }
+
+    fn open_service(&self, service: impl Service) -> Result<Arc<Site>> {
+        let site = self.bind(PLATFORM, SERVICE_CONNECTIONS)?;
+        self.serve(&site, Arc::new(service));
+        Ok(site)
+    }
+
+    fn bind(&self, data_centre: &str, connections: usize) -> Result<Arc<Site>> {
+        Site::bind(&SiteSpec {
+            address: SocketAddr::new(self.bind_ip, 0),
+            data_centre,
+            connections,
         })
-        .collect()
+        .context("bind a site")
+    }
+
+    fn serve<S: Service>(&self, site: &Arc<Site>, service: Arc<S>) {
+        let network = Arc::clone(&self.network);
+        spawn(&self.spawner, Arc::clone(site), network, service);
+    }
+}
+
+fn power(
+    spec: &FleetSpec,
+    vms: &[VmSpec<'_>],
+    sites: IndexMap<String, Arc<Site>>,
+    spawner: &Spawner,
+) -> Power {
+    let machines = machines(vms, &sites, Instant::now());
+    let list_lag = Duration::from_millis(spec.list_lag_ms);
+    let usage_lag = Duration::from_millis(spec.usage_lag_ms);
+    Power {
+        machines: Arc::new(Machines::new(list_lag, machines)),
+        sites: Arc::new(sites),
+        workers: Arc::new(Workers::new(usage_lag, hosts(vms))),
+        spawner: spawner.clone(),
+        reboot: Duration::from_millis(spec.reboot_ms),
+    }
 }
 
 fn list_executors(vms: &[VmSpec<'_>], sites: &IndexMap<String, Arc<Site>>) -> Vec<ExecutorAddress> {
--- a/standins/tests/vms.rs
+++ b/standins/tests/vms.rs
@@ -165,17 +165,39 @@
     assert!(Client::connect(fleet.executors()[0].address).is_err());
 }
 
+#[rstest]
+#[case::rack("racks/split-rack-0", 2)]
+#[case::data_centre("data-centres/split", 5)]
+fn a_failure_domain_fails_and_comes_back_as_a_whole(#[case] domain: &str, #[case] size: usize) {
+    let fleet = fleet();
+    let change = |change| {
+        let line = format!("POST /{domain}/{change}");
+        ask(fleet.control_address(), &line, &[], "").status
+    };
+    let down = || {
+        let vms = fleet.control().vms();
+        let down = vms.into_iter().filter(|vm| vm.phase == Phase::Down);
+        down.map(|vm| (vm.data_centre, vm.rack)).collect::<Vec<_>>()
+    };
+
+    let failed = change("fail");
+    let during = down();
+    let repaired = change("repair");
+
+    assert_eq!((failed, repaired), (204, 204));
+    assert_eq!(during.len(), size);
+    let domain = domain.rsplit_once('/').unwrap().1;
+    assert!(during.iter().all(|vm| vm.0 == domain || vm.1 == domain));
+    assert!(down().is_empty());
+}
+
 #[test]
-fn a_rack_fails_as_a_whole() {
+fn a_failure_domain_that_is_not_known_is_refused() {
     let fleet = fleet();
 
-    let line = "POST /racks/split-rack-0/fail";
-    ask(fleet.control_address(), line, &[], "");
+    let answer = ask(fleet.control_address(), "POST /racks/none/fail", &[], "");
 
-    let vms = fleet.control().vms();
-    let down: Vec<_> = vms.iter().filter(|vm| vm.phase == Phase::Down).collect();
-    assert_eq!(down.len(), 2);
-    assert!(down.iter().all(|vm| vm.rack == "split-rack-0"));
+    assert_eq!(answer.status, 404);
 }
 
 #[test]
