Name all faults of a fleet's description together

Only the first unknown class was named, racks of no VMs counted as racks of one, and two VMs could get one name when class and data centre names run into each other.

--- a/standins/src/spec.rs
+++ b/standins/src/spec.rs
@@ -2,8 +2,8 @@
 
 use std::net::{IpAddr, Ipv4Addr};
 
-use anyhow::{Result, bail};
-use indexmap::IndexMap;
+use anyhow::{Result, ensure};
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 /// What a fleet is made of; absent fields take their defaults.
@@ -143,13 +143,50 @@
 
 impl FleetSpec {
     /// Every VM of the fleet, in order.
+    ///
+    /// # Errors
+    /// Names every fault of the description, one a line.
     pub(crate) fn vms(&self) -> Result<Vec<VmSpec<'_>>> {
+        let mut findings = self.check();
+        let vms = self.place();
+        let mut ids = IndexSet::new();
+        for vm in &vms {
+            if !ids.insert(vm.id.as_str()) {
+                findings.push(format!("two VMs have the name {}", vm.id));
+            }
+        }
+        ensure!(findings.is_empty(), "{}", findings.join("\n"));
+        Ok(vms)
+    }
+
+    fn check(&self) -> Vec<String> {
+        let mut findings = Vec::new();
+        for (name, class) in &self.classes {
+            if class.kind == Kind::Executor && (class.slots == 0 || class.connections == 0) {
+                findings.push(format!(
+                    "class {name}: slots and connections must be above 0"
+                ));
+            }
+        }
+        for (name, data_centre) in &self.data_centres {
+            if data_centre.per_rack == 0 {
+                findings.push(format!("data centre {name}: per_rack must be above 0"));
+            }
+            let classes = data_centre.vms.keys();
+            for class in classes.filter(|class| !self.classes.contains_key(*class)) {
+                findings.push(format!("data centre {name}: unknown class {class}"));
+            }
+        }
+        findings
+    }
+
+    fn place(&self) -> Vec<VmSpec<'_>> {
         let mut vms = Vec::new();
         for (data_centre, spec) in &self.data_centres {
             let mut placed = 0;
             for (class, &count) in &spec.vms {
                 let Some(size) = self.classes.get(class) else {
-                    bail!("data centre {data_centre}: unknown class {class}");
+                    continue;
                 };
                 for i in 0..count {
                     let rack = placed / spec.per_rack.max(1);
@@ -164,6 +201,6 @@
                 }
             }
         }
-        Ok(vms)
+        vms
     }
 }
--- a/standins/tests/binary.rs
+++ b/standins/tests/binary.rs
@@ -89,10 +89,14 @@
 }
 
 #[test]
-fn names_a_class_that_is_not_described() {
+fn names_all_faults_of_its_description_together() {
     let spec = spec_file(
-        "class.json",
-        r#"{"data_centres": {"split": {"vms": {"small": 1}}}}"#,
+        "faults.json",
+        r#"{"classes": {"a": {"slots": 0}, "b": {}, "x-b": {}},
+            "data_centres": {
+                "split": {"vms": {"none": 1}, "per_rack": 0},
+                "one": {"vms": {"x-b": 1}},
+                "one-x": {"vms": {"b": 1}}}}"#,
     );
 
     let output = Command::new(BINARY)
@@ -103,5 +107,12 @@
 
     let words = String::from_utf8(output.stderr).unwrap();
     assert!(!output.status.success());
-    assert!(words.contains("unknown class small"), "{words}");
+    for finding in [
+        "class a: slots and connections must be above 0",
+        "data centre split: per_rack must be above 0",
+        "data centre split: unknown class none",
+        "two VMs have the name one-x-b-0",
+    ] {
+        assert!(words.contains(finding), "{finding} is not in {words}");
+    }
 }
