Close the ports of a dropped fleet

A clone of the control handle kept the listening sockets open, so that clients connected to a fleet that was gone and waited. With the closing taken out the new test fails; the ports stay bound as long as the handle lives, so that no other listener can take them during the test.

--- a/standins/src/control/handle.rs
+++ b/standins/src/control/handle.rs
@@ -192,6 +192,13 @@
         self.log.expire_before(stream, oldest);
     }
 
+    /// Refuses connections to all sites for good.
+    pub(crate) fn close(&self) {
+        for site in self.services.values().chain(self.power.sites.values()) {
+            let _ = site.port().close();
+        }
+    }
+
     fn power_all(
         &self,
         test: impl Fn(&VmState) -> bool,
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -128,6 +128,13 @@
     }
 }
 
+impl Drop for Fleet {
+    /// Closes the ports even when a clone of the control handle lives on.
+    fn drop(&mut self) {
+        self.control.close();
+    }
+}
+
 /// Opens sites with what they share.
 struct Opener {
     spawner: Spawner,
