--- a/benches/ledger/main.rs
+++ b/benches/ledger/main.rs
@@ -5,8 +5,11 @@
 mod fleet;
 mod fold;
 mod heartbeat;
+mod processes;
 mod snapshot;
 mod spread;
+#[path = "../../tests/support/mod.rs"]
+mod support;
 
 fn main() {
     println!("bench=ledger");
@@ -14,4 +17,5 @@
     snapshot::run();
     heartbeat::run();
     spread::run();
+    processes::run();
 }
