--- a/standins/tests/fleet.rs
+++ b/standins/tests/fleet.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
+use amaranthwick_standins::{Fleet, FleetSpec};
 use common::{Client, ask, fleet};
 
+const PAGE: &str = include_str!("../../docs/PLATFORM.md");
+
 #[test]
 fn a_dropped_fleet_closes_its_ports_and_connections() {
     let fleet = fleet();
@@ -37,3 +40,19 @@
     assert_eq!(first.control().counters().runs, 1);
     assert_eq!(second.control().counters().runs, 0);
 }
+
+#[test]
+fn the_description_on_the_page_opens() {
+    let block = PAGE
+        .lines()
+        .skip_while(|line| !line.starts_with("    {\"classes\""))
+        .take_while(|line| line.starts_with("    "));
+    let text: String = block.collect();
+
+    let spec: FleetSpec = serde_json::from_str(&text).unwrap();
+    let fleet = Fleet::open(&spec).unwrap();
+
+    assert_eq!(fleet.control().vms().len(), 33);
+    assert_eq!(fleet.executors().len(), 17);
+    assert_eq!(spec.log, FleetSpec::default().log);
+}
