Test that a planner claims nothing before it has folded the log

Taking the check out had gone unnoticed; the new test then finds a claim of the second planner. The scenarios' settings get the field `peers`.

--- a/tests/planner/fleet.rs
+++ b/tests/planner/fleet.rs
@@ -9,7 +9,7 @@
 use amaranthwick::id::{
     DataCentre, JobId, MemberId, Offset, OperatorId, PoolId, RecordId, Revision, SectionId,
 };
-use amaranthwick::ledger::{Edit, JobPhase, Proposal, Record, Verdict, encode_edit};
+use amaranthwick::ledger::{Edit, JobPhase, Proposal, Record, Verdict, decode, encode_edit};
 use amaranthwick::membership::NoPeers;
 use amaranthwick::planner::{self, Planner};
 use amaranthwick::platform::{Log, LogClient, VmsClient, WorkersClient};
@@ -157,6 +157,35 @@
     });
 }
 
+/// Claims in the log, by who made them.
+fn claims(fleet: &Fleet, holder: &str) -> usize {
+    let log = LogClient::new(fleet.log_address(), &DataCentre::new("a"));
+    let batch = block_on(log.read("control", Offset(0), 1_000, 0)).expect("records");
+    let secret = FleetSecret::new([7; 32]);
+    let records = batch
+        .records
+        .iter()
+        .filter_map(|bytes| decode(bytes, &secret).ok());
+    let by = |record: &Record| match &record.proposal {
+        Proposal::Claim(claim) => claim.holder.as_str() == holder,
+        _ => false,
+    };
+    records.filter(by).count()
+}
+
+#[test]
+fn a_planner_that_has_not_folded_the_log_claims_nothing() {
+    let (fleet, runtime) = (standins(), Runtime::open(2).expect("threads"));
+    let (first, _planner) = open_planner(&fleet, "p1", &runtime);
+    wait("the role is held", || first.view().planner.is_some());
+
+    let (second, _idle) = open_planner(&fleet, "p2", &runtime);
+
+    wait("the log is folded", || second.view().planner.is_some());
+    sleep(Duration::from_millis(300));
+    assert_eq!(claims(&fleet, "p2"), 0);
+}
+
 #[test]
 fn another_planner_takes_over_from_one_that_is_gone() {
     let (fleet, runtime) = (standins(), Runtime::open(2).expect("threads"));
--- a/tests/scenarios/decisions/process.rs
+++ b/tests/scenarios/decisions/process.rs
@@ -10,6 +10,7 @@
 use amaranthwick::ledger::{Holding, Proposal};
 use amaranthwick::planner::Claimant;
 use amaranthwick::secret::FleetSecret;
+use indexmap::IndexMap;
 
 /// Time after which a silent planner may be replaced.
 const LEASE: Duration = Duration::from_secs(5);
@@ -102,6 +103,7 @@
         data_centre: DataCentre::new(data_centre),
         peer: nowhere,
         admin: nowhere,
+        peers: IndexMap::new(),
         platform: Platform {
             log: nowhere,
             vms: nowhere,
