Date knowledge of a closed log by the oldest news of any process

Cause: when the log gave no answer, a process dated its document at the failed question as long as each other data centre had shown a sign of life within 30 s. A data centre cut off from the platform and the others so called its keys fresh for 30 s and the limit of the settings on top, while a key could be withdrawn elsewhere.

Ruled out: a shorter suspicion time for data centres, since a pause of the process itself moves the times of suspicion, and news passed on by a third process was dated at its arrival.

Change: signs of life carry their age, a data centre's summary that of its oldest, and the log counts as closed only up to the oldest of them. Times of this knowledge are not moved by a pause.

Seen failing: the script cut_off now asks 6 s after the cut, with a limit of 5 s; both entries said fresh before the change and say stale after it. Tests of rosters ask for news within 10 s where they asked whether all are reached.

At ten data centres the news is too old while nobody reaches the log; that is written down and is the next thing to mend.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -207,11 +207,14 @@
         self.freshness.closed(self.state.offset(), asked);
     }
 
-    /// The log gave no answer; if every data centre is reached and none knows more,
-    /// nothing can have been accepted.
+    /// The log gave no answer; as long as every data centre is heard of and none knows
+    /// more, nothing can have been accepted.
     pub fn note_unreachable(&mut self, asked: Instant) {
-        if self.beats && self.roster.reaches_all(asked) {
-            self.freshness.closed(self.state.offset(), asked);
+        if !self.beats {
+            return;
+        }
+        if let Some(heard) = self.roster.heard_of_all(asked) {
+            self.freshness.closed(self.state.offset(), heard);
         }
     }
 
@@ -233,7 +236,7 @@
             offset: self.state.offset().max(self.freshness.head()),
             verified_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
             heard: self.roster.beat(now),
-            zones: self.roster.zones(),
+            zones: self.roster.zones(now),
         }
     }
 
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 
 use super::echo::Echoes;
-use super::zones::Zones;
+use super::zones::{Zones, age_ms};
 use crate::id::{DataCentre, Incarnation, MemberId};
 use crate::ledger::Enrolment;
 use crate::peer::{Heard, Heartbeat, Zone};
@@ -46,6 +46,8 @@
     incarnation: Incarnation,
     beat: u64,
     at: Instant,
+    /// When the beat was made; not moved by a pause of this process.
+    made: Option<Instant>,
 }
 
 impl Contact {
@@ -69,6 +71,7 @@
                 member: id.clone(),
                 incarnation,
                 beat: 0,
+                age_ms: 0,
             },
             home: home.clone(),
             members: IndexMap::new(),
@@ -101,6 +104,7 @@
             incarnation: registration.incarnation,
             beat: 0,
             at: now,
+            made: None,
         };
         match self.members.get_mut(&registration.id) {
             Some(known) if known.incarnation >= registration.incarnation => {}
@@ -126,14 +130,15 @@
             member: id.clone(),
             incarnation: contact.incarnation,
             beat: contact.beat,
+            age_ms: contact.made.map_or(u64::MAX, |made| age_ms(made, now)),
         });
         std::iter::once(self.own.clone()).chain(others).collect()
     }
 
     /// What is known of some other data centres, for a heartbeat; others have their turn.
     #[must_use]
-    pub fn zones(&mut self) -> Vec<Zone> {
-        let known = self.zones.summary();
+    pub fn zones(&mut self, now: Instant) -> Vec<Zone> {
+        let known = self.zones.summary(now);
         self.rng.choose_multiple(known, MAX_ZONES)
     }
 
@@ -172,6 +177,7 @@
         contact.incarnation = heard.incarnation;
         contact.beat = heard.beat;
         contact.at = now;
+        contact.made = now.checked_sub(Duration::from_millis(heard.age_ms));
         true
     }
 
@@ -188,10 +194,12 @@
             .members
             .iter()
             .filter(|(id, contact)| contact.data_centre == sender.data_centre && !is_heard(id));
+        let ages = heard.iter().map(|h| h.age_ms);
         Some(Zone {
             data_centre: sender.data_centre.clone(),
             witness: witness.clone(),
             suspects: suspects.map(|(id, _)| id.clone()).collect(),
+            age_ms: ages.max()?,
         })
     }
 
@@ -222,13 +230,26 @@
             && !self.zones.is_suspected(&contact.data_centre, id)
     }
 
-    /// True if every other data centre that has members was heard of lately.
+    /// Until when every member that is not suspected is known to have heard no more of
+    /// the log than this process; `None` while a data centre is silent.
+    ///
+    /// Each sign of life travels with the highest head that its sender knew.
     #[must_use]
-    pub fn reaches_all(&self, now: Instant) -> bool {
-        self.members
-            .values()
-            .filter(|contact| contact.data_centre != self.home)
-            .all(|contact| self.zones.is_alive(&contact.data_centre, now))
+    pub fn heard_of_all(&self, now: Instant) -> Option<Instant> {
+        let mut oldest = now;
+        for contact in self.members.values() {
+            let local = contact.data_centre == self.home;
+            if local && !contact.is_fresh(now) {
+                continue;
+            }
+            let heard = if local {
+                contact.made
+            } else {
+                self.zones.heard(&contact.data_centre)
+            };
+            oldest = oldest.min(heard?);
+        }
+        Some(oldest)
     }
 
     /// When the newest beat was made that most members of the data centre have heard.
--- a/src/membership/zones.rs
+++ b/src/membership/zones.rs
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 struct Summary {
     at: Instant,
+    /// Since when nothing is known of some member that is not suspected.
+    heard: Option<Instant>,
     witness: Option<Heard>,
     suspects: Vec<MemberId>,
 }
@@ -25,6 +27,7 @@
     pub(super) fn watch(&mut self, data_centre: &DataCentre, now: Instant) {
         self.0.entry(data_centre.clone()).or_insert(Summary {
             at: now,
+            heard: None,
             witness: None,
             suspects: Vec::new(),
         });
@@ -36,16 +39,19 @@
             return;
         };
         known.at = now;
+        let age = Duration::from_millis(zone.age_ms);
+        known.heard = known.heard.max(now.checked_sub(age));
         known.witness = Some(zone.witness.clone());
         known.suspects.clone_from(&zone.suspects);
     }
 
-    pub(super) fn summary(&self) -> Vec<Zone> {
+    pub(super) fn summary(&self, now: Instant) -> Vec<Zone> {
         let known = self.0.iter().filter_map(|(data_centre, summary)| {
             Some(Zone {
                 data_centre: data_centre.clone(),
                 witness: summary.witness.clone()?,
                 suspects: summary.suspects.clone(),
+                age_ms: age_ms(summary.heard?, now),
             })
         });
         known.collect()
@@ -58,6 +64,12 @@
             .is_some_and(|summary| now.saturating_duration_since(summary.at) < limit)
     }
 
+    /// Until when all members that are not suspected are known to have heard no more of
+    /// the log than this process; not moved by a pause of this process.
+    pub(super) fn heard(&self, data_centre: &DataCentre) -> Option<Instant> {
+        self.0.get(data_centre).and_then(|summary| summary.heard)
+    }
+
     pub(super) fn is_suspected(&self, data_centre: &DataCentre, id: &MemberId) -> bool {
         self.0
             .get(data_centre)
@@ -70,3 +82,9 @@
         }
     }
 }
+
+/// Age of what was known at `at`, in ms.
+pub(super) fn age_ms(at: Instant, now: Instant) -> u64 {
+    let age = now.saturating_duration_since(at).as_millis();
+    u64::try_from(age).unwrap_or(u64::MAX)
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -81,6 +81,8 @@
     pub incarnation: Incarnation,
     /// Number of heartbeats that the run has made.
     pub beat: u64,
+    /// Time since that heartbeat, in ms, without the time on the network.
+    pub age_ms: u64,
 }
 
 /// Summary of a data centre for the others.
@@ -92,4 +94,6 @@
     pub witness: Heard,
     /// Members that the witness suspects of having failed.
     pub suspects: Vec<MemberId>,
+    /// Age of the oldest sign of life of its members that are not suspected, in ms.
+    pub age_ms: u64,
 }
