Tell the age of news from other data centres, and never count it younger

A cut-off data centre kept its head verified for as long as another one was not yet suspected, and news that came through others counted as heard now. The log being out of reach now proves something only up to the time when the data centre heard of least lately was heard of; news carry their age, and heartbeats the highest head known.

Another data centre is suspected after 25 s.

--- a/benches/ledger/heartbeat.rs
+++ b/benches/ledger/heartbeat.rs
@@ -88,9 +88,10 @@
             member: self.ids[n].clone(),
             incarnation: Incarnation(1_790_000_000_000_000),
             offset: Offset(1_000_000),
+            head: Offset(1_000_000),
             verified_ms: Some(200),
             heard: self.rosters[n].beat(self.now),
-            zones: self.rosters[n].zones(),
+            zones: self.rosters[n].zones(self.now),
         };
         let message = PeerRequest::Heartbeat(heartbeat.clone());
         self.bytes += rmp_serde::to_vec(&message).expect("plain data").len();
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -207,11 +207,15 @@
         self.freshness.closed(self.state.offset(), asked);
     }
 
-    /// The log gave no answer; if every data centre is reached and none knows more,
-    /// nothing can have been accepted.
+    /// The log gave no answer; up to when every data centre was heard of and none knew
+    /// more, nothing can have been accepted.
     pub fn note_unreachable(&mut self, asked: Instant) {
-        if self.beats && self.roster.reaches_all(asked) {
-            self.freshness.closed(self.state.offset(), asked);
+        if !self.beats {
+            return;
+        }
+        if let Some(reached) = self.roster.reached_all(asked) {
+            self.freshness
+                .closed(self.state.offset(), reached.min(asked));
         }
     }
 
@@ -221,6 +225,7 @@
         let age = heartbeat.verified_ms.map(Duration::from_millis);
         let folded = self.state.offset();
         self.freshness.hear(heartbeat.offset, age, folded, now);
+        self.freshness.note_head(heartbeat.head);
     }
 
     /// A new heartbeat of this process.
@@ -231,9 +236,10 @@
             member: self.common.id.clone(),
             incarnation: self.registrar.incarnation,
             offset: self.state.offset(),
+            head: self.freshness.head(),
             verified_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
             heard: self.roster.beat(now),
-            zones: self.roster.zones(),
+            zones: self.roster.zones(now),
         }
     }
 
--- a/src/control/freshness.rs
+++ b/src/control/freshness.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Some process knows of a head of the log.
+    pub fn note_head(&mut self, head: Offset) {
+        self.head = self.head.max(head);
+    }
+
     /// Nobody can append: the log says so itself, or no process of the fleet reaches it.
     ///
     /// A process that has never seen the head, or knows of a later one, learns nothing.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod echo;
+mod majority;
 mod peers;
 mod quota;
 mod rank;
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -23,7 +23,10 @@
 pub const SUSPECT_MS: u64 = 8_000;
 
 /// Other data centres that one heartbeat tells of, so that its size is bounded.
-const MAX_ZONES: usize = 3;
+const MAX_ZONES: usize = 12;
+
+/// Members of a data centre that speak to another one in a round, on average.
+const SPEAKERS: usize = 2;
 
 /// Gap between two ticks, in ms, after which this process itself was paused.
 const PAUSE_MS: u64 = 2_000;
@@ -31,21 +34,21 @@
 /// What was last heard of each member.
 #[derive(Debug)]
 pub struct Roster {
-    own: Heard,
-    home: DataCentre,
-    members: IndexMap<MemberId, Contact>,
+    pub(super) own: Heard,
+    pub(super) home: DataCentre,
+    pub(super) members: IndexMap<MemberId, Contact>,
     zones: Zones,
-    echoes: Echoes,
+    pub(super) echoes: Echoes,
     ticked: Option<Instant>,
     rng: Rng,
 }
 
 #[derive(Clone, Debug)]
-struct Contact {
-    data_centre: DataCentre,
+pub(super) struct Contact {
+    pub(super) data_centre: DataCentre,
     incarnation: Incarnation,
     beat: u64,
-    at: Instant,
+    pub(super) at: Instant,
 }
 
 impl Contact {
@@ -54,7 +57,7 @@
         (self.incarnation, self.beat) < (heard.incarnation, heard.beat)
     }
 
-    fn is_fresh(&self, now: Instant) -> bool {
+    pub(super) fn is_fresh(&self, now: Instant) -> bool {
         let limit = Duration::from_millis(SUSPECT_MS);
         now.saturating_duration_since(self.at) < limit
     }
@@ -132,8 +135,8 @@
 
     /// What is known of some other data centres, for a heartbeat; others have their turn.
     #[must_use]
-    pub fn zones(&mut self) -> Vec<Zone> {
-        let known = self.zones.summary();
+    pub fn zones(&mut self, now: Instant) -> Vec<Zone> {
+        let known = self.zones.summary(now);
         self.rng.choose_multiple(known, MAX_ZONES)
     }
 
@@ -192,6 +195,7 @@
             data_centre: sender.data_centre.clone(),
             witness: witness.clone(),
             suspects: suspects.map(|(id, _)| id.clone()).collect(),
+            age_ms: 0,
         })
     }
 
@@ -222,62 +226,15 @@
             && !self.zones.is_suspected(&contact.data_centre, id)
     }
 
-    /// True if every other data centre that has members was heard of lately.
-    #[must_use]
-    pub fn reaches_all(&self, now: Instant) -> bool {
-        self.members
-            .values()
-            .filter(|contact| contact.data_centre != self.home)
-            .all(|contact| self.zones.is_alive(&contact.data_centre, now))
-    }
-
-    /// When the newest beat was made that most members of the data centre have heard.
-    #[must_use]
-    pub fn heard_by_most(&self, now: Instant) -> Option<Instant> {
-        let local = self
-            .members
-            .iter()
-            .filter(|(_, c)| c.data_centre == self.home);
-        let echoes = local.filter_map(|(id, _)| self.echoes.last(id));
-        let times: Vec<Instant> = echoes.chain([now]).collect();
-        let heard_since = |since: Instant| {
-            self.is_most(|id, _| self.echoes.last(id).is_some_and(|at| at >= since))
-        };
-        times.into_iter().filter(|at| heard_since(*at)).max()
-    }
-
-    /// True if this process hears most members of its data centre now.
-    #[must_use]
-    pub fn hears_most(&self, now: Instant) -> bool {
-        self.is_most(|_, contact| contact.is_fresh(now))
-    }
-
-    /// Counts this process itself; half of the members are most if they hold the first.
-    fn is_most(&self, test: impl Fn(&MemberId, &Contact) -> bool) -> bool {
-        let local = || {
-            self.members
-                .iter()
-                .filter(|(_, c)| c.data_centre == self.home)
-        };
-        let passed = 1 + local().filter(|(id, c)| test(id, c)).count();
-        let all = 1 + local().count();
-        if 2 * passed != all {
-            return 2 * passed > all;
-        }
-        let first = local().map(|(id, _)| id).min();
-        first.is_none_or(|id| {
-            *id > self.own.member || self.members.get(id).is_some_and(|c| test(id, c))
-        })
-    }
-
-    /// Members of the data centre that nobody has heard of for `time`.
+    /// When the data centre was heard of that was heard of least lately; `now` when there
+    /// is no other than the own, `None` when one was never heard of.
     #[must_use]
-    pub fn silent(&self, time: Duration, now: Instant) -> Vec<MemberId> {
-        let is_silent = |contact: &Contact| {
-            contact.data_centre == self.home && now.saturating_duration_since(contact.at) >= time
-        };
-        let silent = self.members.iter().filter(|(_, c)| is_silent(c));
-        silent.map(|(id, _)| id.clone()).collect()
+    pub fn reached_all(&self, now: Instant) -> Option<Instant> {
+        let others = self.members.values().map(|contact| &contact.data_centre);
+        others
+            .filter(|data_centre| **data_centre != self.home)
+            .map(|data_centre| self.zones.heard(data_centre))
+            .try_fold(now, |oldest, at| Some(oldest.min(at?)))
     }
 
     /// Members to send a heartbeat to now: one of the own data centre and, once a
@@ -286,7 +243,7 @@
         let home = self.home.clone();
         let local = self.pick(|contact| contact.data_centre == home);
         let peers = self.count_local();
-        let speaks = self.rng.usize(0..=peers) == 0;
+        let speaks = self.rng.usize(0..=peers) < SPEAKERS;
         let remote = speaks.then(|| self.pick(|contact| contact.data_centre != home));
         local.into_iter().chain(remote.flatten()).collect()
     }
--- a/src/membership/zones.rs
+++ b/src/membership/zones.rs
@@ -8,7 +8,7 @@
 use crate::peer::{Heard, Zone};
 
 /// Silence after which a whole data centre is taken for cut off, in ms.
-const SUSPECT_MS: u64 = 30_000;
+const SUSPECT_MS: u64 = 25_000;
 
 /// Newest summaries of other data centres.
 #[derive(Debug, Default)]
@@ -35,22 +35,29 @@
         let Some(known) = self.0.get_mut(&zone.data_centre) else {
             return;
         };
-        known.at = now;
+        let age = Duration::from_millis(zone.age_ms);
+        known.at = now.checked_sub(age).unwrap_or(known.at);
         known.witness = Some(zone.witness.clone());
         known.suspects.clone_from(&zone.suspects);
     }
 
-    pub(super) fn summary(&self) -> Vec<Zone> {
+    pub(super) fn summary(&self, now: Instant) -> Vec<Zone> {
         let known = self.0.iter().filter_map(|(data_centre, summary)| {
             Some(Zone {
                 data_centre: data_centre.clone(),
                 witness: summary.witness.clone()?,
                 suspects: summary.suspects.clone(),
+                age_ms: age_ms(summary.at, now),
             })
         });
         known.collect()
     }
 
+    /// When a data centre was last heard of.
+    pub(super) fn heard(&self, data_centre: &DataCentre) -> Option<Instant> {
+        self.0.get(data_centre).map(|summary| summary.at)
+    }
+
     pub(super) fn is_alive(&self, data_centre: &DataCentre, now: Instant) -> bool {
         let limit = Duration::from_millis(SUSPECT_MS);
         self.0
@@ -70,3 +77,8 @@
         }
     }
 }
+
+fn age_ms(at: Instant, now: Instant) -> u64 {
+    let age = now.saturating_duration_since(at);
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -64,6 +64,8 @@
     pub incarnation: Incarnation,
     /// Next offset that it will fold.
     pub offset: Offset,
+    /// Highest head of the log that it knows of.
+    pub head: Offset,
     /// Age of its last verified head of the log, in ms.
     pub verified_ms: Option<u64>,
     /// What it has heard of the members of its data centre, itself included.
@@ -92,4 +94,6 @@
     pub witness: Heard,
     /// Members that the witness suspects of having failed.
     pub suspects: Vec<MemberId>,
+    /// Time since the witness was heard, in ms.
+    pub age_ms: u64,
 }
--- a/tests/membership/roster.rs
+++ b/tests/membership/roster.rs
@@ -109,9 +109,10 @@
             member: self.ids[n].clone(),
             incarnation: Incarnation(RUN),
             offset: Offset(0),
+            head: Offset(1_000_000),
             verified_ms: Some(200),
             heard: self.rosters[n].beat(self.now),
-            zones: self.rosters[n].zones(),
+            zones: self.rosters[n].zones(self.now),
         };
         self.bytes += rmp_serde::to_vec(&heartbeat).expect("plain data").len();
         heartbeat
@@ -142,6 +143,12 @@
     }
 }
 
+/// True if every other data centre was heard of within 25 s.
+fn reaches_all(roster: &Roster, now: Instant) -> bool {
+    let reached = roster.reached_all(now);
+    reached.is_some_and(|at| now - at < 25 * SECOND)
+}
+
 fn eight() -> World {
     World::open(&["a"; 8])
 }
@@ -258,7 +265,7 @@
         world
             .rosters
             .iter()
-            .all(|roster| roster.reaches_all(world.now))
+            .all(|roster| reaches_all(roster, world.now))
     );
 }
 
@@ -275,7 +282,7 @@
         world
             .rosters
             .iter()
-            .all(|roster| roster.reaches_all(world.now))
+            .all(|roster| reaches_all(roster, world.now))
     );
 }
 
@@ -301,7 +308,7 @@
     let cut: Vec<bool> = world
         .rosters
         .iter()
-        .map(|r| r.reaches_all(world.now))
+        .map(|r| reaches_all(r, world.now))
         .collect();
     let local = world.sees(0, 1) && world.sees(3, 4);
     world.cuts.clear();
@@ -313,10 +320,30 @@
         world
             .rosters
             .iter()
-            .all(|roster| roster.reaches_all(world.now))
+            .all(|roster| reaches_all(roster, world.now))
     );
 }
 
+#[test]
+fn ten_data_centres_hear_of_each_other_all_the_time() {
+    let names: Vec<String> = (0..80).map(|n| format!("dc-{}", n / 8)).collect();
+    let places: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut world = World::open(&places);
+    world.run(60 * SECOND);
+    let mut oldest = Duration::ZERO;
+
+    for _ in 0..300 {
+        world.run(BEAT);
+        let reached = world
+            .rosters
+            .iter()
+            .filter_map(|r| r.reached_all(world.now));
+        oldest = oldest.max(reached.map(|at| world.now - at).max().unwrap_or_default());
+    }
+
+    assert!(oldest < 25 * SECOND, "{oldest:?}");
+}
+
 #[test]
 fn heartbeats_stay_within_the_budget_at_the_size_aimed_at() {
     let names: Vec<String> = (0..80).map(|n| format!("dc-{}", n / 8)).collect();
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -59,6 +59,7 @@
         member: MemberId::new(member),
         incarnation: Incarnation(1),
         offset: Offset(2),
+        head: Offset(2),
         verified_ms: Some(3),
         heard: Vec::new(),
         zones: Vec::new(),
