--- a/benches/ledger/heartbeat.rs
+++ b/benches/ledger/heartbeat.rs
@@ -88,7 +88,6 @@
             member: self.ids[n].clone(),
             incarnation: Incarnation(1_790_000_000_000_000),
             offset: Offset(1_000_000),
-            head: Offset(1_000_000),
             verified_ms: Some(200),
             heard: self.rosters[n].beat(self.now),
             zones: self.rosters[n].zones(self.now),
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -225,7 +225,6 @@
         let age = heartbeat.verified_ms.map(Duration::from_millis);
         let folded = self.state.offset();
         self.freshness.hear(heartbeat.offset, age, folded, now);
-        self.freshness.note_head(heartbeat.head);
     }
 
     /// A new heartbeat of this process.
@@ -235,8 +234,7 @@
         Heartbeat {
             member: self.common.id.clone(),
             incarnation: self.registrar.incarnation,
-            offset: self.state.offset(),
-            head: self.freshness.head(),
+            offset: self.state.offset().max(self.freshness.head()),
             verified_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
             heard: self.roster.beat(now),
             zones: self.roster.zones(now),
--- a/src/control/freshness.rs
+++ b/src/control/freshness.rs
@@ -36,20 +36,15 @@
         }
     }
 
-    /// Another process has folded up to `offset` and verified its head `age` ago.
+    /// Another process knows the log up to `offset` and verified its head `age` ago.
     pub fn hear(&mut self, offset: Offset, age: Option<Duration>, folded: Offset, now: Instant) {
         self.head = self.head.max(offset);
         let at = age.and_then(|age| now.checked_sub(age));
         if let Some(at) = at.filter(|_| offset <= folded) {
-            self.verified = self.verified.max(Some(at));
+            self.verify(folded, at);
         }
     }
 
-    /// Some process knows of a head of the log.
-    pub fn note_head(&mut self, head: Offset) {
-        self.head = self.head.max(head);
-    }
-
     /// Nobody can append: the log says so itself, or no process of the fleet reaches it.
     ///
     /// A process that has never seen the head, or knows of a later one, learns nothing.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -62,10 +62,8 @@
     pub member: MemberId,
     /// Start of this run of the process.
     pub incarnation: Incarnation,
-    /// Next offset that it will fold.
+    /// Highest offset that it knows of: the next to be folded, or a later head of the log.
     pub offset: Offset,
-    /// Highest head of the log that it knows of.
-    pub head: Offset,
     /// Age of its last verified head of the log, in ms.
     pub verified_ms: Option<u64>,
     /// What it has heard of the members of its data centre, itself included.
--- a/tests/membership/roster.rs
+++ b/tests/membership/roster.rs
@@ -109,7 +109,6 @@
             member: self.ids[n].clone(),
             incarnation: Incarnation(RUN),
             offset: Offset(0),
-            head: Offset(1_000_000),
             verified_ms: Some(200),
             heard: self.rosters[n].beat(self.now),
             zones: self.rosters[n].zones(self.now),
