--- a/src/membership/zones.rs
+++ b/src/membership/zones.rs
@@ -8,7 +8,7 @@
 use crate::peer::{Heard, Zone};
 
 /// Silence after which a whole data centre is taken for cut off, in ms.
-const SUSPECT_MS: u64 = 30_000;
+const SUSPECT_MS: u64 = 25_000;
 
 /// Newest summaries of other data centres.
 #[derive(Debug, Default)]
@@ -38,7 +38,8 @@
         let Some(known) = self.0.get_mut(&zone.data_centre) else {
             return;
         };
-        known.at = now;
+        let lived = now.checked_sub(Duration::from_millis(zone.witness.age_ms));
+        known.at = lived.unwrap_or(known.at);
         let age = Duration::from_millis(zone.age_ms);
         known.heard = known.heard.max(now.checked_sub(age));
         known.witness = Some(zone.witness.clone());
@@ -47,9 +48,11 @@
 
     pub(super) fn summary(&self, now: Instant) -> Vec<Zone> {
         let known = self.0.iter().filter_map(|(data_centre, summary)| {
+            let mut witness = summary.witness.clone()?;
+            witness.age_ms = age_ms(summary.at, now);
             Some(Zone {
                 data_centre: data_centre.clone(),
-                witness: summary.witness.clone()?,
+                witness,
                 suspects: summary.suspects.clone(),
                 age_ms: age_ms(summary.heard?, now),
             })
--- a/tests/membership/roster.rs
+++ b/tests/membership/roster.rs
@@ -315,6 +315,22 @@
     assert!(world.oldest_news().is_some_and(|age| age <= KEY_LIMIT));
 }
 
+#[test]
+fn ten_data_centres_hear_of_each_other_all_the_time() {
+    let names: Vec<String> = (0..80).map(|n| format!("dc-{}", n / 8)).collect();
+    let places: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut world = World::open(&places);
+    world.run(60 * SECOND);
+    let mut oldest = Duration::ZERO;
+
+    for _ in 0..300 {
+        world.run(BEAT);
+        oldest = oldest.max(world.oldest_news().expect("news of all"));
+    }
+
+    assert!(oldest < 25 * SECOND, "{oldest:?}");
+}
+
 #[test]
 fn heartbeats_stay_within_the_budget_at_the_size_aimed_at() {
     let names: Vec<String> = (0..80).map(|n| format!("dc-{}", n / 8)).collect();
