Fill the metrics of the entry and of what a process knows

The entry now counts callers' requests by queue, outcome and reason and keeps their times; the admin address adds the folded offset, the age of the verified head, members and targets when it is asked. A queue is named only if the document has it, so that callers can't fill the table. Names that nothing fills are gone.

Seen failing: without refusals before a queue is found, the new test misses their line.

--- a/src/bin/amaranthwick-entry.rs
+++ b/src/bin/amaranthwick-entry.rs
@@ -7,7 +7,7 @@
 use amaranthwick::platform::{LogClient, VmsClient};
 use amaranthwick::runtime::Runtime;
 use amaranthwick::telemetry::log::Stream;
-use amaranthwick::telemetry::{Admin, Metrics, Process, log};
+use amaranthwick::telemetry::{Admin, Process, log};
 use anyhow::{Context, Result};
 use async_signal::{Signal, Signals};
 use flags::AmaranthwickEntry;
@@ -46,7 +46,7 @@
         &runtime,
         Process::new(env!("CARGO_BIN_NAME"), &config.common),
         control,
-        Metrics::open(),
+        entry.metrics(),
         entry.state(),
     )
     .context("listen on the admin address")?;
--- a/src/dev/process.rs
+++ b/src/dev/process.rs
@@ -67,7 +67,13 @@
         let control = control::spawn(common, log(common), vms(common), peers)?;
         let entry = Entry::open_on(&config, control.clone(), self.runtime)?;
         control.register(entry.peers()).await;
-        let admin = self.admin("amaranthwick-entry", common, &control, entry.state())?;
+        let admin = self.admin(
+            "amaranthwick-entry",
+            common,
+            &control,
+            entry.metrics(),
+            entry.state(),
+        )?;
         Ok(EntryProcess {
             id: common.id.clone(),
             entry,
@@ -87,7 +93,13 @@
         let control = control::spawn(common, log(common), vms(common), peers)?;
         let workers = WorkersClient::new(common.platform.workers, data_centre);
         let planner = planner::spawn(&config, control.clone(), workers, self.runtime);
-        let admin = self.admin("amaranthwick-planner", common, &control, Nothing)?;
+        let admin = self.admin(
+            "amaranthwick-planner",
+            common,
+            &control,
+            Metrics::open(),
+            Nothing,
+        )?;
         Ok(PlannerProcess {
             control,
             admin,
@@ -100,19 +112,13 @@
         program: &'static str,
         common: &Common,
         control: &Control,
+        metrics: Metrics,
         dump: impl Dump,
     ) -> Result<Server> {
         let process = Process::new(program, common);
         let control = control.clone();
-        Admin::bind(
-            common.admin,
-            self.runtime,
-            process,
-            control,
-            Metrics::open(),
-            dump,
-        )
-        .context("listen on an admin address")
+        Admin::bind(common.admin, self.runtime, process, control, metrics, dump)
+            .context("listen on an admin address")
     }
 
     fn common(&self, id: &str, data_centre: &DataCentre) -> Common {
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -8,6 +8,7 @@
 use super::auth::find_queue;
 use super::headers::{self, credential, end_to_end};
 use super::jobs;
+use super::meter;
 use super::shared::Shared;
 use crate::http::{Conclusion, Handler, Reply, Request};
 use crate::id::{QueueId, RequestId};
@@ -41,12 +42,17 @@
 
 impl Callers {
     async fn queue(&self, request: Request, id: &RequestId) -> Reply {
-        let outcome = match self.checked(request, id) {
-            Ok(forward) => self.0.router.run(forward).await,
-            Err(Refusal::Reason(reason)) => Outcome::NotRun(reason),
+        let start = Instant::now();
+        let (queue, outcome) = match self.checked(request, id) {
+            Ok(forward) => {
+                let queue = forward.queue.clone();
+                (Some(queue), self.0.router.run(forward).await)
+            }
+            Err(Refusal::Reason(reason)) => (None, Outcome::NotRun(reason)),
             Err(Refusal::Malformed(detail)) => return bad_request(400, detail, id),
         };
         self.0.counts.add(&outcome);
+        meter::record(&self.0.metrics, queue.as_ref(), &outcome, start.elapsed());
         reply(outcome, id)
     }
 
--- /dev/null
+++ b/src/entry/meter.rs
@@ -0,0 +1,29 @@
+//! Metrics of callers' requests.
+
+use std::time::Duration;
+
+use crate::id::QueueId;
+use crate::outcome::Outcome;
+use crate::telemetry::Metrics;
+use crate::telemetry::metrics::{REQUEST_US, REQUESTS};
+
+/// Counts a request and its time; `queue` only if the document has it, since callers
+/// could make up names without end.
+pub(crate) fn record(
+    metrics: &Metrics,
+    queue: Option<&QueueId>,
+    outcome: &Outcome,
+    elapsed: Duration,
+) {
+    let queue = queue.map_or("none", QueueId::as_str);
+    let (name, reason) = match outcome {
+        Outcome::Answered(_) => ("answered", None),
+        Outcome::NotRun(reason) => ("not_run", Some(reason)),
+        Outcome::Unknown(reason) => ("unknown", Some(reason)),
+    };
+    let reason = reason.map_or_else(|| "none".to_owned(), |reason| format!("{reason:?}"));
+    let tags = [("queue", queue), ("outcome", name)];
+    let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+    metrics.count(REQUESTS, 1, &[tags[0], tags[1], ("reason", &reason)]);
+    metrics.record(REQUEST_US, micros, &tags);
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod headers;
 mod jobs;
+mod meter;
 mod owner;
 mod peers;
 mod pool_queue;
@@ -33,6 +34,7 @@
 use crate::peer;
 use crate::runtime::Runtime;
 use crate::telemetry::Dump;
+use crate::telemetry::Metrics;
 
 use auth::Gate;
 use callers::Callers;
@@ -106,6 +108,7 @@
             owner,
             router,
             counts: Counts::default(),
+            metrics: Metrics::open(),
             busy: 0.into(),
             stop: false.into(),
         });
@@ -147,6 +150,12 @@
         self.peers.address()
     }
 
+    /// Metrics of callers' requests, for the admin address.
+    #[must_use]
+    pub fn metrics(&self) -> Metrics {
+        self.shared.metrics.clone()
+    }
+
     /// Source of the state dump; outlives the entry.
     #[must_use]
     pub fn state(&self) -> State {
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -8,6 +8,7 @@
 use super::route::Router;
 use crate::control::Control;
 use crate::outcome::Outcome;
+use crate::telemetry::Metrics;
 
 /// Outcomes of callers' requests so far.
 #[derive(Debug, Default)]
@@ -44,6 +45,7 @@
     pub(crate) owner: Arc<Owner>,
     pub(crate) router: Router,
     pub(crate) counts: Counts,
+    pub(crate) metrics: Metrics,
     pub(crate) busy: AtomicUsize,
     pub(crate) stop: AtomicBool,
 }
--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use super::{Metrics, log};
+use super::{Metrics, log, metrics};
 use crate::config::Common;
 use crate::control::Control;
 use crate::http::{Conclusion, Handler, Problem, Reply, Request, Server, ServerLimits};
@@ -126,7 +126,7 @@
             "/healthz" => self.health(),
             "/state" => json_reply(&self.state().await),
             "/position" => json_reply(&self.position()),
-            "/metrics-snapshot" => text_reply(200, self.metrics.snapshot()),
+            "/metrics-snapshot" => text_reply(200, self.snapshot()),
             _ => self.look_up(path).await,
         }
     }
@@ -149,6 +149,24 @@
         }
     }
 
+    /// Gauges of the view are set when they are asked for.
+    fn snapshot(&self) -> String {
+        let view = self.control.view();
+        let gauge = |name, value, tags: &[_]| self.metrics.gauge(name, value, tags);
+        gauge(metrics::OFFSET, view.offset.0, &[]);
+        if let Some(at) = view.verified {
+            gauge(metrics::VERIFIED_MS, millis_since(at), &[]);
+        }
+        let alive = view.members.iter().filter(|member| member.alive);
+        gauge(metrics::MEMBERS, alive.count() as u64, &[]);
+        for (pool, targets) in &view.targets {
+            let ready = targets.iter().filter(|target| !target.leaving);
+            let tags = [("pool", pool.as_str())];
+            gauge(metrics::TARGETS, ready.count() as u64, &tags);
+        }
+        self.metrics.snapshot()
+    }
+
     fn position(&self) -> Position {
         let view = self.control.view();
         Position {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -10,32 +10,18 @@
 
 use super::sink::Registry;
 
-/// Requests that got an outcome; tags `queue`, `outcome`, `reason`.
+/// Callers' requests that got an outcome; tags `queue`, `outcome`, `reason`.
 pub const REQUESTS: &str = "requests_total";
-/// Time from the last byte of a request read to its outcome, in µs; tag `queue`.
+/// Time from a whole request read to its outcome, in µs; tags `queue`, `outcome`.
 pub const REQUEST_US: &str = "request_us";
-/// Time that a request waited in its queue, in µs; tag `queue`.
-pub const QUEUED_US: &str = "queued_us";
-/// Requests waiting; tag `queue`.
-pub const QUEUED: &str = "queued_requests";
-/// Requests running at targets; tag `team`.
-pub const RUNNING: &str = "running_requests";
-/// Requests handed to another entry; tag `result`.
-pub const FORWARDS: &str = "forwards_total";
-/// Callers' connections open.
-pub const CALLERS: &str = "caller_connections";
-/// Records folded; tag `kind`.
-pub const FOLDED: &str = "folded_records_total";
-/// Records skipped because nobody of the fleet signed them.
-pub const SKIPPED: &str = "skipped_records_total";
-/// Records appended; tag `kind`.
-pub const APPENDED: &str = "appended_records_total";
-/// Calls to the log that failed; tag `cause`.
-pub const LOG_ERRORS: &str = "log_errors_total";
 /// Next offset that will be folded.
 pub const OFFSET: &str = "folded_offset";
-/// Time from an append to its verdict, in ms.
-pub const VERDICT_MS: &str = "verdict_ms";
+/// Age of the last verified head of the log, in ms; absent before the first.
+pub const VERIFIED_MS: &str = "verified_age_ms";
+/// Members that are not suspected.
+pub const MEMBERS: &str = "members_alive";
+/// Targets that take new work; tag `pool`.
+pub const TARGETS: &str = "targets_ready";
 
 /// Metrics of a process; cheap to clone.
 #[derive(Clone, Debug)]
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -1,6 +1,6 @@
 use rstest::rstest;
 
-use super::metrics::{Metrics, QUEUED, REQUEST_US, REQUESTS};
+use super::metrics::{MEMBERS, Metrics, REQUEST_US, REQUESTS};
 use super::pair::write_pair;
 
 fn pair(key: &str, value: &str) -> String {
@@ -35,8 +35,8 @@
     metrics.count(REQUESTS, 2, &[("queue", "herd"), ("outcome", "answered")]);
     metrics.count(REQUESTS, 3, &[("queue", "herd"), ("outcome", "answered")]);
     metrics.count(REQUESTS, 1, &[("queue", "herd"), ("outcome", "not_run")]);
-    metrics.gauge(QUEUED, 9, &[]);
-    metrics.gauge(QUEUED, 4, &[]);
+    metrics.gauge(MEMBERS, 9, &[]);
+    metrics.gauge(MEMBERS, 4, &[]);
     for value in 1..=100 {
         metrics.record(REQUEST_US, value, &[]);
     }
@@ -45,7 +45,7 @@
 
     assert_eq!(
         snapshot,
-        "metric=queued_requests value=4\n\
+        "metric=members_alive value=4\n\
          metric=request_us count=100 min=1 p50=50 p90=90 p99=99 max=100\n\
          metric=requests_total queue=herd outcome=answered value=5\n\
          metric=requests_total queue=herd outcome=not_run value=1\n\
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -137,9 +137,12 @@
     let reply = fixture.send("GET", "/metrics-snapshot");
 
     let text = String::from_utf8(reply.body).unwrap();
-    assert!(
-        text.starts_with("metric=requests_total value=3\n"),
-        "{text}"
+    assert_eq!(
+        text,
+        "metric=folded_offset value=0\n\
+         metric=members_alive value=0\n\
+         metric=requests_total value=3\n\
+         metric=series_dropped value=0\n"
     );
 }
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -114,6 +114,30 @@
     }
 }
 
+#[test]
+fn metrics_tell_of_requests_and_of_what_the_entry_knows() {
+    let fixture = Fixture::serving();
+    let entry = &fixture.entries[0];
+    ask(callers(entry), &keyed("POST", QUEUE, "herds", ""));
+    ask(callers(entry), &with_secret("POST", QUEUE, &[7; 32], ""));
+
+    let snapshot = text(&ask(entry.admin, &open("GET", "/metrics-snapshot", "")));
+
+    for line in [
+        "metric=requests_total queue=headcount outcome=answered reason=none value=1",
+        "metric=requests_total queue=none outcome=not_run reason=BadKey value=1",
+        "metric=targets_ready pool=headcount value=12",
+        "metric=members_alive value=2",
+    ] {
+        assert!(
+            snapshot.lines().any(|l| l == line),
+            "{line} in:\n{snapshot}"
+        );
+    }
+    let secret = document::hex::encode(&document::example::secret("herds"));
+    assert!(!snapshot.contains(&secret));
+}
+
 #[test]
 fn a_key_that_nobody_granted_is_refused_and_nothing_runs() {
     let fixture = Fixture::serving();
