--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -9,6 +9,8 @@
 use std::thread;
 use std::time::Instant;
 
+use amaranthwick::telemetry::log::LEVEL_VARIABLE;
+
 use super::pairs;
 use super::wait::WAIT_TIMEOUT;
 
@@ -31,6 +33,7 @@
     pub fn spawn(program: &Path, args: &[&str]) -> Self {
         let mut child = Command::new(program)
             .args(args)
+            .env(LEVEL_VARIABLE, "trace")
             .stdout(Stdio::piped())
             .spawn()
             .unwrap_or_else(|e| panic!("start {}: {e}", program.display()));
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use amaranthwick::dev::fleet_spec;
-use amaranthwick::document;
+use amaranthwick::document::{self, example, hex};
 use amaranthwick_standins::{Fleet, FleetSpec, TaskState};
 use serde_json::{Value, json};
 use support::NERETVA;
@@ -134,10 +134,51 @@
             "{line} in:\n{snapshot}"
         );
     }
-    let secret = document::hex::encode(&document::example::secret("herds"));
+    let secret = hex::encode(&example::secret("herds"));
     assert!(!snapshot.contains(&secret));
 }
 
+#[test]
+fn no_secret_is_in_a_log_a_dump_or_a_metric() {
+    let fixture = Fixture::serving();
+    let request = keyed("POST", QUEUE, "herds", "");
+    let unknown = with_secret("POST", QUEUE, &[7; 32], "");
+    let mut shown = Vec::new();
+    for entry in &fixture.entries {
+        ask(callers(entry), &request);
+        shown.push(text(&ask(callers(entry), &unknown)));
+    }
+    let forged = with_secret("POST", "/jobs", &[7; 32], "{");
+    shown.push(text(&ask(callers(&fixture.entries[0]), &forged)));
+
+    for daemon in fixture.entries.iter().chain([&fixture.planner]) {
+        for path in [
+            "/state",
+            "/metrics-snapshot",
+            "/sections/herds",
+            "/sections/fleet",
+        ] {
+            shown.push(text(&ask(daemon.admin, &open("GET", path, ""))));
+        }
+        shown.extend(daemon.process.lines());
+    }
+
+    let shown = shown.join("\n").to_lowercase();
+    assert!(shown.contains("event=listening"), "logs are there");
+    assert!(shown.contains("\"share\\\": 30"), "sections are there");
+    let secrets = [
+        example::secret("herds"),
+        [7; 32],
+        example::fleet_secret(),
+        example::seed("root"),
+        example::seed("herds-owner"),
+    ];
+    for secret in secrets {
+        let secret = hex::encode(&secret);
+        assert!(!shown.contains(&secret), "secret {secret} in:\n{shown}");
+    }
+}
+
 #[test]
 fn a_key_that_nobody_granted_is_refused_and_nothing_runs() {
     let fixture = Fixture::serving();
