Script answers that break the protocol and connections that go silent

A caller gets neither part of an answer nor that of another request, and what may not run twice ran once each, under eight kinds of broken answers of all targets.

When the open connections of all targets of a pool go silent together, the request that finds it out is tried on other silent connections and ends as unknown, although its service may run it twice and new connections work; the script states this as it is.

--- a/tests/scenarios/daemons/site.rs
+++ b/tests/scenarios/daemons/site.rs
@@ -123,6 +123,9 @@
                 fault[field] = Value::from(number);
             }
         }
+        if let Some(answer) = args.key("answer") {
+            fault["answer"] = Value::from(answer);
+        }
         let fault: Fault = serde_json::from_value(fault)?;
         for site in sites {
             self.fleet.control().set(&site, &fault)?;
