--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
+use super::view::{dump_view, millis_since};
 use super::{Metrics, log, metrics};
 use crate::config::Common;
 use crate::control::Control;
@@ -18,7 +19,6 @@
 use crate::id::{DataCentre, Incarnation, MemberId, Offset, RecordId, Revision, SectionId};
 use crate::ledger::Verdict;
 use crate::runtime::Runtime;
-use crate::view::View;
 
 /// Who the process is, for the state dump.
 #[derive(Clone, Debug)]
@@ -231,56 +231,6 @@
     }
 }
 
-fn dump_view(view: &View) -> Value {
-    let targets = view.targets.iter().map(|(pool, targets)| {
-        let targets: Vec<_> = targets.iter().map(dump_target).collect();
-        (pool.to_string(), Value::from(targets))
-    });
-    let document = view.document.as_ref().map(|document| {
-        json!({
-            "data_centres": document.fleet.data_centres.keys().collect::<Vec<_>>(),
-            "teams": document.teams.keys().collect::<Vec<_>>(),
-        })
-    });
-    json!({
-        "offset": view.offset,
-        "verified_ms": view.verified.map(millis_since),
-        "planner": view.planner.as_ref().map(|(holder, epoch)| json!({
-            "holder": holder,
-            "epoch": epoch,
-        })),
-        "members": view.members.iter().map(dump_member).collect::<Vec<_>>(),
-        "document": document,
-        "targets": targets.collect::<serde_json::Map<_, _>>(),
-    })
-}
-
-fn dump_target(target: &crate::view::Target) -> Value {
-    json!({
-        "vm": target.vm,
-        "data_centre": target.data_centre,
-        "rack": target.rack,
-        "address": target.address,
-        "slots": target.slots,
-        "connections": target.connections,
-        "leaving": target.leaving,
-    })
-}
-
-fn dump_member(member: &crate::view::Member) -> Value {
-    json!({
-        "id": member.id,
-        "incarnation": member.incarnation,
-        "data_centre": member.data_centre,
-        "peer": member.peer,
-        "alive": member.alive,
-    })
-}
-
-fn millis_since(start: Instant) -> u64 {
-    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
-}
-
 fn json_reply(value: &impl Serialize) -> Reply {
     match serde_json::to_vec_pretty(value) {
         Ok(mut body) => {
