Keep to the limits of the view and report demand

The owner starts a team's requests only within this process's part of the ceiling in the newest view and until its time is over, and reports what runs and waits: every 100 ms, and at once when a request waits for its team's limit. Seen failing: with the end of the limits ignored, with the limit ignored, and with waiting requests left out of the report.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,7 +29,7 @@
 
 use crate::config::EntryConfig;
 use crate::control::Control;
-use crate::http::{Server, ServerLimits};
+use crate::http::{Server, ServerLimits, within};
 use crate::peer;
 use crate::runtime::Runtime;
 use crate::telemetry::Dump;
@@ -44,6 +44,9 @@
 /// Time between two looks at waiting requests that nothing else would start, in ms.
 const TICK_MS: u64 = 50;
 
+/// Time between two reports of what runs and waits, in ms.
+const REPORT_MS: u64 = 100;
+
 /// Time between two looks whether all work has ended at a stop, in ms.
 const STOP_TICK_MS: u64 = 20;
 
@@ -67,6 +70,7 @@
     peers: peer::Server,
     drain: Duration,
     _tick: Task<()>,
+    _report: Task<()>,
 }
 
 impl Entry {
@@ -128,6 +132,7 @@
             .with_context(|| format!("listen for callers on {}", config.callers))?;
         Ok(Self {
             _tick: runtime.spawn(tick(Arc::clone(&shared))),
+            _report: runtime.spawn(report(Arc::clone(&shared))),
             shared,
             callers,
             peers,
@@ -168,6 +173,7 @@
             peers,
             drain,
             _tick,
+            _report,
         } = self;
         shared.stop.store(true, Ordering::Relaxed);
         spdlog::info!("entry_stopping", kv: { busy = shared.busy() });
@@ -220,6 +226,15 @@
     loop {
         Timer::after(Duration::from_millis(TICK_MS)).await;
         shared.owner.pump();
+        shared.owner.sweep();
         shared.router.sweep();
     }
 }
+
+/// Says what runs and waits: now and then, and at once when a team is short of limits.
+async fn report(shared: Arc<Shared>) {
+    loop {
+        shared.control.report(shared.owner.report()).await;
+        within(REPORT_MS, shared.owner.shortage()).await;
+    }
+}
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 
+use async_channel::{Receiver, Sender};
 use indexmap::IndexMap;
 
 use super::attempt::{Attempt, attempt};
@@ -12,13 +13,14 @@
 use super::ceilings::Ceilings;
 use super::clock::Clock;
 use super::pool_queue::PoolQueue;
-use super::queue::Waiting;
+use super::queue::{Allowance, Waiting};
 use super::retry::RetryBudget;
 use super::scheduler::{Bounds, Entry, Grant};
 use crate::control::Control;
 use crate::document::Document;
 use crate::http::{Limits, Pool, Request, within};
 use crate::id::{DataCentre, PoolId};
+use crate::membership::Report;
 use crate::outcome::{Outcome, Reason};
 use crate::peer::Forward;
 use crate::runtime::Runtime;
@@ -53,6 +55,8 @@
     ceilings: Arc<Ceilings>,
     budget: RetryBudget,
     queues: Mutex<IndexMap<PoolId, Arc<PoolQueue>>>,
+    short: Sender<()>,
+    shortage: Receiver<()>,
 }
 
 impl Owner {
@@ -62,6 +66,8 @@
         control: Control,
         max_body: usize,
     ) -> Self {
+        let ceilings = Arc::new(Ceilings::new(control.clone()));
+        let (short, shortage) = async_channel::bounded(1);
         Self {
             data_centre,
             runtime,
@@ -69,9 +75,11 @@
             clock: Clock::new(),
             max_body,
             connections: Arc::new(Pool::new()),
-            ceilings: Arc::new(Ceilings::default()),
+            ceilings,
             budget: RetryBudget::new(),
             queues: Mutex::default(),
+            short,
+            shortage,
         }
     }
 
@@ -117,9 +125,27 @@
         for queue in self.queues() {
             queue.pump(&view);
         }
+    }
+
+    /// Closes connections that have been idle too long.
+    pub(crate) fn sweep(&self) {
         self.connections.sweep();
     }
 
+    /// What runs and waits, for the control thread.
+    pub(crate) fn report(&self) -> Report {
+        let mut waiting = IndexMap::new();
+        for queue in self.queues() {
+            queue.add_waiting(&mut waiting);
+        }
+        self.ceilings.report(&waiting)
+    }
+
+    /// Waits until a request waits because its team is at its limit.
+    pub(crate) async fn shortage(&self) {
+        let _ = self.shortage.recv().await;
+    }
+
     /// State for the dump.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let pools: Vec<_> = self.queues().iter().map(|queue| queue.dump()).collect();
@@ -179,6 +205,10 @@
     async fn try_once(self: &Arc<Self>, work: &Work) -> Result<(Grant, Attempt), Reason> {
         let queue = self.queue(&work.pool);
         let mut place = queue.submit(work.entry.clone(), &self.control.view())?;
+        let team = &work.entry.waiting.team;
+        if !place.granted() && !self.ceilings.lock().room(team) {
+            let _ = self.short.try_send(());
+        }
         let deadline_us = work.entry.waiting.deadline_us;
         let left_ms = deadline_us.saturating_sub(self.clock.now_us()) / 1_000;
         let grant = within(left_ms, place.turn())
--- a/src/entry/pool_queue.rs
+++ b/src/entry/pool_queue.rs
@@ -10,7 +10,7 @@
 use super::clock::Clock;
 use super::queue::Ticket;
 use super::scheduler::{Entry, Grant, Scheduler};
-use crate::id::{DataCentre, PoolId};
+use crate::id::{DataCentre, PoolId, TeamId};
 use crate::outcome::Reason;
 use crate::view::View;
 
@@ -79,6 +79,14 @@
         self.start(&mut state);
     }
 
+    /// Waiting requests of each team.
+    pub(crate) fn add_waiting(&self, waiting: &mut IndexMap<TeamId, u32>) {
+        for (team, count, _) in self.lock().scheduler.queue().teams() {
+            let count = u32::try_from(count).unwrap_or(u32::MAX);
+            *waiting.entry(team.clone()).or_default() += count;
+        }
+    }
+
     /// Counts the end of a run; true when other pools may go on for its team.
     pub(crate) fn finish(&self, grant: &Grant, health: Health) -> bool {
         let mut state = self.lock();
@@ -129,10 +137,8 @@
         let own = targets.filter(|target| target.data_centre == self.data_centre);
         state.scheduler.update(own);
         if let Some(document) = &view.document {
-            let mut ceilings = self.ceilings.lock();
             for (id, team) in &document.teams {
                 state.scheduler.set_share(id, team.share);
-                ceilings.set_limit(id, team.ceiling);
             }
         }
         state.view = Some(Arc::clone(view));
@@ -170,6 +176,11 @@
 }
 
 impl Place {
+    /// True when the turn has come already.
+    pub(crate) fn granted(&self) -> bool {
+        !self.granted.is_empty()
+    }
+
     /// Waits for the turn.
     pub(crate) async fn turn(&mut self) -> Option<Grant> {
         let grant = self.granted.recv().await.ok()?;
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -65,7 +65,10 @@
             return self.owner.run(forward).await;
         }
         forward.hops += 1;
-        for member in self.owners(&view, &pool).into_iter().take(WALK) {
+        for member in owners(&view, &self.data_centre, &pool)
+            .into_iter()
+            .take(WALK)
+        {
             if member.id == self.id {
                 return self.owner.run(forward).await;
             }
@@ -86,16 +89,6 @@
         self.peers.sweep();
     }
 
-    /// All queues of a pool have one owner, which so counts the pool's slots exactly.
-    fn owners<'a>(&self, view: &'a View, pool: &PoolId) -> Vec<&'a Member> {
-        let key = QueueId::new(pool.as_str());
-        let own = view
-            .members
-            .iter()
-            .filter(|member| member.data_centre == self.data_centre);
-        rank(&key, own)
-    }
-
     /// `None` when the other process has not taken the request.
     async fn hand_over(&self, member: &Member, view: &View, forward: &Forward) -> Option<Outcome> {
         let limits = Limits {
@@ -117,6 +110,16 @@
     }
 }
 
+/// Entries in the order in which they own a pool. All queues of a pool have one owner,
+/// which so counts the pool's slots exactly.
+fn owners<'a>(view: &'a View, data_centre: &DataCentre, pool: &PoolId) -> Vec<&'a Member> {
+    let members = view
+        .members
+        .iter()
+        .filter(|member| member.data_centre == *data_centre);
+    rank(&QueueId::new(pool.as_str()), members)
+}
+
 fn pool_of(view: &View, queue: &QueueId) -> Option<PoolId> {
     let document = view.document.as_ref()?;
     Some(find_queue(document, queue)?.spec.pool.clone())
--- a/tests/common/entry.rs
+++ b/tests/common/entry.rs
@@ -142,7 +142,7 @@
     View {
         offset: Offset(1),
         document: Some(Arc::new(document())),
-        limits: Limits::default(),
+        limits: limits(100),
         targets: IndexMap::from([(PoolId::new("herd"), targets)]),
         members,
         planner: None,
@@ -150,6 +150,16 @@
     }
 }
 
+/// The same limit for each team.
+pub(crate) fn limits(limit: u32) -> Limits {
+    let teams = document().teams.into_keys();
+    Limits {
+        version: 1,
+        until: None,
+        teams: teams.map(|team| (team, limit)).collect(),
+    }
+}
+
 pub(crate) fn config(id: &str) -> EntryConfig {
     EntryConfig {
         common: Common {
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -9,10 +9,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use amaranthwick::control::{Command, Control};
+use amaranthwick::entry::Entry;
 use amaranthwick::id::TeamId;
+use amaranthwick::membership::Demand;
+use amaranthwick::view::Limits;
 use common::{
-    Act, FakeTarget, Fixture, bearer, fleet, nobody, request, single, status, talk, target, view,
-    wait_until,
+    Act, FakeTarget, Fixture, bearer, fleet, limits, nobody, request, single, status, talk, target,
+    view, wait_until,
 };
 use futures_lite::future::block_on;
 use rstest::rstest;
@@ -386,17 +390,11 @@
 }
 
 #[test]
-fn team_runs_no_more_than_its_ceiling() {
+fn team_runs_no_more_than_its_limit() {
     let fake = FakeTarget::open(Act::Slow(50));
     let fixture = single(&[target(0, fake.address, 8)]);
     let mut view = (*fixture.control.view()).clone();
-    let mut document = common::document();
-    let team = document
-        .teams
-        .get_mut(&TeamId::new("neretva"))
-        .expect("team");
-    team.ceiling = 2;
-    view.document = Some(document.into());
+    view.limits = limits(2);
     fixture.control.publish(view);
     let address = fixture.entry.callers();
 
@@ -422,6 +420,69 @@
         .collect()
 }
 
+#[rstest]
+#[case::no_limit(Limits::default())]
+#[case::over(Limits { until: Some(Instant::now()), ..limits(9) })]
+fn nothing_starts_without_a_limit_in_force(#[case] none: Limits) {
+    let fake = FakeTarget::open(Act::Echo);
+    let fixture = single(&[target(0, fake.address, 8)]);
+    let with_limit = (*fixture.control.view()).clone();
+    let mut without = with_limit.clone();
+    without.limits = none;
+    fixture.control.publish(without);
+    let address = fixture.entry.callers();
+
+    let refused = talk(
+        address,
+        &request("POST", "/q/open/x", "Prefer: wait=0\r\n", "a"),
+    );
+    let waiting = thread::spawn(move || talk(address, &request("POST", "/q/open/x", "", "a")));
+    wait_until(|| fixture.entry.dump()["owner"]["pools"][0]["waiting"] == 1);
+    let runs = fake.runs();
+    fixture.control.publish(with_limit);
+    let answer = waiting.join().expect("join");
+
+    assert_eq!(status(&refused), "503", "{refused}");
+    assert_eq!(runs, 0);
+    assert_eq!(status(&answer), "200", "{answer}");
+}
+
+#[test]
+fn shortage_is_reported_at_once() {
+    let fake = FakeTarget::open(Act::Echo);
+    let (control, commands) = Control::channel();
+    let entry = Entry::open(&common::config("a"), control.clone()).expect("open entry");
+    let mut view = view(
+        vec![target(0, fake.address, 8)],
+        vec![common::member("a", entry.peers())],
+    );
+    view.limits = Limits {
+        version: 7,
+        ..Limits::default()
+    };
+    control.publish(view);
+    let address = entry.callers();
+
+    let caller = thread::spawn(move || talk(address, &request("GET", "/q/open/x", "", "")));
+    // The entry reports every 100 ms; the request waits for 2 s.
+    let report = (0..15)
+        .find_map(
+            |_| match block_on(commands.recv()).expect("the entry lives") {
+                Command::Report(report) if !report.demands.is_empty() => Some(report),
+                _ => None,
+            },
+        )
+        .expect("a report with a demand");
+    caller.join().expect("join");
+
+    let expected = Demand {
+        team: TeamId::new("neretva"),
+        running: 0,
+        waiting: 1,
+    };
+    assert_eq!((report.version, report.demands), (7, vec![expected]));
+}
+
 #[test]
 fn any_entry_serves_and_the_owner_sees_all() {
     let fake = FakeTarget::open(Act::Slow(20));
