Take a new team's runs to be as long as the others' in the fair queue

Cause: a team without a finished run counted 1 us for each start, so that a team that had been idle or at its ceiling got all starts of a burst (20 of 20) until its first run ended. The mean of the pool now stands in for the missing mean.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,6 +17,8 @@
 mod route;
 mod scheduler;
 mod shared;
+#[cfg(test)]
+mod tests;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/entry/queue.rs
+++ b/src/entry/queue.rs
@@ -78,9 +78,15 @@
         }
     }
 
-    /// Virtual time; every start counts at least 1 us, so that ties end.
-    fn virtual_time(&self, now_us: u64) -> u64 {
-        let expected = self.running * self.mean_us.max(1);
+    /// Virtual time; every start counts at least 1 us, so that ties end. A team that has
+    /// run nothing yet is taken to run as long as the others do.
+    fn virtual_time(&self, now_us: u64, pool_us: u64) -> u64 {
+        let mean_us = if self.mean_us == 0 {
+            pool_us
+        } else {
+            self.mean_us
+        };
+        let expected = self.running * mean_us.max(1);
         let elapsed = u128::from(self.running) * u128::from(now_us);
         let elapsed = u64::try_from(elapsed.saturating_sub(self.started_sum)).unwrap_or(u64::MAX);
         self.ended + self.scaled(expected.max(elapsed))
@@ -90,8 +96,8 @@
         slot_us.saturating_mul(SCALE) / self.share
     }
 
-    fn raise(&mut self, floor: u64, now_us: u64) {
-        let lag = floor.saturating_sub(self.virtual_time(now_us));
+    fn raise(&mut self, floor: u64, now_us: u64, pool_us: u64) {
+        let lag = floor.saturating_sub(self.virtual_time(now_us, pool_us));
         self.ended += lag;
     }
 
@@ -122,13 +128,23 @@
     usize::from(entry.urgency).min(URGENCIES - 1)
 }
 
+fn mean(mean_us: u64, run_us: u64) -> u64 {
+    if mean_us == 0 {
+        return run_us;
+    }
+    mean_us - mean_us / MEAN_WEIGHT + run_us / MEAN_WEIGHT
+}
+
 /// Fair queue of one pool.
 #[derive(Debug, Default)]
 pub(crate) struct FairQueue {
     lanes: IndexMap<TeamId, Lane>,
     waiting: IndexMap<Ticket, Waiting>,
     next: u64,
+    /// Virtual time of the last start.
     floor: u64,
+    /// Mean run time of all teams.
+    mean_us: u64,
 }
 
 impl FairQueue {
@@ -141,10 +157,10 @@
     pub(crate) fn push(&mut self, entry: Waiting, now_us: u64) -> Ticket {
         let ticket = Ticket(self.next);
         self.next += 1;
-        let floor = self.floor;
+        let (floor, pool_us) = (self.floor, self.mean_us);
         let lane = self.lane(&entry.team);
         if lane.arrivals.is_empty() {
-            lane.raise(floor, now_us);
+            lane.raise(floor, now_us, pool_us);
         }
         lane.arrivals.insert(ticket);
         lane.classes[class_of(&entry)].insert((entry.deadline_us, ticket));
@@ -197,11 +213,8 @@
         lane.running = lane.running.saturating_sub(1);
         lane.started_sum = lane.started_sum.saturating_sub(u128::from(started_us));
         lane.ended += lane.scaled(run_us.max(1));
-        lane.mean_us = if lane.mean_us == 0 {
-            run_us
-        } else {
-            lane.mean_us - lane.mean_us / MEAN_WEIGHT + run_us / MEAN_WEIGHT
-        };
+        lane.mean_us = mean(lane.mean_us, run_us);
+        self.mean_us = mean(self.mean_us, run_us);
     }
 
     /// Requests that wait.
@@ -238,7 +251,7 @@
                 blocked.push(i);
                 continue;
             }
-            let time = lane.virtual_time(now_us);
+            let time = lane.virtual_time(now_us, self.mean_us);
             if best.is_none_or(|(least, _)| time < least) {
                 best = Some((time, i));
             }
@@ -247,7 +260,7 @@
         self.floor = self.floor.max(time);
         // A team at its ceiling must not save up what it can't use.
         for i in blocked {
-            self.lanes[i].raise(time, now_us);
+            self.lanes[i].raise(time, now_us, self.mean_us);
         }
         Some(team)
     }
--- /dev/null
+++ b/src/entry/tests/balancer.rs
@@ -0,0 +1,168 @@
+//! Choice of targets: load, racks, failing and leaving ones.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use crate::entry::balancer::{Avoid, Balancer, Choice, Health};
+use crate::id::{DataCentre, Rack, VmId};
+use crate::view::Target;
+
+const SECOND_US: u64 = 1_000_000;
+
+fn target(i: u16, rack: u16) -> Target {
+    Target {
+        vm: VmId::new(&format!("vm-{i}")),
+        data_centre: DataCentre::new("split"),
+        rack: Rack::new(&format!("rack-{rack}")),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, i)),
+        slots: 8,
+        connections: 64,
+        leaving: false,
+    }
+}
+
+/// Two targets a rack.
+fn balancer(count: u16) -> (Balancer, Vec<Target>) {
+    let targets: Vec<Target> = (0..count).map(|i| target(i, i / 2)).collect();
+    let mut balancer = Balancer::default();
+    balancer.update(&targets);
+    (balancer, targets)
+}
+
+fn take(balancer: &mut Balancer, now_us: u64) -> Option<Choice> {
+    balancer.take(&Avoid::default(), now_us)
+}
+
+fn fail(balancer: &mut Balancer, times: usize, now_us: u64) {
+    for _ in 0..times {
+        let choice = take(balancer, now_us).expect("a target");
+        balancer.release(&choice.vm, Health::Bad, now_us);
+    }
+}
+
+fn is_out(balancer: &Balancer, vm: &VmId, now_us: u64) -> bool {
+    balancer
+        .loads(now_us)
+        .any(|(id, _, _, out)| id == vm && out)
+}
+
+#[test]
+fn work_is_spread_over_racks_before_it_doubles_up() {
+    let (mut balancer, _) = balancer(6);
+
+    let racks: Vec<Rack> = (0..3)
+        .filter_map(|_| take(&mut balancer, 0))
+        .map(|choice| choice.rack)
+        .collect();
+
+    let mut distinct = racks.clone();
+    distinct.sort();
+    distinct.dedup();
+    assert_eq!(distinct.len(), 3, "{racks:?}");
+}
+
+#[test]
+fn all_slots_are_used_and_no_more() {
+    let (mut balancer, _) = balancer(3);
+
+    let taken = (0..100).filter_map(|_| take(&mut balancer, 0)).count();
+
+    assert_eq!(taken, 24);
+    assert!(!balancer.has_room(0));
+}
+
+#[test]
+fn retry_goes_to_another_rack_first() {
+    let (mut balancer, _) = balancer(4);
+    let first = take(&mut balancer, 0).expect("first");
+    balancer.release(&first.vm, Health::Bad, 0);
+    let mut avoid = Avoid::default();
+    avoid.add(&first);
+
+    let second = balancer.take(&avoid, 0).expect("second");
+
+    assert_ne!(second.rack, first.rack);
+}
+
+#[test]
+fn target_that_fails_fast_attracts_no_work() {
+    let (mut balancer, targets) = balancer(4);
+    let bad = &targets[0].vm;
+    let mut runs_bad = 0;
+    for i in 0..1_000 {
+        let now_us = i * 1_000;
+        let choice = take(&mut balancer, now_us).expect("a target");
+        let health = if choice.vm == *bad {
+            runs_bad += 1;
+            Health::Bad
+        } else {
+            Health::Good
+        };
+        balancer.release(&choice.vm, health, now_us);
+    }
+
+    assert!(runs_bad <= 8, "{runs_bad} of 1000");
+    assert!(is_out(&balancer, bad, SECOND_US));
+}
+
+#[test]
+fn target_that_is_well_again_gets_work_again() {
+    let (mut balancer, targets) = balancer(2);
+    fail(&mut balancer, 20, 0);
+    let out = targets
+        .iter()
+        .find(|t| is_out(&balancer, &t.vm, 0))
+        .expect("one is out");
+
+    let mut runs = 0;
+    for _ in 0..20 {
+        let choice = take(&mut balancer, SECOND_US).expect("a target");
+        runs += usize::from(choice.vm == out.vm);
+        balancer.release(&choice.vm, Health::Good, SECOND_US);
+    }
+
+    assert!(runs >= 5, "{runs} of 20");
+}
+
+#[test]
+fn half_of_a_pool_stays_whatever_fails() {
+    let (mut balancer, targets) = balancer(8);
+
+    fail(&mut balancer, 200, 0);
+
+    let out = targets
+        .iter()
+        .filter(|t| is_out(&balancer, &t.vm, 0))
+        .count();
+    assert_eq!(out, 4);
+}
+
+#[test]
+fn leaving_target_keeps_its_runs_and_gets_no_new_ones() {
+    let (mut balancer, mut targets) = balancer(2);
+    let first = take(&mut balancer, 0).expect("first");
+    for target in &mut targets {
+        target.leaving = target.vm == first.vm;
+    }
+
+    balancer.update(&targets);
+    let later: Vec<VmId> = (0..100)
+        .filter_map(|_| take(&mut balancer, 0))
+        .map(|choice| choice.vm)
+        .collect();
+
+    assert_eq!(later.len(), 8);
+    assert!(!later.contains(&first.vm));
+}
+
+#[test]
+fn target_that_leaves_the_view_and_returns_keeps_its_count() {
+    let (mut balancer, targets) = balancer(1);
+    for _ in 0..8 {
+        take(&mut balancer, 0);
+    }
+
+    balancer.update(&[]);
+    balancer.update(&targets);
+
+    assert!(take(&mut balancer, 0).is_none());
+}
--- /dev/null
+++ b/src/entry/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Decision code of the entry in virtual time.
+
+mod balancer;
+mod queue;
