--- a/benches/request_path/load.rs
+++ b/benches/request_path/load.rs
@@ -9,9 +9,6 @@
 
 use crate::common;
 
-/// Time that each request of the open callers runs, so that most of them wait.
-const RUN_MS: u64 = 5;
-
 /// Figures of one way in one round.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sample {
@@ -30,11 +27,16 @@
 pub(crate) struct Load {
     address: SocketAddr,
     path: &'static str,
+    run_ms: u64,
 }
 
 impl Load {
-    pub(crate) const fn new(address: SocketAddr, path: &'static str) -> Self {
-        Self { address, path }
+    pub(crate) const fn new(address: SocketAddr, path: &'static str, run_ms: u64) -> Self {
+        Self {
+            address,
+            path,
+            run_ms,
+        }
     }
 
     /// Sends one request after another on each connection.
@@ -69,7 +71,7 @@
 
     fn work(&self, end: Instant) -> (Histogram<u64>, u64) {
         let mut stream = connect(self.address);
-        let bytes = self.request("");
+        let bytes = self.request();
         let mut histogram = histogram();
         let mut failed = 0;
         while Instant::now() < end {
@@ -87,7 +89,7 @@
     /// Opens `callers` connections with one waiting request each and calls `look` while
     /// they wait; returns how many were answered well.
     pub(crate) fn open_callers<T>(&self, callers: usize, look: impl Fn() -> T) -> (usize, T) {
-        let bytes = self.request(&format!("X-Run-Ms: {RUN_MS}\r\n"));
+        let bytes = self.request();
         let mut streams: Vec<TcpStream> = (0..callers)
             .map(|_| {
                 let mut stream = connect(self.address);
@@ -104,9 +106,11 @@
         (answered, seen)
     }
 
-    fn request(&self, lines: &str) -> Vec<u8> {
-        let (path, key) = (self.path, common::bearer("neretva"));
-        format!("GET {path} HTTP/1.1\r\nHost: bench\r\n{key}{lines}\r\n").into_bytes()
+    fn request(&self) -> Vec<u8> {
+        let Self { path, run_ms, .. } = self;
+        let key = common::bearer("neretva");
+        format!("GET {path} HTTP/1.1\r\nHost: bench\r\n{key}X-Run-Ms: {run_ms}\r\n\r\n")
+            .into_bytes()
     }
 }
 
--- a/benches/request_path/main.rs
+++ b/benches/request_path/main.rs
@@ -17,9 +17,15 @@
 
 const ROUNDS: usize = 5;
 const ROUND: Duration = Duration::from_secs(1);
-const CONNECTIONS: [usize; 2] = [1, 8];
+
+/// Connections, and time that each request runs in ms.
+const CASES: [(usize, u64); 3] = [(1, 0), (8, 0), (8, 2)];
+
 const OPEN_CALLERS: usize = 5_000;
 
+/// Time that each request of the open callers runs, so that most of them wait.
+const RUN_MS: u64 = 5;
+
 fn main() {
     match child::role() {
         Some(Role::Executors) => child::run_executors(),
@@ -75,13 +81,13 @@
 fn run() {
     let fleet = Fleet::open();
     let idle_kb = fleet.owner.resident_kb();
-    for connections in CONNECTIONS {
-        compare(&fleet, connections);
+    for (connections, run_ms) in CASES {
+        compare(&fleet, connections, run_ms);
     }
     memory(&fleet, idle_kb);
 }
 
-fn compare(fleet: &Fleet, connections: usize) {
+fn compare(fleet: &Fleet, connections: usize, run_ms: u64) {
     let ways = [
         Way {
             name: "direct",
@@ -105,16 +111,16 @@
     let mut samples = ways.map(|_| Vec::new());
     for _ in 0..ROUNDS {
         for (way, samples) in ways.iter().zip(&mut samples) {
-            samples.push(measure(way, connections));
+            samples.push(measure(way, connections, run_ms));
         }
     }
     let samples = samples.map(|mut rounds| median(&mut rounds));
     for (way, sample) in ways.iter().zip(&samples) {
-        print_sample(way.name, connections, sample);
+        print_sample(way.name, connections, run_ms, sample);
     }
     for (way, sample) in ways.iter().zip(&samples).skip(1) {
         println!(
-            "bench=request_path way={} connections={connections} p50_ratio={:.2} p99_ratio={:.2} rate_ratio={:.2}",
+            "bench=request_path way={} connections={connections} run_ms={run_ms} p50_ratio={:.2} p99_ratio={:.2} rate_ratio={:.2}",
             way.name,
             sample.p50_us / samples[0].p50_us,
             sample.p99_us / samples[0].p99_us,
@@ -123,9 +129,9 @@
     }
 }
 
-fn measure(way: &Way<'_>, connections: usize) -> Sample {
+fn measure(way: &Way<'_>, connections: usize, run_ms: u64) -> Sample {
     let before: f64 = way.entries.iter().map(|entry| entry.cpu_us()).sum();
-    let mut sample = Load::new(way.address, way.path).run(connections, ROUND);
+    let mut sample = Load::new(way.address, way.path, run_ms).run(connections, ROUND);
     let after: f64 = way.entries.iter().map(|entry| entry.cpu_us()).sum();
     #[allow(clippy::cast_precision_loss)] // Counts stay far below 2^52.
     let requests = sample.requests as f64;
@@ -139,15 +145,15 @@
     rounds[rounds.len() / 2]
 }
 
-fn print_sample(way: &str, connections: usize, sample: &Sample) {
+fn print_sample(way: &str, connections: usize, run_ms: u64, sample: &Sample) {
     println!(
-        "bench=request_path way={way} connections={connections} requests={} failed={} rate={:.0} p50_us={:.0} p99_us={:.0} entry_cpu_us={:.1}",
+        "bench=request_path way={way} connections={connections} run_ms={run_ms} requests={} failed={} rate={:.0} p50_us={:.0} p99_us={:.0} entry_cpu_us={:.1}",
         sample.requests, sample.failed, sample.rate, sample.p50_us, sample.p99_us, sample.cpu_us,
     );
 }
 
 fn memory(fleet: &Fleet, idle_kb: u64) {
-    let load = Load::new(fleet.owner.callers, "/q/open/x");
+    let load = Load::new(fleet.owner.callers, "/q/open/x", RUN_MS);
     let (answered, loaded_kb) = load.open_callers(OPEN_CALLERS, || fleet.owner.resident_kb());
     println!(
         "bench=request_path memory=owner callers={OPEN_CALLERS} answered={answered} idle_kb={idle_kb} loaded_kb={loaded_kb} kb_a_caller={}",
