--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,8 @@
 mod route;
 mod scheduler;
 mod shared;
+#[cfg(test)]
+mod tests;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,14 +32,14 @@
 
 use crate::config::EntryConfig;
 use crate::control::Control;
-use crate::http::{Server, ServerLimits};
+use crate::http::{Gauge, Server, ServerLimits, within};
 use crate::peer;
 use crate::runtime::Runtime;
-use crate::telemetry::Dump;
-use crate::telemetry::Metrics;
+use crate::telemetry::{Dump, Metrics};
 
 use auth::Gate;
 use callers::Callers;
+use meter::Meter;
 use owner::Owner;
 use peers::Peers;
 use route::Router;
@@ -46,6 +48,9 @@
 /// Time between two looks at waiting requests that nothing else would start, in ms.
 const TICK_MS: u64 = 50;
 
+/// Time between two reports of what runs and waits, in ms.
+const REPORT_MS: u64 = 100;
+
 /// Time between two looks whether all work has ended at a stop, in ms.
 const STOP_TICK_MS: u64 = 20;
 
@@ -69,6 +74,7 @@
     peers: peer::Server,
     drain: Duration,
     _tick: Task<()>,
+    _report: Task<()>,
 }
 
 impl Entry {
@@ -108,7 +114,7 @@
             owner,
             router,
             counts: Counts::default(),
-            metrics: Metrics::open(),
+            meter: Meter::open(),
             busy: 0.into(),
             stop: false.into(),
         });
@@ -131,6 +137,7 @@
             .with_context(|| format!("listen for callers on {}", config.callers))?;
         Ok(Self {
             _tick: runtime.spawn(tick(Arc::clone(&shared))),
+            _report: runtime.spawn(report(Arc::clone(&shared), callers.gauge())),
             shared,
             callers,
             peers,
@@ -153,7 +160,7 @@
     /// Metrics of callers' requests, for the admin address.
     #[must_use]
     pub fn metrics(&self) -> Metrics {
-        self.shared.metrics.clone()
+        self.shared.meter.metrics()
     }
 
     /// Source of the state dump; outlives the entry.
@@ -177,6 +184,7 @@
             peers,
             drain,
             _tick,
+            _report,
         } = self;
         shared.stop.store(true, Ordering::Relaxed);
         spdlog::info!("entry_stopping", kv: { busy = shared.busy() });
@@ -229,6 +237,17 @@
     loop {
         Timer::after(Duration::from_millis(TICK_MS)).await;
         shared.owner.pump();
+        shared.owner.sweep();
         shared.router.sweep();
     }
 }
+
+/// Says what runs and waits: now and then, and at once when a team is short of limits.
+async fn report(shared: Arc<Shared>, callers: Arc<Gauge>) {
+    loop {
+        shared.meter.callers(callers.get());
+        shared.owner.measure(&shared.meter);
+        shared.control.report(shared.owner.report()).await;
+        within(REPORT_MS, shared.owner.shortage()).await;
+    }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -14,6 +14,12 @@
 pub const REQUESTS: &str = "requests_total";
 /// Time from a whole request read to its outcome, in µs; tags `queue`, `outcome`.
 pub const REQUEST_US: &str = "request_us";
+/// Requests waiting at this entry; tag `pool`.
+pub const QUEUED: &str = "queued_requests";
+/// Requests running at targets; tag `team`.
+pub const RUNNING: &str = "running_requests";
+/// Callers' connections open.
+pub const CALLERS: &str = "caller_connections";
 /// Next offset that will be folded.
 pub const OFFSET: &str = "folded_offset";
 /// Age of the last verified head of the log, in ms; absent before the first.
