Hold planned stops to every budget in the fold

A Stop was checked against the pool's percentage alone, and VMs that were already down cost nothing: a pool of four with two VMs lost could lose two more to maintenance. Budgets of a data centre (vms, racks) were not checked at all, because the fold did not know where a VM is.

- Locate carries data centre, rack and class of a VM; a VM without a place is not stopped.
Down and Up carry what the planner found out.
- A stop counts until Stopped.
VMs that are down count as well, in their pool and in their data centre while they are in a pool.
- Stopped{healthy: false} leaves the VM down.
Two such VMs end all regular stops, whoever plans.
- An Assign that would take a serving VM from a pool whose budget needs it, that moves a VM in a planned stop, or that puts a VM which is down into a pool, is refused.
A job is not placed on such a worker.
- Stop carries the VM's generation before the stop and Stopped the time of the reboot.
Both are last fields with defaults, so that older records can still be read.

Ruled out: reading the VM list in the fold (it differs from process to process), and a VM that is down being stopped for nothing: the property test found that this let planned stops into two racks at a time.

An old test stopped VMs without a place; it now says where they are.

Seen failing: without counting VMs that are down (2 tests), with one VM more a data centre (1), without the rack of the new stop (2), with Assign free to leave (2), without the end after failures (1), without the least of one stop a pool (1), without the check of a job's worker (1), with a VM in a pool forgotten (1).

--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -7,12 +7,12 @@
 
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::document::Document;
 use crate::id::{JobId, Offset, PoolId, RecordId, Revision, SectionId, TeamId, VmId};
-use crate::ledger::{Allotment, Holding, Job, JobPhase, Proposal, StopReason, Verdict};
+use crate::ledger::{Allotment, Holding, Job, JobPhase, PlannedStop, Proposal, Site, Verdict};
 use crate::membership::Report;
 use crate::peer::Heartbeat;
 use crate::platform::Vm;
@@ -90,7 +90,15 @@
     /// Pool of each VM that is in one.
     pub assignment: IndexMap<VmId, PoolId>,
     /// Planned stops that are not resolved.
-    pub stops: IndexMap<VmId, StopReason>,
+    pub stops: IndexMap<VmId, PlannedStop>,
+    /// Where each VM is.
+    pub sites: IndexMap<VmId, Site>,
+    /// Start of each VM's maintenance cycle, in s since 1970.
+    pub cycles: IndexMap<VmId, u64>,
+    /// VMs that are down without a plan, or after one.
+    pub down: IndexSet<VmId>,
+    /// VMs that did not come back healthy from their last stop.
+    pub failed: IndexSet<VmId>,
     /// Parts of each team's ceiling.
     pub allotments: IndexMap<TeamId, Allotment>,
     /// Holder of the planner role.
--- a/src/ledger/fold/assignment.rs
+++ b/src/ledger/fold/assignment.rs
@@ -1,11 +1,9 @@
-//! VMs: the pool that each is in, and planned stops.
+//! VMs: where each is, the pool that it is in, planned stops and losses.
 
+use super::budget::{Availability, MAX_FAILED};
 use crate::document::Document;
 use crate::id::{Epoch, PoolId, VmId};
-use crate::ledger::{Refusal, State, StopReason};
-
-/// VMs of a pool that may always be stopped one at a time, if the pool has others.
-const MIN_STOPS: usize = 1;
+use crate::ledger::{PlannedStop, Refusal, Site, State, StopReason};
 
 impl State {
     pub(super) fn assign(
@@ -20,9 +18,13 @@
         if current != from {
             return Err(Refusal::Moved(current.cloned()));
         }
+        if self.facts.stops.contains_key(&vm) {
+            return Err(Refusal::Budget(format!("{vm} has a planned stop")));
+        }
+        self.check_leave(&vm, from)?;
         match to {
             Some(pool) => {
-                self.check_pool(&pool)?;
+                self.check_enter(&vm, &pool)?;
                 self.facts.assignment.insert(vm, pool);
             }
             None => {
@@ -35,61 +37,145 @@
     pub(super) fn stop(
         &mut self,
         vm: VmId,
-        reason: StopReason,
+        stop: PlannedStop,
         epoch: Epoch,
     ) -> Result<(), Refusal> {
         self.check_epoch(epoch)?;
         if self.facts.stops.contains_key(&vm) {
             return Err(Refusal::Repeated);
         }
-        let Some(pool) = self.facts.assignment.get(&vm) else {
+        if !self.facts.sites.contains_key(&vm) {
+            return Err(Refusal::Missing(vm.to_string()));
+        }
+        self.check_failed(stop.reason)?;
+        let available = self.availability();
+        let available = available.ok_or_else(|| Refusal::Missing("document".to_owned()))?;
+        available.check_stop(&vm).map_err(Refusal::Budget)?;
+        self.facts.stops.insert(vm, stop);
+        Ok(())
+    }
+
+    pub(super) fn stopped(
+        &mut self,
+        vm: VmId,
+        healthy: bool,
+        rebooted_s: Option<u64>,
+        epoch: Epoch,
+    ) -> Result<(), Refusal> {
+        self.check_epoch(epoch)?;
+        let Some(_) = self.facts.stops.swap_remove(&vm) else {
             return Err(Refusal::Missing(vm.to_string()));
         };
-        self.check_budget(pool)?;
-        self.facts.stops.insert(vm, reason);
+        if let (true, Some(at)) = (healthy, rebooted_s) {
+            let start = self.facts.cycles.entry(vm.clone()).or_insert(at);
+            *start = at.max(*start);
+        }
+        if healthy {
+            self.facts.failed.swap_remove(&vm);
+        } else {
+            self.facts.failed.insert(vm.clone());
+            self.facts.down.insert(vm);
+        }
         Ok(())
     }
 
-    pub(super) fn stopped(&mut self, vm: &VmId, epoch: Epoch) -> Result<(), Refusal> {
+    pub(super) fn locate(
+        &mut self,
+        vm: VmId,
+        site: Option<Site>,
+        seen_s: u64,
+        epoch: Epoch,
+    ) -> Result<(), Refusal> {
         self.check_epoch(epoch)?;
-        match self.facts.stops.swap_remove(vm) {
-            Some(_) => Ok(()),
-            None => Err(Refusal::Missing(vm.to_string())),
+        let Some(site) = site else {
+            return self.forget(&vm);
+        };
+        self.facts.cycles.entry(vm.clone()).or_insert(seen_s);
+        self.facts.sites.insert(vm, site);
+        Ok(())
+    }
+
+    /// A VM in a pool, or with a planned stop, is not forgotten.
+    fn forget(&mut self, vm: &VmId) -> Result<(), Refusal> {
+        if let Some(pool) = self.facts.assignment.get(vm) {
+            return Err(Refusal::Moved(Some(pool.clone())));
+        }
+        if self.facts.stops.contains_key(vm) {
+            return Err(Refusal::Budget(format!("{vm} has a planned stop")));
         }
+        self.facts.sites.swap_remove(vm);
+        self.facts.cycles.swap_remove(vm);
+        self.facts.down.swap_remove(vm);
+        self.facts.failed.swap_remove(vm);
+        Ok(())
     }
 
-    fn check_pool(&self, pool: &PoolId) -> Result<(), Refusal> {
-        let known = self
-            .document
-            .as_ref()
-            .is_some_and(|document| has_pool(document, pool));
-        if known {
+    pub(super) fn down(&mut self, vm: VmId, epoch: Epoch) -> Result<(), Refusal> {
+        self.check_epoch(epoch)?;
+        if !self.facts.sites.contains_key(&vm) {
+            return Err(Refusal::Missing(vm.to_string()));
+        }
+        if !self.facts.down.insert(vm) {
+            return Err(Refusal::Repeated);
+        }
+        Ok(())
+    }
+
+    pub(super) fn up(&mut self, vm: &VmId, epoch: Epoch) -> Result<(), Refusal> {
+        self.check_epoch(epoch)?;
+        self.facts.failed.swap_remove(vm);
+        if self.facts.down.swap_remove(vm) {
             return Ok(());
         }
-        Err(Refusal::Missing(pool.to_string()))
+        Err(Refusal::Missing(vm.to_string()))
     }
 
-    /// Counts every stop that is not resolved, whoever began it.
-    fn check_budget(&self, pool: &PoolId) -> Result<(), Refusal> {
-        let Some(document) = &self.document else {
-            return Err(Refusal::Missing(pool.to_string()));
-        };
-        let in_pool = |vm: &VmId| self.facts.assignment.get(vm) == Some(pool);
-        let size = self
-            .facts
-            .assignment
-            .values()
-            .filter(|p| *p == pool)
-            .count();
-        let stopped = self.facts.stops.keys().filter(|vm| in_pool(vm)).count();
-        let percent = document.fleet.budgets.pool_percent as usize;
-        let allowed = (size * percent / 100).max(MIN_STOPS).min(size - 1);
-        if stopped < allowed {
+    /// What the budgets are checked against, once there is a document.
+    #[must_use]
+    pub fn availability(&self) -> Option<Availability<'_>> {
+        Some(Availability {
+            document: self.document.as_deref()?,
+            assignment: &self.facts.assignment,
+            sites: &self.facts.sites,
+            stops: &self.facts.stops,
+            down: &self.facts.down,
+        })
+    }
+
+    /// Regular stops end by themselves when VMs do not come back from them.
+    fn check_failed(&self, reason: StopReason) -> Result<(), Refusal> {
+        let failed = self.facts.failed.len();
+        if reason == StopReason::Repair || failed < MAX_FAILED {
             return Ok(());
         }
-        let cause = format!("pool {pool}: {stopped} of {allowed} stops in progress");
+        let cause = format!("{failed} VMs did not come back healthy from a stop");
         Err(Refusal::Budget(cause))
     }
+
+    /// A pool that is no longer in the document has no budget.
+    fn check_leave(&self, vm: &VmId, from: Option<&PoolId>) -> Result<(), Refusal> {
+        let (Some(pool), Some(available)) = (from, self.availability()) else {
+            return Ok(());
+        };
+        if !has_pool(available.document, pool) {
+            return Ok(());
+        }
+        available.check_leave(vm, pool).map_err(Refusal::Budget)
+    }
+
+    fn check_enter(&self, vm: &VmId, pool: &PoolId) -> Result<(), Refusal> {
+        let known = self
+            .document
+            .as_ref()
+            .is_some_and(|document| has_pool(document, pool));
+        if !known {
+            return Err(Refusal::Missing(pool.to_string()));
+        }
+        if self.facts.down.contains(vm) {
+            return Err(Refusal::Budget(format!("{vm} is down")));
+        }
+        Ok(())
+    }
 }
 
 fn has_pool(document: &Document, pool: &PoolId) -> bool {
--- a/src/ledger/fold/job.rs
+++ b/src/ledger/fold/job.rs
@@ -2,7 +2,7 @@
 
 use crate::control::JobState;
 use crate::document::{Document, Kind};
-use crate::id::TeamId;
+use crate::id::{TeamId, VmId};
 use crate::ledger::fold::allotment::Holder;
 use crate::ledger::{Job, JobPhase, JobUpdate, Refusal, State};
 
@@ -39,8 +39,11 @@
             return Err(Refusal::Stepped(known.step));
         }
         let placed = matches!(known.phase, JobPhase::Placed(_));
-        if matches!(update.phase, JobPhase::Placed(_)) && !placed {
-            self.check_share(&known.job.team)?;
+        if let JobPhase::Placed(vm) = &update.phase {
+            self.check_worker(vm)?;
+            if !placed {
+                self.check_share(&known.job.team)?;
+            }
         }
         self.step(update);
         Ok(())
@@ -56,6 +59,17 @@
         u32::try_from(placed.count()).unwrap_or(u32::MAX)
     }
 
+    /// A worker with a planned stop, or that is down, gets no new work.
+    fn check_worker(&self, vm: &VmId) -> Result<(), Refusal> {
+        if self.facts.stops.contains_key(vm) {
+            return Err(Refusal::Budget(format!("{vm} has a planned stop")));
+        }
+        if self.facts.down.contains(vm) {
+            return Err(Refusal::Budget(format!("{vm} is down")));
+        }
+        Ok(())
+    }
+
     fn check_share(&self, team: &TeamId) -> Result<(), Refusal> {
         let share = self.share(team, &Holder::Jobs);
         if self.placed_jobs(team) < share {
--- a/src/ledger/fold/mod.rs
+++ b/src/ledger/fold/mod.rs
@@ -5,6 +5,7 @@
 
 mod allotment;
 mod assignment;
+mod budget;
 mod claim;
 mod edit;
 mod job;
@@ -12,11 +13,12 @@
 mod snapshot;
 
 pub use allotment::{Allotment, Holder, Want};
+pub use budget::{Availability, MAX_FAILED, PoolCount};
 pub use job::is_ended;
 
 use super::record::{DecodeError, RULES, Record, decode};
 use super::window::WINDOW_OFFSETS;
-use super::{Proposal, Refusal, State, Verdict};
+use super::{PlannedStop, Proposal, Refusal, State, Verdict};
 use crate::id::{Epoch, Offset, RecordId};
 
 impl State {
@@ -70,8 +72,26 @@
                 to,
                 epoch,
             } => self.assign(vm, from.as_ref(), to, epoch),
-            Proposal::Stop { vm, reason, epoch } => self.stop(vm, reason, epoch),
-            Proposal::Stopped { vm, epoch, .. } => self.stopped(&vm, epoch),
+            Proposal::Stop {
+                vm,
+                reason,
+                epoch,
+                generation,
+            } => self.stop(vm, PlannedStop { reason, generation }, epoch),
+            Proposal::Stopped {
+                vm,
+                healthy,
+                epoch,
+                rebooted_s,
+            } => self.stopped(vm, healthy, rebooted_s, epoch),
+            Proposal::Locate {
+                vm,
+                site,
+                seen_s,
+                epoch,
+            } => self.locate(vm, site, seen_s, epoch),
+            Proposal::Down { vm, epoch } => self.down(vm, epoch),
+            Proposal::Up { vm, epoch } => self.up(&vm, epoch),
             Proposal::Transfer {
                 team,
                 from,
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -9,10 +9,10 @@
 mod window;
 
 pub use chain::{CHECKPOINT_OFFSETS, Chain, ChainDigest};
-pub use fold::{Allotment, Holder, Want, is_ended};
+pub use fold::{Allotment, Availability, Holder, MAX_FAILED, PoolCount, Want, is_ended};
 pub use proposal::{
-    Claim, Edit, Job, JobPhase, JobUpdate, Party, Proposal, Refusal, Registration, Role,
-    StopReason, Verdict,
+    Claim, Edit, Job, JobPhase, JobUpdate, Party, PlannedStop, Proposal, Refusal, Registration,
+    Role, Site, StopReason, Verdict,
 };
 pub use record::{DecodeError, RULES, Record, decode, encode, encode_edit};
 pub use snapshot::{SnapshotError, restore, store};
--- a/src/ledger/proposal.rs
+++ b/src/ledger/proposal.rs
@@ -7,8 +7,8 @@
 use super::ChainDigest;
 use crate::finding::Findings;
 use crate::id::{
-    DataCentre, Epoch, Incarnation, JobId, MemberId, Offset, OperatorId, PoolId, Revision,
-    SectionId, TeamId, VmId,
+    ClassId, DataCentre, Epoch, Generation, Incarnation, JobId, MemberId, Offset, OperatorId,
+    PoolId, Rack, Revision, SectionId, TeamId, VmId,
 };
 
 /// A change that takes effect only if the fold accepts it.
@@ -35,6 +35,9 @@
         reason: StopReason,
         /// Epoch of the planner that decided it.
         epoch: Epoch,
+        /// Generation of the VM before the stop; it tells later what has been done.
+        #[serde(default)]
+        generation: Generation,
     },
     /// Ends a planned stop, whether it was carried out or given up.
     Stopped {
@@ -44,6 +47,9 @@
         healthy: bool,
         /// Epoch of the planner that saw it.
         epoch: Epoch,
+        /// When the VM was seen back, in s since 1970; `None` if it was not rebooted.
+        #[serde(default)]
+        rebooted_s: Option<u64>,
     },
     /// Moves part of a team's ceiling between those who may use it.
     Transfer {
@@ -83,6 +89,51 @@
         /// The version from the next record on.
         version: u16,
     },
+    /// Says where a VM is, or that it is no longer there.
+    Locate {
+        /// The VM.
+        vm: VmId,
+        /// Its place; `None` forgets a VM that is in no pool.
+        site: Option<Site>,
+        /// When it was seen, in s since 1970; starts its first maintenance cycle.
+        seen_s: u64,
+        /// Epoch of the planner that saw it.
+        epoch: Epoch,
+    },
+    /// Says that a VM is down without a plan.
+    Down {
+        /// The VM.
+        vm: VmId,
+        /// Epoch of the planner that saw it.
+        epoch: Epoch,
+    },
+    /// Says that a VM that was down serves again.
+    Up {
+        /// The VM.
+        vm: VmId,
+        /// Epoch of the planner that saw it.
+        epoch: Epoch,
+    },
+}
+
+/// Place and class of a VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Site {
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its failure domain.
+    pub rack: Rack,
+    /// Its class.
+    pub class: ClassId,
+}
+
+/// A planned stop that is not resolved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannedStop {
+    /// Why.
+    pub reason: StopReason,
+    /// Generation of the VM before the stop.
+    pub generation: Generation,
 }
 
 /// Side of a transfer.
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -3,13 +3,13 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use super::chain::{Chain, ChainDigest};
 use super::fold::{Allotment, Holder};
 use super::window::Window;
-use super::{Registration, StopReason, Verdict};
+use super::{PlannedStop, Registration, Site, Verdict};
 use crate::control::{JobState, SectionState};
 use crate::document::{Document, PublicKey, SectionCache};
 use crate::id::{Epoch, JobId, MemberId, Offset, PoolId, RecordId, SectionId, TeamId, VmId};
@@ -66,7 +66,15 @@
     /// Pool of each VM that is in one.
     pub assignment: IndexMap<VmId, PoolId>,
     /// Planned stops that are not resolved.
-    pub stops: IndexMap<VmId, StopReason>,
+    pub stops: IndexMap<VmId, PlannedStop>,
+    /// Where each VM is.
+    pub sites: IndexMap<VmId, Site>,
+    /// Start of each VM's maintenance cycle, in s since 1970.
+    pub cycles: IndexMap<VmId, u64>,
+    /// VMs that are down without a plan, or after one.
+    pub down: IndexSet<VmId>,
+    /// VMs that did not come back healthy from their last stop.
+    pub failed: IndexSet<VmId>,
     /// Parts of each team's ceiling.
     pub allotments: IndexMap<TeamId, Allotment>,
     /// Holder of the planner role.
@@ -92,6 +100,10 @@
             sections: IndexMap::new(),
             assignment: IndexMap::new(),
             stops: IndexMap::new(),
+            sites: IndexMap::new(),
+            cycles: IndexMap::new(),
+            down: IndexSet::new(),
+            failed: IndexSet::new(),
             allotments: IndexMap::new(),
             planner: None,
             members: IndexMap::new(),
--- a/tests/ledger/fixtures.rs
+++ b/tests/ledger/fixtures.rs
@@ -2,12 +2,12 @@
 
 use amaranthwick::document::{example, hex, sign};
 use amaranthwick::id::{
-    DataCentre, Epoch, Incarnation, JobId, MemberId, Offset, OperatorId, PoolId, RecordId,
-    Revision, SectionId, TeamId, VmId,
+    ClassId, DataCentre, Epoch, Incarnation, JobId, MemberId, Offset, OperatorId, PoolId, Rack,
+    RecordId, Revision, SectionId, TeamId, VmId,
 };
 use amaranthwick::ledger::{
-    Claim, Edit, Job, Party, Proposal, Record, Registration, Role, State, Trust, Verdict, encode,
-    encode_edit,
+    Claim, Edit, Job, Party, Proposal, Record, Registration, Role, Site, State, Trust, Verdict,
+    encode, encode_edit,
 };
 use amaranthwick::secret::FleetSecret;
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
@@ -150,6 +150,19 @@
     }
 }
 
+pub(crate) fn locate(vm: &str, data_centre: &str, rack: &str, epoch: u64) -> Proposal {
+    Proposal::Locate {
+        vm: VmId::new(vm),
+        site: Some(Site {
+            data_centre: DataCentre::new(data_centre),
+            rack: Rack::new(rack),
+            class: ClassId::new("executor"),
+        }),
+        seen_s: 1_000,
+        epoch: Epoch(epoch),
+    }
+}
+
 pub(crate) fn transfer(team: &str, from: Party, to: Party, amount: u32) -> Proposal {
     let team = TeamId::new(team);
     Proposal::Transfer {
--- a/tests/ledger/fold.rs
+++ b/tests/ledger/fold.rs
@@ -1,11 +1,14 @@
-use amaranthwick::id::{Epoch, Incarnation, JobId, MemberId, Offset, Revision, TeamId, VmId};
+use amaranthwick::id::{
+    Epoch, Generation, Incarnation, JobId, MemberId, Offset, Revision, TeamId, VmId,
+};
 use amaranthwick::ledger::{
     Holder, JobPhase, JobUpdate, Party, Proposal, Refusal, StopReason, Verdict, WINDOW_OFFSETS,
     encode,
 };
 
 use crate::fixtures::{
-    Log, assign, claim, fleet_text, job, member, record, register, team_text, transfer, trust,
+    Log, assign, claim, fleet_text, job, locate, member, record, register, team_text, transfer,
+    trust,
 };
 
 fn refusal(verdict: Verdict) -> Option<Refusal> {
@@ -160,12 +163,14 @@
     let mut log = Log::with_teams();
     log.propose(claim("p1", 1, None));
     for vm in ["v1", "v2", "v3", "v4"] {
+        log.propose(locate(vm, "a", "r1", 1));
         log.propose(assign(vm, None, Some("red-pool"), 1));
     }
     let stop = |vm: &str, epoch| Proposal::Stop {
         vm: VmId::new(vm),
         reason: StopReason::Maintenance,
         epoch: Epoch(epoch),
+        generation: Generation(0),
     };
 
     let first = log.propose(stop("v1", 1));
@@ -183,6 +188,7 @@
         vm: VmId::new("v1"),
         healthy: true,
         epoch: Epoch(2),
+        rebooted_s: None,
     });
     let freed = log.propose(stop("v3", 2));
 
--- a/tests/ledger/main.rs
+++ b/tests/ledger/main.rs
@@ -1,5 +1,6 @@
 //! The log's records, the fold and its snapshots.
 
+mod budgets;
 mod fixtures;
 mod fold;
 mod invariants;
--- a/tests/planner/fixtures.rs
+++ b/tests/planner/fixtures.rs
@@ -9,7 +9,7 @@
 };
 use amaranthwick::ledger::{Job, JobPhase};
 use amaranthwick::platform::{Vm, VmPhase};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 /// Section common to all teams; `red` and `office` have owners.
 pub(crate) fn fleet_text() -> String {
@@ -114,6 +114,10 @@
         vms,
         assignment: assignment(pairs),
         stops: IndexMap::new(),
+        sites: IndexMap::new(),
+        cycles: IndexMap::new(),
+        down: IndexSet::new(),
+        failed: IndexSet::new(),
         allotments: IndexMap::new(),
         planner: None,
         jobs,
--- a/tests/planner/jobs.rs
+++ b/tests/planner/jobs.rs
@@ -1,5 +1,5 @@
-use amaranthwick::id::{JobId, VmId};
-use amaranthwick::ledger::JobPhase;
+use amaranthwick::id::{Generation, JobId, VmId};
+use amaranthwick::ledger::{JobPhase, PlannedStop, StopReason};
 use amaranthwick::planner::{Placement, place};
 use amaranthwick::platform::Vm;
 
@@ -57,7 +57,10 @@
     let mut fleet = fleet(workers(), &POOLS, jobs);
     fleet.stops.insert(
         VmId::new("w1"),
-        amaranthwick::ledger::StopReason::Maintenance,
+        PlannedStop {
+            reason: StopReason::Maintenance,
+            generation: Generation(0),
+        },
     );
 
     assert_eq!(place(&fleet), [placement("j1", "w2")]);
