--- /dev/null
+++ b/benches/ledger/main.rs
@@ -0,0 +1,21 @@
+//! Measures the fold, snapshots and the spread of edits; prints `key=value` lines.
+
+#![allow(clippy::cast_precision_loss)] // Counts are far below 2^52.
+
+mod fleet;
+mod fold;
+mod heartbeat;
+mod processes;
+mod snapshot;
+mod spread;
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+fn main() {
+    println!("bench=ledger");
+    fold::run();
+    snapshot::run();
+    heartbeat::run();
+    spread::run();
+    processes::run();
+}
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -10,11 +10,12 @@
 use super::keeper::Keeper;
 use super::outbox::Outbox;
 use super::registrar::Registrar;
+use super::retirer::Retirer;
 use super::{ProposeError, Settings, picture};
 use crate::config::Common;
 use crate::id::{Incarnation, MemberId, Offset, RecordId};
 use crate::ledger::{Proposal, Record, Refusal, State, Trust, Verdict, encode};
-use crate::membership::{Quota, RETIRE_MS, Report, Roster, longest_run};
+use crate::membership::{Quota, Report, Roster};
 use crate::peer::Heartbeat;
 use crate::platform::{Batch, LogError, Vm};
 use crate::view::View;
@@ -34,7 +35,7 @@
     pub(super) keeper: Keeper,
     pub(super) registrar: Registrar,
     pub(super) quota: Quota,
-    retiring: Option<RecordId>,
+    retirer: Retirer,
     /// True when heartbeats are exchanged, so that silence means something.
     pub(super) beats: bool,
     waiting: IndexMap<RecordId, Sender<Answer>>,
@@ -68,7 +69,7 @@
             keeper: Keeper::open(id, settings.snapshot_every, now),
             registrar: Registrar::open(incarnation),
             quota: Quota::open(id),
-            retiring: None,
+            retirer: Retirer::default(),
             beats: settings.beats,
             waiting: IndexMap::new(),
         }
@@ -172,7 +173,7 @@
         self.outbox.settle(id);
         self.registrar.settle(id, Some(&verdict));
         self.quota.settle(id, &verdict);
-        self.retiring = self.retiring.filter(|pending| *pending != id);
+        self.retirer.settle(id);
         self.roster.set_incarnation(self.registrar.incarnation);
         if let Verdict::Refused(offset, Refusal::Digest) = verdict {
             spdlog::error!("snapshot_digest_differs", kv: { offset = offset.0 });
@@ -206,11 +207,14 @@
         self.freshness.closed(self.state.offset(), asked);
     }
 
-    /// The log gave no answer; if every data centre is reached and none knows more,
-    /// nothing can have been accepted.
+    /// The log gave no answer; as long as every data centre is heard of and none knows
+    /// more, nothing can have been accepted.
     pub fn note_unreachable(&mut self, asked: Instant) {
-        if self.beats && self.roster.reaches_all(asked) {
-            self.freshness.closed(self.state.offset(), asked);
+        if !self.beats {
+            return;
+        }
+        if let Some(heard) = self.roster.heard_of_all(asked) {
+            self.freshness.closed(self.state.offset(), heard);
         }
     }
 
@@ -229,10 +233,10 @@
         Heartbeat {
             member: self.common.id.clone(),
             incarnation: self.registrar.incarnation,
-            offset: self.state.offset(),
+            offset: self.state.offset().max(self.freshness.head()),
             verified_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
             heard: self.roster.beat(now),
-            zones: self.roster.zones(),
+            zones: self.roster.zones(now),
         }
     }
 
@@ -250,7 +254,7 @@
         self.roster.tick(now);
         for overdue in self.outbox.expire(now) {
             self.registrar.settle(overdue.id, None);
-            self.retiring = self.retiring.filter(|pending| *pending != overdue.id);
+            self.retirer.settle(overdue.id);
             if matches!(overdue.error, ProposeError::NotAppended(_)) {
                 self.quota.abandon(overdue.id);
             }
@@ -267,7 +271,8 @@
     /// Takes and gives parts of ceilings as demand asks.
     pub fn balance(&mut self, now: Instant) {
         let run = self.registrar.incarnation;
-        for ask in self.quota.step(&self.state, run, now) {
+        let heard = self.heard(now).is_some();
+        for ask in self.quota.step(&self.state, run, heard, now) {
             let id = self.enqueue(ask.proposal, now);
             self.quota.proposed(&ask.team, id, &self.state);
         }
@@ -282,24 +287,24 @@
     /// Until when this process may use its parts of ceilings; `None` before it has any.
     #[must_use]
     pub fn tenure_end(&self, now: Instant) -> Option<Instant> {
-        let heard = self.beats.then(|| self.roster.heard_by_most(now)).flatten();
-        self.registrar.tenure.end(heard)
+        self.registrar.tenure.end(self.heard(now))
+    }
+
+    /// When the newest beat was made that most members of the data centre have heard.
+    fn heard(&self, now: Instant) -> Option<Instant> {
+        let takes_part = self.beats && self.registrar.peer().is_some();
+        takes_part.then(|| self.roster.heard_by_most(now)).flatten()
     }
 
-    /// Proposes to take out a member of the data centre that nobody hears any more.
     fn retire(&mut self, now: Instant) {
-        if !self.beats || self.retiring.is_some() || !self.roster.hears_most(now) {
+        if !self.beats {
             return;
         }
-        let silence = Duration::from_millis(RETIRE_MS) + longest_run(&self.state);
-        let silent = self.roster.silent(silence, now);
-        let Some(id) = silent.into_iter().next() else {
-            return;
-        };
-        if let Some(known) = self.state.facts().members.get(&id) {
-            let renewed = known.renewed;
-            spdlog::warn!("member_retired", kv: { member = id.as_str() });
-            self.retiring = Some(self.enqueue(Proposal::Retire { id, renewed }, now));
+        let (state, roster) = (&self.state, &self.roster);
+        if let Some(proposal) = self.retirer.wanted(state, roster, &self.freshness, now) {
+            let id = self.enqueue(proposal, now);
+            spdlog::warn!("member_silent", kv: { record = id.to_string() });
+            self.retirer.proposed(id);
         }
     }
 
--- a/tests/control/ceilings.rs
+++ b/tests/control/ceilings.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use amaranthwick::control::{Core, Gap, Settings};
-use amaranthwick::id::{Incarnation, Offset, TeamId};
-use amaranthwick::ledger::{restore, store};
+use amaranthwick::id::{Incarnation, MemberId, Offset, TeamId};
+use amaranthwick::ledger::{Holder, restore, store};
 use amaranthwick::membership::{Demand, Report};
 use amaranthwick::platform::{Batch, LogError};
 use amaranthwick::view::View;
@@ -37,6 +37,8 @@
     Report(usize),
     Append(usize, Append),
     Poll(usize),
+    /// Appends, polls, starts what it may and reports, all without a fault.
+    Work(usize),
     Beat(usize, usize),
     Restart(usize),
     Repeat(usize),
@@ -53,22 +55,24 @@
         1 => Just(Append::Unavailable),
     ];
     let time = prop_oneof![
-        6 => 50_u64..1_000,
-        2 => 1_000_u64..6_000,
+        12 => 50_u64..600,
+        3 => 1_000_u64..6_000,
         1 => 20_000_u64..70_000,
     ];
     prop_oneof![
-        12 => process.clone().prop_map(Event::Start),
-        2 => process.clone().prop_map(Event::End),
-        2 => (process.clone(), 0_u32..30).prop_map(|(p, n)| Event::Demand(p, n)),
-        4 => process.clone().prop_map(Event::Sync),
+        4 => process.clone().prop_map(Event::Start),
+        4 => process.clone().prop_map(Event::End),
+        6 => (process.clone(), prop::sample::select(vec![0, 3, 30]))
+            .prop_map(|(p, n)| Event::Demand(p, n)),
+        8 => process.clone().prop_map(Event::Sync),
         4 => process.clone().prop_map(Event::Report),
-        8 => (process.clone(), append).prop_map(|(p, a)| Event::Append(p, a)),
-        8 => process.clone().prop_map(Event::Poll),
+        4 => (process.clone(), append).prop_map(|(p, a)| Event::Append(p, a)),
+        4 => process.clone().prop_map(Event::Poll),
+        20 => process.clone().prop_map(Event::Work),
         3 => (process.clone(), process.clone()).prop_map(|(a, b)| Event::Beat(a, b)),
         1 => process.prop_map(Event::Restart),
         1 => (0_usize..500).prop_map(Event::Repeat),
-        6 => (time, 0_usize..8).prop_map(|(ms, mask)| Event::Advance(ms, mask)),
+        12 => (time, 0_usize..8).prop_map(|(ms, mask)| Event::Advance(ms, mask)),
     ]
 }
 
@@ -142,6 +146,7 @@
             Event::Report(p) => self.report(p),
             Event::Append(p, end) => self.append(p, end),
             Event::Poll(p) => self.poll(p),
+            Event::Work(p) => self.work(p),
             Event::Beat(a, b) => self.beat(a, b),
             Event::Restart(p) => self.restart(p),
             Event::Repeat(n) => {
@@ -203,6 +208,15 @@
         core.balance(self.now);
     }
 
+    fn work(&mut self, p: usize) {
+        self.append(p, Append::Answered);
+        self.poll(p);
+        for _ in 0..self.processes[p].waiting {
+            self.start(p);
+        }
+        self.report(p);
+    }
+
     fn beat(&mut self, a: usize, b: usize) {
         let sent = self.processes[a].core.heartbeat(self.now);
         self.processes[b].core.hear(&sent, self.now);
@@ -273,7 +287,7 @@
 
     #[test]
     fn no_interleaving_passes_the_ceiling(
-        events in prop::collection::vec(event(), 0..400),
+        events in prop::collection::vec(event(), 100..600),
     ) {
         let mut world = World::open(8);
         let mut most = 0;
@@ -307,6 +321,135 @@
     assert!(skewed >= 95, "{skewed}");
 }
 
+/// Some rounds without a fault that end no request, 100 ms each.
+fn settle(world: &mut World, processes: &[usize], rounds: usize) {
+    for _ in 0..rounds {
+        for &p in processes {
+            world.run(Event::Work(p));
+            world.run(Event::Sync(p));
+        }
+        world.run(Event::Advance(100, 0));
+    }
+}
+
+#[test]
+fn a_part_in_use_is_given_back_only_as_its_requests_end() {
+    let mut world = World::open(8);
+    world.processes[0].waiting = 30;
+    settle(&mut world, &[0, 1, 2], 10);
+    let alone = world.processes[0].running.len();
+    world.processes[1].waiting = 30;
+
+    settle(&mut world, &[0, 1, 2], 20);
+    let in_use = world.running();
+    world.processes[0].waiting = 0;
+    world.processes[0].running.clear();
+    settle(&mut world, &[0, 1, 2], 20);
+
+    assert!(alone >= 6, "{alone}");
+    assert_eq!(in_use, 8);
+    assert!(world.processes[1].running.len() >= 6);
+}
+
+#[test]
+fn a_new_run_uses_what_the_earlier_run_held_only_after_the_longest_request() {
+    let mut world = World::open(8);
+    world.processes[0].waiting = 30;
+    settle(&mut world, &[0], 10);
+    let before = world.processes[0].running.len();
+
+    world.run(Event::Restart(0));
+    world.processes[0].waiting = 30;
+    settle(&mut world, &[0], 10);
+    let at_once = world.running();
+    settle(&mut world, &[0], 60);
+
+    assert_eq!((before, at_once), (8, 8));
+    assert_eq!(world.processes[0].limit(world.now), 8);
+}
+
+#[test]
+fn processes_replaced_under_their_names_while_the_log_is_away_use_their_parts_in_time() {
+    let mut world = World::open(9);
+    for p in 0..PROCESSES {
+        world.processes[p].waiting = 30;
+    }
+    settle(&mut world, &[0, 1, 2], 30);
+    let before: Vec<usize> = world.processes.iter().map(|p| p.limit(world.now)).collect();
+
+    for p in 0..PROCESSES {
+        world.run(Event::Restart(p));
+        world.processes[p].waiting = 30;
+    }
+    without_the_log(&mut world, 40);
+    let early = world.processes.iter().any(|p| p.limit(world.now) > 0);
+    without_the_log(&mut world, 20);
+
+    let after: Vec<usize> = world.processes.iter().map(|p| p.limit(world.now)).collect();
+    assert_eq!(before.iter().sum::<usize>(), 9);
+    assert!(!early);
+    assert_eq!(after, before);
+}
+
+#[test]
+fn a_new_run_waits_for_the_earlier_one_from_when_others_have_heard_it() {
+    let mut world = World::open(8);
+    world.processes[0].waiting = 30;
+    settle(&mut world, &[0, 1, 2], 10);
+    world.run(Event::Restart(0));
+    for _ in 0..120 {
+        world.run(Event::Beat(1, 2));
+        world.advance(Duration::from_secs(1), 0);
+    }
+
+    without_the_log(&mut world, 2);
+    let at_once = world.processes[0].limit(world.now);
+    without_the_log(&mut world, 60);
+
+    assert_eq!(at_once, 0);
+    assert!(world.processes[0].limit(world.now) > 0);
+}
+
+/// Seconds in which heartbeats are all that passes.
+fn without_the_log(world: &mut World, seconds: usize) {
+    for _ in 0..seconds {
+        for p in 0..PROCESSES {
+            world.run(Event::Append(p, Append::Unavailable));
+            world.run(Event::Beat(p, (p + 1) % PROCESSES));
+            world.run(Event::Sync(p));
+            world.run(Event::Report(p));
+        }
+        world.advance(Duration::from_secs(1), 0);
+    }
+}
+
+#[test]
+fn nothing_is_given_back_before_the_traffic_threads_have_reported() {
+    let mut world = World::open(8);
+    let follow = |world: &mut World, p: usize| {
+        for _ in 0..4 {
+            world.run(Event::Append(p, Append::Answered));
+            world.run(Event::Poll(p));
+            world.run(Event::Sync(p));
+            world.run(Event::Advance(100, 0));
+        }
+    };
+    follow(&mut world, 0);
+    let alone = world.processes[0].limit(world.now);
+    for _ in 0..alone {
+        world.run(Event::Start(0));
+    }
+
+    follow(&mut world, 1);
+    follow(&mut world, 2);
+    follow(&mut world, 0);
+
+    assert_eq!(alone, 4);
+    let held = Holder::Member(MemberId::new("m0"));
+    let state = world.processes[0].core.state();
+    assert_eq!(state.share(&TeamId::new("red"), &held), 4);
+}
+
 #[test]
 fn equal_demands_get_equal_parts() {
     let mut world = World::open(90);
@@ -343,14 +486,7 @@
     world.rounds(Duration::from_secs(3));
     let before = world.processes[0].limit(world.now);
 
-    for _ in 0..600 {
-        for p in 0..PROCESSES {
-            world.run(Event::Beat(p, (p + 1) % PROCESSES));
-            world.run(Event::Append(p, Append::Unavailable));
-            world.run(Event::Sync(p));
-        }
-        world.advance(Duration::from_secs(1), 0);
-    }
+    without_the_log(&mut world, 600);
 
     assert!(before > 0);
     assert_eq!(world.processes[0].limit(world.now), before);
@@ -364,17 +500,35 @@
     assert!(world.processes[2].limit(world.now) >= 4);
     world.processes[0].waiting = 20;
 
-    for _ in 0..90 {
+    let members = |world: &World| world.processes[0].core.state().facts().members.len();
+    without_the_third(&mut world, 50);
+    let early = members(&world);
+    without_the_third(&mut world, 40);
+
+    assert_eq!((early, members(&world)), (3, 2));
+    assert!(world.processes[0].limit(world.now) >= 7);
+}
+
+fn without_the_third(world: &mut World, seconds: usize) {
+    for _ in 0..seconds {
         for p in 0..2 {
-            world.run(Event::Append(p, Append::Answered));
-            world.run(Event::Poll(p));
+            world.run(Event::Work(p));
             world.run(Event::Sync(p));
-            world.run(Event::Report(p));
         }
         world.run(Event::Beat(0, 1));
         world.advance(Duration::from_secs(1), 4);
     }
+}
 
-    assert_eq!(world.processes[0].core.state().facts().members.len(), 2);
-    assert!(world.processes[0].limit(world.now) >= 7);
+#[test]
+fn a_process_that_hears_few_of_its_data_centre_retires_nobody() {
+    let mut world = World::open(8);
+    world.rounds(Duration::from_secs(3));
+
+    for _ in 0..120 {
+        world.run(Event::Work(0));
+        world.advance(Duration::from_secs(1), 6);
+    }
+
+    assert_eq!(world.processes[0].core.state().facts().members.len(), 3);
 }
