--- a/src/ledger/fold/job.rs
+++ b/src/ledger/fold/job.rs
@@ -2,7 +2,7 @@
 
 use crate::control::JobState;
 use crate::document::{Document, Kind};
-use crate::id::{JobId, TeamId};
+use crate::id::{JobId, TeamId, VmId};
 use crate::ledger::fold::allotment::Holder;
 use crate::ledger::{Job, JobPhase, JobUpdate, Refusal, State};
 
@@ -38,6 +38,9 @@
         if known.step != update.step || is_ended(&known.phase) {
             return Err(Refusal::Stepped(known.step));
         }
+        if let JobPhase::Placed(vm) = &update.phase {
+            self.check_worker(vm)?;
+        }
         if is_placed(&update.phase) && !is_placed(&known.phase) {
             self.check_share(&known.job.team)?;
         }
@@ -49,6 +52,17 @@
         self.facts.placed.get(team).copied().unwrap_or(0)
     }
 
+    /// A worker with a planned stop, or that is down, gets no new work.
+    fn check_worker(&self, vm: &VmId) -> Result<(), Refusal> {
+        if self.facts.stops.contains_key(vm) {
+            return Err(Refusal::Budget(format!("{vm} has a planned stop")));
+        }
+        if self.facts.down.contains(vm) {
+            return Err(Refusal::Budget(format!("{vm} is down")));
+        }
+        Ok(())
+    }
+
     fn check_share(&self, team: &TeamId) -> Result<(), Refusal> {
         let share = self.share(team, &Holder::Jobs);
         if self.placed_jobs(team) < share {
