--- a/benches/ledger/main.rs
+++ b/benches/ledger/main.rs
@@ -10,12 +10,14 @@
 mod spread;
 #[path = "../../tests/support/mod.rs"]
 mod support;
+mod tick;
 
 fn main() {
     println!("bench=ledger");
     fold::run();
     snapshot::run();
     heartbeat::run();
+    tick::run();
     spread::run();
     processes::run();
 }
--- /dev/null
+++ b/benches/ledger/tick.rs
@@ -0,0 +1,88 @@
+//! What a control thread does four times a second and after each batch of records.
+
+use std::time::{Duration, Instant};
+
+use amaranthwick::config::{Common, Platform};
+use amaranthwick::control::{Core, Settings};
+use amaranthwick::document::example;
+use amaranthwick::id::{ClassId, DataCentre, Generation, Incarnation, MemberId, Rack, VmId};
+use amaranthwick::ledger::{restore, store};
+use amaranthwick::platform::{Vm, VmPhase};
+use amaranthwick::secret::FleetSecret;
+use indexmap::IndexMap;
+
+use crate::fleet::{AIM, DATA_CENTRES, Size, full, trust, vm};
+
+const ROUNDS: u32 = 200;
+
+pub(crate) fn run() {
+    let today = Size {
+        workers: 100,
+        teams: 6,
+        pools: 6,
+    };
+    measure("today", &today);
+    measure("aim", &AIM);
+}
+
+fn measure(name: &str, size: &Size) {
+    let mut now = Instant::now();
+    let mut core = open(now);
+    let state = store(&full(size).state);
+    assert!(core.adopt(restore(&state, &trust()).expect("valid")));
+    core.set_vms((0..size.workers).map(listed).collect());
+    let (mut ticks, mut views) = (Duration::ZERO, Duration::ZERO);
+    for _ in 0..ROUNDS {
+        now += Duration::from_millis(250);
+        let began = Instant::now();
+        core.tick(now);
+        ticks += began.elapsed();
+        let began = Instant::now();
+        let view = core.view(now);
+        views += began.elapsed();
+        assert!(view.document.is_some());
+    }
+    println!(
+        "control={name} tick_us={} view_us={}",
+        (ticks / ROUNDS).as_micros(),
+        (views / ROUNDS).as_micros()
+    );
+}
+
+fn listed(n: usize) -> Vm {
+    Vm {
+        id: VmId::new(&vm(n)),
+        class: ClassId::new("worker"),
+        data_centre: DataCentre::new(&format!("dc-{}", n % DATA_CENTRES)),
+        rack: Rack::new(&format!("rack-{}", n / 4)),
+        address: Some(([10, 0, 0, 1], 80).into()),
+        phase: VmPhase::Live,
+        generation: Generation(0),
+    }
+}
+
+fn open(now: Instant) -> Core {
+    let any = ([127, 0, 0, 1], 0).into();
+    let common = Common {
+        id: MemberId::new("entry-00"),
+        data_centre: DataCentre::new("dc-0"),
+        peer: any,
+        admin: any,
+        peers: IndexMap::new(),
+        platform: Platform {
+            log: any,
+            vms: any,
+            pools: any,
+            workers: any,
+        },
+        secret: FleetSecret::new([7; 32]),
+        root_key: example::operator("root").public(),
+    };
+    let settings = Settings {
+        beats: true,
+        ..Settings::default()
+    };
+    let mut core = Core::open(&common, &settings, Incarnation(1), now);
+    core.set_peer(any, now);
+    core
+}
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -81,6 +81,11 @@
         &self.state
     }
 
+    /// Takes the platform's list as last read.
+    pub fn set_vms(&mut self, vms: Vec<Vm>) {
+        self.vms = vms;
+    }
+
     /// When the head of the log was last known to be folded.
     #[must_use]
     pub const fn verified(&self) -> Option<Instant> {
--- a/src/control/vms.rs
+++ b/src/control/vms.rs
@@ -18,7 +18,7 @@
         match shell.vms.list().await {
             Ok(vms) => {
                 backoff.reset();
-                shell.core.borrow_mut().vms = vms;
+                shell.core.borrow_mut().set_vms(vms);
                 shell.refresh();
                 Timer::after(Duration::from_millis(POLL_MS)).await;
             }
