--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -212,15 +212,14 @@
         self.freshness.closed(self.state.offset(), asked);
     }
 
-    /// The log gave no answer; up to when every data centre was heard of and none knew
+    /// The log gave no answer; as long as every data centre is heard of and none knows
     /// more, nothing can have been accepted.
     pub fn note_unreachable(&mut self, asked: Instant) {
         if !self.beats {
             return;
         }
-        if let Some(reached) = self.roster.reached_all(asked) {
-            self.freshness
-                .closed(self.state.offset(), reached.min(asked));
+        if let Some(heard) = self.roster.heard_of_all(asked) {
+            self.freshness.closed(self.state.offset(), heard);
         }
     }
 
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 
 use super::echo::Echoes;
-use super::zones::Zones;
+use super::zones::{Zones, age_ms};
 use crate::id::{DataCentre, Incarnation, MemberId};
 use crate::ledger::Enrolment;
 use crate::peer::{Heard, Heartbeat, Zone};
@@ -49,6 +49,8 @@
     incarnation: Incarnation,
     beat: u64,
     pub(super) at: Instant,
+    /// When the beat was made; not moved by a pause of this process.
+    made: Option<Instant>,
 }
 
 impl Contact {
@@ -72,6 +74,7 @@
                 member: id.clone(),
                 incarnation,
                 beat: 0,
+                age_ms: 0,
             },
             home: home.clone(),
             members: IndexMap::new(),
@@ -104,6 +107,7 @@
             incarnation: registration.incarnation,
             beat: 0,
             at: now,
+            made: None,
         };
         match self.members.get_mut(&registration.id) {
             Some(known) if known.incarnation >= registration.incarnation => {}
@@ -129,6 +133,7 @@
             member: id.clone(),
             incarnation: contact.incarnation,
             beat: contact.beat,
+            age_ms: contact.made.map_or(u64::MAX, |made| age_ms(made, now)),
         });
         std::iter::once(self.own.clone()).chain(others).collect()
     }
@@ -175,6 +180,7 @@
         contact.incarnation = heard.incarnation;
         contact.beat = heard.beat;
         contact.at = now;
+        contact.made = now.checked_sub(Duration::from_millis(heard.age_ms));
         true
     }
 
@@ -191,11 +197,12 @@
             .members
             .iter()
             .filter(|(id, contact)| contact.data_centre == sender.data_centre && !is_heard(id));
+        let ages = heard.iter().map(|h| h.age_ms);
         Some(Zone {
             data_centre: sender.data_centre.clone(),
             witness: witness.clone(),
             suspects: suspects.map(|(id, _)| id.clone()).collect(),
-            age_ms: 0,
+            age_ms: ages.max()?,
         })
     }
 
@@ -226,15 +233,26 @@
             && !self.zones.is_suspected(&contact.data_centre, id)
     }
 
-    /// When the data centre was heard of that was heard of least lately; `now` when there
-    /// is no other than the own, `None` when one was never heard of.
+    /// Until when every member that is not suspected is known to have heard no more of
+    /// the log than this process; `None` while a data centre is silent.
+    ///
+    /// Each sign of life travels with the highest head that its sender knew.
     #[must_use]
-    pub fn reached_all(&self, now: Instant) -> Option<Instant> {
-        let others = self.members.values().map(|contact| &contact.data_centre);
-        others
-            .filter(|data_centre| **data_centre != self.home)
-            .map(|data_centre| self.zones.heard(data_centre))
-            .try_fold(now, |oldest, at| Some(oldest.min(at?)))
+    pub fn heard_of_all(&self, now: Instant) -> Option<Instant> {
+        let mut oldest = now;
+        for contact in self.members.values() {
+            let local = contact.data_centre == self.home;
+            if local && !contact.is_fresh(now) {
+                continue;
+            }
+            let heard = if local {
+                contact.made
+            } else {
+                self.zones.heard(&contact.data_centre)
+            };
+            oldest = oldest.min(heard?);
+        }
+        Some(oldest)
     }
 
     /// Members to send a heartbeat to now: one of the own data centre and, once a
--- a/src/membership/zones.rs
+++ b/src/membership/zones.rs
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 struct Summary {
     at: Instant,
+    /// Since when nothing is known of some member that is not suspected.
+    heard: Option<Instant>,
     witness: Option<Heard>,
     suspects: Vec<MemberId>,
 }
@@ -25,6 +27,7 @@
     pub(super) fn watch(&mut self, data_centre: &DataCentre, now: Instant) {
         self.0.entry(data_centre.clone()).or_insert(Summary {
             at: now,
+            heard: None,
             witness: None,
             suspects: Vec::new(),
         });
@@ -35,29 +38,28 @@
         let Some(known) = self.0.get_mut(&zone.data_centre) else {
             return;
         };
+        let lived = now.checked_sub(Duration::from_millis(zone.witness.age_ms));
+        known.at = lived.unwrap_or(known.at);
         let age = Duration::from_millis(zone.age_ms);
-        known.at = now.checked_sub(age).unwrap_or(known.at);
+        known.heard = known.heard.max(now.checked_sub(age));
         known.witness = Some(zone.witness.clone());
         known.suspects.clone_from(&zone.suspects);
     }
 
     pub(super) fn summary(&self, now: Instant) -> Vec<Zone> {
         let known = self.0.iter().filter_map(|(data_centre, summary)| {
+            let mut witness = summary.witness.clone()?;
+            witness.age_ms = age_ms(summary.at, now);
             Some(Zone {
                 data_centre: data_centre.clone(),
-                witness: summary.witness.clone()?,
+                witness,
                 suspects: summary.suspects.clone(),
-                age_ms: age_ms(summary.at, now),
+                age_ms: age_ms(summary.heard?, now),
             })
         });
         known.collect()
     }
 
-    /// When a data centre was last heard of.
-    pub(super) fn heard(&self, data_centre: &DataCentre) -> Option<Instant> {
-        self.0.get(data_centre).map(|summary| summary.at)
-    }
-
     pub(super) fn is_alive(&self, data_centre: &DataCentre, now: Instant) -> bool {
         let limit = Duration::from_millis(SUSPECT_MS);
         self.0
@@ -65,6 +67,12 @@
             .is_some_and(|summary| now.saturating_duration_since(summary.at) < limit)
     }
 
+    /// Until when all members that are not suspected are known to have heard no more of
+    /// the log than this process; not moved by a pause of this process.
+    pub(super) fn heard(&self, data_centre: &DataCentre) -> Option<Instant> {
+        self.0.get(data_centre).and_then(|summary| summary.heard)
+    }
+
     pub(super) fn is_suspected(&self, data_centre: &DataCentre, id: &MemberId) -> bool {
         self.0
             .get(data_centre)
@@ -78,7 +86,8 @@
     }
 }
 
-fn age_ms(at: Instant, now: Instant) -> u64 {
-    let age = now.saturating_duration_since(at);
-    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+/// Age of what was known at `at`, in ms.
+pub(super) fn age_ms(at: Instant, now: Instant) -> u64 {
+    let age = now.saturating_duration_since(at).as_millis();
+    u64::try_from(age).unwrap_or(u64::MAX)
 }
--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -11,14 +11,14 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use super::{Metrics, log};
+use super::view::{dump_view, millis_since};
+use super::{Metrics, log, metrics};
 use crate::config::Common;
 use crate::control::Control;
 use crate::http::{Conclusion, Handler, Problem, Reply, Request, Server, ServerLimits};
 use crate::id::{DataCentre, Incarnation, MemberId, Offset, RecordId, Revision, SectionId};
 use crate::ledger::Verdict;
 use crate::runtime::Runtime;
-use crate::view::View;
 
 /// Who the process is, for the state dump.
 #[derive(Clone, Debug)]
@@ -126,7 +126,7 @@
             "/healthz" => self.health(),
             "/state" => json_reply(&self.state().await),
             "/position" => json_reply(&self.position()),
-            "/metrics-snapshot" => text_reply(200, self.metrics.snapshot()),
+            "/metrics-snapshot" => text_reply(200, self.snapshot()),
             _ => self.look_up(path).await,
         }
     }
@@ -149,6 +149,24 @@
         }
     }
 
+    /// Gauges of the view are set when they are asked for.
+    fn snapshot(&self) -> String {
+        let view = self.control.view();
+        let gauge = |name, value, tags: &[_]| self.metrics.gauge(name, value, tags);
+        gauge(metrics::OFFSET, view.offset.0, &[]);
+        if let Some(at) = view.verified {
+            gauge(metrics::VERIFIED_MS, millis_since(at), &[]);
+        }
+        let alive = view.members.iter().filter(|member| member.alive);
+        gauge(metrics::MEMBERS, alive.count() as u64, &[]);
+        for (pool, targets) in &view.targets {
+            let ready = targets.iter().filter(|target| !target.leaving);
+            let tags = [("pool", pool.as_str())];
+            gauge(metrics::TARGETS, ready.count() as u64, &tags);
+        }
+        self.metrics.snapshot()
+    }
+
     fn position(&self) -> Position {
         let view = self.control.view();
         Position {
@@ -213,56 +231,6 @@
     }
 }
 
-fn dump_view(view: &View) -> Value {
-    let targets = view.targets.iter().map(|(pool, targets)| {
-        let targets: Vec<_> = targets.iter().map(dump_target).collect();
-        (pool.to_string(), Value::from(targets))
-    });
-    let document = view.document.as_ref().map(|document| {
-        json!({
-            "data_centres": document.fleet.data_centres.keys().collect::<Vec<_>>(),
-            "teams": document.teams.keys().collect::<Vec<_>>(),
-        })
-    });
-    json!({
-        "offset": view.offset,
-        "verified_ms": view.verified.map(millis_since),
-        "planner": view.planner.as_ref().map(|(holder, epoch)| json!({
-            "holder": holder,
-            "epoch": epoch,
-        })),
-        "members": view.members.iter().map(dump_member).collect::<Vec<_>>(),
-        "document": document,
-        "targets": targets.collect::<serde_json::Map<_, _>>(),
-    })
-}
-
-fn dump_target(target: &crate::view::Target) -> Value {
-    json!({
-        "vm": target.vm,
-        "data_centre": target.data_centre,
-        "rack": target.rack,
-        "address": target.address,
-        "slots": target.slots,
-        "connections": target.connections,
-        "leaving": target.leaving,
-    })
-}
-
-fn dump_member(member: &crate::view::Member) -> Value {
-    json!({
-        "id": member.id,
-        "incarnation": member.incarnation,
-        "data_centre": member.data_centre,
-        "peer": member.peer,
-        "alive": member.alive,
-    })
-}
-
-fn millis_since(start: Instant) -> u64 {
-    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
-}
-
 fn json_reply(value: &impl Serialize) -> Reply {
     match serde_json::to_vec_pretty(value) {
         Ok(mut body) => {
