Begin with the rack that the budgets leave the least of

All data centres went through their racks in the same order. Racks with the same numbers hold VMs of the same pools, so that three data centres waited for one pool's budget while others were free.

The test of the due order compared starts of one wave that lay minutes apart.

--- a/src/planner/maintenance.rs
+++ b/src/planner/maintenance.rs
@@ -1,5 +1,6 @@
 //! Regular maintenance: which VMs to stop next, and how their stops go on.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
@@ -36,17 +37,16 @@
     cause: Option<Cause>,
 }
 
-/// A VM that is due, in the order of the plan.
+/// A VM that is due; the earliest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Due<'a> {
-    data_centre: &'a DataCentre,
-    /// Earliest start of a cycle in the rack.
-    rack_start: u64,
-    rack: &'a Rack,
     start: u64,
     vm: &'a VmId,
 }
 
+/// VMs that are due in each rack of each data centre.
+type Racks<'a> = IndexMap<&'a DataCentre, IndexMap<&'a Rack, Vec<Due<'a>>>>;
+
 /// Progress of a stop, for people.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StopStatus {
@@ -61,7 +61,8 @@
 impl Maintenance {
     /// VMs to stop now, all within the budgets; `clock_s` is in s since 1970.
     ///
-    /// The earliest due rack of each data centre goes first, and its VMs go together.
+    /// In each data centre the racks of the earliest due day go first, and of these the one
+    /// of which the budgets leave the least behind.
     #[must_use]
     pub fn starts(&self, fleet: &FleetState, now: Instant, clock_s: u64) -> Vec<VmId> {
         let Some(document) = fleet.document.as_deref() else {
@@ -78,16 +79,16 @@
             down: &fleet.down,
         });
         let mut starts = Vec::new();
-        for due in self.due(fleet, now, clock_s) {
-            if available.check_stop(due.vm).is_ok() {
-                available.note_out(due.vm);
-                starts.push(due.vm.clone());
+        for (_, mut racks) in self.due(fleet, now, clock_s) {
+            while let Some(rack) = best(&available, &racks) {
+                let due = racks.swap_remove(rack).unwrap_or_default();
+                starts.extend(begin(&mut available, &due));
             }
         }
         starts
     }
 
-    fn due<'a>(&self, fleet: &'a FleetState, now: Instant, clock_s: u64) -> Vec<Due<'a>> {
+    fn due<'a>(&self, fleet: &'a FleetState, now: Instant, clock_s: u64) -> Racks<'a> {
         let cycle = fleet.document.as_deref().map_or(0, |document| {
             u64::from(document.fleet.budgets.cycle_days) * DAY_S
         });
@@ -98,25 +99,27 @@
             let held = self.held.get(&vm.id).is_some_and(|until| now < *until);
             !held && !fleet.stops.contains_key(&vm.id) && !fleet.down.contains(&vm.id)
         });
-        let mut due: Vec<Due<'_>> = vms
-            .filter_map(|vm| {
-                let start = *fleet.cycles.get(&vm.id)?;
-                let site = fleet.sites.get(&vm.id)?;
-                let wait = if busy.contains(&vm.id) {
-                    cycle - early / BUSY_PARTS
-                } else {
-                    cycle - early
-                };
-                (clock_s >= start.saturating_add(wait)).then_some(Due {
-                    data_centre: &site.data_centre,
-                    rack_start: start,
-                    rack: &site.rack,
-                    start,
-                    vm: &vm.id,
-                })
-            })
-            .collect();
-        order(&mut due);
+        let mut due = Racks::new();
+        for vm in vms.map(|vm| &vm.id) {
+            let (Some(start), Some(site)) = (fleet.cycles.get(vm), fleet.sites.get(vm)) else {
+                continue;
+            };
+            let wait = if busy.contains(vm) {
+                cycle - early / BUSY_PARTS
+            } else {
+                cycle - early
+            };
+            if clock_s >= start.saturating_add(wait) {
+                let racks = due.entry(&site.data_centre).or_default();
+                let rack = racks.entry(&site.rack).or_default();
+                rack.push(Due { start: *start, vm });
+            }
+        }
+        let racks = due.values_mut().flat_map(IndexMap::values_mut);
+        for rack in racks {
+            rack.sort_unstable();
+            rack.dedup();
+        }
         due
     }
 
@@ -160,17 +163,33 @@
     }
 }
 
-/// Sorts by data centre, then by the earliest start of a cycle in each rack.
-fn order(due: &mut [Due<'_>]) {
-    let mut racks: IndexMap<(&DataCentre, &Rack), u64> = IndexMap::new();
-    for vm in due.iter() {
-        let start = racks.entry((vm.data_centre, vm.rack)).or_insert(vm.start);
-        *start = vm.start.min(*start);
-    }
-    for vm in due.iter_mut() {
-        vm.rack_start = racks[&(vm.data_centre, vm.rack)];
+/// The rack to go on with, if a VM of any may be stopped.
+fn best<'a>(
+    available: &Availability<'a>,
+    racks: &IndexMap<&'a Rack, Vec<Due<'a>>>,
+) -> Option<&'a Rack> {
+    let scored = racks.iter().filter_map(|(rack, due)| {
+        let possible = due.iter().any(|due| available.check_stop(due.vm).is_ok());
+        if !possible {
+            return None;
+        }
+        let begun = begin(&mut available.clone(), due).len();
+        let day = due.first().map(|due| due.start / DAY_S);
+        Some(((day, due.len() - begun, Reverse(begun)), *rack))
+    });
+    scored.min_by_key(|(score, _)| *score).map(|(_, rack)| rack)
+}
+
+/// VMs of a rack that may be stopped together, counted as stopped from now on.
+fn begin(available: &mut Availability<'_>, due: &[Due<'_>]) -> Vec<VmId> {
+    let mut begun = Vec::new();
+    for due in due {
+        if available.check_stop(due.vm).is_ok() {
+            available.note_out(due.vm);
+            begun.push(due.vm.clone());
+        }
     }
-    due.sort_unstable();
+    begun
 }
 
 fn busy_workers(fleet: &FleetState) -> IndexSet<&VmId> {
