Test what is taken for a loss when the list shows a VM as live

A VM that is listed as live and answers no check for two minutes is down if most VMs of its data centre answer; those of a data centre that is cut off from the planner are not.

--- a/tests/planner/scenarios.rs
+++ b/tests/planner/scenarios.rs
@@ -446,6 +446,30 @@
     assert_eq!(world.moves, 0);
 }
 
+#[test]
+fn a_vm_that_is_listed_as_live_and_answers_nothing_is_down_after_a_time() {
+    let (mut world, mut node) = placed();
+    let silent = world.in_pool("red-pool")[0].clone();
+    world.machines[&silent].serves = false;
+
+    world.pass(&mut node, MINUTE);
+    let early = world.state.facts().down.len();
+    world.pass(&mut node, 2 * MINUTE);
+
+    assert_eq!(early, 0);
+    assert!(world.state.facts().down.contains(&silent));
+}
+
+#[test]
+fn vms_of_a_data_centre_that_is_cut_off_are_not_taken_to_be_down() {
+    let (mut world, mut node) = placed();
+    world.cut.insert(DataCentre::new("b"));
+
+    world.pass(&mut node, HOUR);
+
+    assert!(world.state.facts().down.is_empty());
+}
+
 #[test]
 fn more_losses_than_the_buffer_is_sized_for_are_replaced_slowly() {
     let (mut world, mut node) = placed();
