Run a request under an idempotency key at most once

The owner notes the key, with a hash of method, path and body, and has the next member in rank note it too before the request is sent; the outcome follows. A repeat through any entry gets the kept answer, or learns that the first one runs, or that its outcome is unknown; only "not run" frees the key. A new owner asks the next in rank, which is the old one when a member joins, and holds the notes itself when one is lost. A keyed request goes on when its caller leaves.

Shared types: `PeerRequest::Note` and `Settle`, `PeerReply::Claim` and `Settled`, `Reason::Repeated` and `KeyReused` are new.

--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -139,8 +139,16 @@
         Reason::Cancelled => (499, "the caller has left", None, false),
         Reason::BadRequest => (400, "the request is malformed", None, false),
         Reason::Stopping => (503, "the process is stopping", None, true),
+        Reason::Repeated => (
+            409,
+            "a request with the same key runs or has run",
+            None,
+            false,
+        ),
+        Reason::KeyReused => (422, "the key was used for another request", None, false),
     };
     let status = match (status, outcome) {
+        (409, _) => 409,
         // A status of the caller's own doing would say that nothing has run.
         (400..500, Conclusion::Unknown) => 502,
         _ => status,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,9 +7,11 @@
 mod callers;
 mod ceilings;
 mod clock;
+mod dedup;
 mod headers;
 mod jobs;
 mod meter;
+mod once;
 mod owner;
 mod peers;
 mod pool_queue;
@@ -20,6 +22,7 @@
 mod shared;
 #[cfg(test)]
 mod tests;
+mod unstoppable;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -40,6 +43,7 @@
 use auth::Gate;
 use callers::Callers;
 use meter::Meter;
+use once::Once;
 use owner::Owner;
 use peers::Peers;
 use route::Router;
@@ -100,12 +104,15 @@
             control.clone(),
             max_body,
         ));
+        let peers = Arc::new(peer::Client::new(common.secret.clone()));
+        let once = Once::new(Arc::clone(&owner), Arc::clone(&peers), runtime.clone());
         let router = Router::new(
             common.id.clone(),
             common.data_centre.clone(),
             control.clone(),
-            peer::Client::new(common.secret.clone()),
+            peers,
             Arc::clone(&owner),
+            Arc::new(once),
             max_body,
         );
         let shared = Arc::new(Shared {
@@ -211,6 +218,7 @@
             "stopping": self.0.stopping(),
             "busy": self.0.busy(),
             "outcomes": self.0.counts.dump(),
+            "idempotency_keys": self.0.router.once().keys(),
             "owner": self.0.owner.dump(),
         })
     }
@@ -238,6 +246,7 @@
         shared.owner.pump();
         shared.owner.sweep();
         shared.router.sweep();
+        shared.router.once().expire();
     }
 }
 
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -1,8 +1,6 @@
 //! Runs requests on the targets of the own data centre.
 
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
 
 use async_channel::{Receiver, Sender};
 use indexmap::IndexMap;
@@ -17,6 +15,7 @@
 use super::queue::{Allowance, Waiting};
 use super::retry::RetryBudget;
 use super::scheduler::{Bounds, Entry, Grant};
+use super::unstoppable::Unstoppable;
 use crate::control::Control;
 use crate::document::Document;
 use crate::http::{Limits, Pool, Request, within};
@@ -257,10 +256,7 @@
             }
             attempt
         };
-        Unstoppable {
-            work: Some(Box::pin(exchange)),
-            runtime: self.runtime.clone(),
-        }
+        Unstoppable::new(exchange, self.runtime.clone())
     }
 
     fn may_retry(&self, work: &Work, unknown: Option<Reason>, reason: Reason) -> bool {
@@ -333,41 +329,3 @@
         body: forward.body,
     }
 }
-
-/// Work that goes on as a task of its own when nobody waits for it any more.
-struct Unstoppable<F>
-where
-    F: Future<Output: Send + 'static> + Send + 'static,
-{
-    work: Option<Pin<Box<F>>>,
-    runtime: Runtime,
-}
-
-impl<F> Future for Unstoppable<F>
-where
-    F: Future<Output: Send + 'static> + Send + 'static,
-{
-    type Output = F::Output;
-
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
-        let Some(work) = &mut self.work else {
-            return Poll::Pending;
-        };
-        let result = work.as_mut().poll(cx);
-        if result.is_ready() {
-            self.work = None;
-        }
-        result
-    }
-}
-
-impl<F> Drop for Unstoppable<F>
-where
-    F: Future<Output: Send + 'static> + Send + 'static,
-{
-    fn drop(&mut self) {
-        if let Some(work) = self.work.take() {
-            self.runtime.spawn(work).detach();
-        }
-    }
-}
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -17,6 +17,13 @@
                 let _busy = self.0.enter();
                 PeerReply::Outcome(self.0.router.run(forward).await)
             }
+            PeerRequest::Note(keyed, print) => {
+                PeerReply::Claim(self.0.router.once().note(&keyed, print))
+            }
+            PeerRequest::Settle(keyed, outcome) => {
+                self.0.router.once().settle(&keyed, &outcome);
+                PeerReply::Settled
+            }
             PeerRequest::Heartbeat(heartbeat) => match self.0.control.heartbeat(heartbeat).await {
                 Some(own) => PeerReply::Heartbeat(own),
                 None => PeerReply::Outcome(Outcome::NotRun(Reason::Stopping)),
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use super::auth::find_queue;
+use super::once::Once;
 use super::owner::{Owner, is_idempotent};
 use crate::control::Control;
 use crate::http::Limits;
 use crate::id::{DataCentre, MemberId, PoolId, QueueId};
 use crate::membership::rank;
 use crate::outcome::{Outcome, Reason};
-use crate::peer::{Client, Forward, PeerError, PeerReply, PeerRequest};
+use crate::peer::{Client, Forward, Keyed, PeerError, PeerReply, PeerRequest};
 use crate::view::{Member, View};
 
 /// Time to connect to another process, in ms; the data centre is within 1 ms.
@@ -31,8 +32,9 @@
     id: MemberId,
     data_centre: DataCentre,
     control: Control,
-    peers: Client,
+    peers: Arc<Client>,
     owner: Arc<Owner>,
+    once: Arc<Once>,
     max_body: usize,
 }
 
@@ -41,8 +43,9 @@
         id: MemberId,
         data_centre: DataCentre,
         control: Control,
-        peers: Client,
+        peers: Arc<Client>,
         owner: Arc<Owner>,
+        once: Arc<Once>,
         max_body: usize,
     ) -> Self {
         Self {
@@ -51,6 +54,7 @@
             control,
             peers,
             owner,
+            once,
             max_body,
         }
     }
@@ -61,16 +65,14 @@
         let Some(pool) = pool_of(&view, &forward.queue) else {
             return Outcome::NotRun(Reason::NoQueue);
         };
+        let owners = owners(&view, &self.data_centre, &pool);
         if forward.hops >= MAX_HOPS {
-            return self.owner.run(forward).await;
+            return self.serve(forward, &owners).await;
         }
         forward.hops += 1;
-        for member in owners(&view, &self.data_centre, &pool)
-            .into_iter()
-            .take(WALK)
-        {
+        for member in owners.iter().take(WALK) {
             if member.id == self.id {
-                return self.owner.run(forward).await;
+                return self.serve(forward, &owners).await;
             }
             if let Some(outcome) = self.hand_over(member, &view, &forward).await {
                 return outcome;
@@ -81,7 +83,28 @@
             });
         }
         // Nobody of the first ranks answers: better served here than refused.
-        self.owner.run(forward).await
+        self.serve(forward, &owners).await
+    }
+
+    /// Requests with an idempotency key.
+    pub(crate) fn once(&self) -> &Once {
+        &self.once
+    }
+
+    /// Serves a request here; `owners` are ranked.
+    async fn serve(&self, mut forward: Forward, owners: &[&Member]) -> Outcome {
+        let key = forward.idempotency.take();
+        let Some(key) = key.filter(|_| !is_idempotent(&forward.method)) else {
+            return self.owner.run(forward).await;
+        };
+        let keyed = Keyed {
+            team: forward.team.clone(),
+            queue: forward.queue.clone(),
+            key,
+        };
+        let second = owners.iter().find(|member| member.id != self.id);
+        let second = second.map(|member| member.peer);
+        self.once.run(keyed, forward, second).await
     }
 
     /// Closes connections that have been idle too long.
@@ -101,9 +124,7 @@
             Ok(PeerReply::Outcome(Outcome::NotRun(Reason::Stopping)))
             | Err(PeerError::Unreachable(_) | PeerError::Refused(_)) => None,
             Ok(PeerReply::Outcome(outcome)) => Some(outcome),
-            Ok(PeerReply::Heartbeat(_) | PeerReply::State(_)) => {
-                Some(Outcome::Unknown(Reason::BadAnswer))
-            }
+            Ok(_) => Some(Outcome::Unknown(Reason::BadAnswer)),
             Err(PeerError::Unknown(_)) if is_idempotent(&forward.method) => None,
             Err(PeerError::Unknown(_)) => Some(Outcome::Unknown(Reason::Cut)),
         }
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -62,4 +62,8 @@
     BadRequest,
     /// The process is stopping.
     Stopping,
+    /// The first request under the same idempotency key runs, or its answer was not kept.
+    Repeated,
+    /// The idempotency key was used for another request.
+    KeyReused,
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{DataCentre, Incarnation, MemberId, Offset, QueueId, RequestId, TeamId};
-use crate::outcome::Outcome;
+use crate::outcome::{Answer, Outcome, Reason};
 
 /// A message to another process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,6 +14,10 @@
     Heartbeat(Heartbeat),
     /// Asks for the whole folded state.
     State,
+    /// Notes an idempotency key, with the SHA-256 of method, path and body.
+    Note(Keyed, [u8; 32]),
+    /// Says what became of a request under a noted key.
+    Settle(Keyed, Outcome),
 }
 
 /// Answer to a [`PeerRequest`].
@@ -25,6 +29,38 @@
     Heartbeat(Heartbeat),
     /// Answer to [`PeerRequest::State`]: a sealed snapshot.
     State(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Answer to [`PeerRequest::Note`].
+    Claim(Claim),
+    /// Answer to [`PeerRequest::Settle`].
+    Settled,
+}
+
+/// An idempotency key; teams and queues have keys of their own.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Keyed {
+    /// The team that the request counts for.
+    pub team: TeamId,
+    /// The queue.
+    pub queue: QueueId,
+    /// As the caller sent it.
+    pub key: String,
+}
+
+/// What a holder of idempotency keys knows of one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claim {
+    /// It was not known; the request may run.
+    First,
+    /// The first request under it is still running.
+    Running,
+    /// The first request was answered.
+    Answered(Answer),
+    /// The first request may have run.
+    Unknown(Reason),
+    /// The first request under it was another one.
+    Differs,
+    /// No more keys can be remembered.
+    Full,
 }
 
 /// A checked request on its way to the owner of its queue.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,5 +6,5 @@
 mod server;
 
 pub use client::{Client, PeerError};
-pub use message::{Forward, Heard, Heartbeat, PeerReply, PeerRequest, Zone};
+pub use message::{Claim, Forward, Heard, Heartbeat, Keyed, PeerReply, PeerRequest, Zone};
 pub use server::{Handler, Rejects, Server};
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -11,10 +11,10 @@
 
 use amaranthwick::control::{Command, Control};
 use amaranthwick::entry::Entry;
-use amaranthwick::id::TeamId;
-use amaranthwick::membership::Demand;
+use amaranthwick::id::{QueueId, TeamId};
+use amaranthwick::membership::{Demand, rank};
 use amaranthwick::telemetry::Metrics;
-use amaranthwick::view::Limits;
+use amaranthwick::view::{Limits, View};
 use common::{
     Act, FakeTarget, Fixture, bearer, fleet, limits, nobody, request, single, status, talk, target,
     view, wait_until,
@@ -585,3 +585,142 @@
     }
     assert!(TcpStream::connect(address).is_err());
 }
+
+const KEYED: &str = "Idempotency-Key: claim-7\r\n";
+
+#[test]
+fn repeat_under_a_key_gets_the_first_answer_through_any_entry() {
+    let fake = FakeTarget::open(Act::Echo);
+    let fixtures = fleet(&["a", "b", "c"], &[target(0, fake.address, 8)]);
+
+    let answers: Vec<String> = fixtures
+        .iter()
+        .map(|f| talk(f.entry.callers(), &request("POST", "/q/open/x", KEYED, "a")))
+        .collect();
+
+    assert!(
+        answers.iter().all(|answer| answer.ends_with("/xa")),
+        "{answers:?}"
+    );
+    assert_eq!(fake.runs(), 1);
+}
+
+#[test]
+fn repeat_after_the_loss_of_the_owner_is_not_run_again() {
+    let fake = FakeTarget::open(Act::Echo);
+    let mut fixtures = fleet(&["a", "b", "c"], &[target(0, fake.address, 8)]);
+    let post = request("POST", "/q/open/x", KEYED, "a");
+    talk(fixtures[0].entry.callers(), &post);
+    let owner = owners(&fixtures)[0];
+    wait_until(|| {
+        let noted = |f: &Fixture| f.entry.dump()["idempotency_keys"] == 1;
+        fixtures.iter().filter(|f| noted(f)).count() == 2
+    });
+    thread::sleep(Duration::from_millis(100));
+
+    block_on(fixtures.remove(owner).entry.stop());
+    let answers: Vec<String> = fixtures
+        .iter()
+        .map(|f| talk(f.entry.callers(), &post))
+        .collect();
+
+    assert!(
+        answers.iter().all(|answer| answer.ends_with("/xa")),
+        "{answers:?}"
+    );
+    assert_eq!(fake.runs(), 1);
+}
+
+#[test]
+fn repeat_while_the_first_runs_is_told_so() {
+    let fake = FakeTarget::open(Act::Slow(400));
+    let fixture = single(&[target(0, fake.address, 8)]);
+    let address = fixture.entry.callers();
+    let post = request("POST", "/q/open/x", KEYED, "a");
+    let mut first = TcpStream::connect(address).expect("connect");
+    first.write_all(&post).expect("write");
+    wait_until(|| fake.runs() == 1);
+
+    let repeat = talk(address, &post);
+    // The first caller leaves; its answer is kept all the same.
+    drop(first);
+    wait_until(|| status(&talk(address, &post)) == "200");
+
+    assert_eq!(status(&repeat), "409", "{repeat}");
+    assert!(repeat.contains(r#""outcome":"unknown""#), "{repeat}");
+    assert_eq!(fake.runs(), 1);
+}
+
+#[test]
+fn key_is_bound_to_its_request_team_and_queue() {
+    let fake = FakeTarget::open(Act::Echo);
+    let fixture = single(&[target(0, fake.address, 8)]);
+    let address = fixture.entry.callers();
+    let lines = |team| format!("{KEYED}{}", bearer(team));
+
+    let first = talk(
+        address,
+        &request("POST", "/q/teams/x", &lines("neretva"), "a"),
+    );
+    let changed = talk(
+        address,
+        &request("POST", "/q/teams/x", &lines("neretva"), "b"),
+    );
+    let other = talk(
+        address,
+        &request("POST", "/q/teams/x", &lines("analytics"), "b"),
+    );
+
+    assert_eq!(status(&first), "200");
+    assert_eq!(status(&changed), "422", "{changed}");
+    assert!(changed.contains(r#""outcome":"not_run""#), "{changed}");
+    assert_eq!(status(&other), "200", "{other}");
+    assert_eq!(fake.runs(), 2);
+}
+
+#[test]
+fn unknown_outcome_under_a_key_stays_unknown_and_not_run_may_run() {
+    let cut = FakeTarget::open(Act::Close);
+    let fixture = single(&[target(0, cut.address, 8)]);
+    let address = fixture.entry.callers();
+    let post = request("POST", "/q/open/x", KEYED, "a");
+    let refused = request("POST", "/q/open/x", "Idempotency-Key: b\r\n", "b");
+
+    let unknown = [talk(address, &post), talk(address, &post)];
+    let mut nothing = (*fixture.control.view()).clone();
+    let again = nothing.clone();
+    nothing.targets.clear();
+    fixture.control.publish(nothing);
+    let not_run = talk(address, &refused);
+    fixture.control.publish(again);
+    talk(address, &refused);
+
+    assert!(unknown.iter().all(|a| a.contains(r#""outcome":"unknown""#)));
+    assert!(not_run.contains(r#""outcome":"not_run""#), "{not_run}");
+    assert_eq!(cut.runs(), 2);
+}
+
+#[test]
+fn new_owner_asks_the_old_one_for_a_key() {
+    let fake = FakeTarget::open(Act::Echo);
+    let fixtures = fleet(&["a", "b", "c"], &[target(0, fake.address, 8)]);
+    let all = (*fixtures[0].control.view()).clone();
+    let newcomer = rank(&QueueId::new("herd"), &all.members)[0].id.clone();
+    let mut before = all.clone();
+    before.members.retain(|member| member.id != newcomer);
+    let publish = |view: &View| {
+        for fixture in &fixtures {
+            fixture.control.publish(view.clone());
+        }
+    };
+    let post = request("POST", "/q/open/x", KEYED, "a");
+
+    publish(&before);
+    let first = talk(fixtures[0].entry.callers(), &post);
+    publish(&all);
+    let repeat = talk(fixtures[0].entry.callers(), &post);
+
+    assert!(first.ends_with("/xa"), "{first}");
+    assert!(repeat.ends_with("/xa"), "{repeat}");
+    assert_eq!(fake.runs(), 1);
+}
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -21,7 +21,7 @@
         self.0.fetch_add(1, Ordering::SeqCst);
         match message {
             PeerRequest::Heartbeat(heartbeat) => PeerReply::Heartbeat(heartbeat),
-            PeerRequest::Forward(_) | PeerRequest::State => panic!("not sent here"),
+            other => panic!("not sent here: {other:?}"),
         }
     }
 }
