--- a/src/bin/amaranthwick-entry.rs
+++ b/src/bin/amaranthwick-entry.rs
@@ -7,7 +7,7 @@
 use amaranthwick::platform::{LogClient, VmsClient};
 use amaranthwick::runtime::Runtime;
 use amaranthwick::telemetry::log::Stream;
-use amaranthwick::telemetry::{Admin, Metrics, Process, log};
+use amaranthwick::telemetry::{Admin, Process, log};
 use anyhow::{Context, Result};
 use async_signal::{Signal, Signals};
 use flags::AmaranthwickEntry;
@@ -40,15 +40,13 @@
     let runtime = Runtime::open(config.threads)?;
     let control = open_control(&config.common)?;
     let entry = Entry::open_on(config, control.clone(), &runtime)?;
-    let metrics = Metrics::open();
-    entry.export(metrics.clone());
     control.register(entry.peers()).await;
     let _admin = Admin::bind(
         config.common.admin,
         &runtime,
         Process::new(env!("CARGO_BIN_NAME"), &config.common),
         control,
-        metrics,
+        entry.metrics(),
         entry.state(),
     )
     .context("listen on the admin address")?;
--- a/src/entry/meter.rs
+++ b/src/entry/meter.rs
@@ -1,63 +1,44 @@
-//! Metrics of an entry.
+//! Metrics of callers' requests and of what waits and runs.
 
-use std::sync::OnceLock;
 use std::time::Duration;
 
-use crate::id::QueueId;
-use crate::outcome::{Outcome, Reason};
+use crate::id::{PoolId, QueueId, TeamId};
+use crate::outcome::Outcome;
 use crate::telemetry::Metrics;
 use crate::telemetry::metrics::{CALLERS, QUEUED, REQUEST_US, REQUESTS, RUNNING};
 
-/// Hands what happens to the metrics of the process, once they are known.
-#[derive(Debug, Default)]
-pub(crate) struct Meter(OnceLock<Metrics>);
-
-impl Meter {
-    /// Sets the metrics; later ones are ignored.
-    pub(crate) fn set(&self, metrics: Metrics) {
-        let _ = self.0.set(metrics);
-    }
-
-    /// Counts a caller's request with its outcome.
-    pub(crate) fn request(&self, queue: &QueueId, outcome: &Outcome, time: Duration) {
-        let Some(metrics) = self.0.get() else {
-            return;
-        };
-        let (kind, reason) = match outcome {
-            Outcome::Answered(_) => ("answered", None),
-            Outcome::NotRun(reason) => ("not_run", Some(reason)),
-            Outcome::Unknown(reason) => ("unknown", Some(reason)),
-        };
-        let reason = reason.map_or_else(String::new, |reason| format!("{reason:?}"));
-        // Callers choose the name of an unknown queue; it must not become a series.
-        let queue = match outcome {
-            Outcome::NotRun(Reason::NoQueue | Reason::NoDocument) => "none",
-            _ => queue.as_str(),
-        };
-        let tags = [("queue", queue), ("outcome", kind), ("reason", &reason)];
-        metrics.count(REQUESTS, 1, &tags);
-        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        metrics.record(REQUEST_US, micros, &[("queue", queue)]);
-    }
-
-    /// Sets the callers' connections.
-    pub(crate) fn callers(&self, connections: usize) {
-        self.gauge(CALLERS, connections as u64, &[]);
-    }
+/// Counts a request and its time; `queue` only if the document has it, since callers
+/// could make up names without end.
+pub(crate) fn record(
+    metrics: &Metrics,
+    queue: Option<&QueueId>,
+    outcome: &Outcome,
+    elapsed: Duration,
+) {
+    let queue = queue.map_or("none", QueueId::as_str);
+    let (name, reason) = match outcome {
+        Outcome::Answered(_) => ("answered", None),
+        Outcome::NotRun(reason) => ("not_run", Some(reason)),
+        Outcome::Unknown(reason) => ("unknown", Some(reason)),
+    };
+    let reason = reason.map_or_else(|| "none".to_owned(), |reason| format!("{reason:?}"));
+    let tags = [("queue", queue), ("outcome", name)];
+    let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+    metrics.count(REQUESTS, 1, &[tags[0], tags[1], ("reason", &reason)]);
+    metrics.record(REQUEST_US, micros, &tags);
+}
 
-    /// Sets the waiting requests of a pool.
-    pub(crate) fn waiting(&self, pool: &str, waiting: usize) {
-        self.gauge(QUEUED, waiting as u64, &[("queue", pool)]);
-    }
+/// Sets the callers' open connections.
+pub(crate) fn set_callers(metrics: &Metrics, connections: usize) {
+    metrics.gauge(CALLERS, connections as u64, &[]);
+}
 
-    /// Sets the running requests of a team.
-    pub(crate) fn running(&self, team: &str, running: u32) {
-        self.gauge(RUNNING, running.into(), &[("team", team)]);
-    }
+/// Sets the requests that wait for a pool.
+pub(crate) fn set_waiting(metrics: &Metrics, pool: &PoolId, waiting: usize) {
+    metrics.gauge(QUEUED, waiting as u64, &[("pool", pool.as_str())]);
+}
 
-    fn gauge(&self, name: &str, value: u64, tags: &[(&str, &str)]) {
-        if let Some(metrics) = self.0.get() {
-            metrics.gauge(name, value, tags);
-        }
-    }
+/// Sets the requests of a team that run.
+pub(crate) fn set_running(metrics: &Metrics, team: &TeamId, running: u32) {
+    metrics.gauge(RUNNING, running.into(), &[("team", team.as_str())]);
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -42,7 +42,6 @@
 
 use auth::Gate;
 use callers::Callers;
-use meter::Meter;
 use once::Once;
 use owner::Owner;
 use peers::Peers;
@@ -121,7 +120,7 @@
             owner,
             router,
             counts: Counts::default(),
-            meter: Meter::default(),
+            metrics: Metrics::open(),
             busy: 0.into(),
             stop: false.into(),
         });
@@ -164,17 +163,18 @@
         self.peers.address()
     }
 
+    /// Metrics of callers' requests, for the admin address.
+    #[must_use]
+    pub fn metrics(&self) -> Metrics {
+        self.shared.metrics.clone()
+    }
+
     /// Source of the state dump; outlives the entry.
     #[must_use]
     pub fn state(&self) -> State {
         State(Arc::clone(&self.shared))
     }
 
-    /// Counts requests in `metrics` from now on.
-    pub fn export(&self, metrics: Metrics) {
-        self.shared.meter.set(metrics);
-    }
-
     /// State for the dump; holds no secret.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
@@ -253,8 +253,8 @@
 /// Says what runs and waits: now and then, and at once when a team is short of limits.
 async fn report(shared: Arc<Shared>, callers: Arc<Gauge>) {
     loop {
-        shared.meter.callers(callers.get());
-        shared.owner.measure(&shared.meter);
+        meter::set_callers(&shared.metrics, callers.get());
+        shared.owner.measure(&shared.metrics);
         shared.control.report(shared.owner.report()).await;
         within(REPORT_MS, shared.owner.shortage()).await;
     }
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -10,7 +10,7 @@
 use super::balancer::{Avoid, Health};
 use super::ceilings::Ceilings;
 use super::clock::Clock;
-use super::meter::Meter;
+use super::meter;
 use super::pool_queue::PoolQueue;
 use super::queue::{Allowance, Waiting};
 use super::retry::RetryBudget;
@@ -24,6 +24,7 @@
 use crate::outcome::{Outcome, Reason};
 use crate::peer::Forward;
 use crate::runtime::Runtime;
+use crate::telemetry::Metrics;
 
 /// Time to connect to a target, in ms.
 const CONNECT_MS: u64 = 500;
@@ -142,12 +143,12 @@
     }
 
     /// Sets the gauges of pools and teams.
-    pub(crate) fn measure(&self, meter: &Meter) {
+    pub(crate) fn measure(&self, metrics: &Metrics) {
         for queue in self.queues() {
-            meter.waiting(queue.pool().as_str(), queue.waiting());
+            meter::set_waiting(metrics, queue.pool(), queue.waiting());
         }
         for (team, running, _) in self.ceilings.lock().all() {
-            meter.running(team.as_str(), running);
+            meter::set_running(metrics, team, running);
         }
     }
 
--- a/src/telemetry/sink.rs
+++ b/src/telemetry/sink.rs
@@ -108,7 +108,7 @@
             match self {
                 Self::Counter(sum) => *sum = sum.saturating_add(value.parse().ok()?),
                 Self::Gauge(last) => *last = value.parse().ok()?,
-                Self::Histogram(histogram) => histogram.saturating_record(value.parse().ok()?),
+                Self::Histogram(histogram) => histogram.record(value.parse().ok()?).ok()?,
             }
         }
         Some(())
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -13,7 +13,6 @@
 use amaranthwick::entry::Entry;
 use amaranthwick::id::{QueueId, TeamId};
 use amaranthwick::membership::{Demand, rank};
-use amaranthwick::telemetry::Metrics;
 use amaranthwick::view::{Limits, View};
 use common::{
     Act, FakeTarget, Fixture, bearer, fleet, limits, nobody, request, single, status, talk, target,
@@ -450,10 +449,9 @@
 
 #[test]
 fn requests_are_counted_by_outcome_and_unknown_queues_make_no_series() {
-    let fake = FakeTarget::open(Act::Echo);
+    let fake = FakeTarget::open(Act::Slow(20));
     let fixture = single(&[target(0, fake.address, 8)]);
-    let metrics = Metrics::open();
-    fixture.entry.export(metrics.clone());
+    let metrics = fixture.entry.metrics();
     let address = fixture.entry.callers();
 
     talk(address, &request("GET", "/q/open/x", "", ""));
@@ -466,8 +464,11 @@
             .any(|line| line.contains("requests_total") && parts.iter().all(|p| line.contains(p)))
     };
     assert!(counted(&["open", "answered"]), "{text}");
-    assert!(counted(&["own", "not_run", "NoKey"]), "{text}");
-    assert!(counted(&["none", "NoQueue"]), "{text}");
+    assert!(counted(&["none", "not_run", "NoKey"]), "{text}");
+    assert!(counted(&["none", "not_run", "NoQueue"]), "{text}");
+    let time = text.lines().find(|l| l.contains("request_us queue=open"));
+    let least = time.and_then(|line| line.split("min=").nth(1)?.split(' ').next()?.parse().ok());
+    assert!(least.is_some_and(|us: u64| us >= 20_000), "{text}");
     assert!(!text.contains("made-up"), "{text}");
 }
 
