--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -51,6 +51,9 @@
 /// Time between two looks at waiting requests that nothing else would start, in ms.
 const TICK_MS: u64 = 50;
 
+/// Time between two looks for idempotency keys whose time is over, in ms.
+const EXPIRE_MS: u64 = 5_000;
+
 /// Time between two reports of what runs and waits, in ms.
 const REPORT_MS: u64 = 100;
 
@@ -78,6 +81,7 @@
     drain: Duration,
     _tick: Task<()>,
     _report: Task<()>,
+    _expire: Task<()>,
 }
 
 impl Entry {
@@ -143,6 +147,7 @@
             .with_context(|| format!("listen for callers on {}", config.callers))?;
         Ok(Self {
             _tick: runtime.spawn(tick(Arc::clone(&shared))),
+            _expire: runtime.spawn(expire(Arc::clone(&shared))),
             _report: runtime.spawn(report(Arc::clone(&shared), callers.gauge())),
             shared,
             callers,
@@ -191,6 +196,7 @@
             drain,
             _tick,
             _report,
+            _expire,
         } = self;
         shared.stop.store(true, Ordering::Relaxed);
         spdlog::info!("entry_stopping", kv: { busy = shared.busy() });
@@ -246,6 +252,13 @@
         shared.owner.pump();
         shared.owner.sweep();
         shared.router.sweep();
+    }
+}
+
+/// Looks through all noted keys, so not at every tick.
+async fn expire(shared: Arc<Shared>) {
+    loop {
+        Timer::after(Duration::from_millis(EXPIRE_MS)).await;
         shared.router.once().expire();
     }
 }
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -1,4 +1,5 @@
 //! Decision code of the entry in virtual time.
 
 mod balancer;
+mod dedup;
 mod queue;
