--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,9 +7,11 @@
 mod callers;
 mod ceilings;
 mod clock;
+mod dedup;
 mod headers;
 mod jobs;
 mod meter;
+mod once;
 mod owner;
 mod peers;
 mod pool_queue;
@@ -20,6 +22,7 @@
 mod shared;
 #[cfg(test)]
 mod tests;
+mod unstoppable;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,7 +42,7 @@
 
 use auth::Gate;
 use callers::Callers;
-use meter::Meter;
+use once::Once;
 use owner::Owner;
 use peers::Peers;
 use route::Router;
@@ -48,6 +51,9 @@
 /// Time between two looks at waiting requests that nothing else would start, in ms.
 const TICK_MS: u64 = 50;
 
+/// Time between two looks for idempotency keys whose time is over, in ms.
+const EXPIRE_MS: u64 = 5_000;
+
 /// Time between two reports of what runs and waits, in ms.
 const REPORT_MS: u64 = 100;
 
@@ -75,6 +81,7 @@
     drain: Duration,
     _tick: Task<()>,
     _report: Task<()>,
+    _expire: Task<()>,
 }
 
 impl Entry {
@@ -100,12 +107,15 @@
             control.clone(),
             max_body,
         ));
+        let peers = Arc::new(peer::Client::new(common.secret.clone()));
+        let once = Once::new(Arc::clone(&owner), Arc::clone(&peers), runtime.clone());
         let router = Router::new(
             common.id.clone(),
             common.data_centre.clone(),
             control.clone(),
-            peer::Client::new(common.secret.clone()),
+            peers,
             Arc::clone(&owner),
+            Arc::new(once),
             max_body,
         );
         let shared = Arc::new(Shared {
@@ -114,7 +124,7 @@
             owner,
             router,
             counts: Counts::default(),
-            meter: Meter::open(),
+            metrics: Metrics::open(),
             busy: 0.into(),
             stop: false.into(),
         });
@@ -137,6 +147,7 @@
             .with_context(|| format!("listen for callers on {}", config.callers))?;
         Ok(Self {
             _tick: runtime.spawn(tick(Arc::clone(&shared))),
+            _expire: runtime.spawn(expire(Arc::clone(&shared))),
             _report: runtime.spawn(report(Arc::clone(&shared), callers.gauge())),
             shared,
             callers,
@@ -160,7 +171,7 @@
     /// Metrics of callers' requests, for the admin address.
     #[must_use]
     pub fn metrics(&self) -> Metrics {
-        self.shared.meter.metrics()
+        self.shared.metrics.clone()
     }
 
     /// Source of the state dump; outlives the entry.
@@ -185,6 +196,7 @@
             drain,
             _tick,
             _report,
+            _expire,
         } = self;
         shared.stop.store(true, Ordering::Relaxed);
         spdlog::info!("entry_stopping", kv: { busy = shared.busy() });
@@ -212,6 +224,7 @@
             "stopping": self.0.stopping(),
             "busy": self.0.busy(),
             "outcomes": self.0.counts.dump(),
+            "idempotency_keys": self.0.router.once().keys(),
             "owner": self.0.owner.dump(),
         })
     }
@@ -242,11 +255,19 @@
     }
 }
 
+/// Looks through all noted keys, so not at every tick.
+async fn expire(shared: Arc<Shared>) {
+    loop {
+        Timer::after(Duration::from_millis(EXPIRE_MS)).await;
+        shared.router.once().expire();
+    }
+}
+
 /// Says what runs and waits: now and then, and at once when a team is short of limits.
 async fn report(shared: Arc<Shared>, callers: Arc<Gauge>) {
     loop {
-        shared.meter.callers(callers.get());
-        shared.owner.measure(&shared.meter);
+        meter::set_callers(&shared.metrics, callers.get());
+        shared.owner.measure(&shared.metrics);
         shared.control.report(shared.owner.report()).await;
         within(REPORT_MS, shared.owner.shortage()).await;
     }
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -1,8 +1,6 @@
 //! Runs requests on the targets of the own data centre.
 
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
 
 use async_channel::{Receiver, Sender};
 use indexmap::IndexMap;
@@ -12,11 +10,12 @@
 use super::balancer::{Avoid, Health};
 use super::ceilings::Ceilings;
 use super::clock::Clock;
-use super::meter::Meter;
+use super::meter;
 use super::pool_queue::PoolQueue;
 use super::queue::{Allowance, Waiting};
 use super::retry::RetryBudget;
 use super::scheduler::{Bounds, Entry, Grant};
+use super::unstoppable::Unstoppable;
 use crate::control::Control;
 use crate::document::Document;
 use crate::http::{Limits, Pool, Request, within};
@@ -25,6 +24,7 @@
 use crate::outcome::{Outcome, Reason};
 use crate::peer::Forward;
 use crate::runtime::Runtime;
+use crate::telemetry::Metrics;
 
 /// Time to connect to a target, in ms.
 const CONNECT_MS: u64 = 500;
@@ -143,12 +143,12 @@
     }
 
     /// Sets the gauges of pools and teams.
-    pub(crate) fn measure(&self, meter: &Meter) {
+    pub(crate) fn measure(&self, metrics: &Metrics) {
         for queue in self.queues() {
-            meter.waiting(queue.pool().as_str(), queue.waiting());
+            meter::set_waiting(metrics, queue.pool(), queue.waiting());
         }
         for (team, running, _) in self.ceilings.lock().all() {
-            meter.running(team.as_str(), running);
+            meter::set_running(metrics, team, running);
         }
     }
 
@@ -257,10 +257,7 @@
             }
             attempt
         };
-        Unstoppable {
-            work: Some(Box::pin(exchange)),
-            runtime: self.runtime.clone(),
-        }
+        Unstoppable::new(exchange, self.runtime.clone())
     }
 
     fn may_retry(&self, work: &Work, unknown: Option<Reason>, reason: Reason) -> bool {
@@ -333,41 +330,3 @@
         body: forward.body,
     }
 }
-
-/// Work that goes on as a task of its own when nobody waits for it any more.
-struct Unstoppable<F>
-where
-    F: Future<Output: Send + 'static> + Send + 'static,
-{
-    work: Option<Pin<Box<F>>>,
-    runtime: Runtime,
-}
-
-impl<F> Future for Unstoppable<F>
-where
-    F: Future<Output: Send + 'static> + Send + 'static,
-{
-    type Output = F::Output;
-
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
-        let Some(work) = &mut self.work else {
-            return Poll::Pending;
-        };
-        let result = work.as_mut().poll(cx);
-        if result.is_ready() {
-            self.work = None;
-        }
-        result
-    }
-}
-
-impl<F> Drop for Unstoppable<F>
-where
-    F: Future<Output: Send + 'static> + Send + 'static,
-{
-    fn drop(&mut self) {
-        if let Some(work) = self.work.take() {
-            self.runtime.spawn(work).detach();
-        }
-    }
-}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -125,7 +125,7 @@
 
     for line in [
         "metric=requests_total queue=headcount outcome=answered reason=none value=1",
-        "metric=requests_total queue=headcount outcome=not_run reason=BadKey value=1",
+        "metric=requests_total queue=none outcome=not_run reason=BadKey value=1",
         "metric=targets_ready pool=headcount value=12",
         "metric=members_alive value=2",
     ] {
