Measure shares under overload and urgent starts in bursts

One entry in process, stand-in executors, open-loop arrivals, fixed seeds; other ways are modelled in virtual time, as the product has no code for them.

Ruled out: the choice among teams itself, which keeps the shares while the queue has room. The bound of a queue is common to all teams; that it is the cause is read from the code and not yet tried by a change. Not measured: retry storm, queue operations, memory.

--- /dev/null
+++ b/benches/burst/main.rs
@@ -0,0 +1,161 @@
+//! Wait of urgent requests while the queues of a pool burst in turn to five times their mean.
+//!
+//! One data centre, one entry in this process, the stand-ins' executors and open-loop
+//! arrivals. Prints key=value lines. Lines with `way=model-...` come from a virtual-time
+//! model of other ways over the same arrivals; they are no measurement of the product.
+
+#[path = "../../tests/common/entry.rs"]
+mod common;
+#[path = "../fairness/model.rs"]
+mod model;
+#[path = "../fairness/site.rs"]
+mod site;
+
+use std::thread;
+use std::time::Duration;
+
+use amaranthwick_standins::load::{Arrivals, LoadReport, Shape, run_open};
+
+use model::{Arrival, Pool};
+use site::{EXAMPLES, Example, RUN_MS, Site, number, request};
+
+const SEED: u64 = 43;
+const UNLOADED: Duration = Duration::from_secs(5);
+
+/// One cycle of a 3 s burst and its lull.
+const LENGTH: Duration = Duration::from_secs(16);
+
+const BURST: Duration = Duration::from_secs(3);
+
+/// Mean of both queues together, as a part of what the pool serves.
+const MEAN_LOAD: f64 = 0.6;
+
+const URGENT_RATE: f64 = 50.0;
+const WAIT_S: u64 = 5;
+const URGENT: u8 = 0;
+const MIDDLE: u8 = 3;
+
+fn main() {
+    for example in &EXAMPLES {
+        compare(example);
+    }
+}
+
+/// Arrivals of one queue.
+struct Stream {
+    queue: &'static str,
+    urgency: u8,
+    arrivals: Arrivals,
+}
+
+fn streams(example: &Example, rate: f64) -> [Stream; 3] {
+    let burst = |offset| Shape::Bursts {
+        length: BURST,
+        offset,
+    };
+    [
+        Stream {
+            queue: example.queue,
+            urgency: URGENT,
+            arrivals: Arrivals::new(SEED, URGENT_RATE, Shape::Steady),
+        },
+        Stream {
+            queue: example.queue,
+            urgency: MIDDLE,
+            arrivals: Arrivals::new(SEED + 1, rate, burst(0.9)),
+        },
+        Stream {
+            queue: example.other,
+            urgency: MIDDLE,
+            arrivals: Arrivals::new(SEED + 2, rate, burst(0.4)),
+        },
+    ]
+}
+
+fn compare(example: &Example) {
+    let site = Site::open(example);
+    let rate = MEAN_LOAD * site.capacity() / 2.0;
+    println!(
+        "bench=burst example={} data_centres=1 slots={} run_ms={RUN_MS} queue_mean={rate:.0} burst_s={} urgent_rate={URGENT_RATE} seed={SEED}",
+        example.name,
+        site.slots,
+        BURST.as_secs(),
+    );
+    let [urgent, ..] = streams(example, rate);
+    let unloaded = send(example, &site, urgent, UNLOADED);
+    let unloaded_ms = print_report(example, "unloaded", &unloaded);
+    let loads = streams(example, rate).map(|stream| spawn(example, &site, stream));
+    let [urgent, first, second] = loads.map(|load| load.join().expect("load"));
+    let urgent_ms = print_report(example, "urgent", &urgent);
+    print_report(example, "queue_1", &first);
+    print_report(example, "queue_2", &second);
+    println!(
+        "bench=burst example={} way=product urgent_p99_start_ms={urgent_ms:.1} unloaded_p99_start_ms={unloaded_ms:.1} ratio={:.2}",
+        example.name,
+        urgent_ms / unloaded_ms,
+    );
+    print_models(example, &site, rate);
+}
+
+fn spawn(example: &Example, site: &Site, stream: Stream) -> thread::JoinHandle<LoadReport> {
+    let spec = site.load();
+    let request = request(stream.queue, example.owner, stream.urgency, WAIT_S);
+    thread::spawn(move || {
+        run_open(&spec, stream.arrivals, LENGTH, move |_| request.clone()).expect("load")
+    })
+}
+
+fn send(example: &Example, site: &Site, stream: Stream, length: Duration) -> LoadReport {
+    let request = request(stream.queue, example.owner, stream.urgency, WAIT_S);
+    run_open(&site.load(), stream.arrivals, length, move |_| {
+        request.clone()
+    })
+    .expect("load")
+}
+
+/// Returns the p99 of the time until the start, in ms.
+fn print_report(example: &Example, load: &str, report: &LoadReport) -> f64 {
+    let start_ms = (number(report.quantile_us(0.99)) / 1_000.0 - number(RUN_MS)).max(0.0);
+    println!(
+        "bench=burst example={} way=product load={load} {report} p99_start_ms={start_ms:.1}",
+        example.name,
+    );
+    start_ms
+}
+
+fn print_models(example: &Example, site: &Site, rate: f64) {
+    let mut arrivals = Vec::new();
+    for stream in streams(example, rate) {
+        let due = stream.arrivals.take_while(|at| *at < LENGTH);
+        arrivals.extend(due.map(|at| Arrival {
+            at_us: u64::try_from(at.as_micros()).unwrap_or(u64::MAX),
+            team: 0,
+            urgent: stream.urgency == URGENT,
+            wait_us: WAIT_S * 1_000_000,
+        }));
+    }
+    arrivals.sort_by_key(|arrival| arrival.at_us);
+    let sent = arrivals.iter().filter(|arrival| arrival.urgent).count();
+    let pool = Pool {
+        shares: vec![1],
+        slots: site.slots,
+        max_queued: site.max_queued(example),
+    };
+    for way in &model::WAYS {
+        let starts = model::run(way, &pool, &arrivals);
+        let mut waits: Vec<u64> = starts
+            .iter()
+            .filter(|start| start.arrival.urgent)
+            .map(|start| start.at_us - start.arrival.at_us)
+            .collect();
+        waits.sort_unstable();
+        let p99_us = waits.get(waits.len() * 99 / 100).copied().unwrap_or(0);
+        println!(
+            "bench=burst example={} way={} urgent_sent={sent} urgent_started={} urgent_p99_start_ms={:.1}",
+            example.name,
+            way.name,
+            waits.len(),
+            number(p99_us) / 1_000.0,
+        );
+    }
+}
--- /dev/null
+++ b/benches/fairness/main.rs
@@ -0,0 +1,221 @@
+//! Served part of each team against its share while a pool has twice the load it can serve.
+//!
+//! One data centre, one entry in this process, the stand-ins' executors and open-loop
+//! arrivals. Prints key=value lines. Lines with `way=model-...` come from a virtual-time
+//! model of other ways over the same arrivals; they are no measurement of the product.
+
+#[path = "../../tests/common/entry.rs"]
+mod common;
+mod model;
+mod site;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use amaranthwick_standins::load::{Arrivals, LoadReport, Shape, run_open};
+
+use model::{Arrival, Pool};
+use site::{EXAMPLES, Example, RUN_MS, Site, number, request};
+
+const SEED: u64 = 41;
+const OVERLOAD: f64 = 2.0;
+const LENGTH: Duration = Duration::from_secs(12);
+
+/// The first second fills the queue.
+const FIRST_SECOND: usize = 1;
+
+const LAST_SECOND: usize = 11;
+const SAMPLE: Duration = Duration::from_millis(20);
+const WAIT_S: u64 = 5;
+const LONG_WAIT_S: u64 = 60;
+const MIDDLE: u8 = 3;
+const LEAST_URGENT: u8 = 7;
+
+/// Requests a second of the least urgent work of each team.
+const LONG_RATE: f64 = 2.0;
+
+/// Starts of each team in one second, and the part of the slots in use.
+#[derive(Clone, Debug)]
+struct Second {
+    starts: Vec<u64>,
+    used: f64,
+}
+
+struct Team {
+    name: String,
+    share: u64,
+}
+
+fn main() {
+    for example in &EXAMPLES {
+        compare(example);
+    }
+}
+
+fn compare(example: &Example) {
+    let site = Site::open(example);
+    let teams: Vec<Team> = site
+        .document
+        .teams
+        .iter()
+        .map(|(id, team)| Team {
+            name: id.to_string(),
+            share: u64::from(team.share),
+        })
+        .collect();
+    let rate = OVERLOAD * site.capacity() / number(teams.len() as u64);
+    println!(
+        "bench=fairness example={} data_centres=1 slots={} run_ms={RUN_MS} teams={} team_rate={rate:.0} overload={OVERLOAD} seed={SEED}",
+        example.name,
+        site.slots,
+        teams.len(),
+    );
+    let seconds = measure(example, &site, &teams, rate);
+    report(example, "product", &teams, &seconds);
+    let arrivals = arrivals(&teams, rate);
+    let pool = Pool {
+        shares: teams.iter().map(|team| team.share).collect(),
+        slots: site.slots,
+        max_queued: site.max_queued(example),
+    };
+    for way in &model::WAYS {
+        let starts = model::run(way, &pool, &arrivals);
+        let seconds = modelled_seconds(&starts, &pool);
+        report(example, way.name, &teams, &seconds);
+    }
+}
+
+fn seed(team: usize) -> u64 {
+    SEED + team as u64
+}
+
+fn measure(example: &Example, site: &Site, teams: &[Team], rate: f64) -> Vec<Second> {
+    let mut loads = Vec::new();
+    for (i, team) in teams.iter().enumerate() {
+        for (urgency, rate, wait, seed) in [
+            (MIDDLE, rate, WAIT_S, seed(i)),
+            (LEAST_URGENT, LONG_RATE, LONG_WAIT_S, seed(i) + 100),
+        ] {
+            let request = request(example.queue, &team.name, urgency, wait);
+            let spec = site.load();
+            let arrivals = Arrivals::new(seed, rate, Shape::Steady);
+            let load = thread::spawn(move || {
+                run_open(&spec, arrivals, LENGTH, move |_| request.clone()).expect("load")
+            });
+            loads.push((team.name.clone(), urgency, load));
+        }
+    }
+    let seconds = watch(site, teams);
+    for (team, urgency, load) in loads {
+        let answers = load.join().expect("load");
+        report_load(example, &team, urgency, &answers);
+    }
+    seconds
+}
+
+/// Reads the executors' counters each second.
+fn watch(site: &Site, teams: &[Team]) -> Vec<Second> {
+    let control = site.executors.control();
+    let start = Instant::now();
+    let mut before = vec![0; teams.len()];
+    let mut seconds = Vec::new();
+    for second in 1..=LAST_SECOND as u64 {
+        let (mut busy, mut samples) = (0, 0);
+        while start.elapsed() < Duration::from_secs(second) {
+            let counters = control.counters();
+            busy += counters.teams.values().map(|t| t.running).sum::<u64>();
+            samples += 1;
+            thread::sleep(SAMPLE);
+        }
+        let counters = control.counters();
+        let after: Vec<u64> = teams
+            .iter()
+            .map(|team| counters.teams.get(&team.name).map_or(0, |t| t.runs))
+            .collect();
+        let starts = after.iter().zip(&before).map(|(a, b)| a - b).collect();
+        let used = number(busy) / number((samples * site.slots).max(1));
+        seconds.push(Second { starts, used });
+        before = after;
+    }
+    seconds
+}
+
+fn report_load(example: &Example, team: &str, urgency: u8, answers: &LoadReport) {
+    println!(
+        "bench=fairness example={} way=product team={team} urgency={urgency} {answers} max_wait_ms={}",
+        example.name,
+        (answers.max_us() / 1_000).saturating_sub(RUN_MS),
+    );
+}
+
+fn report(example: &Example, way: &str, teams: &[Team], seconds: &[Second]) {
+    let total_share: u64 = teams.iter().map(|team| team.share).sum();
+    let mut worst = 0.0_f64;
+    let mut met = 0;
+    let full = &seconds[FIRST_SECOND..LAST_SECOND];
+    for (i, second) in full.iter().enumerate() {
+        let total = number(second.starts.iter().sum::<u64>().max(1));
+        let (mut gap, mut gap_team) = (0.0, "");
+        for (team, starts) in teams.iter().zip(&second.starts) {
+            let part = number(*starts) / total;
+            let points = (part - number(team.share) / number(total_share)) * 100.0;
+            if points.abs() > f64::abs(gap) {
+                (gap, gap_team) = (points, &team.name);
+            }
+        }
+        met += usize::from(gap.abs() <= 2.0);
+        worst = worst.max(gap.abs());
+        println!(
+            "bench=fairness example={} way={way} second={} starts={total} gap_points={gap:.2} gap_team={gap_team} used_percent={:.1}",
+            example.name,
+            i + FIRST_SECOND,
+            second.used * 100.0,
+        );
+    }
+    let used: f64 = full.iter().map(|second| second.used).sum();
+    println!(
+        "bench=fairness example={} way={way} worst_gap_points={worst:.2} seconds_within_2_points={met}/{} used_percent={:.1}",
+        example.name,
+        full.len(),
+        used / number(full.len() as u64) * 100.0,
+    );
+}
+
+/// The same arrivals as `measure` sends.
+fn arrivals(teams: &[Team], rate: f64) -> Vec<Arrival> {
+    let mut all = Vec::new();
+    for team in 0..teams.len() {
+        for (rate, wait, seed) in [
+            (rate, WAIT_S, seed(team)),
+            (LONG_RATE, LONG_WAIT_S, seed(team) + 100),
+        ] {
+            let due = Arrivals::new(seed, rate, Shape::Steady).take_while(|at| *at < LENGTH);
+            all.extend(due.map(|at| Arrival {
+                at_us: u64::try_from(at.as_micros()).unwrap_or(u64::MAX),
+                team,
+                urgent: false,
+                wait_us: wait * 1_000_000,
+            }));
+        }
+    }
+    all.sort_by_key(|arrival| arrival.at_us);
+    all
+}
+
+fn modelled_seconds(starts: &[model::Start], pool: &Pool) -> Vec<Second> {
+    let per_second = number(pool.slots) * 1_000.0 / number(RUN_MS);
+    let second = |n: usize| {
+        let from = n as u64 * 1_000_000;
+        let range = from..from + 1_000_000;
+        let mut counts = vec![0; pool.shares.len()];
+        for start in starts.iter().filter(|start| range.contains(&start.at_us)) {
+            counts[start.arrival.team] += 1;
+        }
+        let used = number(counts.iter().sum()) / per_second;
+        Second {
+            starts: counts,
+            used,
+        }
+    };
+    (0..LAST_SECOND).map(second).collect()
+}
