Read the VM list on a condition, with the changes since a version

Cause: each process read the whole list once a second.

Now a read names the known version; the platform answers 304 or what has changed. With whole lists on a change the average at one change in 141 s would be 2.8 KB a second (worked out), over the budget, so the changes alone are sent.

Answers that are older, contradict the known version or themselves, are relative to another version, are empty, or lack more than a tenth of the live VMs are not taken over.

The stand-in removes no VM, so `removed` is tested with made-up answers only.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -47,7 +47,7 @@
         offset: facts.offset,
         verified: core.verified(),
         document: core.state.document().cloned(),
-        vms: core.vms.clone(),
+        vms: core.vms.vms().cloned().collect(),
         assignment: facts.assignment.clone(),
         stops: facts.stops.clone(),
         allotments: facts.allotments.clone(),
@@ -91,7 +91,8 @@
         "planner": facts.planner,
         "members": facts.members,
         "jobs": facts.jobs.len(),
-        "vms": core.vms.len(),
+        "vms": core.vms.vms().len(),
+        "vm_list": core.vms.version(),
         "outbox": core.outbox.len(),
     })
 }
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use super::freshness::Freshness;
+use super::inventory::Inventory;
 use super::keeper::Keeper;
 use super::outbox::Outbox;
 use super::registrar::Registrar;
@@ -17,7 +18,7 @@
 use crate::ledger::{Proposal, Record, Refusal, State, Trust, Verdict, encode};
 use crate::membership::{Quota, Report, Roster};
 use crate::peer::Heartbeat;
-use crate::platform::{Batch, LogError, Vm};
+use crate::platform::{Batch, LogError};
 use crate::view::View;
 
 /// Answer to a proposal.
@@ -28,7 +29,7 @@
 pub struct Core {
     pub(super) common: Common,
     pub(super) state: State,
-    pub(super) vms: Vec<Vm>,
+    pub(super) vms: Inventory,
     pub(super) roster: Roster,
     pub(super) outbox: Outbox,
     pub(super) freshness: Freshness,
@@ -62,7 +63,7 @@
         Self {
             common: common.clone(),
             state: State::empty(trust),
-            vms: Vec::new(),
+            vms: Inventory::default(),
             roster: Roster::open(id, home, incarnation, incarnation.0),
             outbox: Outbox::open(now),
             freshness: Freshness::default(),
--- a/src/control/vms.rs
+++ b/src/control/vms.rs
@@ -1,13 +1,13 @@
 //! Polls the platform's VM list.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 
 use super::Backoff;
 use super::shell::Shell;
-use crate::platform::VmList;
+use crate::platform::{Listing, VmList};
 
 /// Time between two reads of the list, in ms.
 const POLL_MS: u64 = 1_000;
@@ -15,11 +15,11 @@
 pub(super) async fn run<L, V: VmList, P>(shell: Rc<Shell<L, V, P>>) {
     let mut backoff = Backoff::default();
     loop {
-        match shell.vms.list().await {
-            Ok(vms) => {
+        let known = shell.core.borrow().vms.condition();
+        match shell.vms.list(known).await {
+            Ok(listing) => {
                 backoff.reset();
-                shell.core.borrow_mut().vms = vms;
-                shell.refresh();
+                take_over(&shell, listing);
                 Timer::after(Duration::from_millis(POLL_MS)).await;
             }
             Err(error) => {
@@ -29,3 +29,14 @@
         }
     }
 }
+
+fn take_over<L, V, P>(shell: &Shell<L, V, P>, listing: Listing) {
+    let before = shell.core.borrow().vms.version();
+    let taken = shell.core.borrow_mut().vms.apply(listing, Instant::now());
+    if let Err(fault) = taken {
+        spdlog::warn!("vm_list_refused", kv: { fault = fault.to_string() });
+    }
+    if shell.core.borrow().vms.version() != before {
+        shell.refresh();
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,8 +11,8 @@
 pub use log::LogClient;
 pub use pools::PoolsClient;
 pub use types::{
-    Batch, LogError, PlatformError, Size, TaskReport, TaskSpec, TaskState, TaskStatus, TaskUsage,
-    UsageReport, Vm, VmPhase, WorkerReport,
+    Batch, ListVersion, Listing, LogError, PlatformError, Size, TaskReport, TaskSpec, TaskState,
+    TaskStatus, TaskUsage, UsageReport, Vm, VmPhase, WorkerReport,
 };
 pub use vms::VmsClient;
 pub use workers::WorkersClient;
@@ -40,8 +40,12 @@
 
 /// Lagging list of live and leaving VMs.
 pub trait VmList: Send + Sync + 'static {
-    /// The whole list as the platform shows it now.
-    fn list(&self) -> impl Future<Output = Result<Vec<Vm>, PlatformError>> + Send;
+    /// The list as the platform shows it now; only what has changed since the version
+    /// that is `known`, if the platform still knows that one.
+    fn list(
+        &self,
+        known: Option<ListVersion>,
+    ) -> impl Future<Output = Result<Listing, PlatformError>> + Send;
 }
 
 /// Drain and reboot of VMs; conditional on the VM's generation.
--- a/src/platform/status.rs
+++ b/src/platform/status.rs
@@ -11,9 +11,18 @@
     call: &str,
     reply: Result<Reply, SendError>,
 ) -> Result<T, PlatformError> {
+    let reply = answered(call, reply)?;
+    decode(call, &reply).map_err(PlatformError::Unknown)
+}
+
+/// The answer of a call unless it is a failure.
+pub(crate) fn answered(
+    call: &str,
+    reply: Result<Reply, SendError>,
+) -> Result<Reply, PlatformError> {
     let reply = reply.map_err(lost)?;
     check_status(call, &reply)?;
-    decode(call, &reply).map_err(PlatformError::Unknown)
+    Ok(reply)
 }
 
 /// Refuses names that can't stand in a path.
@@ -33,7 +42,7 @@
 
 fn check_status(call: &str, reply: &Reply) -> Result<(), PlatformError> {
     match reply.status {
-        200..=299 => Ok(()),
+        200..=299 | 304 => Ok(()),
         404 => Err(PlatformError::Missing),
         412 => Err(PlatformError::Conflict),
         400..=499 | 503 => Err(PlatformError::Refused(words(call, reply))),
--- a/src/platform/types.rs
+++ b/src/platform/types.rs
@@ -106,6 +106,38 @@
     pub generation: Generation,
 }
 
+/// Version of the VM list; rises with every change of it and never falls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ListVersion(pub u64);
+
+/// Answer to a read of the VM list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// The list still has the version that was asked about.
+    Unchanged,
+    /// The whole list.
+    Whole {
+        /// Version of the list.
+        version: ListVersion,
+        /// All VMs.
+        vms: Vec<Vm>,
+    },
+    /// What has changed since a version.
+    Changes {
+        /// Version that the changes are relative to.
+        since: ListVersion,
+        /// Version of the list with the changes.
+        version: ListVersion,
+        /// VMs in the whole list with the changes.
+        count: usize,
+        /// VMs that are new or differ, as they are now.
+        vms: Vec<Vm>,
+        /// VMs that are no longer in the list.
+        removed: Vec<VmId>,
+    },
+}
+
 /// A task for a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskSpec {
--- a/standins/src/vms/machine.rs
+++ b/standins/src/vms/machine.rs
@@ -8,6 +8,9 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+/// Version of the list at the start.
+const FIRST_VERSION: u64 = 1;
+
 /// Phase of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -52,6 +55,24 @@
 pub(crate) struct Machine {
     first: VmState,
     changes: VecDeque<Change>,
+    /// Phase and generation in the list as last shown.
+    shown: (Phase, u64),
+    /// Version of the list since which it has been shown like that.
+    version: u64,
+}
+
+/// The list as it is shown, whole or what has changed in it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct Listing {
+    /// Rises with every change of the list.
+    pub(crate) version: u64,
+    /// Version that the changes are relative to; absent from a whole list.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) since: Option<u64>,
+    /// VMs in the whole list.
+    pub(crate) count: usize,
+    /// All VMs, or those that have changed.
+    pub(crate) vms: Vec<VmState>,
 }
 
 /// Why a conditional change was refused.
@@ -74,6 +95,8 @@
             generation: first.generation,
         };
         Self {
+            shown: (first.phase, first.generation),
+            version: FIRST_VERSION,
             first,
             changes: VecDeque::from([change]),
         }
@@ -81,14 +104,22 @@
 
     /// What it was at a moment; before its start, what it was at its start.
     fn at(&self, moment: Option<Instant>) -> VmState {
+        let (phase, generation) = self.state_at(moment);
+        VmState {
+            phase,
+            generation,
+            ..self.first.clone()
+        }
+    }
+
+    fn state_at(&self, moment: Option<Instant>) -> (Phase, u64) {
         let passed = |change: &&Change| moment.is_some_and(|m| change.at <= m);
         let found = self.changes.iter().rev().find(passed);
-        let mut state = self.first.clone();
-        if let Some(change) = found.or(self.changes.front()) {
-            state.phase = change.phase;
-            state.generation = change.generation;
-        }
-        state
+        found
+            .or(self.changes.front())
+            .map_or((self.first.phase, self.first.generation), |change| {
+                (change.phase, change.generation)
+            })
     }
 
     /// Adds a change in place of all that lie ahead of it.
@@ -113,7 +144,27 @@
 #[derive(Debug)]
 pub(crate) struct Machines {
     lag: Duration,
-    machines: Mutex<IndexMap<String, Machine>>,
+    roll: Mutex<Roll>,
+}
+
+#[derive(Debug)]
+struct Roll {
+    machines: IndexMap<String, Machine>,
+    version: u64,
+}
+
+impl Roll {
+    /// Gives a new version to each VM that is shown differently from before.
+    fn show(&mut self, moment: Option<Instant>) {
+        for machine in self.machines.values_mut() {
+            let state = machine.state_at(moment);
+            if state != machine.shown {
+                self.version += 1;
+                machine.shown = state;
+                machine.version = self.version;
+            }
+        }
+    }
 }
 
 impl Machines {
@@ -121,24 +172,40 @@
     pub(crate) fn new(lag: Duration, machines: IndexMap<String, Machine>) -> Self {
         Self {
             lag,
-            machines: Mutex::new(machines),
+            roll: Mutex::new(Roll {
+                machines,
+                version: FIRST_VERSION,
+            }),
         }
     }
 
-    /// What the list shows now.
-    pub(crate) fn list(&self, now: Instant) -> Vec<VmState> {
+    /// What the list shows now, or what has changed in it since a version that it had.
+    pub(crate) fn list(&self, now: Instant, since: Option<u64>) -> Listing {
         let moment = now.checked_sub(self.lag);
-        self.lock().values().map(|m| m.at(moment)).collect()
+        let mut roll = self.lock();
+        roll.show(moment);
+        let since = since.filter(|since| (FIRST_VERSION..=roll.version).contains(since));
+        let wanted = |m: &&Machine| since.is_none_or(|since| m.version > since);
+        let machines = roll.machines.values();
+        Listing {
+            version: roll.version,
+            since,
+            count: machines.len(),
+            vms: machines.filter(wanted).map(|m| m.at(moment)).collect(),
+        }
     }
 
     /// What is true now.
     pub(crate) fn current(&self, now: Instant) -> Vec<VmState> {
-        self.lock().values().map(|m| m.at(Some(now))).collect()
+        let roll = self.lock();
+        let machines = roll.machines.values();
+        machines.map(|m| m.at(Some(now))).collect()
     }
 
     /// What is true of one VM now.
     pub(crate) fn get(&self, vm: &str, now: Instant) -> Option<VmState> {
-        self.lock().get(vm).map(|m| m.at(Some(now)))
+        let roll = self.lock();
+        roll.machines.get(vm).map(|m| m.at(Some(now)))
     }
 
     /// Changes a VM if it has the generation; returns the next one.
@@ -150,8 +217,8 @@
         phase: Phase,
         now: Instant,
     ) -> Result<u64, Mismatch> {
-        let mut machines = self.lock();
-        let machine = machines.get_mut(vm).ok_or(Mismatch::Missing)?;
+        let mut roll = self.lock();
+        let machine = roll.machines.get_mut(vm).ok_or(Mismatch::Missing)?;
         let state = machine.at(Some(now));
         if state.generation != generation {
             return Err(Mismatch::Generation(state.generation));
@@ -168,14 +235,14 @@
 
     /// Sets the phase of a VM without a new generation; `at` may lie ahead.
     pub(crate) fn set(&self, vm: &str, phase: Phase, at: Instant) -> Result<(), Mismatch> {
-        let mut machines = self.lock();
-        let machine = machines.get_mut(vm).ok_or(Mismatch::Missing)?;
+        let mut roll = self.lock();
+        let machine = roll.machines.get_mut(vm).ok_or(Mismatch::Missing)?;
         let generation = machine.at(Some(at)).generation;
         machine.push(at, phase, generation);
         Ok(())
     }
 
-    fn lock(&self) -> MutexGuard<'_, IndexMap<String, Machine>> {
-        self.machines.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Roll> {
+        self.roll.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/standins/src/vms/mod.rs
+++ b/standins/src/vms/mod.rs
@@ -5,6 +5,6 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use machine::{Machine, Machines, Mismatch};
+pub(crate) use machine::{Listing, Machine, Machines, Mismatch};
 pub use machine::{Phase, VmState};
 pub(crate) use service::VmsService;
--- a/standins/src/vms/service.rs
+++ b/standins/src/vms/service.rs
@@ -4,9 +4,8 @@
 use std::time::Instant;
 
 use http_types::Method;
-use serde_json::json;
 
-use super::Machines;
+use super::{Listing, Machines};
 use crate::serve::{Call, Reply, Service};
 
 /// The VM list.
@@ -25,11 +24,28 @@
 impl Service for VmsService {
     async fn answer(&self, call: Call) -> Reply {
         match (call.method(), call.parts().as_slice()) {
-            (Method::Get, ["vms"]) => {
-                let vms = self.machines.list(Instant::now());
-                Reply::json(200, &json!({ "vms": vms }))
-            }
+            (Method::Get, ["vms"]) => match since(&call) {
+                Ok(since) => answer(&call, &self.machines.list(Instant::now(), since)),
+                Err(reply) => reply,
+            },
             _ => Reply::error(404, "no such call"),
         }
     }
 }
+
+fn since(call: &Call) -> Result<Option<u64>, Reply> {
+    if call.query("since").is_none() {
+        return Ok(None);
+    }
+    call.query_number("since", 0).map(Some)
+}
+
+fn answer(call: &Call, listing: &Listing) -> Reply {
+    let tag = format!("\"{}\"", listing.version);
+    let reply = if call.header("if-none-match") == Some(&tag) {
+        Reply::empty(304)
+    } else {
+        Reply::json(200, listing)
+    };
+    reply.with("ETag", &tag)
+}
--- a/standins/src/vms/tests.rs
+++ b/standins/src/vms/tests.rs
@@ -22,7 +22,7 @@
 }
 
 fn shown(machines: &Machines, now: Instant) -> (Phase, u64) {
-    let list = machines.list(now);
+    let list = machines.list(now, None).vms;
     (list[0].phase, list[0].generation)
 }
 
@@ -103,3 +103,33 @@
     assert_eq!(late, Err(Mismatch::Generation(1)));
     assert_eq!(again, Err(Mismatch::Phase(Phase::Leaving)));
 }
+
+#[test]
+fn a_read_since_a_version_gives_what_has_changed() {
+    let start = Instant::now();
+    let machines = machines(start);
+    let first = machines.list(start, None);
+
+    drain(&machines, 0, start + SECOND).unwrap();
+    let lagging = machines.list(start + SECOND, Some(first.version));
+    let changed = machines.list(start + SECOND + LAG, Some(first.version));
+    let again = machines.list(start + SECOND + LAG, Some(changed.version));
+
+    assert_eq!((lagging.version, lagging.vms.len()), (first.version, 0));
+    assert_eq!(changed.version, first.version + 1);
+    assert_eq!((changed.count, changed.vms.len()), (1, 1));
+    assert_eq!(changed.vms[0].phase, Phase::Leaving);
+    assert_eq!((again.version, again.vms.len()), (changed.version, 0));
+}
+
+#[test]
+fn a_read_since_an_unknown_version_gives_the_whole_list() {
+    let start = Instant::now();
+    let machines = machines(start);
+
+    let ahead = machines.list(start, Some(99));
+    let before = machines.list(start, Some(0));
+
+    assert_eq!((ahead.since, ahead.vms.len()), (None, 1));
+    assert_eq!((before.since, before.vms.len()), (None, 1));
+}
--- a/standins/tests/vms.rs
+++ b/standins/tests/vms.rs
@@ -214,3 +214,28 @@
     assert_eq!(current(&fleet, EXECUTOR).phase, Phase::Down);
     assert!(Client::connect(fleet.executors()[0].address).is_err());
 }
+
+#[test]
+fn an_unchanged_list_is_not_sent_again() {
+    let fleet = fleet();
+    let tag = "If-None-Match: \"1\"";
+
+    let whole = ask(fleet.vms_address(), "GET /vms", &[], "");
+    let unchanged = ask(fleet.vms_address(), "GET /vms?since=1", &[tag], "");
+    change(&fleet, EXECUTOR, "drain", 0);
+    wait_until("the list shows the drain", || {
+        listed(&fleet, EXECUTOR).phase == Phase::Leaving
+    });
+    let changed = ask(fleet.vms_address(), "GET /vms?since=1", &[tag], "");
+
+    assert!(whole.has("ETag: \"1\""));
+    assert_eq!(
+        (unchanged.status, unchanged.has("ETag: \"1\"")),
+        (304, true)
+    );
+    assert!(changed.has("ETag: \"2\""));
+    let body = changed.json();
+    assert_eq!((&body["version"], &body["since"]), (&json!(2), &json!(1)));
+    assert_eq!(body["vms"].as_array().unwrap().len(), 1);
+    assert_eq!(body["vms"][0]["id"], json!(EXECUTOR));
+}
--- a/tests/control/fake.rs
+++ b/tests/control/fake.rs
@@ -8,7 +8,7 @@
 use amaranthwick::id::Offset;
 use amaranthwick::membership::Peers;
 use amaranthwick::peer::Heartbeat;
-use amaranthwick::platform::{Batch, Log, LogError, PlatformError, Vm, VmList};
+use amaranthwick::platform::{Batch, ListVersion, Listing, Log, LogError, PlatformError, VmList};
 use async_io::Timer;
 
 const STEP: Duration = Duration::from_millis(5);
@@ -131,8 +131,9 @@
 pub(crate) struct NoVms;
 
 impl VmList for NoVms {
-    async fn list(&self) -> Result<Vec<Vm>, PlatformError> {
-        Ok(Vec::new())
+    async fn list(&self, _known: Option<ListVersion>) -> Result<Listing, PlatformError> {
+        let (version, vms) = (ListVersion(1), Vec::new());
+        Ok(Listing::Whole { version, vms })
     }
 }
 
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod fake;
 mod fixtures;
 mod freshness;
+mod inventory;
 mod keeper;
 mod outbox;
 mod shell;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,8 +8,8 @@
 use amaranthwick::http::Limits;
 use amaranthwick::id::{ClassId, DataCentre, Generation, Offset, Rack, VmId};
 use amaranthwick::platform::{
-    Log, LogClient, LogError, PlatformError, Pools, PoolsClient, TaskSpec, TaskState, VmList,
-    VmPhase, VmsClient, Workers, WorkersClient,
+    ListVersion, Listing, Log, LogClient, LogError, PlatformError, Pools, PoolsClient, TaskSpec,
+    TaskState, Vm, VmList, VmPhase, VmsClient, Workers, WorkersClient,
 };
 use amaranthwick_standins::{
     ClassSpec, DataCentreSpec, Fault, Fleet, FleetSpec, Kind, LogSpec, PLATFORM, SiteName,
@@ -66,6 +66,13 @@
     VmsClient::new(fleet.vms_address(), &split())
 }
 
+fn whole(vms: &VmsClient) -> Vec<Vm> {
+    match block_on(vms.list(None)) {
+        Ok(Listing::Whole { vms, .. }) => vms,
+        other => panic!("{other:?}"),
+    }
+}
+
 fn pools(fleet: &Fleet) -> PoolsClient {
     PoolsClient::new(fleet.pools_address(), &split())
 }
@@ -290,7 +297,7 @@
 fn lists_vms_with_their_places() {
     let fleet = fleet();
 
-    let vms = block_on(vms(&fleet).list()).unwrap();
+    let vms = whole(&vms(&fleet));
 
     assert_eq!(vms.len(), 2);
     assert_eq!(vms[0].id, VmId::new(EXECUTOR));
@@ -309,7 +316,7 @@
     let fleet = fleet();
     set(&fleet, &SiteName::Vms, &wrong(WrongAnswer::Short));
 
-    let list = block_on(vms(&fleet).list());
+    let list = block_on(vms(&fleet).list(None));
 
     assert!(matches!(list, Err(PlatformError::Unknown(_))), "{list:?}");
 }
@@ -318,7 +325,7 @@
 fn a_broken_vm_in_the_list_is_an_error_with_its_place() {
     let address = answer_once("200 OK", r#"{"vms":[{"id":"vm-1","phase":"odd"}]}"#);
 
-    let list = block_on(VmsClient::new(address, &split()).list());
+    let list = block_on(VmsClient::new(address, &split()).list(None));
 
     let Err(PlatformError::Unknown(words)) = list else {
         panic!("{list:?}");
@@ -329,6 +336,59 @@
     );
 }
 
+#[test]
+fn a_conditional_read_gives_only_what_has_changed() {
+    let fleet = fleet();
+    let client = vms(&fleet);
+    let first = ListVersion(1);
+
+    let unchanged = block_on(client.list(Some(first)));
+    block_on(pools(&fleet).drain(&VmId::new(EXECUTOR), Generation(0))).unwrap();
+    let changed = block_on(client.list(Some(first)));
+
+    assert_eq!(unchanged, Ok(Listing::Unchanged));
+    let Ok(Listing::Changes {
+        since,
+        version,
+        count,
+        vms,
+        ..
+    }) = changed
+    else {
+        panic!("{changed:?}");
+    };
+    assert_eq!((since, version, count), (first, ListVersion(2), 2));
+    assert_eq!(vms.len(), 1);
+    assert_eq!(
+        (vms[0].id.as_str(), vms[0].phase),
+        (EXECUTOR, VmPhase::Leaving)
+    );
+}
+
+#[rstest]
+#[case::count("200 OK", r#"{"version":3,"count":2,"vms":[]}"#, "0 of 2")]
+#[case::no_version("200 OK", r#"{"vms":[]}"#, "version")]
+#[case::not_asked("304 Not Modified\r\nETag: \"9\"", "", "not modified")]
+#[case::twice(
+    "200 OK",
+    r#"{"version":3,"count":2,"vms":[{"id":"a","class":"c","data_centre":"d","rack":"r","address":null,"phase":"live","generation":0},{"id":"a","class":"c","data_centre":"d","rack":"r","address":null,"phase":"live","generation":0}]}"#,
+    "twice"
+)]
+fn a_list_that_contradicts_itself_is_an_error(
+    #[case] status: &str,
+    #[case] body: &str,
+    #[case] part: &str,
+) {
+    let address = answer_once(status, body);
+
+    let list = block_on(VmsClient::new(address, &split()).list(Some(ListVersion(2))));
+
+    let Err(PlatformError::Unknown(words)) = list else {
+        panic!("{list:?}");
+    };
+    assert!(words.contains(part), "{words}");
+}
+
 #[test]
 fn drains_restores_and_reboots_by_generation() {
     let fleet = fleet();
@@ -338,7 +398,7 @@
     let drained = block_on(pools.drain(&vm, Generation(0)));
     let restored = block_on(pools.restore(&vm, Generation(1)));
     let rebooted = block_on(pools.reboot(&vm, Generation(2)));
-    let listed = block_on(vms(&fleet).list()).unwrap();
+    let listed = whole(&vms(&fleet));
 
     assert_eq!(drained, Ok(Generation(1)));
     assert_eq!(restored, Ok(Generation(2)));
@@ -358,7 +418,7 @@
     let late = block_on(pools(&fleet).reboot(&vm, Generation(0)));
 
     assert_eq!(late, Err(PlatformError::Conflict));
-    let listed = block_on(vms(&fleet).list()).unwrap();
+    let listed = whole(&vms(&fleet));
     assert_eq!(listed[0].phase, VmPhase::Leaving);
 }
 
@@ -397,7 +457,7 @@
         set(&fleet, &site, &Fault::Down);
     }
 
-    let list = block_on(vms(&fleet).list());
+    let list = block_on(vms(&fleet).list(None));
     let drain = block_on(pools(&fleet).drain(&VmId::new(EXECUTOR), Generation(0)));
     let stop = block_on(workers(&fleet).stop(&VmId::new(WORKER), "t-1"));
 
