Measure how each role grows with the fleet, and work out the size aimed at

Ruled out: counting heartbeats by a relay, since messages are sealed for their destination; heads are taken from one exchange and bodies from virtual time.

--- /dev/null
+++ b/benches/capacity/main.rs
@@ -0,0 +1,51 @@
+//! How state, messages, processor time and memory of each role grow with the fleet.
+//!
+//! Each part prints a `key=value` line for each size. Names of parts as arguments run
+//! just these.
+
+#![allow(clippy::cast_precision_loss)] // Counts are far below 2^52.
+
+mod appends;
+mod beat;
+#[allow(dead_code)] // The ledger's bench uses the rest.
+#[path = "../ledger/fleet.rs"]
+mod fleet;
+#[path = "../ledger/heartbeat.rs"]
+mod heartbeat;
+mod members;
+mod processes;
+mod relay;
+#[path = "../ledger/snapshot.rs"]
+mod snapshot;
+#[path = "../../tests/support/mod.rs"]
+mod support;
+mod usage;
+mod vm_list;
+
+/// Parts and their names.
+const PARTS: [(&str, fn()); 10] = [
+    ("vm_list", vm_list::run),
+    ("beat", beat::run),
+    ("heartbeat", heartbeat::run),
+    ("snapshot", snapshot::run),
+    ("appends", appends::run),
+    ("by_vms", processes::by_vms),
+    ("by_teams", processes::by_teams),
+    ("by_pools", processes::by_pools),
+    ("by_members", processes::by_members),
+    ("standby", processes::standby),
+];
+
+fn main() {
+    println!("bench=capacity");
+    // Cargo hands `--bench` over.
+    let wanted: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|arg| !arg.starts_with('-'))
+        .collect();
+    for (name, run) in PARTS {
+        if wanted.is_empty() || wanted.iter().any(|part| part == name) {
+            run();
+        }
+    }
+}
