--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -62,7 +62,7 @@
         let tally = Arc::new(Tally::new(spec.tracked_requests));
         let sites = opener.open_executors(&vms, &tally)?;
         let executors = list_executors(&vms, &sites);
-        let power = power(spec, &vms, sites, &opener.spawner);
+        let power = power(spec, &vms, sites, &tally, &opener.spawner);
         let services = opener.open_services(spec, &power)?;
         let control = Control {
             services: Arc::new(services.sites),
@@ -208,6 +208,7 @@
     spec: &FleetSpec,
     vms: &[VmSpec<'_>],
     sites: IndexMap<String, Arc<Site>>,
+    tally: &Arc<Tally>,
     spawner: &Spawner,
 ) -> Power {
     let machines = machines(vms, &sites, Instant::now());
@@ -217,6 +218,7 @@
         machines: Arc::new(Machines::new(list_lag, machines)),
         sites: Arc::new(sites),
         workers: Arc::new(Workers::new(usage_lag, hosts(vms))),
+        tally: Arc::clone(tally),
         spawner: spawner.clone(),
         reboot: Duration::from_millis(spec.reboot_ms),
     }
--- a/standins/src/vms/machine.rs
+++ b/standins/src/vms/machine.rs
@@ -54,6 +54,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Machine {
     first: VmState,
+    /// Generation given by the last reboot.
+    rebooted: u64,
     changes: VecDeque<Change>,
     /// Phase and generation in the list as last shown.
     shown: (Phase, u64),
@@ -98,6 +100,7 @@
             shown: (first.phase, first.generation),
             version: FIRST_VERSION,
             first,
+            rebooted: 0,
             changes: VecDeque::from([change]),
         }
     }
@@ -208,6 +211,12 @@
         roll.machines.get(vm).map(|m| m.at(Some(now)))
     }
 
+    /// Generation that its last reboot gave a VM; 0 before the first.
+    pub(crate) fn rebooted(&self, vm: &str) -> u64 {
+        let roll = self.lock();
+        roll.machines.get(vm).map_or(0, |machine| machine.rebooted)
+    }
+
     /// Changes a VM if it has the generation; returns the next one.
     pub(crate) fn advance(
         &self,
@@ -230,6 +239,9 @@
             machine.forget(shown);
         }
         machine.push(now, phase, generation + 1);
+        if phase == Phase::Down {
+            machine.rebooted = generation + 1;
+        }
         Ok(generation + 1)
     }
 
