--- a/benches/ledger/tick.rs
+++ b/benches/ledger/tick.rs
@@ -7,7 +7,7 @@
 use amaranthwick::document::example;
 use amaranthwick::id::{ClassId, DataCentre, Generation, Incarnation, MemberId, Rack, VmId};
 use amaranthwick::ledger::{restore, store};
-use amaranthwick::platform::{Vm, VmPhase};
+use amaranthwick::platform::{ListVersion, Listing, Vm, VmPhase};
 use amaranthwick::secret::FleetSecret;
 use indexmap::IndexMap;
 
@@ -30,7 +30,11 @@
     let mut core = open(now);
     let state = store(&full(size).state);
     assert!(core.adopt(restore(&state, &trust()).expect("valid")));
-    core.set_vms((0..size.workers).map(listed).collect());
+    let list = Listing::Whole {
+        version: ListVersion(1),
+        vms: (0..size.workers).map(listed).collect(),
+    };
+    core.apply_vms(list, now).expect("believed");
     let (mut ticks, mut views) = (Duration::ZERO, Duration::ZERO);
     for _ in 0..ROUNDS {
         now += Duration::from_millis(250);
