Retry over a new connection after one that went silent

Cause: when something between an entry and its targets had lost track of all open connections, an idempotent request went from one silent connection to another and ended as unknown, although new connections worked. Each timeout closed the idle connections of its own target alone.

Ruled out: closing the idle connections of all targets after one timeout, which a single slow target would bring about again and again.

Change: the pool takes a `Reuse` (any idle connection, a recent one, none) where it took a flag, and a retry after an unknown attempt asks for a new connection.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,7 +4,7 @@
 
 use super::balancer::Health;
 use super::headers::end_to_end;
-use crate::http::{Failure, FailureKind, Limits, Pool, Reply, Request};
+use crate::http::{Failure, FailureKind, Limits, Pool, Reply, Request, Reuse};
 use crate::outcome::{Answer, Reason};
 
 /// Header by which a target says that it has no free slot and has not run the request.
@@ -38,10 +38,10 @@
     pool: &Pool,
     address: SocketAddr,
     request: &Request,
-    repeatable: bool,
+    reuse: Reuse,
     limits: &Limits,
 ) -> Attempt {
-    match pool.send(address, request, repeatable, limits).await {
+    match pool.send(address, request, reuse, limits).await {
         Ok(reply) if is_busy(&reply) => Attempt::NotRun(Reason::Busy),
         Ok(reply) => Attempt::Answered(Answer {
             status: reply.status,
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -18,7 +18,7 @@
 use super::unstoppable::Unstoppable;
 use crate::control::Control;
 use crate::document::Document;
-use crate::http::{Limits, Pool, Request, within};
+use crate::http::{Limits, Pool, Request, Reuse, within};
 use crate::id::{DataCentre, PoolId};
 use crate::membership::Report;
 use crate::outcome::{Outcome, Reason};
@@ -41,6 +41,7 @@
     entry: Entry,
     pool: PoolId,
     repeatable: bool,
+    reuse: Reuse,
     limits: Limits,
 }
 
@@ -109,6 +110,8 @@
                 Attempt::NotRun(reason) => reason,
                 Attempt::Unknown(reason) => {
                     unknown = Some(reason);
+                    // What made one connection silent may have done so to all of them.
+                    work.reuse = Reuse::Never;
                     reason
                 }
             };
@@ -200,8 +203,14 @@
                 bytes: found.spec.max_bytes,
             },
         };
+        let repeatable = service.idempotent || is_idempotent(&forward.method);
         Some(Work {
-            repeatable: service.idempotent || is_idempotent(&forward.method),
+            reuse: if repeatable {
+                Reuse::Idle
+            } else {
+                Reuse::Recent
+            },
+            repeatable,
             limits: Limits {
                 connect_ms: CONNECT_MS,
                 answer_ms: service.run_limit_ms,
@@ -241,10 +250,10 @@
     ) -> impl Future<Output = Attempt> + use<> {
         let owner = Arc::clone(self);
         let request = Arc::clone(&work.request);
-        let (repeatable, limits) = (work.repeatable, work.limits);
+        let (reuse, limits) = (work.reuse, work.limits);
         let exchange = async move {
             let address = grant.choice.address;
-            let attempt = attempt(&owner.connections, address, &request, repeatable, &limits).await;
+            let attempt = attempt(&owner.connections, address, &request, reuse, &limits).await;
             if attempt.health() == Health::Bad {
                 spdlog::warn!("attempt_failed", kv: {
                     target = grant.choice.vm.as_str(),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use super::{Failure, Pool, Reply, Request};
+use super::{Failure, Pool, Reply, Request, Reuse};
 
 /// Bounds of one exchange.
 #[derive(Clone, Copy, Debug)]
@@ -71,5 +71,7 @@
     request: &Request,
     limits: &Limits,
 ) -> Result<Reply, SendError> {
-    Ok(Pool::new().send(address, request, false, limits).await?)
+    Ok(Pool::new()
+        .send(address, request, Reuse::Never, limits)
+        .await?)
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -14,7 +14,7 @@
 
 pub use client::{Limits, SendError, send};
 pub use message::{Reply, Request};
-pub use pool::{Failure, FailureKind, Pool};
+pub use pool::{Failure, FailureKind, Pool, Reuse};
 pub use problem::{Conclusion, Problem};
 pub use server::{Handler, Server, ServerLimits};
 
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -67,6 +67,28 @@
     since: Instant,
 }
 
+/// Which idle connection a request may go over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any; for a request that may be sent twice.
+    Idle,
+    /// One that was used a moment ago.
+    Recent,
+    /// None: a new connection is made.
+    Never,
+}
+
+impl Reuse {
+    /// Time for which a connection may have been idle.
+    const fn limit(self) -> Duration {
+        match self {
+            Self::Idle => IDLE_LIMIT,
+            Self::Recent => FRESH_LIMIT,
+            Self::Never => Duration::ZERO,
+        }
+    }
+}
+
 /// Open connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -80,8 +102,7 @@
         Self::default()
     }
 
-    /// Sends `request` to `address` and reads the whole answer. A request that is not
-    /// `repeatable` goes over a connection that is new or was used a moment ago.
+    /// Sends `request` to `address` and reads the whole answer.
     ///
     /// # Errors
     /// Says how far the exchange came.
@@ -89,12 +110,12 @@
         &self,
         address: SocketAddr,
         request: &Request,
-        repeatable: bool,
+        reuse: Reuse,
         limits: &Limits,
     ) -> Result<Reply, Failure> {
         let bytes = codec::encode_request(&address.to_string(), request)
             .map_err(|e| Failure::new(FailureKind::BadRequest, 0, &e))?;
-        let mut wire = match self.reuse(address, repeatable) {
+        let mut wire = match self.reuse(address, reuse.limit()) {
             Some(wire) => wire,
             None => connect(address, limits).await?,
         };
@@ -136,8 +157,8 @@
         self.lock().values().map(Vec::len).sum()
     }
 
-    fn reuse(&self, address: SocketAddr, repeatable: bool) -> Option<Wire> {
-        let limit = if repeatable { IDLE_LIMIT } else { FRESH_LIMIT };
+    /// Takes a connection that has been idle for less than `limit`.
+    fn reuse(&self, address: SocketAddr, limit: Duration) -> Option<Wire> {
         let mut idle = self.lock();
         let entries = idle.get_mut(&address)?;
         while let Some(entry) = entries.pop() {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -5,7 +5,7 @@
 
 use super::seal::{REPLY_MAC, Seal};
 use super::{PeerReply, PeerRequest};
-use crate::http::{FailureKind, Limits, Pool, Request};
+use crate::http::{FailureKind, Limits, Pool, Request, Reuse};
 use crate::secret::FleetSecret;
 
 /// Why another process gave no answer.
@@ -64,7 +64,7 @@
         request.headers = seal.headers(&self.secret, address, &request.body);
         let reply = self
             .pool
-            .send(address, &request, repeatable(message), limits)
+            .send(address, &request, reuse(message), limits)
             .await
             .map_err(|failure| match failure.kind {
                 _ if failure.written == 0 => PeerError::Unreachable(failure.detail),
@@ -87,6 +87,9 @@
     }
 }
 
-fn repeatable(message: &PeerRequest) -> bool {
-    matches!(message, PeerRequest::Heartbeat(_) | PeerRequest::State)
+const fn reuse(message: &PeerRequest) -> Reuse {
+    match message {
+        PeerRequest::Heartbeat(_) | PeerRequest::State => Reuse::Idle,
+        _ => Reuse::Recent,
+    }
 }
--- a/tests/common/entry.rs
+++ b/tests/common/entry.rs
@@ -267,6 +267,9 @@
     Silent,
     /// Waits this long, then echoes.
     Slow(u64),
+    /// Echoes the first request of each connection after this long, then keeps the
+    /// connection open and says nothing.
+    Once(u64),
 }
 
 /// A raw fake target that keeps the heads of its requests.
@@ -315,17 +318,23 @@
     running: &AtomicUsize,
     most: &AtomicUsize,
 ) {
+    let mut answered = false;
     while let Some((head, body)) = read_request(&mut stream) {
         let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
         heads.lock().expect("lock").push(head);
         let now = running.fetch_add(1, Ordering::SeqCst) + 1;
         most.fetch_max(now, Ordering::SeqCst);
-        if let Act::Slow(ms) = act {
+        if let Act::Slow(ms) | Act::Once(ms) = act {
             thread::sleep(Duration::from_millis(ms));
         }
         running.fetch_sub(1, Ordering::SeqCst);
         let answer = match act {
-            Act::Echo | Act::Slow(_) => {
+            Act::Once(_) if answered => {
+                let _ = read_request(&mut stream);
+                return;
+            }
+            Act::Echo | Act::Slow(_) | Act::Once(_) => {
+                answered = true;
                 let length = path.len() + body.len();
                 format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{path}{body}")
                     .into_bytes()
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -13,7 +13,7 @@
 use amaranthwick::entry::Entry;
 use amaranthwick::id::{QueueId, TeamId};
 use amaranthwick::membership::{Demand, rank};
-use amaranthwick::view::{Limits, View};
+use amaranthwick::view::{Limits, Target, View};
 use common::{
     Act, FakeTarget, Fixture, bearer, fleet, limits, nobody, request, single, status, talk, target,
     view, wait_until,
@@ -270,6 +270,32 @@
     assert_eq!(silent.runs(), 1);
 }
 
+#[test]
+fn retry_after_a_silent_connection_goes_over_a_new_one() {
+    let fakes = [(); 3].map(|()| FakeTarget::open(Act::Once(100)));
+    let targets: Vec<Target> = (0..)
+        .zip(&fakes)
+        .map(|(i, fake)| target(i, fake.address, 1))
+        .collect();
+    let fixture = single(&targets);
+    let address = fixture.entry.callers();
+    let get = request("GET", "/q/open/x", "", "");
+    let first: Vec<_> = (0..3)
+        .map(|_| {
+            let bytes = get.clone();
+            thread::spawn(move || talk(address, &bytes))
+        })
+        .collect();
+    for thread in first {
+        thread.join().expect("join");
+    }
+    assert!(fakes.iter().all(|fake| fake.runs() == 1));
+
+    let answer = talk(address, &get);
+
+    assert_eq!(status(&answer), "200", "{answer}");
+}
+
 #[test]
 fn request_that_gets_no_slot_in_time_has_not_run() {
     let slow = FakeTarget::open(Act::Slow(600));
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use amaranthwick::http::{FailureKind, Limits, Pool, Request};
+use amaranthwick::http::{FailureKind, Limits, Pool, Request, Reuse};
 use futures_lite::future::block_on;
 use rstest::rstest;
 
@@ -107,8 +107,8 @@
     let pool = Pool::new();
 
     // Act
-    let broken = block_on(pool.send(address, &get(), true, &limits()));
-    let next = block_on(pool.send(address, &get(), true, &limits()));
+    let broken = block_on(pool.send(address, &get(), Reuse::Idle, &limits()));
+    let next = block_on(pool.send(address, &get(), Reuse::Idle, &limits()));
 
     // Assert
     let failure = broken.expect_err("no whole answer");
@@ -124,8 +124,8 @@
     let address = serve(vec![vec![extra, WHOLE], vec![WHOLE]]);
     let pool = Pool::new();
 
-    let first = block_on(pool.send(address, &get(), true, &limits())).expect("first");
-    let second = block_on(pool.send(address, &get(), true, &limits())).expect("second");
+    let first = block_on(pool.send(address, &get(), Reuse::Idle, &limits())).expect("first");
+    let second = block_on(pool.send(address, &get(), Reuse::Idle, &limits())).expect("second");
 
     assert_eq!(first.body, b"a");
     assert_eq!(second.body, b"whole");
@@ -139,10 +139,10 @@
     ]);
     let pool = Pool::new();
 
-    block_on(pool.send(address, &get(), true, &limits())).expect("first");
+    block_on(pool.send(address, &get(), Reuse::Idle, &limits())).expect("first");
     // The fake server closes after its only answer.
     thread::sleep(Duration::from_millis(50));
-    let second = block_on(pool.send(address, &get(), false, &limits())).expect("second");
+    let second = block_on(pool.send(address, &get(), Reuse::Recent, &limits())).expect("second");
 
     assert_eq!(second.body, b"whole");
 }
@@ -153,7 +153,7 @@
     let pool = Pool::new();
 
     let replies: Vec<u16> = (0..3)
-        .map(|_| block_on(pool.send(address, &get(), true, &limits())).expect("answer"))
+        .map(|_| block_on(pool.send(address, &get(), Reuse::Idle, &limits())).expect("answer"))
         .map(|reply| reply.status)
         .collect();
 
@@ -168,9 +168,9 @@
     let pool = Pool::new();
     let post = Request::new("POST", "/x", Vec::new());
 
-    block_on(pool.send(address, &get(), true, &limits())).expect("first");
+    block_on(pool.send(address, &get(), Reuse::Idle, &limits())).expect("first");
     thread::sleep(Duration::from_millis(600));
-    let second = block_on(pool.send(address, &post, false, &limits())).expect("second");
+    let second = block_on(pool.send(address, &post, Reuse::Recent, &limits())).expect("second");
 
     assert_eq!(second.body, b"fresh");
     assert_eq!(pool.idle(), 1, "the old connection is closed");
@@ -183,7 +183,7 @@
     ]]);
     let pool = Pool::new();
 
-    let reply = block_on(pool.send(address, &get(), true, &limits())).expect("answer");
+    let reply = block_on(pool.send(address, &get(), Reuse::Idle, &limits())).expect("answer");
 
     assert_eq!(reply.body, b"abc");
     assert_eq!(reply.headers, []);
@@ -199,8 +199,8 @@
     };
     let pool = Pool::new();
 
-    let timeout = block_on(pool.send(silent, &get(), true, &limits())).expect_err("timeout");
-    let refused = block_on(pool.send(closed, &get(), true, &limits())).expect_err("refused");
+    let timeout = block_on(pool.send(silent, &get(), Reuse::Idle, &limits())).expect_err("timeout");
+    let refused = block_on(pool.send(closed, &get(), Reuse::Idle, &limits())).expect_err("refused");
 
     assert_eq!(timeout.kind, FailureKind::Silent);
     assert!(timeout.written > 0);
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use amaranthwick::http::{Limits, Pool, Request, ServerLimits};
+use amaranthwick::http::{Limits, Pool, Request, Reuse, ServerLimits};
 use amaranthwick::id::{Incarnation, MemberId, Offset};
 use amaranthwick::peer::{Client, Handler, Heartbeat, PeerError, PeerReply, PeerRequest, Server};
 use amaranthwick::runtime::Runtime;
@@ -111,7 +111,7 @@
 
 fn raw(fixture: &Fixture, request: &Request) -> u16 {
     let (pool, limits) = (Pool::new(), Limits::default());
-    let sent = pool.send(fixture.server.address(), request, true, &limits);
+    let sent = pool.send(fixture.server.address(), request, Reuse::Idle, &limits);
     block_on(sent).expect("answer").status
 }
 
