--- a/tests/scenarios/decisions/process.rs
+++ b/tests/scenarios/decisions/process.rs
@@ -3,14 +3,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use amaranthwick::config::{Common, Platform};
+use amaranthwick::config::Common;
 use amaranthwick::control::{Core, Settings};
-use amaranthwick::document::example;
-use amaranthwick::id::{DataCentre, Incarnation, MemberId, SectionId};
+use amaranthwick::dev;
+use amaranthwick::id::{Incarnation, MemberId, SectionId};
 use amaranthwick::ledger::{Holding, Proposal};
 use amaranthwick::planner::Claimant;
-use amaranthwick::secret::FleetSecret;
-use indexmap::IndexMap;
 
 /// Time after which a silent planner may be replaced.
 const LEASE: Duration = Duration::from_secs(5);
@@ -97,20 +95,5 @@
 }
 
 fn common(name: &str, data_centre: &str) -> Common {
-    let nowhere = peer(0);
-    Common {
-        id: MemberId::new(name),
-        data_centre: DataCentre::new(data_centre),
-        peer: nowhere,
-        admin: nowhere,
-        peers: IndexMap::new(),
-        platform: Platform {
-            log: nowhere,
-            vms: nowhere,
-            pools: nowhere,
-            workers: nowhere,
-        },
-        secret: FleetSecret::new(example::fleet_secret()),
-        root_key: example::operator("root").public(),
-    }
+    dev::common(name, data_centre)
 }
