Build settings for trials in one place, and show one incarnation

The state dump showed two incarnations of a process, drawn apart: the one of the admin address goes, the registered one under control stays.

--- a/src/dev/mod.rs
+++ b/src/dev/mod.rs
@@ -4,9 +4,11 @@
 mod fleet;
 mod process;
 mod publish;
+mod settings;
 mod spec;
 
 pub use fleet::Fleet;
 pub use process::{EntryProcess, PlannerProcess};
 pub use publish::Publisher;
+pub use settings::{common, common_on};
 pub use spec::fleet_spec;
--- a/src/dev/process.rs
+++ b/src/dev/process.rs
@@ -1,15 +1,14 @@
 //! Daemons of the fleet, run inside this process.
 
-use indexmap::IndexMap;
 use std::net::SocketAddr;
 
 use amaranthwick_standins as standins;
 use anyhow::{Context, Result};
 use serde_json::{Value, json};
 
-use crate::config::{Common, EntryConfig, PlannerConfig, Platform};
+use super::settings::{common_on, loopback};
+use crate::config::{Common, EntryConfig, PlannerConfig};
 use crate::control::{self, Control};
-use crate::document::example;
 use crate::entry::Entry;
 use crate::http::Server;
 use crate::id::{DataCentre, MemberId};
@@ -18,7 +17,6 @@
 use crate::planner::{self, Planner};
 use crate::platform::{LogClient, PoolsClient, VmsClient, WorkersClient};
 use crate::runtime::Runtime;
-use crate::secret::FleetSecret;
 use crate::telemetry::{Admin, Dump, Metrics, Process};
 
 const MAX_CALLERS: usize = 1_000;
@@ -125,21 +123,7 @@
     }
 
     fn common(&self, id: &str, data_centre: &DataCentre) -> Common {
-        Common {
-            id: MemberId::new(id),
-            data_centre: data_centre.clone(),
-            peer: loopback(),
-            admin: loopback(),
-            peers: IndexMap::new(),
-            platform: Platform {
-                log: self.standins.log_address(),
-                vms: self.standins.vms_address(),
-                pools: self.standins.pools_address(),
-                workers: self.standins.workers_address(),
-            },
-            secret: FleetSecret::new(example::fleet_secret()),
-            root_key: example::operator("root").public(),
-        }
+        common_on(self.standins, id, data_centre.as_str())
     }
 }
 
@@ -199,7 +183,3 @@
 fn vms(common: &Common) -> VmsClient {
     VmsClient::new(common.platform.vms, &common.data_centre)
 }
-
-fn loopback() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
--- /dev/null
+++ b/src/dev/settings.rs
@@ -0,0 +1,50 @@
+//! Settings of processes for trials: example keys, loopback, ports from the kernel.
+
+use std::net::SocketAddr;
+
+use amaranthwick_standins as standins;
+use indexmap::IndexMap;
+
+use crate::config::{Common, Platform};
+use crate::document::example;
+use crate::id::{DataCentre, MemberId};
+use crate::secret::FleetSecret;
+
+/// Settings of a process that reaches no platform.
+#[must_use]
+pub fn common(id: &str, data_centre: &str) -> Common {
+    Common {
+        id: MemberId::new(id),
+        data_centre: DataCentre::new(data_centre),
+        peer: loopback(),
+        admin: loopback(),
+        peers: IndexMap::new(),
+        platform: Platform {
+            log: loopback(),
+            vms: loopback(),
+            pools: loopback(),
+            workers: loopback(),
+        },
+        secret: FleetSecret::new(example::fleet_secret()),
+        root_key: example::operator("root").public(),
+    }
+}
+
+/// Settings of a process on the stand-ins of `fleet`.
+#[must_use]
+pub fn common_on(fleet: &standins::Fleet, id: &str, data_centre: &str) -> Common {
+    Common {
+        platform: Platform {
+            log: fleet.log_address(),
+            vms: fleet.vms_address(),
+            pools: fleet.pools_address(),
+            workers: fleet.workers_address(),
+        },
+        ..common(id, data_centre)
+    }
+}
+
+/// Any port of the loopback address.
+pub(super) fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- a/src/telemetry/admin.rs
+++ b/src/telemetry/admin.rs
@@ -16,7 +16,7 @@
 use crate::config::Common;
 use crate::control::Control;
 use crate::http::{Conclusion, Handler, Problem, Reply, Request, Server, ServerLimits};
-use crate::id::{DataCentre, Incarnation, MemberId, Offset, RecordId, Revision, SectionId};
+use crate::id::{DataCentre, MemberId, Offset, RecordId, Revision, SectionId};
 use crate::ledger::Verdict;
 use crate::runtime::Runtime;
 
@@ -29,8 +29,6 @@
     pub id: MemberId,
     /// Its data centre.
     pub data_centre: DataCentre,
-    /// Start of this run of the process.
-    pub incarnation: Incarnation,
 }
 
 impl Process {
@@ -41,7 +39,6 @@
             program,
             id: common.id.clone(),
             data_centre: common.data_centre.clone(),
-            incarnation: Incarnation::now(),
         }
     }
 }
@@ -183,7 +180,6 @@
                 "version": env!("CARGO_PKG_VERSION"),
                 "id": process.id,
                 "data_centre": process.data_centre,
-                "incarnation": process.incarnation,
                 "pid": std::process::id(),
                 "uptime_ms": millis_since(self.started),
             },
