Look a pool up in one place

Cause: the search for a pool over all teams, and from it the service that its targets run, stood six times, in the entry, the planner and the fold; the bound of a peer's message and the number of attempts stood a second time as bare numbers.

Change: Document::pool and Document::service serve all but the planner's placement, which has its own table of pools and now uses it. The route's time limit and message bound use the constants of the owner and the peer server, which have the values that were written out.

Behaviour is as before: names of pools are unique in an accepted document. No test changed. Nothing was measured.

--- a/src/document/model.rs
+++ b/src/document/model.rs
@@ -17,6 +17,19 @@
 }
 
 impl Document {
+    /// A pool, whichever team owns it.
+    #[must_use]
+    pub fn pool(&self, id: &PoolId) -> Option<&PoolSpec> {
+        self.teams.values().find_map(|team| team.pools.get(id))
+    }
+
+    /// What the targets of a pool run.
+    #[must_use]
+    pub fn service(&self, pool: &PoolId) -> Option<&Service> {
+        let service = self.pool(pool)?.service.as_ref()?;
+        self.fleet.services.get(service)
+    }
+
     /// Joins sections; teams are kept in the order of their names.
     pub(super) fn new(fleet: Fleet, mut teams: IndexMap<TeamId, Team>) -> Self {
         teams.sort_unstable_keys();
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -30,7 +30,7 @@
 const CONNECT_MS: u64 = 500;
 
 /// Attempts of one request, on as many targets as there are.
-const ATTEMPTS: usize = 3;
+pub(crate) const ATTEMPTS: u8 = 3;
 
 /// Memory of a queued request besides its path, headers and body, in bytes.
 const ENTRY_BYTES: u64 = 512;
@@ -180,12 +180,7 @@
     fn work(&self, document: &Document, forward: Forward) -> Option<Work> {
         let found = find_queue(document, &forward.queue)?;
         let pool = found.spec.pool.clone();
-        let service = document
-            .teams
-            .values()
-            .find_map(|team| team.pools.get(&pool))
-            .and_then(|spec| spec.service.as_ref())
-            .and_then(|service| document.fleet.services.get(service))?;
+        let service = document.service(&pool)?;
         let now_us = self.clock.now_us();
         let bytes = size(&forward);
         let entry = Entry {
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use super::PEER_EXTRA_BYTES;
 use super::auth::find_queue;
 use super::once::Once;
-use super::owner::{Owner, is_idempotent};
+use super::owner::{ATTEMPTS, Owner, is_idempotent};
 use crate::control::Control;
 use crate::http::Limits;
 use crate::id::{DataCentre, MemberId, PoolId, QueueId};
@@ -117,7 +118,7 @@
         let limits = Limits {
             connect_ms: CONNECT_MS,
             answer_ms: forward.wait_ms + run_limit_ms(view, &forward.queue) + GRACE_MS,
-            max_body: self.max_body + (64 << 10),
+            max_body: self.max_body + PEER_EXTRA_BYTES,
         };
         let message = PeerRequest::Forward(forward.clone());
         match self.peers.ask(member.peer, &message, &limits).await {
@@ -151,10 +152,6 @@
     let Some(document) = &view.document else {
         return 0;
     };
-    let pool = pool_of(view, queue);
-    let service = document.teams.values().find_map(|team| {
-        let spec = team.pools.get(pool.as_ref()?)?;
-        document.fleet.services.get(spec.service.as_ref()?)
-    });
-    service.map_or(0, |service| service.run_limit_ms * 3)
+    let service = pool_of(view, queue).and_then(|pool| document.service(&pool));
+    service.map_or(0, |service| service.run_limit_ms * u64::from(ATTEMPTS))
 }
--- a/src/ledger/fold/assignment.rs
+++ b/src/ledger/fold/assignment.rs
@@ -1,7 +1,6 @@
 //! VMs: where each is, the pool that it is in, planned stops and losses.
 
 use super::budget::{Availability, Fleet, MAX_FAILED};
-use crate::document::Document;
 use crate::id::{Epoch, PoolId, VmId};
 use crate::ledger::{PlannedStop, Refusal, Site, State, StopReason};
 
@@ -158,7 +157,7 @@
         let (Some(pool), Some(fleet)) = (from, self.fleet()) else {
             return Ok(());
         };
-        if !has_pool(fleet.document, pool) {
+        if fleet.document.pool(pool).is_none() {
             return Ok(());
         }
         let available = Availability::count(fleet);
@@ -169,7 +168,7 @@
         let known = self
             .document
             .as_ref()
-            .is_some_and(|document| has_pool(document, pool));
+            .is_some_and(|document| document.pool(pool).is_some());
         if !known {
             return Err(Refusal::Missing(pool.to_string()));
         }
@@ -179,10 +178,3 @@
         Ok(())
     }
 }
-
-fn has_pool(document: &Document, pool: &PoolId) -> bool {
-    document
-        .teams
-        .values()
-        .any(|team| team.pools.contains_key(pool))
-}
--- a/src/ledger/fold/budget.rs
+++ b/src/ledger/fold/budget.rs
@@ -136,8 +136,8 @@
     }
 
     fn is_spare(&self, pool: &PoolId) -> bool {
-        let mut teams = self.fleet.document.teams.values();
-        teams.any(|team| team.pools.get(pool).is_some_and(|spec| spec.spare))
+        let spec = self.fleet.document.pool(pool);
+        spec.is_some_and(|spec| spec.spare)
     }
 
     /// True for a VM that is down in a pool.
--- a/src/planner/jobs.rs
+++ b/src/planner/jobs.rs
@@ -255,7 +255,7 @@
         .pools
         .values()
         .any(|spec| !spec.spare && is_worker(&spec.class));
-    let spec = document.teams.values().find_map(|t| t.pools.get(pool));
+    let spec = document.pool(pool);
     let in_service = spec.is_some_and(|spec| !spec.spare);
     in_service && (!has_workers || own.pools.contains_key(pool))
 }
--- a/src/planner/placement.rs
+++ b/src/planner/placement.rs
@@ -258,12 +258,8 @@
 
     /// What has to leave its pool and is wanted nowhere goes out of every pool.
     fn release(&mut self) {
-        let document = self.situation.document;
         let unwanted = self.lost.iter().filter(|((pool, data_centre), _)| {
-            let spec = document
-                .teams
-                .values()
-                .find_map(|team| team.pools.get(*pool));
+            let spec = self.specs.get(*pool);
             spec.is_none_or(|spec| !spec.vms.contains_key(*data_centre))
         });
         let unwanted = unwanted.flat_map(|((pool, _), lost)| lost.iter().map(|vm| (*vm, *pool)));
