--- /dev/null
+++ b/src/dispatch/callers.rs
@@ -0,0 +1,199 @@
+//! What callers ask for: to hand jobs in, look at them and cancel them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use super::clock::wall_ms;
+use super::services::{Appended, Services};
+use super::{Dispatch, state::Shared};
+use crate::scheduler::{Change, Event, JobKey, JobSpec, JobState, Millis, Policy, Record};
+
+/// News older than this is too old to refuse or deny anything by, in ms: three reads.
+const FRESH_MS: Millis = 2_500;
+
+/// Pause between two tries to store a record, in ms.
+const RETRY_MS: u64 = 80;
+
+/// Tries after which the store is taken for too busy, if each was refused.
+const REFUSED_TRIES: u32 = 4;
+
+/// Time that a look at an unknown job waits for news, in ms.
+const LOOK_WAIT_MS: u64 = 40;
+
+/// What came of handing a job in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submission {
+    /// It is stored and will run.
+    Accepted,
+    /// It is not stored and never runs.
+    Refused,
+    /// It may be stored.
+    Unknown,
+}
+
+/// What came of a cancel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelOutcome {
+    /// It is stored.
+    Accepted,
+    /// There is no such job.
+    NotFound,
+    /// Nothing can be said now.
+    Unavailable,
+}
+
+/// What is known of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lookup {
+    /// Its state.
+    Found(JobState),
+    /// There is no such job.
+    NotFound,
+    /// The news is too old to say so.
+    Unavailable,
+}
+
+impl<S: Services> Dispatch<S> {
+    /// What the operators allow now; version 0 before the first.
+    #[must_use]
+    pub fn policy(&self) -> Arc<Policy> {
+        Arc::clone(&self.shared.lock().policy)
+    }
+
+    /// True when the process can serve callers.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        let state = self.shared.lock();
+        !state.stopping && state.policy.version > 0 && fresh(&self.shared, state.read_at)
+    }
+
+    /// Time of day, in ms since 1970.
+    #[must_use]
+    pub fn wall_ms(&self) -> u64 {
+        wall_ms()
+    }
+
+    /// Stores a job; gives up after `limit_ms`.
+    pub async fn submit(&self, key: JobKey, spec: JobSpec, limit_ms: u64) -> Submission {
+        let shared = &self.shared;
+        let deadline = shared.clock.now() + limit_ms;
+        match self.known(key) {
+            Lookup::Found(_) => return Submission::Accepted,
+            Lookup::Unavailable => return Submission::Refused,
+            Lookup::NotFound => {}
+        }
+        let record = [Record::Job(key, spec.clone())];
+        let mut sent = false;
+        let mut refused = 0;
+        loop {
+            match shared.services.append(&record, &[], None, None).await {
+                Appended::Stored { .. } => break,
+                Appended::Unknown => sent = true,
+                _ => refused += 1,
+            }
+            if shared.lock().table.get(key).is_some() {
+                return Submission::Accepted;
+            }
+            if !sent && refused >= REFUSED_TRIES {
+                return Submission::Refused;
+            }
+            if shared.clock.now() >= deadline {
+                return if sent {
+                    Submission::Unknown
+                } else {
+                    Submission::Refused
+                };
+            }
+            Timer::after(Duration::from_millis(RETRY_MS)).await;
+        }
+        let [record] = record;
+        self.adopt(key, record);
+        Submission::Accepted
+    }
+
+    /// Applies a record that is stored, ahead of reading it.
+    fn adopt(&self, key: JobKey, record: Record) {
+        let now = self.shared.clock.now();
+        let mut state = self.shared.lock();
+        state.table.apply(Change::Put(record));
+        state.tell(Event::Job(key), now);
+        drop(state);
+        self.shared.wake();
+    }
+
+    /// The state of a job.
+    pub async fn look_up(&self, key: JobKey) -> Lookup {
+        let first = self.known(key);
+        if first != Lookup::NotFound {
+            return first;
+        }
+        self.shared.poke();
+        Timer::after(Duration::from_millis(LOOK_WAIT_MS)).await;
+        self.known(key)
+    }
+
+    /// What this process knows of a job without asking further.
+    fn known(&self, key: JobKey) -> Lookup {
+        let state = self.shared.lock();
+        match state.table.get(key) {
+            Some(job) => Lookup::Found(job.state()),
+            None if fresh(&self.shared, state.read_at) => Lookup::NotFound,
+            None => Lookup::Unavailable,
+        }
+    }
+
+    /// Cancels a job; gives up after `limit_ms`.
+    pub async fn cancel(&self, key: JobKey, limit_ms: u64) -> CancelOutcome {
+        let shared = &self.shared;
+        match self.look_up(key).await {
+            Lookup::Found(JobState::Canceled) => return CancelOutcome::Accepted,
+            Lookup::Found(_) => {}
+            Lookup::NotFound => return CancelOutcome::NotFound,
+            Lookup::Unavailable => return CancelOutcome::Unavailable,
+        }
+        let deadline = shared.clock.now() + limit_ms;
+        let record = [Record::Cancel(key)];
+        loop {
+            let appended = shared.services.append(&record, &[], None, None).await;
+            if matches!(appended, Appended::Stored { .. }) {
+                break;
+            }
+            if shared.clock.now() >= deadline {
+                return CancelOutcome::Unavailable;
+            }
+            Timer::after(Duration::from_millis(RETRY_MS)).await;
+        }
+        let [record] = record;
+        self.adopt(key, record);
+        CancelOutcome::Accepted
+    }
+
+    /// Accepted jobs of a queue of which no task has started.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> usize {
+        self.shared.poke();
+        self.shared.lock().table.pending(queue)
+    }
+
+    /// Numbers that describe the process, for the state dump.
+    #[must_use]
+    pub fn summary(&self) -> Vec<(&'static str, u64)> {
+        let state = self.shared.lock();
+        let mut numbers = vec![
+            ("policy_version", state.policy.version),
+            ("jobs", state.table.len() as u64),
+            ("next_offset", state.next.unwrap_or(0)),
+            ("holder_epoch", state.table.holder().map_or(0, |h| h.epoch)),
+        ];
+        if let Some(leader) = &state.leader {
+            numbers.extend(leader.summary());
+        }
+        numbers
+    }
+}
+
+fn fresh<S>(shared: &Shared<S>, read_at: Option<Millis>) -> bool {
+    read_at.is_some_and(|at| shared.clock.now().saturating_sub(at) < FRESH_MS)
+}
--- /dev/null
+++ b/src/dispatch/follow.rs
@@ -0,0 +1,239 @@
+//! Follows the stream, the operators and the list of targets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+
+use super::services::{OperatorChange, Page, Read, Services, Snapshot, TargetChange};
+use super::state::{Shared, State};
+use crate::scheduler::{Change, Event, JobTable, Millis, Record, event_of};
+
+/// Time that the store may wait for a record, in ms; short enough to notice its silence.
+const WAIT_MS: u64 = 1_000;
+
+/// Pause of a follower after it has read something, in ms: one read then brings more.
+const FOLLOWER_PAUSE_MS: u64 = 250;
+
+/// Pause after a read that failed, in ms.
+const FAILED_PAUSE_MS: u64 = 100;
+
+/// Time that the store may wait for a change of the operators, in ms.
+const OPERATOR_WAIT_MS: u64 = 2_000;
+
+/// Pause between two reads of the list of targets, in ms; heartbeats come all the time.
+const TARGETS_PAUSE_MS: u64 = 200;
+
+/// Pause between two looks whether this process leads, in ms.
+const IDLE_PAUSE_MS: u64 = 200;
+
+/// Folds the stream of records for as long as the process runs.
+pub(super) async fn records<S: Services>(shared: Arc<Shared<S>>) {
+    let mut link = Link::new("records");
+    loop {
+        let next = shared.lock().next;
+        let Some(from) = next else {
+            load(&shared, &mut link).await;
+            continue;
+        };
+        match shared.services.read(from, WAIT_MS).await {
+            Read::Page(page) => {
+                link.works();
+                let some = !page.changes.is_empty();
+                let leads = fold(&shared, from, page);
+                shared.wake();
+                if some && !leads {
+                    pause_or(FOLLOWER_PAUSE_MS, shared.poked()).await;
+                }
+            }
+            Read::Expired => {
+                spdlog::warn!("records_expired", kv: { from });
+                let mut state = shared.lock();
+                if state.next == Some(from) {
+                    state.step_down("records expired");
+                }
+            }
+            Read::Failed(cause) => link.failed(&cause).await,
+        }
+    }
+}
+
+async fn load<S: Services>(shared: &Shared<S>, link: &mut Link) {
+    match shared.services.load().await {
+        Read::Page(Snapshot { changes, next }) => {
+            link.works();
+            let mut table = JobTable::default();
+            let count = changes.len();
+            for change in changes {
+                table.apply(change);
+            }
+            spdlog::info!("records_loaded", kv: { records = count, jobs = table.len(), next });
+            let mut state = shared.lock();
+            state.table = table;
+            state.next = Some(next);
+        }
+        Read::Expired => {}
+        Read::Failed(cause) => link.failed(&cause).await,
+    }
+}
+
+/// Applies a page; returns whether this process leads.
+fn fold<S>(shared: &Shared<S>, from: u64, page: Page) -> bool {
+    let now = shared.clock.now();
+    let mut state = shared.lock();
+    if state.next != Some(from) {
+        return false;
+    }
+    for change in page.changes {
+        apply(&mut state, change, now);
+    }
+    if state.next.is_none() {
+        return false;
+    }
+    state.next = Some(page.next);
+    if page.next >= page.end {
+        state.read_at = Some(now);
+        state.claim.read_to_end(now);
+    }
+    state.leader.is_some()
+}
+
+fn apply(state: &mut State, change: Change, now: Millis) {
+    if let Change::Put(Record::Holder(_) | Record::Progress(..) | Record::Wave(..)) = &change {
+        state.claim.heard(now);
+    }
+    if let Change::Put(Record::Holder(holder)) = &change {
+        let own = state.leader.as_ref().map(crate::scheduler::Leader::epoch);
+        if own.is_some_and(|epoch| holder.epoch > epoch) {
+            state.step_down("another process claimed the role");
+            return;
+        }
+    }
+    // The leader's own table is ahead of what it has stored.
+    let own = matches!(
+        &change,
+        Change::Put(Record::Progress(..) | Record::Wave(..))
+    );
+    if own && state.leader.is_some() {
+        return;
+    }
+    let event = event_of(&change);
+    state.table.apply(change);
+    if let Some(event) = event {
+        state.tell(event, now);
+    }
+}
+
+/// Follows what the operators ask for.
+pub(super) async fn operator<S: Services>(shared: Arc<Shared<S>>) {
+    let mut link = Link::new("operator");
+    let mut cursor = None;
+    loop {
+        match shared.services.operator(cursor, OPERATOR_WAIT_MS).await {
+            Read::Page((changes, next)) => {
+                link.works();
+                cursor = Some(next);
+                for change in changes {
+                    adopt(&shared, change);
+                }
+                shared.wake();
+            }
+            Read::Expired => cursor = None,
+            Read::Failed(cause) => link.failed(&cause).await,
+        }
+    }
+}
+
+fn adopt<S>(shared: &Shared<S>, change: OperatorChange) {
+    let now = shared.clock.now();
+    let mut state = shared.lock();
+    match change {
+        OperatorChange::Policy(policy) if policy.version > state.policy.version => {
+            spdlog::info!("policy_adopted", kv: {
+                version = policy.version, before = state.policy.version,
+                queues = policy.queues.len(), keys = policy.keys.len()
+            });
+            state.policy = Arc::clone(&policy);
+            state.tell(Event::Policy(policy), now);
+        }
+        OperatorChange::Policy(_) => {}
+        OperatorChange::Wave(wave) => {
+            state.waves.insert(wave.number, wave.clone());
+            state.tell(Event::Wave(wave), now);
+        }
+    }
+}
+
+/// Follows the list of targets while this process leads.
+pub(super) async fn targets<S: Services>(shared: Arc<Shared<S>>) {
+    let mut link = Link::new("targets");
+    let mut cursor = None;
+    loop {
+        if shared.lock().leader.is_none() {
+            cursor = None;
+            Timer::after(Duration::from_millis(IDLE_PAUSE_MS)).await;
+            continue;
+        }
+        match shared.services.targets(cursor, WAIT_MS).await {
+            Read::Page((changes, next)) => {
+                link.works();
+                cursor = Some(next);
+                tell_targets(&shared, changes);
+                Timer::after(Duration::from_millis(TARGETS_PAUSE_MS)).await;
+            }
+            Read::Expired => cursor = None,
+            Read::Failed(cause) => link.failed(&cause).await,
+        }
+    }
+}
+
+fn tell_targets<S>(shared: &Shared<S>, changes: Vec<TargetChange>) {
+    let now = shared.clock.now();
+    let mut state = shared.lock();
+    for change in changes {
+        let event = match change {
+            TargetChange::Entry(entry) => Event::Target(entry),
+            TargetChange::Gone(id) => Event::TargetGone(id),
+        };
+        state.tell(event, now);
+    }
+    drop(state);
+    shared.wake();
+}
+
+/// Logs when a feed is lost and regained.
+#[derive(Debug)]
+struct Link {
+    feed: &'static str,
+    failures: u64,
+}
+
+impl Link {
+    const fn new(feed: &'static str) -> Self {
+        Self { feed, failures: 0 }
+    }
+
+    fn works(&mut self) {
+        if self.failures > 0 {
+            spdlog::info!("feed_regained", kv: { feed = self.feed, failures = self.failures });
+        }
+        self.failures = 0;
+    }
+
+    async fn failed(&mut self, cause: &str) {
+        if self.failures == 0 {
+            spdlog::warn!("feed_lost", kv: { feed = self.feed, cause });
+        }
+        self.failures += 1;
+        Timer::after(Duration::from_millis(FAILED_PAUSE_MS)).await;
+    }
+}
+
+/// Waits for `pause_ms`, or until `early` ends.
+async fn pause_or(pause_ms: u64, early: impl Future<Output = ()>) {
+    let pause = async {
+        Timer::after(Duration::from_millis(pause_ms)).await;
+    };
+    future::or(early, pause).await;
+}
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,92 @@
+//! Runs the scheduler in a process: follows the stream of records, claims the role, and
+//! carries out what the leader decides.
+
+mod callers;
+mod clock;
+mod follow;
+mod lead;
+mod services;
+mod state;
+mod writer;
+
+use std::sync::Arc;
+
+use anyhow::Result;
+use async_executor::Task;
+
+use crate::runtime::Runtime;
+use crate::scheduler::Millis;
+use crate::telemetry::Metrics;
+
+pub use callers::{CancelOutcome, Lookup, Submission};
+pub use services::{
+    Appended, Hold, OperatorChange, Page, Producer, Read, Services, Snapshot, Start, Started, Stop,
+    TargetChange,
+};
+
+use state::Shared;
+
+/// Who the process is, and the bounds that the platform sets.
+#[derive(Clone, Debug)]
+pub struct DispatchSettings {
+    /// Name of the process.
+    pub member: String,
+    /// Tells two lives of a process of one name apart.
+    pub incarnation: u64,
+    /// Place in the order of candidates for the role, from 0.
+    pub rank: u64,
+    /// Time after a claim before VMs are ordered about, in ms.
+    pub settle_ms: Millis,
+    /// Longest lease that a target gives, in ms.
+    pub max_lease_ms: u64,
+    /// Time that a stop may take at a target, in ms.
+    pub stop_ms: u64,
+    /// Time that an ended job stays known, in ms.
+    pub keep_ms: u64,
+}
+
+/// A running scheduler process; it ends when the last clone is dropped.
+#[derive(Debug)]
+pub struct Dispatch<S> {
+    shared: Arc<Shared<S>>,
+    _tasks: Arc<Vec<Task<()>>>,
+}
+
+impl<S> Clone for Dispatch<S> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            _tasks: Arc::clone(&self._tasks),
+        }
+    }
+}
+
+impl<S: Services> Dispatch<S> {
+    /// Starts following and, when it is due, leading.
+    ///
+    /// # Errors
+    /// Fails when a traffic thread can't be started.
+    pub fn open(
+        settings: DispatchSettings,
+        services: S,
+        metrics: Metrics,
+        runtime: &Runtime,
+    ) -> Result<Self> {
+        let shared = Arc::new(Shared::new(settings, services, metrics, runtime.clone()));
+        let tasks = vec![
+            runtime.spawn(follow::records(Arc::clone(&shared))),
+            runtime.spawn(follow::operator(Arc::clone(&shared))),
+            runtime.spawn(follow::targets(Arc::clone(&shared))),
+            runtime.spawn(lead::run(Arc::clone(&shared))),
+        ];
+        Ok(Self {
+            shared,
+            _tasks: Arc::new(tasks),
+        })
+    }
+
+    /// Hands the role over, if this process holds it, so that another claims it at once.
+    pub async fn stop(&self) {
+        lead::hand_over(&self.shared).await;
+    }
+}
--- /dev/null
+++ b/src/dispatch/services.rs
@@ -0,0 +1,204 @@
+//! What the scheduler needs of the platform it runs on.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use crate::scheduler::{
+    Change, Held, HoldFailure, JobKey, JobSpec, Machine, MachineOutcome, Policy, Record,
+    StartOutcome, StopOutcome, TargetEntry, TargetId, TaskKey, Wave,
+};
+
+/// Identifies the appends of one claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Producer {
+    /// Fencing token; the store refuses lower ones than it has seen.
+    pub epoch: u64,
+    /// Number of the append; a repeat with the same number is stored once.
+    pub seq: u64,
+}
+
+/// What the store said to an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Appended {
+    /// Stored; the stream now ends there.
+    Stored {
+        /// Offset after the last record.
+        end: u64,
+    },
+    /// Refused: the stream does not end where it was expected to.
+    Moved,
+    /// Refused: a higher epoch was seen, or another claim has the same one.
+    Fenced,
+    /// Refused for now; nothing was stored.
+    Busy,
+    /// Nothing is known; it may be stored now or later.
+    Unknown,
+}
+
+/// The newest record of each key.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// The records, as changes.
+    pub changes: Vec<Change>,
+    /// Reading goes on from this offset; some records after it may be included.
+    pub next: u64,
+}
+
+/// Records that were read.
+#[derive(Debug)]
+pub struct Page {
+    /// The records, as changes.
+    pub changes: Vec<Change>,
+    /// Offset after the last of them.
+    pub next: u64,
+    /// Offset after the last record of the stream.
+    pub end: u64,
+}
+
+/// What came of a read.
+#[derive(Debug)]
+pub enum Read<T> {
+    /// Something was read.
+    Page(T),
+    /// The records are gone; the newest of each key must be loaded.
+    Expired,
+    /// The store did not answer, with the cause.
+    Failed(String),
+}
+
+/// What the operators changed.
+#[derive(Debug)]
+pub enum OperatorChange {
+    /// A version of queues, pools, teams and keys.
+    Policy(Arc<Policy>),
+    /// A maintenance wave.
+    Wave(Wave),
+}
+
+/// A change in the list of targets.
+#[derive(Debug)]
+pub enum TargetChange {
+    /// A target described itself.
+    Entry(TargetEntry),
+    /// An entry has gone.
+    Gone(TargetId),
+}
+
+/// A start for a target.
+#[derive(Debug)]
+pub struct Start<'a> {
+    /// The target.
+    pub target: &'a TargetEntry,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the start.
+    pub run: u32,
+    /// Its job.
+    pub spec: &'a JobSpec,
+    /// Lease for all that runs there, by the target's clock.
+    pub deadline_ms: u64,
+    /// Fencing token.
+    pub epoch: u64,
+    /// Checkpoint to resume from; empty for none.
+    pub checkpoint: &'a str,
+}
+
+/// What a target said to a start.
+#[derive(Clone, Copy, Debug)]
+pub struct Started {
+    /// What is known.
+    pub outcome: StartOutcome,
+    /// The target's clock, in ms, where it said.
+    pub clock_ms: Option<u64>,
+}
+
+/// A stop for a target.
+#[derive(Debug)]
+pub struct Stop<'a> {
+    /// The target.
+    pub target: &'a TargetEntry,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the start.
+    pub run: u32,
+    /// Fencing token.
+    pub epoch: u64,
+}
+
+/// A hold for a target.
+#[derive(Debug)]
+pub struct Hold<'a> {
+    /// The target.
+    pub target: &'a TargetEntry,
+    /// Lease, by the target's clock.
+    pub deadline_ms: Option<u64>,
+    /// Ends up to this one may be forgotten.
+    pub cursor: u64,
+    /// Time that the target may wait for an end, in ms.
+    pub wait_ms: u64,
+    /// Fencing token.
+    pub epoch: u64,
+}
+
+/// The platform: its store, targets and VMs.
+pub trait Services: Send + Sync + std::fmt::Debug + 'static {
+    /// Loads the newest record of each key of the stream.
+    fn load(&self) -> impl Future<Output = Read<Snapshot>> + Send;
+
+    /// Reads the stream from an offset; waits for a record for up to `wait_ms`.
+    fn read(&self, from: u64, wait_ms: u64) -> impl Future<Output = Read<Page>> + Send;
+
+    /// Appends records, and deletions of jobs; `expected` is where the stream must end.
+    fn append(
+        &self,
+        records: &[Record],
+        forget: &[JobKey],
+        producer: Option<Producer>,
+        expected: Option<u64>,
+    ) -> impl Future<Output = Appended> + Send;
+
+    /// What the operators changed since `cursor`, or everything without one.
+    fn operator(
+        &self,
+        cursor: Option<u64>,
+        wait_ms: u64,
+    ) -> impl Future<Output = Read<(Vec<OperatorChange>, u64)>> + Send;
+
+    /// What changed in the list of targets since `cursor`, or everything without one.
+    fn targets(
+        &self,
+        cursor: Option<u64>,
+        wait_ms: u64,
+    ) -> impl Future<Output = Read<(Vec<TargetChange>, u64)>> + Send;
+
+    /// Starts a task.
+    fn start(&self, start: Start<'_>) -> impl Future<Output = Started> + Send;
+
+    /// Stops a task.
+    fn stop(&self, stop: Stop<'_>) -> impl Future<Output = StopOutcome> + Send;
+
+    /// Extends a target's lease and lists what runs there.
+    fn hold(&self, hold: Hold<'_>) -> impl Future<Output = Result<Held, HoldFailure>> + Send;
+
+    /// Lists the VMs.
+    fn machines(&self) -> impl Future<Output = Option<Vec<Machine>>> + Send;
+
+    /// Begins the upkeep of a VM.
+    fn upkeep(
+        &self,
+        machine: &str,
+        wave: u64,
+        epoch: u64,
+    ) -> impl Future<Output = MachineOutcome> + Send;
+
+    /// Moves a VM to another pool.
+    fn relocate(
+        &self,
+        machine: &str,
+        pool: &str,
+        epoch: u64,
+    ) -> impl Future<Output = MachineOutcome> + Send;
+
+    /// Reports the state of a wave to the operators; true once it is stored.
+    fn report(&self, wave: u64, complete: bool) -> impl Future<Output = bool> + Send;
+}
--- /dev/null
+++ b/src/dispatch/state.rs
@@ -0,0 +1,118 @@
+//! What the parts of a scheduler process share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use async_channel::{Receiver, Sender};
+use indexmap::IndexMap;
+
+use super::DispatchSettings;
+use super::clock::Clock;
+use crate::runtime::Runtime;
+use crate::scheduler::{Claim, Event, JobTable, Leader, Millis, Policy, Wave};
+use crate::telemetry::Metrics;
+
+/// Everything that is decided on, behind one lock that is never held over I/O.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) table: JobTable,
+    /// Offset that reading goes on from; `None` when the table must be loaded.
+    pub(super) next: Option<u64>,
+    /// When the stream was last known to be read to its end.
+    pub(super) read_at: Option<Millis>,
+    pub(super) policy: Arc<Policy>,
+    pub(super) waves: IndexMap<u64, Wave>,
+    pub(super) claim: Claim,
+    pub(super) leader: Option<Leader>,
+    /// Events for the leader of this epoch.
+    pub(super) inbox: Option<Sender<Event>>,
+    /// The process stops and claims nothing more.
+    pub(super) stopping: bool,
+}
+
+/// Shared by all tasks of the process.
+#[derive(Debug)]
+pub(super) struct Shared<S> {
+    pub(super) settings: DispatchSettings,
+    pub(super) services: S,
+    pub(super) metrics: Metrics,
+    pub(super) runtime: Runtime,
+    pub(super) clock: Clock,
+    state: Mutex<State>,
+    wake: (Sender<()>, Receiver<()>),
+    poke: (Sender<()>, Receiver<()>),
+}
+
+impl<S> Shared<S> {
+    pub(super) fn new(
+        settings: DispatchSettings,
+        services: S,
+        metrics: Metrics,
+        runtime: Runtime,
+    ) -> Self {
+        let claim = Claim::new(&settings.member, settings.incarnation, settings.rank);
+        let state = State {
+            table: JobTable::default(),
+            next: None,
+            read_at: None,
+            policy: Arc::new(Policy::default()),
+            waves: IndexMap::new(),
+            claim,
+            leader: None,
+            inbox: None,
+            stopping: false,
+        };
+        Self {
+            settings,
+            services,
+            metrics,
+            runtime,
+            clock: Clock::start(),
+            state: Mutex::new(state),
+            wake: async_channel::bounded(1),
+            poke: async_channel::bounded(1),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets the control loop decide now.
+    pub(super) fn wake(&self) {
+        let _ = self.wake.0.try_send(());
+    }
+
+    /// Waits until something has happened.
+    pub(super) async fn woken(&self) {
+        let _ = self.wake.1.recv().await;
+    }
+
+    /// Lets a follower read the stream now.
+    pub(super) fn poke(&self) {
+        let _ = self.poke.0.try_send(());
+    }
+
+    /// Waits until somebody wants the stream to be read.
+    pub(super) async fn poked(&self) {
+        let _ = self.poke.1.recv().await;
+    }
+}
+
+impl State {
+    /// Hands an event to the leader, if this process leads.
+    pub(super) fn tell(&mut self, event: Event, now: Millis) {
+        if let Some(leader) = &mut self.leader {
+            leader.handle(&mut self.table, event, now);
+        }
+    }
+
+    /// Stops leading. What was decided and not stored is forgotten with the table.
+    pub(super) fn step_down(&mut self, cause: &str) {
+        if let Some(leader) = self.leader.take() {
+            spdlog::warn!("role_lost", kv: { epoch = leader.epoch(), cause });
+        }
+        self.inbox = None;
+        self.next = None;
+        self.read_at = None;
+    }
+}
--- /dev/null
+++ b/src/dispatch/writer.rs
@@ -0,0 +1,76 @@
+//! Stores the leader's batches in order, each once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+
+use super::services::{Appended, Producer, Services};
+use super::state::Shared;
+use crate::scheduler::{Event, JobKey, Record};
+
+/// Pause after an append that the store refused for now, or did not answer, in ms.
+const RETRY_MS: u64 = 60;
+
+/// Records to be stored together.
+#[derive(Debug)]
+pub(super) struct Batch {
+    pub(super) number: u64,
+    pub(super) records: Vec<Record>,
+    pub(super) forget: Vec<JobKey>,
+}
+
+/// Stores batches until the claim of `last` is lost. A batch whose storing is unknown is
+/// repeated under the same number, so that it is stored once.
+pub(super) async fn run<S: Services>(
+    shared: Arc<Shared<S>>,
+    batches: Receiver<Batch>,
+    inbox: Sender<Event>,
+    last: Producer,
+) {
+    let mut producer = last;
+    while let Ok(batch) = batches.recv().await {
+        producer.seq += 1;
+        if !store(&shared, &batch, producer, &inbox).await {
+            return;
+        }
+        let _ = inbox.try_send(Event::Stored {
+            batch: batch.number,
+        });
+        shared.wake();
+    }
+}
+
+/// Returns false once the claim is lost.
+async fn store<S: Services>(
+    shared: &Shared<S>,
+    batch: &Batch,
+    producer: Producer,
+    inbox: &Sender<Event>,
+) -> bool {
+    loop {
+        if inbox.is_closed() {
+            return false;
+        }
+        let services = &shared.services;
+        let appended = services
+            .append(&batch.records, &batch.forget, Some(producer), None)
+            .await;
+        match appended {
+            Appended::Stored { .. } => return true,
+            Appended::Fenced | Appended::Moved => {
+                let mut state = shared.lock();
+                let epoch = state.leader.as_ref().map(crate::scheduler::Leader::epoch);
+                if epoch == Some(producer.epoch) {
+                    state.step_down("the store refused the fencing token");
+                }
+                return false;
+            }
+            Appended::Busy | Appended::Unknown => {
+                shared.metrics.count("append_retries_total", 1, &[]);
+                Timer::after(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod control;
 pub mod dev;
+pub mod dispatch;
 pub mod document;
 pub mod entry;
 pub mod finding;
@@ -19,6 +20,7 @@
 pub mod planner;
 pub mod platform;
 pub mod runtime;
+pub mod scheduler;
 pub mod secret;
 pub mod telemetry;
 pub mod view;
--- /dev/null
+++ b/src/scheduler/claim.rs
@@ -0,0 +1,95 @@
+//! Decides when this process may claim the scheduler's role.
+
+use super::{Holder, Millis};
+
+/// A holder whose records stop for this long is taken for dead, in ms; three of its beats.
+const SILENCE_MS: Millis = 1_200;
+
+/// Further wait for each place in the order of candidates, so that they rarely race, in ms.
+const RANK_STEP_MS: Millis = 120;
+
+/// What this process is to the role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Another process holds the role, or nobody does.
+    Follower,
+    /// This process holds the role with this fencing token.
+    Leader(u64),
+}
+
+/// Follows who holds the role.
+#[derive(Debug)]
+pub struct Claim {
+    member: String,
+    incarnation: u64,
+    rank: u64,
+    /// When the holder was last heard of, or reading resumed after a pause.
+    heard: Millis,
+    /// When the stream was last known to be read to its end.
+    read: Option<Millis>,
+}
+
+impl Claim {
+    /// A process that has read nothing yet; `rank` delays its claims.
+    #[must_use]
+    pub fn new(member: &str, incarnation: u64, rank: u64) -> Self {
+        Self {
+            member: member.to_owned(),
+            incarnation,
+            rank,
+            heard: 0,
+            read: None,
+        }
+    }
+
+    /// A record of the holder was read.
+    pub const fn heard(&mut self, now: Millis) {
+        self.heard = now;
+    }
+
+    /// The stream was read to its end. After a pause in reading the holder gets its time
+    /// again: its records may have had no way to the store either.
+    pub fn read_to_end(&mut self, now: Millis) {
+        let paused = self.read.is_none_or(|read| now - read > SILENCE_MS);
+        if paused {
+            self.heard = now;
+        }
+        self.read = Some(now);
+    }
+
+    /// True when this process should try to claim the role.
+    #[must_use]
+    pub fn due(&self, holder: Option<&Holder>, now: Millis) -> bool {
+        let Some(read) = self.read else {
+            return false;
+        };
+        if now - read > SILENCE_MS {
+            return false;
+        }
+        match holder {
+            None => now - self.heard >= self.rank * RANK_STEP_MS,
+            Some(holder) if holder.released || self.own(holder) => {
+                now - self.heard >= self.rank * RANK_STEP_MS / 2
+            }
+            Some(_) => now - self.heard >= SILENCE_MS + self.rank * RANK_STEP_MS,
+        }
+    }
+
+    /// A record that claims the role after `holder`.
+    #[must_use]
+    pub fn next(&self, holder: Option<&Holder>) -> Holder {
+        Holder {
+            member: self.member.clone(),
+            incarnation: self.incarnation,
+            epoch: holder.map_or(1, |holder| holder.epoch + 1),
+            released: false,
+            beat: 0,
+        }
+    }
+
+    /// True when `holder` is this process.
+    #[must_use]
+    pub fn own(&self, holder: &Holder) -> bool {
+        holder.member == self.member && holder.incarnation == self.incarnation
+    }
+}
--- /dev/null
+++ b/src/scheduler/fleet.rs
@@ -0,0 +1,172 @@
+//! Targets as they describe themselves, and what the leader knows of each.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::health::Health;
+use super::lease::Lease;
+use super::order::{Order, OrderPhase};
+use super::{Capacity, Millis, StepKey, TaskKey};
+
+/// Id of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TargetId(pub Arc<str>);
+
+impl std::fmt::Display for TargetId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// What a target says of its plans.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetState {
+    /// Takes new work.
+    Ready,
+    /// Leaves soon.
+    Draining,
+}
+
+/// A target's description of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetEntry {
+    /// Its id.
+    pub id: TargetId,
+    /// Start of its incarnation, in ms since 1970.
+    pub born: u64,
+    /// Address of its interface.
+    pub address: SocketAddr,
+    /// Pool that it belongs to.
+    pub pool: Arc<str>,
+    /// VM that it runs on.
+    pub machine: Arc<str>,
+    /// Labels: its kind and its rack.
+    pub labels: Vec<String>,
+    /// What it offers.
+    pub capacity: Capacity,
+    /// What it says of its plans.
+    pub state: TargetState,
+}
+
+impl TargetEntry {
+    /// Its failure domain: the last label.
+    #[must_use]
+    pub fn rack(&self) -> &str {
+        self.labels.last().map_or("", String::as_str)
+    }
+}
+
+/// The one call for running tasks and ends that may be open to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HoldState {
+    /// The next is due then.
+    Due(Millis),
+    /// Sent then.
+    Open(Millis),
+}
+
+/// A target as the leader sees it.
+#[derive(Debug)]
+pub(super) struct Target {
+    pub(super) entry: Arc<TargetEntry>,
+    /// False once its entry has gone from the list.
+    pub(super) listed: bool,
+    /// True once it has answered a call with the leader's fencing token.
+    pub(super) fenced: bool,
+    pub(super) lease: Lease,
+    pub(super) hold: HoldState,
+    /// When it last answered.
+    pub(super) answered: Option<Millis>,
+    /// Calls in a row without an answer.
+    pub(super) silent: u32,
+    /// Last end that was applied.
+    pub(super) applied: u64,
+    /// Last end whose effect is stored.
+    pub(super) stored: u64,
+    pub(super) orders: IndexMap<TaskKey, Order>,
+    pub(super) used: Capacity,
+    pub(super) health: Health,
+    /// It gets no new work: its VM is to be moved or maintained.
+    pub(super) vacating: bool,
+    /// It refused a start for want of room; no further one before this time.
+    pub(super) full_until: Millis,
+    /// Its VM's orders were last more than none.
+    pub(super) idle_since: Millis,
+}
+
+impl Target {
+    pub(super) fn new(entry: TargetEntry, blind: Millis, now: Millis) -> Self {
+        Self {
+            entry: Arc::new(entry),
+            listed: true,
+            fenced: false,
+            lease: Lease::inherited(blind),
+            hold: HoldState::Due(now),
+            answered: None,
+            silent: 0,
+            applied: 0,
+            stored: 0,
+            orders: IndexMap::new(),
+            used: Capacity::default(),
+            health: Health::default(),
+            vacating: false,
+            full_until: 0,
+            idle_since: now,
+        }
+    }
+
+    /// True when new work may be placed on it.
+    pub(super) fn open(&self, now: Millis) -> bool {
+        self.listed
+            && self.fenced
+            && !self.vacating
+            && self.silent == 0
+            && self.entry.state == TargetState::Ready
+            && self.health.usable(now)
+            && now >= self.full_until
+    }
+
+    /// Adds an order and what it takes.
+    pub(super) fn insert(&mut self, task: TaskKey, order: Order) {
+        self.used.add(&order.takes);
+        self.orders.insert(task, order);
+    }
+
+    /// Removes an order and what it takes.
+    pub(super) fn remove(&mut self, task: TaskKey, now: Millis) -> Option<Order> {
+        let order = self.orders.swap_remove(&task)?;
+        self.used.subtract(&order.takes);
+        if self.orders.is_empty() {
+            self.idle_since = now;
+        }
+        Some(order)
+    }
+
+    /// Orders of a step.
+    pub(super) fn of_step(&self, step: StepKey) -> usize {
+        self.orders.keys().filter(|task| task.step == step).count()
+    }
+
+    /// True when something may be running there.
+    pub(super) fn busy(&self) -> bool {
+        self.orders.values().any(Order::sent)
+    }
+
+    /// Asks for a stop of an order; repeated calls change nothing.
+    pub(super) fn stop(&mut self, task: TaskKey, now: Millis) {
+        let Some(order) = self.orders.get_mut(&task) else {
+            return;
+        };
+        if !matches!(order.phase, OrderPhase::Stopping { .. }) {
+            order.phase = OrderPhase::Stopping {
+                next: now,
+                confirmed: None,
+            };
+            order.since = now;
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/leader/ends.rs
@@ -0,0 +1,180 @@
+//! Ends of runs, and what follows for their jobs.
+
+use super::Leader;
+use crate::scheduler::order::{EndKind, Ended};
+use crate::scheduler::{
+    Job, JobKey, JobState, JobTable, Millis, Occurrence, Phase, Queue, TargetId, Task, TaskKey,
+};
+
+/// Attempts where the queue is not known any more.
+const DEFAULT_ATTEMPTS: u32 = 2;
+
+impl Leader {
+    /// Applies one end that a target listed for the first time.
+    pub(super) fn ended(&mut self, table: &mut JobTable, id: &TargetId, end: &Ended, now: Millis) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        target.applied = end.number;
+        let own = target
+            .orders
+            .get(&end.task)
+            .is_some_and(|order| order.run == end.run);
+        if own {
+            target.remove(end.task, now);
+        }
+        match end.kind {
+            EndKind::Done => target.health.succeeded(),
+            EndKind::Failed => {
+                if target.health.failed(end.task.step.job, now) {
+                    spdlog::warn!("target_aside", kv: { target = id.0.as_ref(), cause = "failures" });
+                }
+            }
+            _ => {}
+        }
+        spdlog::info!("run_ended", kv: {
+            task = end.task.to_string(), run = end.run, target = id.0.as_ref(),
+            end = format!("{:?}", end.kind), number = end.number
+        });
+        self.changed = true;
+        if end.kind == EndKind::Done {
+            self.task_done(table, end.task, now);
+        } else if own {
+            self.run_over(table, end);
+        }
+        self.settle(table, end.task.step.job);
+    }
+
+    fn task_done(&mut self, table: &mut JobTable, task: TaskKey, now: Millis) {
+        let Some(job) = table.get_mut(task.step.job) else {
+            return;
+        };
+        let gang = is_gang(job, task);
+        let Some(tasks) = tasks_mut(job, task) else {
+            return;
+        };
+        if gang {
+            // One member's end stands for all.
+            tasks.iter_mut().for_each(|task| task.phase = Phase::Done);
+        } else if let Some(stored) = tasks.get_mut(task.index as usize) {
+            stored.phase = Phase::Done;
+        }
+        self.journal.touch(task.step.job);
+        self.stop_copies(task, gang, now);
+    }
+
+    /// Another run of a task that is done is of no use.
+    fn stop_copies(&mut self, task: TaskKey, gang: bool, now: Millis) {
+        for target in self.targets.values_mut() {
+            if !gang && target.orders.contains_key(&task) {
+                target.stop(task, now);
+            }
+        }
+    }
+
+    fn run_over(&mut self, table: &mut JobTable, end: &Ended) {
+        let Some(job) = table.get_mut(end.task.step.job) else {
+            return;
+        };
+        let gang = is_gang(job, end.task);
+        let Some(tasks) = tasks_mut(job, end.task) else {
+            return;
+        };
+        if !end.checkpoint.is_empty() {
+            let from = if gang { 0 } else { end.task.index as usize };
+            let count = if gang { tasks.len() } else { 1 };
+            for task in tasks.iter_mut().skip(from).take(count) {
+                task.checkpoint.clone_from(&end.checkpoint);
+            }
+        }
+        let Some(task) = tasks.get_mut(end.task.index as usize) else {
+            return;
+        };
+        if end.kind == EndKind::Failed {
+            task.failures += 1;
+        }
+        if task.run == end.run && task.phase != Phase::Done {
+            task.phase = Phase::Pending;
+        }
+        self.journal.touch(end.task.step.job);
+    }
+
+    /// Brings a job's state in line with its tasks.
+    pub(super) fn settle(&mut self, table: &mut JobTable, key: JobKey) {
+        let Some(job) = table.get_mut(key) else {
+            return;
+        };
+        if job.progress.state.ended() {
+            return;
+        }
+        let queue = self.policy.queues.get(job.spec.queue.as_str());
+        let attempts = queue.map_or(DEFAULT_ATTEMPTS, |queue: &Queue| queue.attempts.max(1));
+        let failed = failed_task(job, attempts);
+        clear_done_steps(&mut job.progress.occurrences);
+        let begun = job.progress.occurrences.len();
+        let all = begun == job.spec.occurrences() as usize;
+        let state = if job.cancelled {
+            JobState::Canceled
+        } else if failed.is_some() {
+            JobState::Failed
+        } else if all && job.progress.occurrences.iter().all(Occurrence::done) {
+            JobState::Complete
+        } else {
+            return;
+        };
+        job.progress.state = state;
+        job.progress.ended_ms = self.wall_ms;
+        let failed = failed.map_or_else(String::new, |step| step.to_string());
+        spdlog::info!("job_ended", kv: { job = key.to_string(), state = format!("{state:?}"), attempts, failed });
+        self.active.swap_remove(&key);
+        self.journal.touch(key);
+    }
+
+    /// A job came, or was cancelled.
+    pub(super) fn job_changed(&mut self, table: &mut JobTable, key: JobKey) {
+        self.changed = true;
+        let Some(job) = table.get_mut(key) else {
+            return;
+        };
+        if job.progress.state.ended() {
+            self.active.swap_remove(&key);
+        } else {
+            self.active.insert(key);
+            self.next_due = 0;
+        }
+        self.settle(table, key);
+        self.stop_ended(table, key);
+    }
+}
+
+fn is_gang(job: &Job, task: TaskKey) -> bool {
+    let step = job.spec.steps.get(task.step.step as usize);
+    step.is_some_and(|step| step.gang)
+}
+
+fn tasks_mut(job: &mut Job, task: TaskKey) -> Option<&mut Vec<Task>> {
+    let occurrences = &mut job.progress.occurrences;
+    let occurrence = occurrences.get_mut(task.step.occurrence as usize)?;
+    occurrence.steps.get_mut(task.step.step as usize)
+}
+
+/// A step with a task that has failed as often as allowed; tasks that last have no limit.
+fn failed_task(job: &Job, attempts: u32) -> Option<usize> {
+    let occurrences = job.progress.occurrences.iter();
+    occurrences
+        .flat_map(|at| at.steps.iter().enumerate())
+        .find_map(|(i, tasks)| {
+            let lasting = job.spec.steps.get(i).is_some_and(|step| step.lasting);
+            let failed = tasks.iter().any(|task| task.failures >= attempts);
+            (failed && !lasting).then_some(i)
+        })
+}
+
+/// Steps whose tasks are all done need no record of each.
+fn clear_done_steps(occurrences: &mut [Occurrence]) {
+    for tasks in occurrences.iter_mut().flat_map(|at| at.steps.iter_mut()) {
+        if tasks.iter().all(|task| task.phase == Phase::Done) {
+            tasks.clear();
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/leader/holds.rs
@@ -0,0 +1,297 @@
+//! Holds: each extends a target's lease and lists what runs and what has ended there.
+
+use super::{Command, Held, HoldFailure, Leader};
+use crate::scheduler::fleet::{HoldState, Target};
+use crate::scheduler::order::OrderPhase;
+use crate::scheduler::{JobTable, Millis, Phase, TargetId, TaskKey};
+
+/// Time that a target with work may wait for an end before it answers, in ms; a third of
+/// a lease at most, so that a lost answer costs no lease.
+const WAIT_MS: u64 = 1_000;
+
+/// Time between two holds of a target without work, in ms: its clock and health stay known.
+const IDLE_EVERY_MS: Millis = 2_500;
+
+/// Time between two holds while ends can't be stored, in ms; the lease must not lapse.
+const UNSTORED_EVERY_MS: Millis = 300;
+
+/// Time to the next hold after one without an answer, in ms; doubled up to the second.
+const RETRY_MS: Millis = 150;
+const MAX_RETRY_MS: Millis = 1_000;
+
+impl Leader {
+    /// Sends the holds that are due.
+    pub(super) fn send_holds(&mut self, now: Millis) {
+        let lease_ms = self.settings.lease_ms;
+        for target in self.targets.values_mut() {
+            let HoldState::Due(at) = target.hold else {
+                continue;
+            };
+            if at > now {
+                continue;
+            }
+            let deadline_ms = target.lease.extend(now, lease_ms);
+            let settled = target.applied == target.stored && target.silent == 0;
+            let wait_ms = if target.fenced && settled && target.busy() {
+                WAIT_MS
+            } else {
+                0
+            };
+            target.hold = HoldState::Open(now);
+            self.commands.push(Command::Hold {
+                target: target.entry.clone(),
+                deadline_ms,
+                cursor: target.stored,
+                wait_ms,
+            });
+        }
+    }
+
+    /// Applies what a target listed.
+    pub(super) fn hold_answered(
+        &mut self,
+        table: &mut JobTable,
+        id: &TargetId,
+        born: u64,
+        result: Result<Held, HoldFailure>,
+        sent: Millis,
+        now: Millis,
+    ) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.entry.born != born {
+            return;
+        }
+        let held = match result {
+            Ok(held) => held,
+            Err(HoldFailure::Fenced) => {
+                spdlog::warn!("fenced", kv: { target = id.0.as_ref(), epoch = self.epoch(), call = "hold" });
+                self.fenced = true;
+                return;
+            }
+            Err(HoldFailure::NoAnswer) => return missed(target, now),
+        };
+        if held.born != born {
+            let mut entry = (*target.entry).clone();
+            entry.born = held.born;
+            self.reborn(table, entry, now);
+            return;
+        }
+        if target.silent > 0 || !target.fenced {
+            spdlog::info!("target_answers", kv: {
+                target = id.0.as_ref(), missed = target.silent, running = held.running.len(), ended = held.ended.len()
+            });
+            self.changed = true;
+        }
+        target.silent = 0;
+        target.fenced = true;
+        target.answered = Some(now);
+        target.lease.observe(held.clock_ms, sent, now);
+        self.apply_list(table, id, &held, sent, now);
+        self.next_hold(id, now);
+    }
+
+    fn next_hold(&mut self, id: &TargetId, now: Millis) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let pause = if target.applied > target.stored {
+            UNSTORED_EVERY_MS
+        } else if target.orders.is_empty() {
+            IDLE_EVERY_MS
+        } else {
+            0
+        };
+        target.hold = HoldState::Due(now + pause);
+    }
+
+    fn apply_list(
+        &mut self,
+        table: &mut JobTable,
+        id: &TargetId,
+        held: &Held,
+        sent: Millis,
+        now: Millis,
+    ) {
+        for ended in &held.ended {
+            let new = self
+                .targets
+                .get(id)
+                .is_some_and(|t| ended.number > t.applied);
+            if new {
+                self.ended(table, id, ended, now);
+            }
+        }
+        for running in &held.running {
+            self.seen_running(table, id, running, now);
+        }
+        let missing = self.missing(id, held, sent);
+        for (task, run, confirmed) in missing {
+            if let Some(target) = self.targets.get_mut(id) {
+                target.remove(task, now);
+            }
+            let cause = if confirmed { "vanished" } else { "never_began" };
+            spdlog::info!("run_missing", kv: { task = task.to_string(), run, target = id.0.as_ref(), cause });
+            self.release(table, task, run);
+        }
+    }
+
+    /// Orders that the target would list if it had them.
+    fn missing(&self, id: &TargetId, held: &Held, sent: Millis) -> Vec<(TaskKey, u32, bool)> {
+        let Some(target) = self.targets.get(id) else {
+            return Vec::new();
+        };
+        let listed = |task: &TaskKey| held.running.iter().any(|running| running.task == *task);
+        target
+            .orders
+            .iter()
+            .filter(|(task, order)| {
+                let settled = match order.phase {
+                    OrderPhase::Intended | OrderPhase::Sent => false,
+                    OrderPhase::Adopted | OrderPhase::Running => order.since < sent,
+                    OrderPhase::Stopping { confirmed, .. } => confirmed.is_some_and(|at| at < sent),
+                };
+                settled && !listed(task)
+            })
+            .map(|(task, order)| (*task, order.run, order.phase == OrderPhase::Running))
+            .collect()
+    }
+
+    fn seen_running(
+        &mut self,
+        table: &mut JobTable,
+        id: &TargetId,
+        running: &crate::scheduler::RunningTask,
+        now: Millis,
+    ) {
+        let task = running.task;
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        match target.orders.get_mut(&task) {
+            Some(order) if order.run == running.run => {
+                if matches!(order.phase, OrderPhase::Sent | OrderPhase::Adopted) {
+                    order.phase = OrderPhase::Running;
+                    order.since = now;
+                }
+                if running.percent >= 100 {
+                    order.at_work.get_or_insert(now);
+                } else {
+                    order.at_work = None;
+                }
+            }
+            Some(_) => {}
+            None => return self.stray(table, id, running, now),
+        }
+        let stored = table.get_mut(task.step.job);
+        if let Some(task) = stored.and_then(|job| job.progress.task_mut(task))
+            && !running.checkpoint.is_empty()
+        {
+            task.checkpoint.clone_from(&running.checkpoint);
+        }
+    }
+
+    /// Something runs that no order here stands for: it is stopped. The intent is stored
+    /// before each start, so this is a run that was given up.
+    fn stray(
+        &mut self,
+        table: &JobTable,
+        id: &TargetId,
+        running: &crate::scheduler::RunningTask,
+        now: Millis,
+    ) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let step = table
+            .get(running.task.step.job)
+            .and_then(|job| job.spec.steps.get(running.task.step.step as usize));
+        let takes = step.map(crate::scheduler::Step::takes).unwrap_or_default();
+        spdlog::warn!("stray_run", kv: { task = running.task.to_string(), run = running.run, target = id.0.as_ref() });
+        let order = crate::scheduler::order::Order {
+            run: running.run,
+            phase: OrderPhase::Adopted,
+            takes,
+            since: now,
+            at_work: None,
+            team: None,
+        };
+        target.insert(running.task, order);
+        target.stop(running.task, now);
+    }
+
+    /// The run has ended without being done, or never began: its task may start again.
+    pub(super) fn release(&mut self, table: &mut JobTable, task: TaskKey, run: u32) {
+        self.changed = true;
+        let Some(job) = table.get_mut(task.step.job) else {
+            return;
+        };
+        let Some(stored) = job.progress.task_mut(task) else {
+            return;
+        };
+        if stored.run == run && matches!(stored.phase, Phase::Placed { .. }) {
+            stored.phase = Phase::Pending;
+            self.journal.touch(task.step.job);
+        }
+    }
+
+    /// Gives up what ran on targets whose leases have surely expired.
+    pub(super) fn expire(&mut self, table: &mut JobTable, now: Millis) {
+        let lapsed: Vec<TargetId> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| {
+                let unused = target.orders.is_empty() && target.listed;
+                target.silent > 0 && !unused && target.lease.lapsed(now)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            self.give_up(table, &id, now);
+        }
+        let over: Vec<TaskKey> = self
+            .orphans
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in over {
+            self.orphans.swap_remove(&task);
+            let run = table
+                .get(task.step.job)
+                .and_then(|job| job.progress.task(task))
+                .map_or(0, |task| task.run);
+            spdlog::info!("lease_lapsed", kv: { task = task.to_string(), run, target = "unlisted" });
+            self.release(table, task, run);
+        }
+    }
+
+    fn give_up(&mut self, table: &mut JobTable, id: &TargetId, now: Millis) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let orders = std::mem::take(&mut target.orders);
+        target.used = crate::scheduler::Capacity::default();
+        target.idle_since = now;
+        let listed = target.listed;
+        let silent_ms = target.answered.map_or(0, |at| now - at);
+        spdlog::warn!("lease_lapsed", kv: { target = id.0.as_ref(), silent_ms, orders = orders.len() });
+        for (task, order) in orders {
+            self.release(table, task, order.run);
+        }
+        if !listed {
+            self.targets.swap_remove(id);
+        }
+    }
+}
+
+/// A call without an answer: the next goes out soon, over a new connection.
+fn missed(target: &mut Target, now: Millis) {
+    target.silent += 1;
+    let pause = (RETRY_MS << target.silent.min(6)).min(MAX_RETRY_MS) / 2;
+    target.hold = HoldState::Due(now + pause);
+    if target.silent == 1 {
+        spdlog::warn!("target_silent", kv: { target = target.entry.id.0.as_ref(), orders = target.orders.len() });
+    }
+}
--- /dev/null
+++ b/src/scheduler/leader/stops.rs
@@ -0,0 +1,91 @@
+//! Stops: they end runs, and bar starts that are still on their way.
+
+use super::{Command, Leader, StopOutcome};
+use crate::scheduler::order::OrderPhase;
+use crate::scheduler::{JobKey, JobTable, Millis, TargetId, TaskKey};
+
+/// Time to the next stop after one that was not answered, in ms.
+const RETRY_MS: Millis = 250;
+
+impl Leader {
+    /// Stops everything of a job that has ended.
+    pub(super) fn stop_ended(&mut self, table: &JobTable, key: JobKey) {
+        let ended = table.get(key).is_some_and(|job| job.progress.state.ended());
+        if !ended {
+            return;
+        }
+        let now = self.now;
+        for target in self.targets.values_mut() {
+            let tasks: Vec<TaskKey> = target
+                .orders
+                .keys()
+                .filter(|task| task.step.job == key)
+                .copied()
+                .collect();
+            for task in tasks {
+                let intended = target.orders[&task].phase == OrderPhase::Intended;
+                if intended {
+                    target.remove(task, now);
+                } else {
+                    target.stop(task, now);
+                }
+            }
+        }
+    }
+
+    /// Sends the stops that are due.
+    pub(super) fn send_stops(&mut self, now: Millis) {
+        let patience = self.settings.stop_ms + RETRY_MS;
+        for target in self.targets.values_mut() {
+            for (task, order) in &mut target.orders {
+                let OrderPhase::Stopping { next, .. } = &mut order.phase else {
+                    continue;
+                };
+                if *next > now {
+                    continue;
+                }
+                *next = now + patience;
+                self.commands.push(Command::Stop {
+                    target: target.entry.clone(),
+                    task: *task,
+                    run: order.run,
+                });
+            }
+        }
+    }
+
+    /// Takes in the answer to a stop.
+    pub(super) fn stop_answered(
+        &mut self,
+        id: &TargetId,
+        born: u64,
+        task: TaskKey,
+        outcome: StopOutcome,
+        now: Millis,
+    ) {
+        let epoch = self.epoch();
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.entry.born != born {
+            return;
+        }
+        if outcome == StopOutcome::Fenced {
+            spdlog::warn!("fenced", kv: { target = id.0.as_ref(), epoch, call = "stop" });
+            self.fenced = true;
+            return;
+        }
+        let order = target.orders.get_mut(&task);
+        let Some(OrderPhase::Stopping { next, confirmed }) = order.map(|order| &mut order.phase)
+        else {
+            return;
+        };
+        match outcome {
+            StopOutcome::Confirmed => {
+                confirmed.get_or_insert(now);
+                self.hold_soon(id, now);
+            }
+            _ => *next = now + RETRY_MS,
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/leader/takeover.rs
@@ -0,0 +1,178 @@
+//! The first picture after a claim, and targets that come, start again or vanish.
+
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::journal::Journal;
+use super::{Leader, LeaderSettings};
+use crate::scheduler::fleet::Target;
+use crate::scheduler::machines::Desk;
+use crate::scheduler::order::{Order, OrderPhase};
+use crate::scheduler::{JobTable, Millis, Phase, Policy, TargetEntry, TargetId, TaskKey};
+
+/// Added to a lease's length where its start isn't known exactly, in parts of a hundred:
+/// slow clocks of targets, and calls on their way.
+const MARGIN_PERCENT: u64 = 5;
+
+impl Leader {
+    /// Takes the role over with what the stream and the list of targets say.
+    #[must_use]
+    pub fn open(
+        settings: LeaderSettings,
+        table: &mut JobTable,
+        policy: Arc<Policy>,
+        entries: Vec<TargetEntry>,
+        now: Millis,
+    ) -> Self {
+        let mut leader = Self {
+            desk: Desk::new(now + settings.settle_ms),
+            settings,
+            started: now,
+            policy,
+            targets: IndexMap::new(),
+            active: IndexSet::new(),
+            orphans: IndexMap::new(),
+            journal: Journal::new(now),
+            begun: Vec::new(),
+            commands: Vec::new(),
+            fenced: false,
+            changed: true,
+            next_due: 0,
+            now,
+            wall_ms: 0,
+        };
+        for entry in entries {
+            let blind = leader.blind_until();
+            let target = Target::new(entry, blind, now);
+            leader.targets.insert(target.entry.id.clone(), target);
+        }
+        leader.adopt_jobs(table, now);
+        leader
+    }
+
+    /// Until when leases given by the last holder may run: it may have been cut off from
+    /// the store, and extended them until it gave up.
+    const fn blind_until(&self) -> Millis {
+        let length = self.settings.yield_ms + self.settings.lease_ms;
+        self.started + length + length * MARGIN_PERCENT / 100
+    }
+
+    fn adopt_jobs(&mut self, table: &mut JobTable, now: Millis) {
+        let jobs: Vec<_> = table.iter().map(|(key, _)| key).collect();
+        for key in jobs {
+            let Some(job) = table.get(key) else { continue };
+            if !job.progress.state.ended() {
+                self.active.insert(key);
+            }
+            for (task, target, born, run) in placed(key, job) {
+                self.adopt_task(table, task, &target, born, run, now);
+            }
+            self.job_changed(table, key);
+        }
+    }
+
+    fn adopt_task(
+        &mut self,
+        table: &mut JobTable,
+        task: TaskKey,
+        id: &TargetId,
+        born: u64,
+        run: u32,
+        now: Millis,
+    ) {
+        let Some(order) = adopted_order(table, task, run, now) else {
+            return;
+        };
+        match self.targets.get_mut(id) {
+            Some(target) if target.entry.born == born => target.insert(task, order),
+            Some(target) if target.entry.born > born => {
+                // A start to the last incarnation may still be on its way to this one.
+                target.insert(task, order);
+                target.stop(task, now);
+            }
+            _ => {
+                self.orphans.insert(task, self.blind_until());
+            }
+        }
+    }
+
+    /// Takes in a target's own description.
+    pub(super) fn target_entry(&mut self, table: &mut JobTable, entry: TargetEntry, now: Millis) {
+        self.changed = true;
+        let id = entry.id.clone();
+        let Some(target) = self.targets.get_mut(&id) else {
+            spdlog::info!("target_new", kv: { target = id.0.as_ref(), pool = entry.pool.as_ref(), born = entry.born });
+            self.targets.insert(id, Target::new(entry, 0, now));
+            return;
+        };
+        if entry.born == target.entry.born {
+            target.listed = true;
+            if *target.entry != entry {
+                target.entry = Arc::new(entry);
+            }
+        } else if entry.born > target.entry.born {
+            self.reborn(table, entry, now);
+        }
+    }
+
+    /// The last incarnation has ended, and everything on it. Starts that were not answered
+    /// may still reach the new one, so they are barred there first.
+    pub(super) fn reborn(&mut self, table: &mut JobTable, entry: TargetEntry, now: Millis) {
+        let id = entry.id.clone();
+        let mut fresh = Target::new(entry, 0, now);
+        let Some(old) = self
+            .targets
+            .insert(id.clone(), Target::new((*fresh.entry).clone(), 0, now))
+        else {
+            return;
+        };
+        spdlog::warn!("target_restarted", kv: {
+            target = id.0.as_ref(), born = fresh.entry.born, before = old.entry.born, orders = old.orders.len()
+        });
+        for (task, order) in old.orders {
+            if matches!(order.phase, OrderPhase::Intended | OrderPhase::Running) {
+                self.release(table, task, order.run);
+            } else {
+                fresh.insert(task, order);
+                fresh.stop(task, now);
+            }
+        }
+        self.targets.insert(id, fresh);
+    }
+}
+
+fn placed(
+    key: crate::scheduler::JobKey,
+    job: &crate::scheduler::Job,
+) -> Vec<(TaskKey, TargetId, u64, u32)> {
+    let mut found = Vec::new();
+    for (occurrence, at) in (0..).zip(&job.progress.occurrences) {
+        for (step, tasks) in (0..).zip(&at.steps) {
+            let step = crate::scheduler::StepKey {
+                job: key,
+                occurrence,
+                step,
+            };
+            for (index, task) in (0..).zip(tasks) {
+                if let Phase::Placed { target, born } = &task.phase {
+                    found.push((step.task(index), target.clone(), *born, task.run));
+                }
+            }
+        }
+    }
+    found
+}
+
+fn adopted_order(table: &JobTable, task: TaskKey, run: u32, now: Millis) -> Option<Order> {
+    let job = table.get(task.step.job)?;
+    let step = job.spec.steps.get(task.step.step as usize)?;
+    Some(Order {
+        run,
+        phase: OrderPhase::Adopted,
+        takes: step.takes(),
+        since: now,
+        at_work: None,
+        team: job.spec.team.clone(),
+    })
+}
--- /dev/null
+++ b/src/scheduler/leader/upkeep.rs
@@ -0,0 +1,199 @@
+//! Rolls maintenance waves through the VMs: those that are off or idle come first, the
+//! others after their work has run out.
+
+use std::sync::Arc;
+
+use super::{Command, Leader};
+use crate::scheduler::fleet::Target;
+use crate::scheduler::machines::{Machine, MachineOrder, MachineOutcome, MachineState, OpenWave};
+use crate::scheduler::order::OrderPhase;
+use crate::scheduler::{JobTable, Millis, StepKey, TargetId, TaskKey};
+
+/// Part of a wave's time after which its VMs no longer wait for their work to end, in
+/// parts of a hundred.
+const PATIENCE_PERCENT: u64 = 55;
+
+/// A task that has been at work for less counts as away, in ms; a second above the
+/// platform's notice.
+const SETTLED_MS: Millis = 4_500;
+
+impl Leader {
+    /// Lists VMs, and moves maintenance on.
+    pub(super) fn tend_machines(&mut self, table: &mut JobTable, now: Millis) {
+        let waves = self.desk.open_waves();
+        if !waves.is_empty() && self.desk.list_due(now) {
+            self.commands.push(Command::ListMachines);
+        }
+        if !self.desk.settled(now) || !self.desk.known() {
+            return;
+        }
+        for (name, order) in self.desk.repeats(now) {
+            self.send_order(&name, order, now);
+        }
+        for open in waves {
+            self.tend_wave(table, &open, now);
+        }
+    }
+
+    fn tend_wave(&mut self, table: &mut JobTable, open: &OpenWave, now: Millis) {
+        let wave = &open.wave;
+        let begun = table.wave(wave.number).cloned().unwrap_or_default().begun;
+        let left: Vec<&String> = wave
+            .machines
+            .iter()
+            .filter(|name| !begun.contains(name) && !self.desk.gone(name))
+            .collect();
+        let down = self.desk.down_for(wave);
+        let complete = left.is_empty() && down == 0;
+        if self.desk.report_due(wave.number, complete) {
+            let wave = wave.number;
+            self.commands.push(Command::Report { wave, complete });
+        }
+        let mut free = wave.cap.max(1).saturating_sub(down);
+        let mut waiting: Vec<(u64, &String)> = Vec::new();
+        for name in left {
+            let Some(machine) = self.desk.machines().get(name) else {
+                continue;
+            };
+            if self.desk.away(name) || machine.state != MachineState::Up {
+                continue;
+            }
+            match self.load_of(machine) {
+                0 if free > 0 => {
+                    free -= 1;
+                    self.send_order(name, MachineOrder::Upkeep(wave.number), now);
+                }
+                load => waiting.push((load, name)),
+            }
+        }
+        waiting.sort_unstable();
+        let limit = open.since + wave.limit_ms * PATIENCE_PERCENT / 100;
+        for (i, (_, name)) in waiting.into_iter().enumerate() {
+            let chosen = i < free;
+            self.vacate(table, name, chosen, now >= limit, now);
+        }
+    }
+
+    /// Orders on the target of a VM, with those that vacate first.
+    fn load_of(&self, machine: &Machine) -> u64 {
+        let target = machine.target.as_ref().and_then(|id| self.targets.get(id));
+        target.map_or(0, |target| {
+            let orders = target.orders.len() as u64;
+            if target.vacating { orders } else { orders * 2 }
+        })
+    }
+
+    /// Lets the work of a VM run out, or lets it get work again.
+    fn vacate(&mut self, table: &JobTable, name: &str, chosen: bool, late: bool, now: Millis) {
+        let machine = self.desk.machines().get(name);
+        let Some(id) = machine.and_then(|machine| machine.target.clone()) else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(&id) else {
+            return;
+        };
+        if target.vacating != chosen {
+            target.vacating = chosen;
+            self.changed = true;
+            spdlog::info!("target_vacating", kv: { target = id.0.as_ref(), vm = name, chosen });
+        }
+        if chosen {
+            self.move_tasks(table, &id, late, now);
+        }
+    }
+
+    /// Stops tasks that would not end in time, where their steps can spare them.
+    fn move_tasks(&mut self, table: &JobTable, id: &TargetId, late: bool, now: Millis) {
+        let Some(target) = self.targets.get(id) else {
+            return;
+        };
+        let tasks: Vec<TaskKey> = target
+            .orders
+            .iter()
+            .filter(|(_, order)| order.phase == OrderPhase::Running)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in tasks {
+            let job = table.get(task.step.job);
+            let Some(step) = job.and_then(|j| j.spec.steps.get(task.step.step as usize)) else {
+                continue;
+            };
+            let movable = if step.lasting {
+                step.may_miss == 0 || self.missing_of(task.step, step.count, now) < step.may_miss
+            } else {
+                late
+            };
+            if !movable {
+                continue;
+            }
+            spdlog::info!("run_moved", kv: { task = task.to_string(), target = id.0.as_ref(), cause = "maintenance" });
+            if let Some(target) = self.targets.get_mut(id) {
+                target.stop(task, now);
+            }
+        }
+    }
+
+    /// Tasks of a step that are not at work, or not for long.
+    pub(super) fn missing_of(&self, step: StepKey, count: u32, now: Millis) -> u32 {
+        let at_work = |target: &Target| {
+            let orders = target.orders.iter().filter(|(task, _)| task.step == step);
+            orders
+                .filter(|(_, order)| {
+                    order.phase == OrderPhase::Running
+                        && order.at_work.is_some_and(|at| now - at > SETTLED_MS)
+                })
+                .count()
+        };
+        let working: usize = self.targets.values().map(at_work).sum();
+        count.saturating_sub(u32::try_from(working).unwrap_or(u32::MAX))
+    }
+
+    fn send_order(&mut self, name: &str, order: MachineOrder, now: Millis) {
+        spdlog::info!("vm_order", kv: { vm = name, order = format!("{order:?}"), epoch = self.epoch() });
+        let machine = name.to_owned();
+        let target = self
+            .desk
+            .machines()
+            .get(name)
+            .and_then(|m| m.target.clone());
+        if let Some(target) = target.and_then(|id| self.targets.get_mut(&id)) {
+            target.vacating = true;
+        }
+        self.commands.push(match &order {
+            MachineOrder::Upkeep(wave) => Command::Upkeep {
+                machine,
+                wave: *wave,
+            },
+            MachineOrder::Move(pool) => Command::Move {
+                machine,
+                pool: Arc::clone(pool),
+            },
+        });
+        self.desk.order(name, order, now);
+    }
+
+    /// Takes in the platform's answer to an order for a VM.
+    pub(super) fn machine_answered(&mut self, name: &str, outcome: MachineOutcome, now: Millis) {
+        spdlog::info!("vm_order_answered", kv: { vm = name, outcome = format!("{outcome:?}") });
+        if outcome == MachineOutcome::Fenced {
+            self.fenced = true;
+        }
+        let decided = self.desk.answered(name, outcome, now);
+        if let Some(MachineOrder::Upkeep(wave)) = decided
+            && matches!(outcome, MachineOutcome::Begun | MachineOutcome::NotInWave)
+        {
+            self.begun.push((wave, name.to_owned()));
+        }
+    }
+
+    /// Records the VMs whose upkeep has begun.
+    pub(super) fn record_begun(&mut self, table: &mut JobTable) {
+        for (wave, name) in std::mem::take(&mut self.begun) {
+            let progress = table.wave_mut(wave);
+            if !progress.begun.contains(&name) {
+                progress.begun.push(name);
+                self.journal.touch_wave(wave);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/table.rs
@@ -0,0 +1,144 @@
+//! All jobs as the stream of records tells them; the same in every process.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{Change, Holder, JobKey, JobSpec, JobState, Progress, Record, WaveProgress};
+
+/// One accepted job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// What was handed in.
+    pub spec: Arc<JobSpec>,
+    /// Its caller cancelled it.
+    pub cancelled: bool,
+    /// How far it has come.
+    pub progress: Progress,
+}
+
+impl Job {
+    /// State for its caller. A stored cancel counts before the leader has acted on it.
+    #[must_use]
+    pub fn state(&self) -> JobState {
+        match self.progress.state {
+            JobState::Queued | JobState::Running if self.cancelled => JobState::Canceled,
+            state => state,
+        }
+    }
+}
+
+/// Jobs, waves and the claim, folded from records.
+#[derive(Debug, Default)]
+pub struct JobTable {
+    jobs: IndexMap<JobKey, Job>,
+    /// Cancels and progress that came before their job; pages of a first load overlap.
+    early: IndexMap<JobKey, (bool, Option<Progress>)>,
+    holder: Option<Holder>,
+    waves: IndexMap<u64, WaveProgress>,
+}
+
+impl JobTable {
+    /// Applies one change; returns the job that it touched.
+    pub fn apply(&mut self, change: Change) -> Option<JobKey> {
+        match change {
+            Change::Put(Record::Job(key, spec)) => {
+                self.accept(key, spec);
+                Some(key)
+            }
+            Change::Put(Record::Cancel(key)) => {
+                match self.jobs.get_mut(&key) {
+                    Some(job) => job.cancelled = true,
+                    None => self.early.entry(key).or_default().0 = true,
+                }
+                Some(key)
+            }
+            Change::Put(Record::Progress(key, progress)) => {
+                match self.jobs.get_mut(&key) {
+                    Some(job) => job.progress = progress,
+                    None => self.early.entry(key).or_default().1 = Some(progress),
+                }
+                Some(key)
+            }
+            Change::Put(Record::Holder(holder)) => {
+                self.holder = Some(holder);
+                None
+            }
+            Change::Put(Record::Wave(number, progress)) => {
+                self.waves.insert(number, progress);
+                None
+            }
+            Change::Forget(key) => {
+                self.early.swap_remove(&key);
+                self.jobs.swap_remove(&key);
+                Some(key)
+            }
+            Change::Nothing => None,
+        }
+    }
+
+    /// A repeat of a job changes nothing: the first record of an id holds.
+    fn accept(&mut self, key: JobKey, spec: JobSpec) {
+        if self.jobs.contains_key(&key) {
+            return;
+        }
+        let (cancelled, progress) = self.early.swap_remove(&key).unwrap_or_default();
+        let job = Job {
+            spec: Arc::new(spec),
+            cancelled,
+            progress: progress.unwrap_or_default(),
+        };
+        self.jobs.insert(key, job);
+    }
+
+    /// The job of an id.
+    #[must_use]
+    pub fn get(&self, key: JobKey) -> Option<&Job> {
+        self.jobs.get(&key)
+    }
+
+    pub(super) fn get_mut(&mut self, key: JobKey) -> Option<&mut Job> {
+        self.jobs.get_mut(&key)
+    }
+
+    /// All jobs.
+    pub fn iter(&self) -> impl Iterator<Item = (JobKey, &Job)> {
+        self.jobs.iter().map(|(key, job)| (*key, job))
+    }
+
+    /// Number of jobs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// True without any job.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Accepted jobs of a queue of which no task has started and none waits for its time.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|job| job.spec.queue == queue && job.state() == JobState::Queued)
+            .count()
+    }
+
+    /// Who holds the claim.
+    #[must_use]
+    pub const fn holder(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
+    /// How far a wave has come.
+    #[must_use]
+    pub fn wave(&self, number: u64) -> Option<&WaveProgress> {
+        self.waves.get(&number)
+    }
+
+    pub(super) fn wave_mut(&mut self, number: u64) -> &mut WaveProgress {
+        self.waves.entry(number).or_default()
+    }
+}
