Let leases of silent targets lapse, and believe 421

A hold that got no answer still extended the lease that the leader reckoned with, so nothing on a dark target was ever given up; a task there went on counting as at work, so planned stops took a second member of its step away. Ruled out: scheduling order and room (the task was never pending). Change: calls to a silent target carry no deadline; 421 means that the incarnation has ended; tasks of silent targets count as away; tasks on unlisted targets wait for one lease after a claim instead of for the holder's yield too.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -30,7 +30,13 @@
             if at > now {
                 continue;
             }
-            let deadline_ms = target.lease.extend(now, lease_ms);
+            // A call to a silent target only looks: were it to extend the lease each time,
+            // what runs there could never be given up.
+            let deadline_ms = if target.silent == 0 {
+                target.lease.extend(now, lease_ms)
+            } else {
+                None
+            };
             let settled = target.applied == target.stored && target.silent == 0;
             let wait_ms = if target.fenced && settled && target.busy() {
                 WAIT_MS
@@ -70,6 +76,7 @@
                 self.fenced = true;
                 return;
             }
+            Err(HoldFailure::OtherIncarnation) => return self.replaced(table, id, now),
             Err(HoldFailure::NoAnswer) => return missed(target, now),
         };
         if held.born != born {
@@ -248,7 +255,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
-            self.give_up(table, &id, now);
+            self.give_up(table, &id, "lease lapsed", now);
         }
         let over: Vec<TaskKey> = self
             .orphans
@@ -262,12 +269,20 @@
                 .get(task.step.job)
                 .and_then(|job| job.progress.task(task))
                 .map_or(0, |task| task.run);
-            spdlog::info!("lease_lapsed", kv: { task = task.to_string(), run, target = "unlisted" });
+            spdlog::info!("run_given_up", kv: { task = task.to_string(), run, cause = "its target is not listed" });
             self.release(table, task, run);
         }
     }
 
-    fn give_up(&mut self, table: &mut JobTable, id: &TargetId, now: Millis) {
+    /// Another incarnation has taken the target's address, so all that ran there has ended.
+    pub(super) fn replaced(&mut self, table: &mut JobTable, id: &TargetId, now: Millis) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.listed = false;
+        }
+        self.give_up(table, id, "replaced", now);
+    }
+
+    fn give_up(&mut self, table: &mut JobTable, id: &TargetId, cause: &str, now: Millis) {
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
@@ -276,7 +291,7 @@
         target.idle_since = now;
         let listed = target.listed;
         let silent_ms = target.answered.map_or(0, |at| now - at);
-        spdlog::warn!("lease_lapsed", kv: { target = id.0.as_ref(), silent_ms, orders = orders.len() });
+        spdlog::warn!("runs_given_up", kv: { target = id.0.as_ref(), cause, silent_ms, orders = orders.len() });
         for (task, order) in orders {
             self.release(table, task, order.run);
         }
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -98,6 +98,8 @@
 pub enum HoldFailure {
     /// Another holder with a higher fencing token has called.
     Fenced,
+    /// Another incarnation answers there: the one that was meant has ended.
+    OtherIncarnation,
     /// No whole answer came in time, or one that makes no sense.
     NoAnswer,
 }
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -15,6 +15,9 @@
 /// slow clocks of targets, and calls on their way.
 const MARGIN_PERCENT: u64 = 5;
 
+/// Time in which the last holder learns from some target that it has been replaced, in ms.
+const UNLISTED_SLACK_MS: Millis = 1_000;
+
 impl Leader {
     /// Takes the role over with what the stream and the list of targets say.
     #[must_use]
@@ -58,6 +61,13 @@
         self.started + length + length * MARGIN_PERCENT / 100
     }
 
+    /// When the leases of targets that are no longer listed have surely lapsed: a target
+    /// that reaches the store would be listed, and the last holder has been fenced off.
+    const fn lapsed_at(&self) -> Millis {
+        let length = self.settings.lease_ms;
+        self.started + length + length * MARGIN_PERCENT / 100 + UNLISTED_SLACK_MS
+    }
+
     fn adopt_jobs(&mut self, table: &mut JobTable, now: Millis) {
         let jobs: Vec<_> = table.iter().map(|(key, _)| key).collect();
         for key in jobs {
@@ -92,7 +102,7 @@
                 target.stop(task, now);
             }
             _ => {
-                self.orphans.insert(task, self.blind_until());
+                self.orphans.insert(task, self.lapsed_at());
             }
         }
     }
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -144,7 +144,9 @@
                 })
                 .count()
         };
-        let working: usize = self.targets.values().map(at_work).sum();
+        // What a silent target last said of its tasks may no longer hold.
+        let answering = self.targets.values().filter(|target| target.silent == 0);
+        let working: usize = answering.map(at_work).sum();
         count.saturating_sub(u32::try_from(working).unwrap_or(u32::MAX))
     }
 
