Move VMs between pools as demand turns

Cause: bursts of five times the mean met pools that hold a fifth of that need, while the pools in their trough and the spare pool stood idle. Change: every 100 ms each pool's need (running and startable work, and the targets that tasks need that must not share one) is compared with its VMs; short pools get VMs that are off, then the longest idle elsewhere; VMs without work for 1.5 s are parked.

--- /dev/null
+++ b/src/scheduler/demand.rs
@@ -0,0 +1,106 @@
+//! Works out which VMs should go to which pool.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{Capacity, Millis};
+
+/// A VM without work for this long is parked, in ms: a move to the spare pool and back
+/// costs as much as two seconds in a pool, and demand turns every few seconds.
+const PARK_AFTER_MS: Millis = 1_500;
+
+/// VMs that a pool keeps beyond its need, for what comes next.
+const SPARE: usize = 1;
+
+/// Room that is lost because tasks don't fill a VM evenly, in parts of a hundred.
+const LOST_PERCENT: u64 = 10;
+
+/// What a pool has and needs.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PoolDemand {
+    /// What one of its VMs offers.
+    pub(super) size: Capacity,
+    /// VMs in it, with those on their way.
+    pub(super) have: usize,
+    /// What runs and could start now.
+    pub(super) needs: Capacity,
+    /// VMs that it needs whatever their size, for tasks that must not share one.
+    pub(super) floor: usize,
+}
+
+/// A VM that could be moved now.
+#[derive(Clone, Debug)]
+pub(super) struct Donor {
+    pub(super) machine: String,
+    pub(super) pool: Arc<str>,
+    /// Time without work.
+    pub(super) idle_ms: Millis,
+}
+
+/// A VM to be moved.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Transfer {
+    pub(super) machine: String,
+    pub(super) pool: Arc<str>,
+}
+
+impl PoolDemand {
+    /// VMs that the pool should have.
+    fn wanted(&self) -> usize {
+        let count = |needs: u64, size: u64| {
+            let needs = needs + needs * LOST_PERCENT / 100;
+            usize::try_from(needs.div_ceil(size.max(1))).unwrap_or(usize::MAX)
+        };
+        let by_cpu = count(self.needs.cpu, self.size.cpu);
+        let by_mem = count(self.needs.mem_mb, self.size.mem_mb);
+        let by_gpu = count(self.needs.gpu, self.size.gpu);
+        by_cpu.max(by_mem).max(by_gpu).max(self.floor) + SPARE
+    }
+}
+
+/// The moves for this moment: pools that are short get the VMs that are off, then those
+/// that have been idle longest elsewhere; what nobody needs is parked.
+pub(super) fn transfers(
+    pools: &IndexMap<Arc<str>, PoolDemand>,
+    donors: &[Donor],
+    standby: &Arc<str>,
+) -> Vec<Transfer> {
+    let mut spare: IndexMap<&Arc<str>, usize> = pools
+        .iter()
+        .map(|(name, pool)| (name, pool.have.saturating_sub(pool.wanted())))
+        .collect();
+    let mut free: Vec<&Donor> = donors.iter().collect();
+    free.sort_by_key(|donor| std::cmp::Reverse(donor.idle_ms));
+    let mut free = free.into_iter().filter(|donor| {
+        if donor.pool == *standby {
+            return true;
+        }
+        let Some(left) = spare.get_mut(&donor.pool) else {
+            return false;
+        };
+        let some = *left > 0;
+        *left -= usize::from(some);
+        some
+    });
+    let mut moves = Vec::new();
+    let mut short: Vec<(&Arc<str>, usize)> = pools
+        .iter()
+        .map(|(name, pool)| (name, pool.wanted().saturating_sub(pool.have)))
+        .collect();
+    short.sort_by_key(|(_, missing)| std::cmp::Reverse(*missing));
+    for (pool, missing) in short {
+        for donor in free.by_ref().take(missing) {
+            moves.push(Transfer {
+                machine: donor.machine.clone(),
+                pool: Arc::clone(pool),
+            });
+        }
+    }
+    let idle = free.filter(|donor| donor.pool != *standby && donor.idle_ms >= PARK_AFTER_MS);
+    moves.extend(idle.map(|donor| Transfer {
+        machine: donor.machine.clone(),
+        pool: Arc::clone(standby),
+    }));
+    moves
+}
--- /dev/null
+++ b/src/scheduler/leader/balance.rs
@@ -0,0 +1,111 @@
+//! Moves VMs between pools as their demand turns, and parks those that nobody needs.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::Leader;
+use crate::scheduler::demand::{Donor, PoolDemand, Transfer, transfers};
+use crate::scheduler::machines::{MachineOrder, MachineState};
+use crate::scheduler::{Capacity, JobTable, Millis, StepKey};
+
+/// Time between two looks at the demand, in ms.
+const EVERY_MS: Millis = 100;
+
+impl Leader {
+    /// Orders the moves that the demand of this moment asks for.
+    pub(super) fn balance(&mut self, table: &JobTable, now: Millis) {
+        if now < self.balance_at || !self.desk.settled(now) || !self.desk.known() {
+            return;
+        }
+        self.balance_at = now + EVERY_MS;
+        let Some(standby) = self.policy.standby().map(|pool| Arc::clone(&pool.name)) else {
+            return;
+        };
+        let pools = self.demands(table, &standby);
+        let donors = self.donors(now);
+        for Transfer { machine, pool } in transfers(&pools, &donors, &standby) {
+            if !self.desk.barred(&machine, &pool) {
+                self.send_order(&machine, MachineOrder::Move(pool), now);
+            }
+        }
+    }
+
+    /// What each pool has and needs.
+    fn demands(&self, table: &JobTable, standby: &str) -> IndexMap<Arc<str>, PoolDemand> {
+        let names = self.policy.pools.keys().filter(|name| ***name != *standby);
+        let mut pools: IndexMap<Arc<str>, PoolDemand> = names
+            .map(|name| (Arc::clone(name), PoolDemand::default()))
+            .collect();
+        for target in self.targets.values().filter(|target| target.listed) {
+            let Some(pool) = pools.get_mut(&target.entry.pool) else {
+                continue;
+            };
+            pool.size = target.entry.capacity;
+            pool.needs.add(&target.used);
+            pool.have += 1;
+        }
+        for pool in self.desk.incoming() {
+            if let Some(pool) = pools.get_mut(&pool) {
+                pool.have += 1;
+            }
+        }
+        for key in &self.active {
+            let Some(job) = table.get(*key) else { continue };
+            let name = self.policy.pool_of(&job.spec.queue, &job.spec.pool);
+            let Some(pool) = pools.get_mut(name) else {
+                continue;
+            };
+            for (occurrence, at) in (0..).zip(&job.progress.occurrences) {
+                for (step, spec) in (0..).zip(&job.spec.steps) {
+                    let step = StepKey {
+                        job: *key,
+                        occurrence,
+                        step,
+                    };
+                    let open = spec.after.iter().all(|before| at.step_done(*before));
+                    let pending = super::starts::pending_tasks(job, step).len() as u64;
+                    if open && pending > 0 {
+                        pool.needs.add(&times(&spec.takes(), pending));
+                    }
+                    if spec.lasting && spec.per_target > 0 {
+                        let targets = spec.count.div_ceil(spec.per_target) as usize;
+                        pool.floor = pool.floor.max(targets);
+                    }
+                }
+            }
+        }
+        pools
+    }
+
+    /// VMs without work, with those that are off.
+    fn donors(&self, now: Millis) -> Vec<Donor> {
+        let machines = self.desk.machines().iter();
+        machines
+            .filter(|(name, machine)| machine.state == MachineState::Up && !self.desk.away(name))
+            .filter_map(|(name, machine)| {
+                let idle_ms = match &machine.target {
+                    None => Some(Millis::MAX),
+                    Some(id) => {
+                        let target = self.targets.get(id)?;
+                        let idle = target.orders.is_empty() && target.listed && !target.vacating;
+                        idle.then(|| now - target.idle_since)
+                    }
+                };
+                Some(Donor {
+                    machine: name.clone(),
+                    pool: Arc::clone(&machine.pool),
+                    idle_ms: idle_ms?,
+                })
+            })
+            .collect()
+    }
+}
+
+const fn times(amount: &Capacity, count: u64) -> Capacity {
+    Capacity {
+        cpu: amount.cpu * count,
+        mem_mb: amount.mem_mb * count,
+        gpu: amount.gpu * count,
+    }
+}
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -4,6 +4,7 @@
 //! only after its effect is stored. Whoever takes over therefore knows of every task that
 //! may be running, and where.
 
+mod balance;
 mod ends;
 mod holds;
 mod journal;
@@ -264,6 +265,8 @@
     orphans: IndexMap<TaskKey, Millis>,
     journal: Journal,
     desk: Desk,
+    /// When the demand is looked at next.
+    balance_at: Millis,
     /// VMs whose upkeep has begun, to be recorded.
     begun: Vec<(u64, String)>,
     commands: Vec<Command>,
@@ -342,6 +345,7 @@
         self.send_holds(now);
         self.record_begun(table);
         self.tend_machines(table, now);
+        self.balance(table, now);
         self.flush(table, now, wall_ms);
         std::mem::take(&mut self.commands)
     }
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -376,7 +376,7 @@
     ready
 }
 
-fn pending_tasks(job: &Job, key: StepKey) -> Vec<u32> {
+pub(super) fn pending_tasks(job: &Job, key: StepKey) -> Vec<u32> {
     let occurrence = &job.progress.occurrences[key.occurrence as usize];
     let tasks = occurrence.steps.get(key.step as usize);
     let tasks = (0..).zip(tasks.into_iter().flatten());
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -39,6 +39,7 @@
             active: IndexSet::new(),
             orphans: IndexMap::new(),
             journal: Journal::new(now),
+            balance_at: 0,
             begun: Vec::new(),
             commands: Vec::new(),
             fenced: false,
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -21,7 +21,7 @@
     /// Lists VMs, and moves maintenance on.
     pub(super) fn tend_machines(&mut self, table: &mut JobTable, now: Millis) {
         let waves = self.desk.open_waves();
-        if !waves.is_empty() && self.desk.list_due(now) {
+        if self.desk.list_due(now) {
             self.commands.push(Command::ListMachines);
         }
         if !self.desk.settled(now) || !self.desk.known() {
@@ -150,7 +150,7 @@
         count.saturating_sub(u32::try_from(working).unwrap_or(u32::MAX))
     }
 
-    fn send_order(&mut self, name: &str, order: MachineOrder, now: Millis) {
+    pub(super) fn send_order(&mut self, name: &str, order: MachineOrder, now: Millis) {
         spdlog::info!("vm_order", kv: { vm = name, order = format!("{order:?}"), epoch = self.epoch() });
         let machine = name.to_owned();
         let target = self
@@ -180,6 +180,9 @@
         if outcome == MachineOutcome::Fenced {
             self.fenced = true;
         }
+        if !matches!(outcome, MachineOutcome::Begun | MachineOutcome::Unknown) {
+            self.end_vacating(name);
+        }
         let decided = self.desk.answered(name, outcome, now);
         if let Some(MachineOrder::Upkeep(wave)) = decided
             && matches!(outcome, MachineOutcome::Begun | MachineOutcome::NotInWave)
@@ -188,6 +191,16 @@
         }
     }
 
+    /// The VM stays, so its target gets work again.
+    fn end_vacating(&mut self, name: &str) {
+        let machine = self.desk.machines().get(name);
+        let target = machine.and_then(|machine| machine.target.clone());
+        if let Some(target) = target.and_then(|id| self.targets.get_mut(&id)) {
+            target.vacating = false;
+            self.changed = true;
+        }
+    }
+
     /// Records the VMs whose upkeep has begun.
     pub(super) fn record_begun(&mut self, table: &mut JobTable) {
         for (wave, name) in std::mem::take(&mut self.begun) {
--- a/src/scheduler/machines.rs
+++ b/src/scheduler/machines.rs
@@ -104,6 +104,8 @@
     list_at: Millis,
     listing: bool,
     gone: IndexSet<String>,
+    /// Moves that the platform said are impossible.
+    barred: IndexSet<(String, Arc<str>)>,
 }
 
 impl Desk {
@@ -116,6 +118,7 @@
             list_at: 0,
             listing: false,
             gone: IndexSet::new(),
+            barred: IndexSet::new(),
         }
     }
 
@@ -204,6 +207,22 @@
         self.errands.contains_key(name)
     }
 
+    /// True when the platform has said that the VM can't go to the pool.
+    pub(super) fn barred(&self, name: &str, pool: &Arc<str>) -> bool {
+        self.barred.contains(&(name.to_owned(), Arc::clone(pool)))
+    }
+
+    /// Pools that VMs are on their way to, each as often as there are VMs.
+    pub(super) fn incoming(&self) -> Vec<Arc<str>> {
+        let errands = self.errands.iter();
+        errands
+            .filter_map(|(_, errand)| match &errand.order {
+                MachineOrder::Move(pool) => Some(Arc::clone(pool)),
+                MachineOrder::Upkeep(_) => None,
+            })
+            .collect()
+    }
+
     /// VMs that are down for a wave, or may be.
     pub(super) fn down_for(&self, wave: &Wave) -> usize {
         let down = |name: &&String| {
@@ -258,7 +277,13 @@
                 errand.next = now + RETRY_MS;
                 None
             }
-            _ => self.errands.swap_remove(name).map(|errand| errand.order),
+            outcome => {
+                let order = self.errands.swap_remove(name)?.order;
+                if let (MachineOutcome::Invalid, MachineOrder::Move(pool)) = (outcome, &order) {
+                    self.barred.insert((name.to_owned(), Arc::clone(pool)));
+                }
+                Some(order)
+            }
         }
     }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! holds the claim also runs a [`Leader`], which turns events and the time into commands.
 
 mod claim;
+mod demand;
 mod fleet;
 mod health;
 mod ids;
