Pack tasks that last, and park VMs after half a second

Cause: tasks that last were spread over every target of their pools, which pinned 8 to 11 VMs where 4 would do; idle VMs were kept for 1.5 s. Pools whose jobs are not known yet are left as they are: before that, jobs that came before the traffic met parked VMs.

--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -6,9 +6,9 @@
 
 use super::{Capacity, Millis};
 
-/// A VM without work for this long is parked, in ms: a move to the spare pool and back
-/// costs as much as two seconds in a pool, and demand turns every few seconds.
-const PARK_AFTER_MS: Millis = 1_500;
+/// A VM without work for this long is parked, in ms: a move costs as much as a second in a
+/// pool, and the next turn of the demand is several seconds away.
+const PARK_AFTER_MS: Millis = 500;
 
 /// VMs that a pool keeps beyond its need, for what comes next.
 const SPARE: usize = 1;
@@ -25,6 +25,8 @@
     pub(super) have: usize,
     /// What runs and could start now.
     pub(super) needs: Capacity,
+    /// Some job for it has been seen; before the first its demand is not known.
+    pub(super) known: bool,
     /// VMs that it needs whatever their size, for tasks that must not share one.
     pub(super) floor: usize,
 }
@@ -47,7 +49,7 @@
 
 impl PoolDemand {
     /// VMs that the pool should have.
-    fn wanted(&self) -> usize {
+    pub(super) fn wanted(&self) -> usize {
         let count = |needs: u64, size: u64| {
             let needs = needs + needs * LOST_PERCENT / 100;
             usize::try_from(needs.div_ceil(size.max(1))).unwrap_or(usize::MAX)
@@ -59,6 +61,17 @@
     }
 }
 
+impl PoolDemand {
+    /// VMs that others may have.
+    fn surplus(&self) -> usize {
+        if self.known {
+            self.have.saturating_sub(self.wanted())
+        } else {
+            0
+        }
+    }
+}
+
 /// The moves for this moment: pools that are short get the VMs that are off, then those
 /// that have been idle longest elsewhere; what nobody needs is parked.
 pub(super) fn transfers(
@@ -68,7 +81,7 @@
 ) -> Vec<Transfer> {
     let mut spare: IndexMap<&Arc<str>, usize> = pools
         .iter()
-        .map(|(name, pool)| (name, pool.have.saturating_sub(pool.wanted())))
+        .map(|(name, pool)| (name, pool.surplus()))
         .collect();
     let mut free: Vec<&Donor> = donors.iter().collect();
     free.sort_by_key(|donor| std::cmp::Reverse(donor.idle_ms));
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -151,6 +151,11 @@
         self.orders.keys().filter(|task| task.step == step).count()
     }
 
+    /// Orders for tasks that last.
+    pub(super) fn lasting(&self) -> usize {
+        self.orders.values().filter(|order| order.lasting).count()
+    }
+
     /// True when something may be running there.
     pub(super) fn busy(&self) -> bool {
         self.orders.values().any(Order::sent)
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -12,6 +12,9 @@
 /// Time between two looks at the demand, in ms.
 const EVERY_MS: Millis = 100;
 
+/// Time between two log lines on the demand of each pool, in ms.
+const LOG_EVERY_MS: Millis = 1_000;
+
 impl Leader {
     /// Orders the moves that the demand of this moment asks for.
     pub(super) fn balance(&mut self, table: &JobTable, now: Millis) {
@@ -23,6 +26,15 @@
             return;
         };
         let pools = self.demands(table, &standby);
+        if now >= self.demand_log_at {
+            self.demand_log_at = now + LOG_EVERY_MS;
+            for (name, pool) in &pools {
+                spdlog::info!("demand", kv: {
+                    pool = name.as_ref(), vms = pool.have, wanted = pool.wanted(), floor = pool.floor,
+                    cpu = pool.needs.cpu, mem_mb = pool.needs.mem_mb
+                });
+            }
+        }
         let donors = self.donors(now);
         for Transfer { machine, pool } in transfers(&pools, &donors, &standby) {
             if !self.desk.barred(&machine, &pool) {
@@ -50,6 +62,12 @@
                 pool.have += 1;
             }
         }
+        for (_, job) in table.iter() {
+            let name = self.policy.pool_of(&job.spec.queue, &job.spec.pool);
+            if let Some(pool) = pools.get_mut(name) {
+                pool.known = true;
+            }
+        }
         for key in &self.active {
             let Some(job) = table.get(*key) else { continue };
             let name = self.policy.pool_of(&job.spec.queue, &job.spec.pool);
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -225,6 +225,7 @@
             takes,
             since: now,
             at_work: None,
+            lasting: false,
             team: None,
         };
         target.insert(running.task, order);
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -267,6 +267,8 @@
     desk: Desk,
     /// When the demand is looked at next.
     balance_at: Millis,
+    /// When the demand is logged next.
+    demand_log_at: Millis,
     /// VMs whose upkeep has begun, to be recorded.
     begun: Vec<(u64, String)>,
     commands: Vec<Command>,
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -171,6 +171,7 @@
                 takes: step.takes(),
                 since: now,
                 at_work: None,
+                lasting: step.lasting,
                 team: team.cloned(),
             };
             target.insert(task, order);
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -40,6 +40,7 @@
             orphans: IndexMap::new(),
             journal: Journal::new(now),
             balance_at: 0,
+            demand_log_at: 0,
             begun: Vec::new(),
             commands: Vec::new(),
             fenced: false,
@@ -186,6 +187,7 @@
         takes: step.takes(),
         since: now,
         at_work: None,
+        lasting: step.lasting,
         team: job.spec.team.clone(),
     })
 }
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -81,6 +81,8 @@
     pub(super) since: Millis,
     /// When its work was first seen to be whole; `None` while it starts up or is paced.
     pub(super) at_work: Option<Millis>,
+    /// The task runs until its job is cancelled.
+    pub(super) lasting: bool,
     /// Team that it counts for.
     pub(super) team: Option<String>,
 }
--- a/src/scheduler/place.rs
+++ b/src/scheduler/place.rs
@@ -1,5 +1,6 @@
 //! Chooses a target for a task.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
@@ -34,7 +35,7 @@
         })
         .max_by_key(|(id, target)| {
             let near = target.entry.labels.contains(&ask.step.data_rack);
-            (near, preference(target, ask), (*id).clone())
+            (near, preference(targets, target, ask), (*id).clone())
         })
         .map(|(id, _)| TargetId(Arc::clone(&id.0)))
 }
@@ -72,13 +73,20 @@
     })
 }
 
-/// Tasks that last are spread over the pool, so that a lost target costs a step little.
-fn preference(target: &Target, ask: &Ask<'_>) -> u64 {
-    if ask.step.lasting {
-        u64::MAX - target.used.cpu - target.used.mem_mb
-    } else {
-        target.used.cpu
+/// Tasks that last share as few targets as they can, so that the VMs of others can be
+/// moved; those of one step are kept in different racks where there is a choice.
+fn preference(
+    targets: &IndexMap<TargetId, Target>,
+    target: &Target,
+    ask: &Ask<'_>,
+) -> (Reverse<usize>, usize, u64) {
+    if !ask.step.lasting {
+        return (Reverse(0), 0, target.used.cpu);
     }
+    let rack = target.entry.rack();
+    let neighbours = targets.values().filter(|other| other.entry.rack() == rack);
+    let same_step = neighbours.map(|other| other.of_step(ask.key)).sum();
+    (Reverse(same_step), target.lasting(), target.used.cpu)
 }
 
 fn has_label(labels: &[String], wanted: &str) -> bool {
