Claim a dead leader's role sooner, and order VMs by the rise of the demand

Cause 1: after a power loss of all, the role was claimed 2.3 s after the records were loaded: the first read waited 1 s for news before the silence counted. Change: the loaded records start the count; beats every 0.3 s, death after 1 s; the settling time counts from the last word of the old holder; VMs are only ordered about within 0.9 s of a stored batch; a pool's need rises with its slope.

--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -11,7 +11,7 @@
 use crate::scheduler::{Change, Event, JobTable, Millis, Record, event_of};
 
 /// Time that the store may wait for a record, in ms; short enough to notice its silence.
-const WAIT_MS: u64 = 1_000;
+const WAIT_MS: u64 = 700;
 
 /// Pause of a follower after it has read something, in ms: one read then brings more.
 const FOLLOWER_PAUSE_MS: u64 = 250;
@@ -69,9 +69,12 @@
                 table.apply(change);
             }
             spdlog::info!("records_loaded", kv: { records = count, jobs = table.len(), next });
+            let now = shared.clock.now();
             let mut state = shared.lock();
             state.table = table;
             state.next = Some(next);
+            // The holder gets its time from here on, if it lives.
+            state.claim.read_to_end(now);
         }
         Read::Expired => {}
         Read::Failed(cause) => link.failed(&cause).await,
--- a/src/dispatch/lead.rs
+++ b/src/dispatch/lead.rs
@@ -11,7 +11,9 @@
 use super::services::{Appended, Hold, Producer, Read, Services, Start, Stop, TargetChange};
 use super::state::Shared;
 use super::writer::{self, Batch};
-use crate::scheduler::{Command, Event, Holder, Leader, LeaderSettings, Record, TargetEntry};
+use crate::scheduler::{
+    Command, Event, Holder, Leader, LeaderSettings, Millis, Record, TargetEntry,
+};
 
 /// Time between two decisions when nothing happens, in ms.
 const TICK_MS: u64 = 25;
@@ -205,19 +207,20 @@
 
 /// Claims the role if it is due.
 async fn claim<S: Services>(shared: &Arc<Shared<S>>) -> Option<Office> {
-    let (holder, expected) = {
+    let (holder, expected, silence) = {
         let state = shared.lock();
         let now = shared.clock.now();
         let current = state.table.holder();
         if state.stopping || !state.claim.due(current, now) {
             return None;
         }
-        (state.claim.next(current), state.next?)
+        let silence = state.claim.silence(now);
+        (state.claim.next(current), state.next?, silence)
     };
     let producer = append_claim(shared, &holder, expected).await?;
     spdlog::info!("role_claimed", kv: { epoch = holder.epoch, offset = expected, seq = producer.seq });
     let entries = list_targets(shared).await?;
-    Some(take_office(shared, holder, producer, entries))
+    Some(take_office(shared, holder, producer, entries, silence))
 }
 
 async fn append_claim<S: Services>(
@@ -269,6 +272,7 @@
     holder: Holder,
     producer: Producer,
     entries: Vec<TargetEntry>,
+    silence: Millis,
 ) -> Office {
     let now = shared.clock.now();
     let (sender, inbox) = async_channel::unbounded();
@@ -279,7 +283,8 @@
         holder,
         lease_ms: LEASE_MS.min(settings.max_lease_ms),
         yield_ms: YIELD_MS,
-        settle_ms: settings.settle_ms,
+        // The last holder has given no orders since it was last heard of.
+        settle_ms: settings.settle_ms.saturating_sub(silence),
         stop_ms: settings.stop_ms,
         keep_ms: settings.keep_ms,
     };
--- a/src/scheduler/claim.rs
+++ b/src/scheduler/claim.rs
@@ -3,7 +3,7 @@
 use super::{Holder, Millis};
 
 /// A holder whose records stop for this long is taken for dead, in ms; three of its beats.
-const SILENCE_MS: Millis = 1_200;
+const SILENCE_MS: Millis = 1_000;
 
 /// Further wait for each place in the order of candidates, so that they rarely race, in ms.
 const RANK_STEP_MS: Millis = 120;
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Time since the holder was last heard of, in ms.
+    #[must_use]
+    pub const fn silence(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.heard)
+    }
+
     /// A record that claims the role after `holder`.
     #[must_use]
     pub fn next(&self, holder: Option<&Holder>) -> Holder {
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -1,5 +1,6 @@
 //! Works out which VMs should go to which pool.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -25,12 +26,45 @@
     pub(super) have: usize,
     /// What runs and could start now.
     pub(super) needs: Capacity,
+    /// How much more it will need by the time that a VM ordered now has come.
+    pub(super) rise: Capacity,
     /// Some job for it has been seen; before the first its demand is not known.
     pub(super) known: bool,
     /// VMs that it needs whatever their size, for tasks that must not share one.
     pub(super) floor: usize,
 }
 
+/// Time over which the change of a demand is measured, in ms.
+const TREND_MS: Millis = 800;
+
+/// Time from an order to the first task on a moved VM, in ms.
+const LEAD_MS: u64 = 1_700;
+
+/// The recent demand of a pool.
+#[derive(Debug, Default)]
+pub(super) struct Trend {
+    samples: VecDeque<(Millis, Capacity)>,
+}
+
+impl Trend {
+    /// Takes a sample, and returns how much a rising demand will have risen further by the
+    /// time that a VM ordered now has come.
+    pub(super) fn observe(&mut self, needs: Capacity, now: Millis) -> Capacity {
+        self.samples.push_back((now, needs));
+        while self.samples.len() > 1 && now - self.samples[1].0 >= TREND_MS {
+            self.samples.pop_front();
+        }
+        let (at, before) = self.samples[0];
+        let span = (now - at).max(TREND_MS);
+        let rise = |now: u64, before: u64| now.saturating_sub(before) * LEAD_MS / span;
+        Capacity {
+            cpu: rise(needs.cpu, before.cpu),
+            mem_mb: rise(needs.mem_mb, before.mem_mb),
+            gpu: 0,
+        }
+    }
+}
+
 /// A VM that could be moved now.
 #[derive(Clone, Debug)]
 pub(super) struct Donor {
@@ -54,8 +88,8 @@
             let needs = needs + needs * LOST_PERCENT / 100;
             usize::try_from(needs.div_ceil(size.max(1))).unwrap_or(usize::MAX)
         };
-        let by_cpu = count(self.needs.cpu, self.size.cpu);
-        let by_mem = count(self.needs.mem_mb, self.size.mem_mb);
+        let by_cpu = count(self.needs.cpu + self.rise.cpu, self.size.cpu);
+        let by_mem = count(self.needs.mem_mb + self.rise.mem_mb, self.size.mem_mb);
         let by_gpu = count(self.needs.gpu, self.size.gpu);
         by_cpu.max(by_mem).max(by_gpu).max(self.floor) + SPARE
     }
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -18,14 +18,18 @@
 impl Leader {
     /// Orders the moves that the demand of this moment asks for.
     pub(super) fn balance(&mut self, table: &JobTable, now: Millis) {
-        if now < self.balance_at || !self.desk.settled(now) || !self.desk.known() {
+        if now < self.balance_at || !self.may_order(now) {
             return;
         }
         self.balance_at = now + EVERY_MS;
         let Some(standby) = self.policy.standby().map(|pool| Arc::clone(&pool.name)) else {
             return;
         };
-        let pools = self.demands(table, &standby);
+        let mut pools = self.demands(table, &standby);
+        for (name, pool) in &mut pools {
+            let trend = self.trends.entry(Arc::clone(name)).or_default();
+            pool.rise = trend.observe(pool.needs, now);
+        }
         if now >= self.demand_log_at {
             self.demand_log_at = now + LOG_EVERY_MS;
             for (name, pool) in &pools {
--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -13,7 +13,7 @@
 const FORGET_EVERY_MS: Millis = 5_000;
 
 /// Longest time without an append, in ms; followers take three of these for a death.
-const BEAT_MS: Millis = 400;
+const BEAT_MS: Millis = 300;
 
 /// A batch on its way to the store, and what its storing allows.
 #[derive(Debug)]
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -17,6 +17,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::demand::Trend;
 use super::fleet::{HoldState, Target};
 use super::machines::{Desk, Machine, MachineOutcome};
 use super::order::{Ended, RunningTask};
@@ -265,6 +266,8 @@
     orphans: IndexMap<TaskKey, Millis>,
     journal: Journal,
     desk: Desk,
+    /// How the demand of each pool has changed lately.
+    trends: IndexMap<Arc<str>, Trend>,
     /// When the demand is looked at next.
     balance_at: Millis,
     /// When the demand is logged next.
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -39,6 +39,7 @@
             active: IndexSet::new(),
             orphans: IndexMap::new(),
             journal: Journal::new(now),
+            trends: IndexMap::new(),
             balance_at: 0,
             demand_log_at: 0,
             begun: Vec::new(),
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -13,6 +13,10 @@
 /// parts of a hundred.
 const PATIENCE_PERCENT: u64 = 55;
 
+/// Time for which a stored batch confirms the claim, in ms; others need a little more to
+/// take the holder for dead.
+const CONFIRMED_MS: Millis = 900;
+
 /// A task that has been at work for less counts as away, in ms; a second above the
 /// platform's notice.
 const SETTLED_MS: Millis = 4_500;
@@ -24,7 +28,7 @@
         if self.desk.list_due(now) {
             self.commands.push(Command::ListMachines);
         }
-        if !self.desk.settled(now) || !self.desk.known() {
+        if !self.may_order(now) {
             return;
         }
         for (name, order) in self.desk.repeats(now) {
@@ -35,6 +39,13 @@
         }
     }
 
+    /// True when VMs may be ordered about: no earlier holder's orders are recent, and the
+    /// store has just confirmed that there is no later one.
+    pub(super) fn may_order(&self, now: Millis) -> bool {
+        let confirmed = now.saturating_sub(self.journal.stored_at) < CONFIRMED_MS;
+        confirmed && self.desk.settled(now) && self.desk.known()
+    }
+
     fn tend_wave(&mut self, table: &mut JobTable, open: &OpenWave, now: Millis) {
         let wave = &open.wave;
         let begun = table.wave(wave.number).cloned().unwrap_or_default().begun;
