Leave a VM where it is until the ends on it are stored and forgotten

The next leader found the task placed on a target that was gone, and started it again. Ruled out: lost or reordered records (the log held every stored batch), two leaders (the fencing token was refused at once). Change: a target is idle only when all ends that were applied have been stored and the target has answered a call that lets it forget them. A table that is loaded while a claim is being confirmed ends the claim. Test: a_vm_stays_until_the_ends_on_it_are_stored (failed before).

--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -71,6 +71,11 @@
             spdlog::info!("records_loaded", kv: { records = count, jobs = table.len(), next });
             let now = shared.clock.now();
             let mut state = shared.lock();
+            if state.leader.is_some() {
+                // A claim was confirmed meanwhile, for the table as it was.
+                state.step_down("records loaded during a claim");
+                return;
+            }
             state.table = table;
             state.next = Some(next);
             // The holder gets its time from here on, if it lives.
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -87,6 +87,10 @@
     pub(super) applied: u64,
     /// Last end whose effect is stored.
     pub(super) stored: u64,
+    /// Last end that the open or latest hold allows the target to forget.
+    pub(super) cursor: u64,
+    /// Last end that the target has been told to forget, and has answered.
+    pub(super) forgotten: u64,
     pub(super) orders: IndexMap<TaskKey, Order>,
     pub(super) used: Capacity,
     pub(super) health: Health,
@@ -110,6 +114,8 @@
             silent: 0,
             applied: 0,
             stored: 0,
+            cursor: 0,
+            forgotten: 0,
             orders: IndexMap::new(),
             used: Capacity::default(),
             health: Health::default(),
@@ -151,6 +157,12 @@
         self.orders.keys().filter(|task| task.step == step).count()
     }
 
+    /// True when its VM may be taken away: nothing runs there, and no end that it lists
+    /// would be lost.
+    pub(super) fn idle(&self) -> bool {
+        self.orders.is_empty() && self.forgotten == self.applied
+    }
+
     /// Orders for tasks that last.
     pub(super) fn lasting(&self) -> usize {
         self.orders.values().filter(|order| order.lasting).count()
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -110,7 +110,7 @@
                     None => Some(Millis::MAX),
                     Some(id) => {
                         let target = self.targets.get(id)?;
-                        let idle = target.orders.is_empty() && target.listed && !target.vacating;
+                        let idle = target.idle() && target.listed && !target.vacating;
                         idle.then(|| now - target.idle_since)
                     }
                 };
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -44,6 +44,7 @@
                 0
             };
             target.hold = HoldState::Open(now);
+            target.cursor = target.stored;
             self.commands.push(Command::Hold {
                 target: target.entry.clone(),
                 deadline_ms,
@@ -93,6 +94,7 @@
         }
         target.silent = 0;
         target.answered = Some(now);
+        target.forgotten = target.cursor;
         target.lease.observe(held.clock_ms, sent, now);
         if !target.fenced {
             target.fenced = true;
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -89,8 +89,8 @@
     fn load_of(&self, machine: &Machine) -> u64 {
         let target = machine.target.as_ref().and_then(|id| self.targets.get(id));
         target.map_or(0, |target| {
-            let orders = target.orders.len() as u64;
-            if target.vacating { orders } else { orders * 2 }
+            let left = target.orders.len() as u64 + u64::from(!target.idle());
+            if target.vacating { left } else { left * 2 }
         })
     }
 
--- a/tests/scheduler/upkeep.rs
+++ b/tests/scheduler/upkeep.rs
@@ -60,3 +60,28 @@
     assert_eq!(fewest, 3);
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// Upkeep took a VM away whose target had listed an end that was not stored yet: the next
+/// leader knew nothing of the end, and ran the task again.
+#[test]
+fn a_vm_stays_until_the_ends_on_it_are_stored() {
+    let mut world = World::new(2, 1);
+    world.claim();
+    world.run_for(5_000);
+    let key = world.submit(1, job(vec![step(1, 500, &[])]));
+    world.run_for(100);
+    let home = world.running(key)[0].0.clone();
+    let vm = format!("vm-{}", home.0);
+
+    world.ask(wave(&[&vm], 1));
+    world.run_for(300);
+    world.store_up = false;
+    world.run_for(700);
+    let early = world.upkeeps.len();
+    world.store_up = true;
+    world.run_for(6_000);
+
+    assert_eq!(early, 0);
+    assert_eq!(world.upkeeps.len(), 1);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
