Reach the store through another process when it turns this one away

Ruled out: two leaders at once, a wrong lease (the target was really gone). Change: processes tell each other their addresses in the stream; a call that the store did not serve goes through another process; the direct way is probed every second. The store counts as lost after 1.2 s, and a caller whose job may be stored is told so at once. Left: a leader that reaches neither the store nor a peer may still hear of an end that is lost with its target; listed as open.

--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -10,8 +10,9 @@
 use super::{Dispatch, state::Shared};
 use crate::scheduler::{Change, Event, JobKey, JobSpec, JobState, Millis, Policy, Record};
 
-/// News older than this is too old to refuse or deny anything by, in ms: three reads.
-const FRESH_MS: Millis = 2_500;
+/// Without a read for this long the store is taken for lost, in ms: one and a half times
+/// the longest time between two reads of a follower.
+const FRESH_MS: Millis = 1_200;
 
 /// Pause between two tries to store a record, in ms.
 const RETRY_MS: u64 = 80;
@@ -93,6 +94,10 @@
                 Appended::Unknown => sent = true,
                 _ => refused += 1,
             }
+            // The caller does better at another process than to wait here.
+            if sent && self.known(key) == Lookup::Unavailable {
+                return Submission::Unknown;
+            }
             if shared.lock().table.get(key).is_some() {
                 return Submission::Accepted;
             }
--- /dev/null
+++ b/src/dispatch/detour.rs
@@ -0,0 +1,82 @@
+//! Chooses the way to the store: straight, or through another process that reaches it.
+//!
+//! The store may turn single processes away, or a partition may cut them off from it,
+//! while it serves the others.
+
+use std::net::SocketAddr;
+
+use crate::scheduler::Millis;
+
+/// Time between two direct calls while the direct way fails, in ms.
+const PROBE_EVERY_MS: Millis = 1_000;
+
+/// Time for which no detour is tried after one led nowhere, in ms: the store is then
+/// likely to be down for all.
+const PAUSE_MS: Millis = 300;
+
+/// A way to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// The store's own address.
+    Direct,
+    /// The process at this address hands the call on.
+    Peer(SocketAddr),
+}
+
+/// What is known of the ways to the store.
+#[derive(Debug, Default)]
+pub struct Detour {
+    peers: Vec<SocketAddr>,
+    /// Peer that is used, as an index that is taken modulo their number.
+    current: usize,
+    /// When the direct way is tried again; `None` while it works.
+    probe_at: Option<Millis>,
+    paused_until: Millis,
+}
+
+impl Detour {
+    /// The other processes.
+    pub fn set_peers(&mut self, peers: Vec<SocketAddr>) {
+        self.peers = peers;
+    }
+
+    /// The way for a call that is sent now.
+    pub fn choose(&mut self, now: Millis) -> Route {
+        match self.probe_at {
+            None => Route::Direct,
+            Some(at) if now >= at => {
+                self.probe_at = Some(now + PROBE_EVERY_MS);
+                Route::Direct
+            }
+            Some(_) => self.peer(now).map_or(Route::Direct, Route::Peer),
+        }
+    }
+
+    /// A peer that may be tried; `None` when there is none, or none leads to the store.
+    #[must_use]
+    pub fn peer(&self, now: Millis) -> Option<SocketAddr> {
+        if now < self.paused_until || self.peers.is_empty() {
+            return None;
+        }
+        self.peers.get(self.current % self.peers.len()).copied()
+    }
+
+    /// A direct call was served, or not. Returns true when that is news.
+    pub fn direct(&mut self, served: bool, now: Millis) -> bool {
+        let failed = self.probe_at.is_some();
+        if served {
+            self.probe_at = None;
+        } else if !failed {
+            self.probe_at = Some(now + PROBE_EVERY_MS);
+        }
+        failed == served
+    }
+
+    /// A call through a peer was served, or not; the next goes through another one.
+    pub const fn relayed(&mut self, served: bool, now: Millis) {
+        if !served {
+            self.current = self.current.wrapping_add(1);
+            self.paused_until = now + PAUSE_MS;
+        }
+    }
+}
--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -8,10 +8,10 @@
 
 use super::services::{OperatorChange, Page, Read, Services, Snapshot, TargetChange};
 use super::state::{Shared, State};
-use crate::scheduler::{Change, Event, JobTable, Millis, Record, event_of};
+use crate::scheduler::{Change, Event, JobTable, Member, Millis, Record, event_of};
 
 /// Time that the store may wait for a record, in ms; short enough to notice its silence.
-const WAIT_MS: u64 = 700;
+const WAIT_MS: u64 = 500;
 
 /// Pause of a follower after it has read something, in ms: one read then brings more.
 const FOLLOWER_PAUSE_MS: u64 = 250;
@@ -35,6 +35,7 @@
         let next = shared.lock().next;
         let Some(from) = next else {
             load(&shared, &mut link).await;
+            introduce(&shared).await;
             continue;
         };
         match shared.services.read(from, WAIT_MS).await {
@@ -86,16 +87,43 @@
     }
 }
 
+/// Tells the others where this process is, if they don't know.
+async fn introduce<S: Services>(shared: &Shared<S>) {
+    let settings = &shared.settings;
+    let known = {
+        let state = shared.lock();
+        let others = state.table.others(&settings.member);
+        shared.services.set_peers(others);
+        state.next.is_none() || state.table.member(&settings.member) == Some(settings.peer)
+    };
+    if known {
+        return;
+    }
+    let member = Member {
+        name: settings.member.clone(),
+        address: settings.peer,
+    };
+    let records = [Record::Member(member)];
+    let appended = shared.services.append(&records, &[], None, None).await;
+    spdlog::info!("introduced", kv: { member = settings.member.as_str(), answer = format!("{appended:?}") });
+}
+
 /// Applies a page; returns whether this process leads.
-fn fold<S>(shared: &Shared<S>, from: u64, page: Page) -> bool {
+fn fold<S: Services>(shared: &Shared<S>, from: u64, page: Page) -> bool {
     let now = shared.clock.now();
     let mut state = shared.lock();
     if state.next != Some(from) {
         return false;
     }
+    let mut members = false;
     for change in page.changes {
+        members |= matches!(&change, Change::Put(Record::Member(_)));
         apply(&mut state, change, now);
     }
+    if members {
+        let others = state.table.others(&shared.settings.member);
+        shared.services.set_peers(others);
+    }
     if state.next.is_none() {
         return false;
     }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -3,12 +3,14 @@
 
 mod callers;
 mod clock;
+mod detour;
 mod follow;
 mod lead;
 mod services;
 mod state;
 mod writer;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::Result;
@@ -19,6 +21,7 @@
 use crate::telemetry::Metrics;
 
 pub use callers::{CancelOutcome, Lookup, Submission};
+pub use detour::{Detour, Route};
 pub use services::{
     Appended, Hold, OperatorChange, Page, Producer, Read, Services, Snapshot, Start, Started, Stop,
     TargetChange,
@@ -33,6 +36,8 @@
     pub member: String,
     /// Tells two lives of a process of one name apart.
     pub incarnation: u64,
+    /// Address at which other processes may ask this one to hand calls on.
+    pub peer: SocketAddr,
     /// Place in the order of candidates for the role, from 0.
     pub rank: u64,
     /// Time after a claim before VMs are ordered about, in ms.
@@ -49,14 +54,14 @@
 #[derive(Debug)]
 pub struct Dispatch<S> {
     shared: Arc<Shared<S>>,
-    _tasks: Arc<Vec<Task<()>>>,
+    tasks: Arc<Vec<Task<()>>>,
 }
 
 impl<S> Clone for Dispatch<S> {
     fn clone(&self) -> Self {
         Self {
             shared: Arc::clone(&self.shared),
-            _tasks: Arc::clone(&self._tasks),
+            tasks: Arc::clone(&self.tasks),
         }
     }
 }
@@ -81,7 +86,7 @@
         ];
         Ok(Self {
             shared,
-            _tasks: Arc::new(tasks),
+            tasks: Arc::new(tasks),
         })
     }
 
--- a/src/dispatch/services.rs
+++ b/src/dispatch/services.rs
@@ -1,6 +1,7 @@
 //! What the scheduler needs of the platform it runs on.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::scheduler::{
@@ -199,6 +200,9 @@
         epoch: u64,
     ) -> impl Future<Output = MachineOutcome> + Send;
 
+    /// Addresses of the other processes, through which the store may be reached.
+    fn set_peers(&self, peers: Vec<SocketAddr>);
+
     /// Reports the state of a wave to the operators; true once it is stored.
     fn report(&self, wave: u64, complete: bool) -> impl Future<Output = bool> + Send;
 }
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -88,10 +88,10 @@
             let needs = needs + needs * LOST_PERCENT / 100;
             usize::try_from(needs.div_ceil(size.max(1))).unwrap_or(usize::MAX)
         };
-        let by_cpu = count(self.needs.cpu + self.rise.cpu, self.size.cpu);
-        let by_mem = count(self.needs.mem_mb + self.rise.mem_mb, self.size.mem_mb);
-        let by_gpu = count(self.needs.gpu, self.size.gpu);
-        by_cpu.max(by_mem).max(by_gpu).max(self.floor) + SPARE
+        let cores = count(self.needs.cpu + self.rise.cpu, self.size.cpu);
+        let memory = count(self.needs.mem_mb + self.rise.mem_mb, self.size.mem_mb);
+        let accelerators = count(self.needs.gpu, self.size.gpu);
+        cores.max(memory).max(accelerators).max(self.floor) + SPARE
     }
 }
 
--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -25,10 +25,8 @@
         }
         match end.kind {
             EndKind::Done => target.health.succeeded(),
-            EndKind::Failed => {
-                if target.health.failed(end.task.step.job, now) {
-                    spdlog::warn!("target_aside", kv: { target = id.0.as_ref(), cause = "failures" });
-                }
+            EndKind::Failed if target.health.failed(end.task.step.job, now) => {
+                spdlog::warn!("target_aside", kv: { target = id.0.as_ref(), cause = "failures" });
             }
             _ => {}
         }
@@ -55,7 +53,9 @@
         };
         if gang {
             // One member's end stands for all.
-            tasks.iter_mut().for_each(|task| task.phase = Phase::Done);
+            for task in tasks {
+                task.phase = Phase::Done;
+            }
         } else if let Some(stored) = tasks.get_mut(task.index as usize) {
             stored.phase = Phase::Done;
         }
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -121,7 +121,9 @@
         let mut placed = Vec::new();
         for index in pending {
             let task = key.task(index);
-            if self.orphans.contains_key(&task) || !self.within_cap(&spec.team, step, &pass.used) {
+            if self.orphans.contains_key(&task)
+                || !self.within_cap(spec.team.as_ref(), step, &pass.used)
+            {
                 break;
             }
             let Some(id) = place::choose(&self.targets, &ask, &pass.kept, now) else {
@@ -144,7 +146,7 @@
 
     fn within_cap(
         &self,
-        team: &Option<String>,
+        team: Option<&String>,
         step: &Step,
         used: &HashMap<String, Capacity>,
     ) -> bool {
--- a/src/scheduler/record.rs
+++ b/src/scheduler/record.rs
@@ -1,5 +1,7 @@
 //! Records of the scheduler's stream: each has a key, and the newest of a key counts.
 
+use std::net::SocketAddr;
+
 use anyhow::{Context, Result, bail};
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +34,15 @@
     pub complete: bool,
 }
 
+/// A process of the system.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Address for other processes.
+    pub address: SocketAddr,
+}
+
 /// A record of the stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
@@ -45,6 +56,8 @@
     Holder(Holder),
     /// How far a wave has come.
     Wave(u64, WaveProgress),
+    /// A process has started.
+    Member(Member),
 }
 
 /// One change of the stream, as read.
@@ -76,6 +89,7 @@
             Self::Progress(job, _) => format!("p/{job}"),
             Self::Holder(_) => HOLDER_KEY.to_owned(),
             Self::Wave(number, _) => format!("w/{number}"),
+            Self::Member(member) => format!("m/{}", member.name),
         }
     }
 
@@ -91,6 +105,7 @@
             Self::Progress(_, progress) => rmp_serde::encode::write(&mut value, progress)?,
             Self::Holder(holder) => rmp_serde::encode::write(&mut value, holder)?,
             Self::Wave(_, progress) => rmp_serde::encode::write(&mut value, progress)?,
+            Self::Member(member) => rmp_serde::encode::write(&mut value, member)?,
         }
         Ok(value)
     }
@@ -127,6 +142,9 @@
     if kind == "w" {
         return Ok(Record::Wave(name.parse()?, rmp_serde::from_slice(body)?));
     }
+    if kind == "m" {
+        return Ok(Record::Member(rmp_serde::from_slice(body)?));
+    }
     let job = JobKey::parse(name).context("no job id in the key")?;
     match kind {
         "j" => Ok(Record::Job(job, rmp_serde::from_slice(body)?)),
--- a/src/scheduler/spec.rs
+++ b/src/scheduler/spec.rs
@@ -13,6 +13,7 @@
 const MAX_TEXT_BYTES: usize = 4_000;
 
 /// Tasks of the same shape that run side by side.
+#[allow(clippy::struct_excessive_bools)] // Each is a wish of the caller's of its own.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
     /// Number of tasks.
--- a/src/scheduler/table.rs
+++ b/src/scheduler/table.rs
@@ -1,5 +1,6 @@
 //! All jobs as the stream of records tells them; the same in every process.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -36,6 +37,7 @@
     early: IndexMap<JobKey, (bool, Option<Progress>)>,
     holder: Option<Holder>,
     waves: IndexMap<u64, WaveProgress>,
+    members: IndexMap<String, SocketAddr>,
 }
 
 impl JobTable {
@@ -68,6 +70,10 @@
                 self.waves.insert(number, progress);
                 None
             }
+            Change::Put(Record::Member(member)) => {
+                self.members.insert(member.name, member.address);
+                None
+            }
             Change::Forget(key) => {
                 self.early.swap_remove(&key);
                 self.jobs.swap_remove(&key);
@@ -132,6 +138,19 @@
         self.holder.as_ref()
     }
 
+    /// Address of a process; one that has left stays known.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<SocketAddr> {
+        self.members.get(name).copied()
+    }
+
+    /// Addresses of all processes but one.
+    #[must_use]
+    pub fn others(&self, name: &str) -> Vec<SocketAddr> {
+        let others = self.members.iter().filter(|(other, _)| *other != name);
+        others.map(|(_, address)| *address).collect()
+    }
+
     /// How far a wave has come.
     #[must_use]
     pub fn wave(&self, number: u64) -> Option<&WaveProgress> {
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -23,7 +23,7 @@
 
 #[derive(Clone, Debug)]
 struct Run {
-    run: u32,
+    number: u32,
     work: Work,
     since: Millis,
     ends: Option<(Millis, EndKind)>,
@@ -113,7 +113,7 @@
             self.ended.push(Ended {
                 number: self.next,
                 task,
-                run: run.run,
+                run: run.number,
                 kind,
                 checkpoint: String::new(),
             });
@@ -142,7 +142,11 @@
             return StartOutcome::Late;
         }
         self.until = self.until.max(deadline_ms);
-        if self.runs.get(&task).is_some_and(|there| there.run == run) {
+        if self
+            .runs
+            .get(&task)
+            .is_some_and(|there| there.number == run)
+        {
             return StartOutcome::Running;
         }
         if self.highest.get(&task).is_some_and(|high| run <= *high) {
@@ -161,7 +165,7 @@
         let ends = work.length_ms.map(|length| (now + length, kind));
         let since = now;
         let begun = Run {
-            run,
+            number: run,
             work,
             since,
             ends,
@@ -179,7 +183,7 @@
         let high = self.highest.entry(task).or_default();
         *high = (*high).max(run);
         if let Some(there) = self.runs.get_mut(&task)
-            && there.run <= run
+            && there.number <= run
         {
             there.ends = Some((now + STOP_MS, EndKind::Stopped));
         }
@@ -204,7 +208,7 @@
         self.ended.retain(|end| end.number > cursor);
         let running = self.runs.iter().map(|(task, run)| RunningTask {
             task: *task,
-            run: run.run,
+            run: run.number,
             checkpoint: String::new(),
             percent: if now - run.since >= 300 { 100 } else { 0 },
             load: 0,
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -174,14 +174,14 @@
     /// A caller's job is stored.
     pub(crate) fn submit(&mut self, job: u64, spec: JobSpec) -> JobKey {
         let key = JobKey(job);
-        self.store(Change::Put(Record::Job(key, spec)));
+        self.store(&Change::Put(Record::Job(key, spec)));
         key
     }
 
     /// A caller's cancel is stored.
     pub(crate) fn cancel(&mut self, key: JobKey) {
         self.cancelled.insert(key, self.now);
-        self.store(Change::Put(Record::Cancel(key)));
+        self.store(&Change::Put(Record::Cancel(key)));
     }
 
     /// The operators ask for a wave.
@@ -219,12 +219,12 @@
         }
     }
 
-    fn store(&mut self, change: Change) {
+    fn store(&mut self, change: &Change) {
         self.log.push(change.clone());
         let now = self.now;
         for node in self.nodes.iter_mut().filter(|node| !node.gone) {
             node.table.apply(change.clone());
-            if let Some(event) = event_of(&change) {
+            if let Some(event) = event_of(change) {
                 node.leader.handle(&mut node.table, event, now);
             }
         }
