Give room first to jobs that can still be in time

Change: tasks that last, then jobs that can meet their objective, then late, then stale ones; within each by priority and due time.

--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -5,6 +5,7 @@
 use super::{Command, Leader, StartOutcome};
 use crate::scheduler::order::{Order, OrderPhase};
 use crate::scheduler::place::{self, Ask, Kept};
+use crate::scheduler::urgency::Urgency;
 use crate::scheduler::{
     Capacity, Job, JobKey, JobState, JobTable, Millis, Occurrence, Phase, Step, StepKey, TargetId,
     TaskKey,
@@ -13,9 +14,6 @@
 /// Time for which a target without room gets no further start, in ms.
 const FULL_PAUSE_MS: Millis = 200;
 
-/// Position of a job in the order of starting; lower comes first.
-type Urgency = (u32, u64, JobKey);
-
 /// What one pass over the jobs keeps in mind.
 struct Pass {
     /// What the teams have running.
@@ -55,7 +53,7 @@
             kept: Kept::new(),
             now,
         };
-        for (_, _, key) in self.by_urgency(table) {
+        for Urgency { job: key, .. } in self.by_urgency(table) {
             let steps = table.get(key);
             let steps = steps.map_or_else(Vec::new, |job| ready_steps(key, job));
             for step in steps {
@@ -79,8 +77,6 @@
         used
     }
 
-    /// Tasks that last come first: they were asked for without an end. Then what is due
-    /// first, by the objective of its queue.
     fn by_urgency(&self, table: &JobTable) -> Vec<Urgency> {
         let mut jobs: Vec<Urgency> = self
             .active
@@ -88,11 +84,7 @@
             .filter_map(|key| {
                 let job = table.get(*key)?;
                 let queue = self.policy.queues.get(job.spec.queue.as_str());
-                let priority = queue.map_or(u32::MAX, |queue| queue.priority);
-                let objective = queue.map_or(0, |queue| queue.objective_ms);
-                let due = job.spec.accepted_ms + objective + job.spec.chain_ms();
-                let due = if job.spec.lasting() { 0 } else { due };
-                Some((priority, due, *key))
+                Some(Urgency::of(*key, job, queue, self.wall_ms))
             })
             .collect();
         jobs.sort_unstable();
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -11,7 +11,7 @@
 
 /// Part of a wave's time after which its VMs no longer wait for their work to end, in
 /// parts of a hundred.
-const PATIENCE_PERCENT: u64 = 55;
+const PATIENCE_PERCENT: u64 = 20;
 
 /// Time for which a stored batch confirms the claim, in ms; others need a little more to
 /// take the holder for dead.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod record;
 mod spec;
 mod table;
+mod urgency;
 mod usage;
 mod wave;
 
--- /dev/null
+++ b/src/scheduler/urgency.rs
@@ -0,0 +1,80 @@
+//! The order in which jobs are given room.
+
+use super::{Job, JobKey, Phase, Queue};
+
+/// A job that ends within this many times its objective is still worth something.
+const LATE_FACTOR: u64 = 3;
+
+/// Whether a job can still be of use in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Hope {
+    /// It runs until it is cancelled.
+    Lasting,
+    /// It can still meet its objective.
+    InTime,
+    /// It can only end late; it must not make others late, too.
+    Late,
+    /// Its caller has little use of it any more.
+    Stale,
+}
+
+/// Position of a job in the order; lower comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Urgency {
+    hope: Hope,
+    priority: u32,
+    due_ms: u64,
+    pub(super) job: JobKey,
+}
+
+impl Urgency {
+    /// The job's position at `wall_ms`, in ms since 1970.
+    pub(super) fn of(key: JobKey, job: &Job, queue: Option<&Queue>, wall_ms: u64) -> Self {
+        let spec = &job.spec;
+        let slack = queue.map_or(1.0, |queue| queue.slack);
+        let chain_ms = spec.chain_ms();
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss
+        )] // Run times are far below 2^52 ms; a negative slack counts as none.
+        let stretched = (chain_ms as f64 * slack) as u64;
+        let objective = queue.map_or(0, |queue| queue.objective_ms) + stretched;
+        let begun = job.progress.occurrences.len().saturating_sub(1);
+        let begun = u32::try_from(begun).unwrap_or(u32::MAX);
+        let from = spec.due_ms(begun).unwrap_or(spec.accepted_ms);
+        let left_ms = remaining_ms(job);
+        let hope = if spec.lasting() {
+            Hope::Lasting
+        } else if wall_ms + left_ms <= from + objective {
+            Hope::InTime
+        } else if wall_ms + left_ms <= from + objective * LATE_FACTOR {
+            Hope::Late
+        } else {
+            Hope::Stale
+        };
+        Self {
+            hope,
+            priority: queue.map_or(u32::MAX, |queue| queue.priority),
+            due_ms: from + objective,
+            job: key,
+        }
+    }
+}
+
+/// Longest chain of declared run times that has not begun, in ms.
+fn remaining_ms(job: &Job) -> u64 {
+    let Some(occurrence) = job.progress.occurrences.last() else {
+        return job.spec.chain_ms();
+    };
+    let mut ends: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
+    for (i, step) in job.spec.steps.iter().enumerate() {
+        let before = step.after.iter().filter_map(|i| ends.get(*i as usize));
+        let start = before.copied().max().unwrap_or(0);
+        let tasks = occurrence.steps.get(i);
+        let open = tasks.is_some_and(|tasks| tasks.iter().any(|t| t.phase == Phase::Pending));
+        let length = if open { step.estimate_ms } else { 0 };
+        ends.push(start + length);
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
