--- a/benches/capacity/appends.rs
+++ b/benches/capacity/appends.rs
@@ -11,8 +11,8 @@
 use amaranthwick::id::{Incarnation, Offset, TeamId};
 use amaranthwick::ledger::{Proposal, Verdict, decode};
 use amaranthwick::membership::{Demand, Report};
-use amaranthwick::platform::Batch;
 use amaranthwick::secret::FleetSecret;
+use amaranthwick::services::Batch;
 use fastrand::Rng;
 
 use crate::fleet::{AIM, DATA_CENTRES, Size, Writer, sections, team};
--- a/benches/capacity/members.rs
+++ b/benches/capacity/members.rs
@@ -6,8 +6,8 @@
 use amaranthwick::http::ServerLimits;
 use amaranthwick::outcome::{Outcome, Reason};
 use amaranthwick::peer::{Client, Handler, PeerReply, PeerRequest, Server};
-use amaranthwick::platform::{LogClient, VmsClient};
 use amaranthwick::runtime::Runtime;
+use amaranthwick::services::{LogClient, VmsClient};
 use amaranthwick_standins::Fleet;
 use futures_lite::future::block_on;
 
--- a/benches/capacity/processes.rs
+++ b/benches/capacity/processes.rs
@@ -11,7 +11,7 @@
 use amaranthwick::document::{example, hex};
 use amaranthwick::id::{DataCentre, Offset, RecordId};
 use amaranthwick::ledger::{Proposal, Record, encode_edit};
-use amaranthwick::platform::{Log, LogClient};
+use amaranthwick::services::{Log, LogClient};
 use amaranthwick_standins::Fleet;
 use futures_lite::future::block_on;
 
--- a/benches/ledger/processes.rs
+++ b/benches/ledger/processes.rs
@@ -9,7 +9,7 @@
 use amaranthwick::http::{Limits, Request, send};
 use amaranthwick::id::{DataCentre, Offset, RecordId, SectionId};
 use amaranthwick::ledger::{Record, encode_edit};
-use amaranthwick::platform::{Log, LogClient};
+use amaranthwick::services::{Log, LogClient};
 use amaranthwick_standins::{Fleet, FleetSpec};
 use futures_lite::future::block_on;
 
--- a/benches/ledger/spread.rs
+++ b/benches/ledger/spread.rs
@@ -10,8 +10,8 @@
 use amaranthwick::id::{DataCentre, Offset, RecordId, TeamId};
 use amaranthwick::ledger::{Proposal, Record, encode_edit};
 use amaranthwick::membership::NoPeers;
-use amaranthwick::platform::{Log, LogClient, VmsClient};
 use amaranthwick::secret::FleetSecret;
+use amaranthwick::services::{Log, LogClient, VmsClient};
 use amaranthwick_standins::{Fleet, FleetSpec};
 use futures_lite::future::block_on;
 
--- a/benches/ledger/tick.rs
+++ b/benches/ledger/tick.rs
@@ -7,8 +7,8 @@
 use amaranthwick::dev;
 use amaranthwick::id::{ClassId, DataCentre, Generation, Incarnation, Rack, VmId};
 use amaranthwick::ledger::{restore, store};
-use amaranthwick::platform::{ListVersion, Listing, Vm, VmPhase};
 use amaranthwick::secret::FleetSecret;
+use amaranthwick::services::{ListVersion, Listing, Vm, VmPhase};
 
 use crate::fleet::{AIM, DATA_CENTRES, Size, full, trust, vm};
 
--- a/benches/planner.rs
+++ b/benches/planner.rs
@@ -12,7 +12,7 @@
 use amaranthwick::id::{DataCentre, PoolId, Rack, SectionId, VmId};
 use amaranthwick::ledger::{Availability, Edit, Fleet};
 use amaranthwick::planner::{BufferNeed, needs};
-use amaranthwick::platform::VmPhase;
+use amaranthwick::services::VmPhase;
 use indexmap::IndexMap;
 
 use world::{Node, World, first_edit};
--- a/src/bin/amaranthwick/publish/appender.rs
+++ b/src/bin/amaranthwick/publish/appender.rs
@@ -6,7 +6,7 @@
 use amaranthwick::config::OperatorConfig;
 use amaranthwick::control::{Backoff, STREAM};
 use amaranthwick::id::{DataCentre, RecordId};
-use amaranthwick::platform::{Log, LogClient, LogError};
+use amaranthwick::services::{Log, LogClient, LogError};
 use amaranthwick::telemetry::admin::RecordVerdict;
 use async_io::Timer;
 
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -18,7 +18,7 @@
 use crate::ledger::{Proposal, Record, Refusal, State, Trust, Verdict, encode};
 use crate::membership::{Quota, Report, Roster};
 use crate::peer::Heartbeat;
-use crate::platform::{Batch, Listing, LogError};
+use crate::services::{Batch, Listing, LogError};
 use crate::view::View;
 
 /// Answer to a proposal.
--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -12,7 +12,7 @@
 use crate::id::Offset;
 use crate::ledger::{State, restore};
 use crate::membership::Peers;
-use crate::platform::{Log, LogError};
+use crate::services::{Log, LogError};
 
 /// Stream that carries proposals.
 pub const STREAM: &str = "control";
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -15,7 +15,7 @@
 use crate::ledger::{Allotment, Holding, Job, JobPhase, PlannedStop, Proposal, Site, Verdict};
 use crate::membership::Report;
 use crate::peer::Heartbeat;
-use crate::platform::Vm;
+use crate::services::Vm;
 use crate::view::View;
 
 const COMMANDS: usize = 1_024;
--- a/src/control/inventory.rs
+++ b/src/control/inventory.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::id::VmId;
-use crate::platform::{ListVersion, Listing, Vm, VmPhase};
+use crate::services::{ListVersion, Listing, Vm, VmPhase};
 
 /// Part of the live VMs that one change may take out of the list, in percent.
 const MAX_LOST_PERCENT: usize = 10;
--- a/src/control/outbox.rs
+++ b/src/control/outbox.rs
@@ -6,7 +6,7 @@
 
 use super::{Backoff, ProposeError};
 use crate::id::RecordId;
-use crate::platform::LogError;
+use crate::services::LogError;
 
 /// Time from the proposal to the answer, in ms.
 pub const DEADLINE_MS: u64 = 10_000;
--- a/src/control/picture.rs
+++ b/src/control/picture.rs
@@ -8,7 +8,7 @@
 use crate::document::Document;
 use crate::id::{PoolId, TeamId};
 use crate::ledger::Registration;
-use crate::platform::{Vm, VmPhase};
+use crate::services::{Vm, VmPhase};
 use crate::view::{Limits, Member, Target, View};
 
 pub(super) fn draw(core: &Core, now: Instant) -> View {
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -9,7 +9,7 @@
 use super::follower::STREAM;
 use super::outbox::APPEND_GAP_MS;
 use super::shell::Shell;
-use crate::platform::Log;
+use crate::services::Log;
 
 pub(super) async fn run<L: Log, V, P>(shell: Rc<Shell<L, V, P>>) {
     loop {
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -20,7 +20,7 @@
 use crate::config::Common;
 use crate::id::Incarnation;
 use crate::membership::Peers;
-use crate::platform::{Log, VmList};
+use crate::services::{Log, VmList};
 use crate::view::View;
 
 /// Time between two looks at deadlines and members, in ms.
--- a/src/control/snapshots.rs
+++ b/src/control/snapshots.rs
@@ -10,7 +10,7 @@
 use super::shell::Shell;
 use crate::id::Offset;
 use crate::ledger::{Proposal, State, Trust, restore};
-use crate::platform::{Log, LogError};
+use crate::services::{Log, LogError};
 
 /// Stream that carries snapshots.
 const STREAM: &str = "snapshots";
--- a/src/control/vms.rs
+++ b/src/control/vms.rs
@@ -7,7 +7,7 @@
 
 use super::Backoff;
 use super::shell::Shell;
-use crate::platform::{Listing, VmList};
+use crate::services::{Listing, VmList};
 
 /// Time between two reads of the list, in ms.
 const POLL_MS: u64 = 1_000;
--- a/src/dev/process.rs
+++ b/src/dev/process.rs
@@ -15,8 +15,8 @@
 use crate::membership::SilentPeers;
 use crate::peer::Client;
 use crate::planner::{self, Planner};
-use crate::platform::{LogClient, PoolsClient, VmsClient, WorkersClient};
 use crate::runtime::Runtime;
+use crate::services::{LogClient, PoolsClient, VmsClient, WorkersClient};
 use crate::telemetry::{Admin, Dump, Metrics, Process};
 
 const MAX_CALLERS: usize = 1_000;
--- a/src/planner/call.rs
+++ b/src/planner/call.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use futures_lite::future;
 
-use crate::platform::PlatformError;
+use crate::services::PlatformError;
 
 /// Longest call, in ms; shorter than the time between two renewals of a task.
 const CALL_MS: u64 = 800;
--- a/src/planner/health.rs
+++ b/src/planner/health.rs
@@ -9,7 +9,7 @@
 use crate::control::FleetState;
 use crate::id::{DataCentre, Epoch, VmId};
 use crate::ledger::{Proposal, Site};
-use crate::platform::{Vm, VmPhase};
+use crate::services::{Vm, VmPhase};
 
 /// Time for which the list must not show a VM as live.
 const UNLISTED: Duration = Duration::from_secs(10);
--- a/src/planner/jobs.rs
+++ b/src/planner/jobs.rs
@@ -9,7 +9,7 @@
 use crate::document::{Class, Document, Kind};
 use crate::id::{JobId, PoolId, TeamId, VmId};
 use crate::ledger::{Holder, Job, JobPhase};
-use crate::platform::{Size, Vm, VmPhase};
+use crate::services::{Size, Vm, VmPhase};
 
 /// Least urgent job that goes ahead of every team's ordinary work.
 const URGENT: u8 = 1;
--- a/src/planner/maintenance.rs
+++ b/src/planner/maintenance.rs
@@ -9,7 +9,7 @@
 use crate::control::FleetState;
 use crate::id::{DataCentre, Rack, VmId};
 use crate::ledger::{Availability, Fleet, JobPhase, MAX_FAILED};
-use crate::platform::VmPhase;
+use crate::services::VmPhase;
 
 const DAY_S: u64 = 24 * 60 * 60;
 
--- a/src/planner/placement.rs
+++ b/src/planner/placement.rs
@@ -5,7 +5,7 @@
 use crate::document::{Document, PoolSpec};
 use crate::id::{ClassId, DataCentre, PoolId, Rack, VmId};
 use crate::ledger::{PlannedStop, Site};
-use crate::platform::{Vm, VmPhase};
+use crate::services::{Vm, VmPhase};
 
 /// A move of one VM; `None` is outside every pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/planner/runner.rs
+++ b/src/planner/runner.rs
@@ -9,7 +9,7 @@
 use crate::control::JobState;
 use crate::id::{Epoch, JobId, VmId};
 use crate::ledger::{JobPhase, JobUpdate};
-use crate::platform::{PlatformError, TaskSpec, TaskState, TaskStatus};
+use crate::services::{PlatformError, TaskSpec, TaskState, TaskStatus};
 
 /// Time after which a worker stops a task whose lease was not renewed, in ms.
 pub const TASK_LEASE_MS: u64 = 10_000;
--- a/src/planner/shell.rs
+++ b/src/planner/shell.rs
@@ -17,8 +17,8 @@
 use crate::control::{Control, FleetState, JobState};
 use crate::id::Epoch;
 use crate::ledger::{JobPhase, JobUpdate, Proposal, Verdict};
-use crate::platform::{Pools, Workers};
 use crate::runtime::Runtime;
+use crate::services::{Pools, Workers};
 
 /// Time between two looks at the fleet, in ms.
 const TICK_MS: u64 = 200;
--- a/src/planner/stop.rs
+++ b/src/planner/stop.rs
@@ -9,7 +9,7 @@
 
 use crate::id::{Generation, JobId};
 use crate::ledger::PlannedStop;
-use crate::platform::{VmPhase, VmReport};
+use crate::services::{VmPhase, VmReport};
 
 /// Time that entries take to stop sending work to a VM, with a margin.
 const SETTLE: Duration = Duration::from_secs(5);
--- a/src/planner/upkeep.rs
+++ b/src/planner/upkeep.rs
@@ -21,7 +21,7 @@
 use crate::control::FleetState;
 use crate::id::{Epoch, Offset, PoolId, VmId};
 use crate::ledger::{PlannedStop, Proposal, StopReason, Verdict};
-use crate::platform::{PlatformError, Pools, VmPhase, Workers};
+use crate::services::{PlatformError, Pools, VmPhase, Workers};
 
 /// Time between two rounds, in ms.
 const ROUND_MS: u64 = 500;
--- a/tests/control/ceilings.rs
+++ b/tests/control/ceilings.rs
@@ -9,7 +9,7 @@
 use amaranthwick::id::{Incarnation, MemberId, Offset, TeamId};
 use amaranthwick::ledger::{Holder, restore, store};
 use amaranthwick::membership::{Demand, Report};
-use amaranthwick::platform::{Batch, LogError};
+use amaranthwick::services::{Batch, LogError};
 use amaranthwick::view::View;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/tests/control/fake.rs
+++ b/tests/control/fake.rs
@@ -8,7 +8,7 @@
 use amaranthwick::id::Offset;
 use amaranthwick::membership::Peers;
 use amaranthwick::peer::Heartbeat;
-use amaranthwick::platform::{Batch, ListVersion, Listing, Log, LogError, PlatformError, VmList};
+use amaranthwick::services::{Batch, ListVersion, Listing, Log, LogError, PlatformError, VmList};
 use async_io::Timer;
 
 const STEP: Duration = Duration::from_millis(5);
--- a/tests/control/inventory.rs
+++ b/tests/control/inventory.rs
@@ -4,7 +4,7 @@
 
 use amaranthwick::control::{Inventory, ListFault};
 use amaranthwick::id::{ClassId, DataCentre, Generation, Rack, VmId};
-use amaranthwick::platform::{ListVersion, Listing, Vm, VmPhase};
+use amaranthwick::services::{ListVersion, Listing, Vm, VmPhase};
 use rstest::rstest;
 
 const SIZE: usize = 40;
--- a/tests/control/outbox.rs
+++ b/tests/control/outbox.rs
@@ -2,7 +2,7 @@
 
 use amaranthwick::control::{APPEND_GAP_MS, DEADLINE_MS, MAX_BATCH, Outbox, Overdue, ProposeError};
 use amaranthwick::id::RecordId;
-use amaranthwick::platform::LogError;
+use amaranthwick::services::LogError;
 
 const GAP: Duration = Duration::from_millis(APPEND_GAP_MS);
 const DEADLINE: Duration = Duration::from_millis(DEADLINE_MS);
--- a/tests/control/shell.rs
+++ b/tests/control/shell.rs
@@ -4,7 +4,7 @@
 use amaranthwick::control::{self, Control, Settings};
 use amaranthwick::id::{JobId, MemberId, Offset, SectionId, TeamId};
 use amaranthwick::ledger::Verdict;
-use amaranthwick::platform::LogError;
+use amaranthwick::services::LogError;
 use futures_lite::future::block_on;
 use serde_json::json;
 
--- a/tests/control/simulation.rs
+++ b/tests/control/simulation.rs
@@ -6,7 +6,7 @@
 use amaranthwick::control::{Answer, Core, Gap, ProposeError, Settings};
 use amaranthwick::id::{Incarnation, JobId, Offset};
 use amaranthwick::ledger::{State, Trust, Verdict, restore, store};
-use amaranthwick::platform::{Batch, LogError};
+use amaranthwick::services::{Batch, LogError};
 use async_channel::Receiver;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/tests/planner/fixtures.rs
+++ b/tests/planner/fixtures.rs
@@ -8,7 +8,7 @@
     ClassId, DataCentre, Generation, JobId, Offset, PoolId, Rack, TeamId, VmId,
 };
 use amaranthwick::ledger::{Job, JobPhase, Site};
-use amaranthwick::platform::{Vm, VmPhase};
+use amaranthwick::services::{Vm, VmPhase};
 use indexmap::{IndexMap, IndexSet};
 
 /// Section common to all teams; `red` and `office` have owners.
--- a/tests/planner/fleet.rs
+++ b/tests/planner/fleet.rs
@@ -18,9 +18,9 @@
 };
 use amaranthwick::membership::NoPeers;
 use amaranthwick::planner::{self, Planner};
-use amaranthwick::platform::{Log, LogClient, PoolsClient, VmsClient, WorkersClient};
 use amaranthwick::runtime::Runtime;
 use amaranthwick::secret::FleetSecret;
+use amaranthwick::services::{Log, LogClient, PoolsClient, VmsClient, WorkersClient};
 use amaranthwick_standins::{ClassSpec, DataCentreSpec, Fleet, FleetSpec, Kind, Phase};
 use futures_lite::future::block_on;
 
--- a/tests/planner/jobs.rs
+++ b/tests/planner/jobs.rs
@@ -4,7 +4,7 @@
 use amaranthwick::id::{Generation, JobId, TeamId, VmId};
 use amaranthwick::ledger::{Allotment, Holder, JobPhase, PlannedStop, StopReason};
 use amaranthwick::planner::{Placement, place};
-use amaranthwick::platform::Vm;
+use amaranthwick::services::Vm;
 
 use crate::fixtures::{document, fleet, job, vm};
 
--- a/tests/planner/placement.rs
+++ b/tests/planner/placement.rs
@@ -1,6 +1,6 @@
 use amaranthwick::id::{PoolId, Rack, VmId};
 use amaranthwick::planner::{Situation, Step, steps};
-use amaranthwick::platform::{Vm, VmPhase};
+use amaranthwick::services::{Vm, VmPhase};
 use indexmap::{IndexMap, IndexSet};
 
 use crate::fixtures::{assignment, document, located, vm};
--- a/tests/planner/runner.rs
+++ b/tests/planner/runner.rs
@@ -4,7 +4,7 @@
 use amaranthwick::id::{Epoch, JobId, VmId};
 use amaranthwick::ledger::JobPhase;
 use amaranthwick::planner::{Call, Placement, Runner, TASK_LEASE_MS};
-use amaranthwick::platform::{PlatformError, TaskState, TaskStatus};
+use amaranthwick::services::{PlatformError, TaskState, TaskStatus};
 
 use crate::fixtures::job;
 
--- a/tests/planner/scenarios.rs
+++ b/tests/planner/scenarios.rs
@@ -6,7 +6,7 @@
 use amaranthwick::id::{DataCentre, Generation, VmId};
 use amaranthwick::ledger::{Edit, PlannedStop, StopReason};
 use amaranthwick::planner::{Action, Progress, Sight};
-use amaranthwick::platform::{VmPhase, VmReport};
+use amaranthwick::services::{VmPhase, VmReport};
 use rstest::rstest;
 
 use crate::world::{Fences, List, Node, World, edit, first_edit};
--- a/tests/planner/world.rs
+++ b/tests/planner/world.rs
@@ -13,8 +13,8 @@
     Claim, Edit, Proposal, Record, Role, State, StopReason, Trust, Verdict, encode, encode_edit,
 };
 use amaranthwick::planner::{Action, Decisions, End, Sight};
-use amaranthwick::platform::{Vm, VmPhase, VmReport};
 use amaranthwick::secret::FleetSecret;
+use amaranthwick::services::{Vm, VmPhase, VmReport};
 use indexmap::{IndexMap, IndexSet};
 
 /// Time between two rounds of a planner.
--- a/tests/scenarios/daemons/site.rs
+++ b/tests/scenarios/daemons/site.rs
@@ -5,7 +5,7 @@
 use amaranthwick::dev::fleet_spec;
 use amaranthwick::document;
 use amaranthwick::id::{DataCentre, Generation, VmId};
-use amaranthwick::platform::{Pools, PoolsClient};
+use amaranthwick::services::{Pools, PoolsClient};
 use amaranthwick_standins::{Fault, Fleet, FleetSpec, SiteName};
 use futures_lite::future::block_on;
 use indexmap::IndexMap;
--- a/tests/scenarios/decisions/edits.rs
+++ b/tests/scenarios/decisions/edits.rs
@@ -3,7 +3,7 @@
 use amaranthwick::document::{self, FLEET, example, section_text, sign};
 use amaranthwick::id::{Offset, OperatorId, RecordId, Revision, SectionId};
 use amaranthwick::ledger::{Edit, Proposal, Record, Refusal, Verdict, encode_edit};
-use amaranthwick::platform::LogError;
+use amaranthwick::services::LogError;
 
 use super::Output;
 use super::world::World;
--- a/tests/scenarios/decisions/log.rs
+++ b/tests/scenarios/decisions/log.rs
@@ -1,7 +1,7 @@
 //! The platform's log in virtual time.
 
 use amaranthwick::id::Offset;
-use amaranthwick::platform::{Batch, LogError};
+use amaranthwick::services::{Batch, LogError};
 
 use crate::args::Failure;
 
--- a/tests/scenarios/decisions/steps.rs
+++ b/tests/scenarios/decisions/steps.rs
@@ -5,7 +5,7 @@
 use amaranthwick::id::Offset;
 use amaranthwick::ledger::{restore, store};
 use amaranthwick::membership::BEAT_MS;
-use amaranthwick::platform::LogError;
+use amaranthwick::services::LogError;
 
 use super::world::{World, ordered};
 
--- a/tests/platform.rs
+++ b/tests/services.rs
@@ -7,7 +7,7 @@
 
 use amaranthwick::http::Limits;
 use amaranthwick::id::{ClassId, DataCentre, Generation, Offset, Rack, VmId};
-use amaranthwick::platform::{
+use amaranthwick::services::{
     ListVersion, Listing, Log, LogClient, LogError, PlatformError, Pools, PoolsClient, TaskSpec,
     TaskState, Vm, VmList, VmPhase, VmsClient, Workers, WorkersClient,
 };
