--- a/src/dispatch/clock.rs
+++ b/src/dispatch/clock.rs
@@ -1,6 +1,6 @@
 //! The time that decisions are made at.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::scheduler::Millis;
 
@@ -26,3 +26,8 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     })
 }
+
+/// A span in whole microseconds.
+pub(super) fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- a/src/dispatch/lead.rs
+++ b/src/dispatch/lead.rs
@@ -1,19 +1,20 @@
 //! Claims the role when it is due, and carries out what the leader decides.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
 
-use super::clock::wall_ms;
+use super::clock::{micros, wall_ms};
 use super::services::{Appended, Hold, Producer, Read, Services, Start, Stop, TargetChange};
 use super::state::Shared;
 use super::writer::{self, Batch};
 use crate::scheduler::{
     Command, Event, Holder, Leader, LeaderSettings, Millis, Record, TargetEntry,
 };
+use crate::telemetry::metrics;
 
 /// Time between two decisions when nothing happens, in ms.
 const TICK_MS: u64 = 25;
@@ -113,6 +114,20 @@
     }
 }
 
+/// Name of a command, for counting.
+const fn call_of(command: &Command) -> &'static str {
+    match command {
+        Command::Append { .. } => "append",
+        Command::Start { .. } => "start",
+        Command::Stop { .. } => "stop",
+        Command::Hold { .. } => "hold",
+        Command::ListMachines => "list_vms",
+        Command::Upkeep { .. } => "upkeep",
+        Command::Move { .. } => "move",
+        Command::Report { .. } => "report",
+    }
+}
+
 async fn perform<S: Services>(
     shared: Arc<Shared<S>>,
     inbox: Sender<Event>,
@@ -121,6 +136,8 @@
 ) {
     let services = &shared.services;
     let sent = shared.clock.now();
+    let tags = [("call", call_of(&command))];
+    shared.metrics.count(metrics::LEADER_CALLS, 1, &tags);
     let event = match command {
         Command::Append { .. } => return,
         Command::Start {
@@ -140,7 +157,10 @@
                 epoch,
                 checkpoint: &checkpoint,
             };
+            let begun = Instant::now();
             let started = services.start(start).await;
+            let elapsed = micros(begun.elapsed());
+            shared.metrics.record(metrics::START_US, elapsed, &[]);
             Event::Started {
                 target: target.id.clone(),
                 born: target.born,
--- a/src/dispatch/writer.rs
+++ b/src/dispatch/writer.rs
@@ -1,14 +1,16 @@
 //! Stores the leader's batches in order, each once.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 
+use super::clock::micros;
 use super::services::{Appended, Producer, Services};
 use super::state::Shared;
 use crate::scheduler::{Event, JobKey, Record};
+use crate::telemetry::metrics;
 
 /// Pause after an append that the store refused for now, or did not answer, in ms.
 const RETRY_MS: u64 = 60;
@@ -49,6 +51,7 @@
     producer: Producer,
     inbox: &Sender<Event>,
 ) -> bool {
+    let begun = Instant::now();
     loop {
         if inbox.is_closed() {
             return false;
@@ -58,7 +61,13 @@
             .append(&batch.records, &batch.forget, Some(producer), None)
             .await;
         match appended {
-            Appended::Stored { .. } => return true,
+            Appended::Stored { .. } => {
+                let elapsed = micros(begun.elapsed());
+                shared
+                    .metrics
+                    .record(metrics::BATCH_STORED_US, elapsed, &[]);
+                return true;
+            }
             Appended::Fenced | Appended::Moved => {
                 let mut state = shared.lock();
                 let epoch = state.leader.as_ref().map(crate::scheduler::Leader::epoch);
@@ -68,7 +77,7 @@
                 return false;
             }
             Appended::Busy | Appended::Unknown => {
-                shared.metrics.count("append_retries_total", 1, &[]);
+                shared.metrics.count(metrics::APPEND_RETRIES, 1, &[]);
                 Timer::after(Duration::from_millis(RETRY_MS)).await;
             }
         }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -96,6 +96,8 @@
     pub(super) health: Health,
     /// It gets no new work: its VM is to be moved or maintained.
     pub(super) vacating: bool,
+    /// Since when.
+    pub(super) vacating_since: Millis,
     /// It refused a start for want of room; no further one before this time.
     pub(super) full_until: Millis,
     /// Its VM's orders were last more than none.
@@ -120,6 +122,7 @@
             used: Capacity::default(),
             health: Health::default(),
             vacating: false,
+            vacating_since: 0,
             full_until: 0,
             idle_since: now,
         }
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -13,6 +13,9 @@
 /// parts of a hundred.
 const PATIENCE_PERCENT: u64 = 20;
 
+/// Time in which most tasks end by themselves, in ms; their work would be lost.
+const RUN_OUT_MS: Millis = 2_500;
+
 /// Time for which a stored batch confirms the claim, in ms; others need a little more to
 /// take the holder for dead.
 const CONFIRMED_MS: Millis = 900;
@@ -105,11 +108,13 @@
         };
         if target.vacating != chosen {
             target.vacating = chosen;
+            target.vacating_since = now;
             self.changed = true;
             spdlog::info!("target_vacating", kv: { target = id.0.as_ref(), vm = name, chosen });
         }
         if chosen {
-            self.move_tasks(table, &id, late, now);
+            let patient = now - target.vacating_since < RUN_OUT_MS;
+            self.move_tasks(table, &id, late && !patient, now);
         }
     }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -29,6 +29,19 @@
 /// Targets that take new work; tag `pool`.
 pub const TARGETS: &str = "targets_ready";
 
+/// Answers to callers of jobs; tags `method`, `status`.
+pub const CALLER_ANSWERS: &str = "caller_answers_total";
+/// Time from a whole request of a caller of jobs to its answer, in µs; tag `method`.
+pub const CALLER_ANSWER_US: &str = "caller_answer_us";
+/// Appends of the leader that were repeated.
+pub const APPEND_RETRIES: &str = "append_retries_total";
+/// Time until a batch of the leader was stored, in µs.
+pub const BATCH_STORED_US: &str = "batch_stored_us";
+/// Calls of the leader to targets and to the VM service; tag `call`.
+pub const LEADER_CALLS: &str = "leader_calls_total";
+/// Time from a start to its answer, in µs.
+pub const START_US: &str = "start_us";
+
 /// Metrics of a process; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Metrics {
