Keep no VM beyond a pool's need, and let the leader read less often

Cause: each pool kept one VM more than its need (4 x 44 s of 1,400), and every append of the leader woke its own read.

--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -16,6 +16,9 @@
 /// Pause of a follower after it has read something, in ms: one read then brings more.
 const FOLLOWER_PAUSE_MS: u64 = 250;
 
+/// Pause of a leader after it has read something, in ms: its own records come back, too.
+const LEADER_PAUSE_MS: u64 = 30;
+
 /// Pause after a read that failed, in ms.
 const FAILED_PAUSE_MS: u64 = 100;
 
@@ -44,8 +47,13 @@
                 let some = !page.changes.is_empty();
                 let leads = fold(&shared, from, page);
                 shared.wake();
-                if some && !leads {
-                    pause_or(FOLLOWER_PAUSE_MS, shared.poked()).await;
+                if some {
+                    let pause_ms = if leads {
+                        LEADER_PAUSE_MS
+                    } else {
+                        FOLLOWER_PAUSE_MS
+                    };
+                    pause_or(pause_ms, shared.poked()).await;
                 }
             }
             Read::Expired => {
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -11,9 +11,6 @@
 /// pool, and the next turn of the demand is several seconds away.
 const PARK_AFTER_MS: Millis = 500;
 
-/// VMs that a pool keeps beyond its need, for what comes next.
-const SPARE: usize = 1;
-
 /// Room that is lost because tasks don't fill a VM evenly, in parts of a hundred.
 const LOST_PERCENT: u64 = 10;
 
@@ -91,7 +88,7 @@
         let cores = count(self.needs.cpu + self.rise.cpu, self.size.cpu);
         let memory = count(self.needs.mem_mb + self.rise.mem_mb, self.size.mem_mb);
         let accelerators = count(self.needs.gpu, self.size.gpu);
-        cores.max(memory).max(accelerators).max(self.floor) + SPARE
+        cores.max(memory).max(accelerators).max(self.floor).max(1)
     }
 }
 
--- a/src/scheduler/urgency.rs
+++ b/src/scheduler/urgency.rs
@@ -1,6 +1,6 @@
 //! The order in which jobs are given room.
 
-use super::{Job, JobKey, Occurrence, Phase, Queue};
+use super::{Job, JobKey, Phase, Queue};
 
 /// A job that ends within this many times its objective is still worth something.
 const LATE_FACTOR: u64 = 3;
@@ -22,8 +22,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Urgency {
     hope: Hope,
-    /// Jobs that have begun come first: their work is lost if they end late.
-    waiting: bool,
     priority: u32,
     due_ms: u64,
     pub(super) job: JobKey,
@@ -57,7 +55,6 @@
         };
         Self {
             hope,
-            waiting: !job.progress.occurrences.iter().any(begun_any),
             priority: queue.map_or(u32::MAX, |queue| queue.priority),
             due_ms: from + objective,
             job: key,
@@ -65,12 +62,6 @@
     }
 }
 
-/// True when some task has been started.
-fn begun_any(occurrence: &Occurrence) -> bool {
-    let mut tasks = occurrence.steps.iter();
-    tasks.any(|tasks| tasks.is_empty() || tasks.iter().any(|task| task.run > 0))
-}
-
 /// Longest chain of declared run times that has not begun, in ms.
 fn remaining_ms(job: &Job) -> u64 {
     let Some(occurrence) = job.progress.occurrences.last() else {
