Move tasks that last sooner, and not to VMs of the same wave

The notice time bounds how long a task may be away, not how soon it is back. Also: a VM on its way counts once in the demand of the pools (its old target and its new one were counted beside the order). Test: tasks_that_last_move_off_their_vms_one_after_the_other (failed before).

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -96,7 +96,9 @@
     pub(super) health: Health,
     /// It gets no new work: its VM is to be moved or maintained.
     pub(super) vacating: bool,
-    /// Since when.
+    /// Its VM is to have its upkeep in a wave that is open.
+    pub(super) due_upkeep: bool,
+    /// Since when it gets no new work.
     pub(super) vacating_since: Millis,
     /// It refused a start for want of room; no further one before this time.
     pub(super) full_until: Millis,
@@ -122,6 +124,7 @@
             used: Capacity::default(),
             health: Health::default(),
             vacating: false,
+            due_upkeep: false,
             vacating_since: 0,
             full_until: 0,
             idle_since: now,
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -53,16 +53,25 @@
         let mut pools: IndexMap<Arc<str>, PoolDemand> = names
             .map(|name| (Arc::clone(name), PoolDemand::default()))
             .collect();
+        // A VM on its way counts once: not where it came from, and not twice once its
+        // target has appeared before the list of VMs says so.
+        let mut incoming = self.desk.incoming();
         for target in self.targets.values().filter(|target| target.listed) {
-            let Some(pool) = pools.get_mut(&target.entry.pool) else {
+            let entry = &target.entry;
+            let goal = incoming.get(entry.machine.as_ref()).copied();
+            if goal.is_some_and(|goal| *goal != entry.pool) {
+                continue;
+            }
+            let Some(pool) = pools.get_mut(&entry.pool) else {
                 continue;
             };
-            pool.size = target.entry.capacity;
+            incoming.swap_remove(entry.machine.as_ref());
+            pool.size = entry.capacity;
             pool.needs.add(&target.used);
             pool.have += 1;
         }
-        for pool in self.desk.incoming() {
-            if let Some(pool) = pools.get_mut(&pool) {
+        for goal in incoming.into_values() {
+            if let Some(pool) = pools.get_mut(goal) {
                 pool.have += 1;
             }
         }
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -20,9 +20,9 @@
 /// take the holder for dead.
 const CONFIRMED_MS: Millis = 900;
 
-/// A task that has been at work for less counts as away, in ms; a second above the
-/// platform's notice.
-const SETTLED_MS: Millis = 4_500;
+/// A task that has been at work for less counts as away, in ms: what its target said of it
+/// is that old.
+const SETTLED_MS: Millis = 300;
 
 impl Leader {
     /// Lists VMs, and moves maintenance on.
@@ -63,6 +63,7 @@
             let wave = wave.number;
             self.commands.push(Command::Report { wave, complete });
         }
+        self.mark_due(&left);
         let mut free = wave.cap.max(1).saturating_sub(down);
         let mut waiting: Vec<(u64, &String)> = Vec::new();
         for name in left {
@@ -88,6 +89,17 @@
         }
     }
 
+    /// Keeps tasks that last from moving to a VM that has its own upkeep before it.
+    fn mark_due(&mut self, machines: &[&String]) {
+        for name in machines {
+            let machine = self.desk.machines().get(*name);
+            let target = machine.and_then(|machine| machine.target.clone());
+            if let Some(target) = target.and_then(|id| self.targets.get_mut(&id)) {
+                target.due_upkeep = true;
+            }
+        }
+    }
+
     /// Orders on the target of a VM, with those that vacate first.
     fn load_of(&self, machine: &Machine) -> u64 {
         let target = machine.target.as_ref().and_then(|id| self.targets.get(id));
--- a/src/scheduler/machines.rs
+++ b/src/scheduler/machines.rs
@@ -212,12 +212,12 @@
         self.barred.contains(&(name.to_owned(), Arc::clone(pool)))
     }
 
-    /// Pools that VMs are on their way to, each as often as there are VMs.
-    pub(super) fn incoming(&self) -> Vec<Arc<str>> {
+    /// VMs that are on their way to another pool, with the pool.
+    pub(super) fn incoming(&self) -> IndexMap<&str, &Arc<str>> {
         let errands = self.errands.iter();
         errands
-            .filter_map(|(_, errand)| match &errand.order {
-                MachineOrder::Move(pool) => Some(Arc::clone(pool)),
+            .filter_map(|(name, errand)| match &errand.order {
+                MachineOrder::Move(pool) => Some((name.as_str(), pool)),
                 MachineOrder::Upkeep(_) => None,
             })
             .collect()
--- a/src/scheduler/place.rs
+++ b/src/scheduler/place.rs
@@ -79,14 +79,15 @@
     targets: &IndexMap<TargetId, Target>,
     target: &Target,
     ask: &Ask<'_>,
-) -> (Reverse<usize>, usize, u64) {
+) -> (bool, Reverse<usize>, usize, u64) {
     if !ask.step.lasting {
-        return (Reverse(0), 0, target.used.cpu);
+        return (true, Reverse(0), 0, target.used.cpu);
     }
     let rack = target.entry.rack();
     let neighbours = targets.values().filter(|other| other.entry.rack() == rack);
     let same_step = neighbours.map(|other| other.of_step(ask.key)).sum();
-    (Reverse(same_step), target.lasting(), target.used.cpu)
+    let stays = !target.due_upkeep;
+    (stays, Reverse(same_step), target.lasting(), target.used.cpu)
 }
 
 fn has_label(labels: &[String], wanted: &str) -> bool {
--- a/tests/scheduler/upkeep.rs
+++ b/tests/scheduler/upkeep.rs
@@ -85,3 +85,27 @@
     assert_eq!(world.upkeeps.len(), 1);
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// A task counted as away until 4.5 s after it was at work again, so that a step of five
+/// took 25 s to move off its VMs.
+#[test]
+fn tasks_that_last_move_off_their_vms_one_after_the_other() {
+    let mut world = World::new(10, 1);
+    world.claim();
+    let key = world.submit(1, job(vec![lasting(5, 1)]));
+    world.run_for(6_000);
+    let homes = world.running(key);
+    let wanted: Vec<String> = homes.iter().map(|(id, _)| format!("vm-{}", id.0)).collect();
+    let wanted: Vec<&str> = wanted.iter().map(String::as_str).collect();
+
+    world.ask(wave(&wanted, 5));
+    let mut fewest = usize::MAX;
+    for _ in 0..240 {
+        world.run_for(50);
+        fewest = fewest.min(world.running(key).len());
+    }
+
+    assert_eq!(world.upkeeps.len(), 5);
+    assert!(fewest >= 4);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
