Split what grew: messages, scheduling, claiming, ways to the store, jobs

No change of behaviour: the leader's messages, the choice of what starts next, the claim, the ways to the store and the decoding of jobs have files of their own; reading a topic on or anew stands once. Tests as before.

--- a/src/dispatch/lead.rs
+++ b/src/dispatch/lead.rs
@@ -1,4 +1,4 @@
-//! Claims the role when it is due, and carries out what the leader decides.
+//! Carries out what the leader decides.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -7,13 +7,12 @@
 use async_io::Timer;
 use futures_lite::future;
 
+use super::claiming::claim;
 use super::clock::{micros, wall_ms};
-use super::services::{Appended, Hold, Producer, Read, Services, Start, Stop, TargetChange};
+use super::services::{Hold, Services, Start, Stop};
 use super::state::Shared;
-use super::writer::{self, Batch};
-use crate::scheduler::{
-    Command, Event, Holder, Leader, LeaderSettings, Millis, Record, TargetEntry,
-};
+use super::writer::Batch;
+use crate::scheduler::{Command, Event};
 use crate::telemetry::metrics;
 
 /// Time between two decisions when nothing happens, in ms.
@@ -22,23 +21,6 @@
 /// The same for a process that doesn't lead.
 const FOLLOWER_TICK_MS: u64 = 100;
 
-/// Length of the leases that orders carry, in ms, if the target allows it: longer than it
-/// takes to notice a dead leader, claim its role and reach every target.
-const LEASE_MS: u64 = 4_000;
-
-/// Time without the store after which a leader gives up, in ms: longer than usual outages.
-const YIELD_MS: u64 = 7_000;
-
-/// Tries of a claim whose outcome is unknown.
-const CLAIM_TRIES: u32 = 20;
-
-/// Pause between two tries, in ms.
-const CLAIM_RETRY_MS: u64 = 100;
-
-/// Bits of the random number that a claim begins with: two claims of one epoch with the
-/// same number would both be told that they have won.
-const CLAIM_SEQ_BITS: u32 = 48;
-
 /// Decides for as long as the process runs.
 pub(super) async fn run<S: Services>(shared: Arc<Shared<S>>) {
     let mut office: Option<Office> = None;
@@ -62,11 +44,11 @@
 
 /// Channels of a process that leads.
 #[derive(Debug)]
-struct Office {
-    epoch: u64,
-    inbox: Receiver<Event>,
-    sender: Sender<Event>,
-    batches: Sender<Batch>,
+pub(super) struct Office {
+    pub(super) epoch: u64,
+    pub(super) inbox: Receiver<Event>,
+    pub(super) sender: Sender<Event>,
+    pub(super) batches: Sender<Batch>,
 }
 
 impl Office {
@@ -224,137 +206,3 @@
     let _ = inbox.try_send(event);
     shared.wake();
 }
-
-/// Claims the role if it is due.
-async fn claim<S: Services>(shared: &Arc<Shared<S>>) -> Option<Office> {
-    let (holder, expected, silence) = {
-        let state = shared.lock();
-        let now = shared.clock.now();
-        let current = state.table.holder();
-        if state.stopping || !state.claim.due(current, now) {
-            return None;
-        }
-        let silence = state.claim.silence(now);
-        (state.claim.next(current), state.next?, silence)
-    };
-    let producer = append_claim(shared, &holder, expected).await?;
-    spdlog::info!("role_claimed", kv: { epoch = holder.epoch, offset = expected, seq = producer.seq });
-    let entries = list_targets(shared).await?;
-    Some(take_office(shared, holder, producer, entries, silence))
-}
-
-async fn append_claim<S: Services>(
-    shared: &Shared<S>,
-    holder: &Holder,
-    expected: u64,
-) -> Option<Producer> {
-    let producer = Producer {
-        epoch: holder.epoch,
-        seq: fastrand::u64(..1 << CLAIM_SEQ_BITS),
-    };
-    let records = [Record::Holder(holder.clone())];
-    for _ in 0..CLAIM_TRIES {
-        let services = &shared.services;
-        let appended = services
-            .append(&records, &[], Some(producer), Some(expected))
-            .await;
-        match appended {
-            Appended::Stored { .. } => return Some(producer),
-            Appended::Moved | Appended::Fenced => {
-                spdlog::info!("claim_refused", kv: { epoch = holder.epoch, offset = expected, answer = format!("{appended:?}") });
-                shared.poke();
-                return None;
-            }
-            Appended::Busy => return None,
-            Appended::Unknown => Timer::after(Duration::from_millis(CLAIM_RETRY_MS)).await,
-        };
-    }
-    None
-}
-
-async fn list_targets<S: Services>(shared: &Shared<S>) -> Option<Vec<TargetEntry>> {
-    for _ in 0..CLAIM_TRIES {
-        if let Read::Page((changes, _)) = shared.services.targets(None, 0).await {
-            let entry = |change| match change {
-                TargetChange::Entry(entry) => Some(entry),
-                TargetChange::Gone(_) => None,
-            };
-            return Some(changes.into_iter().filter_map(entry).collect());
-        }
-        Timer::after(Duration::from_millis(CLAIM_RETRY_MS)).await;
-    }
-    spdlog::warn!("role_given_up", kv: { cause = "the list of targets can't be read" });
-    None
-}
-
-fn take_office<S: Services>(
-    shared: &Arc<Shared<S>>,
-    holder: Holder,
-    producer: Producer,
-    entries: Vec<TargetEntry>,
-    silence: Millis,
-) -> Office {
-    let now = shared.clock.now();
-    let (sender, inbox) = async_channel::unbounded();
-    let (batches, receiver) = async_channel::unbounded();
-    let settings = &shared.settings;
-    let epoch = holder.epoch;
-    let settings = LeaderSettings {
-        holder,
-        lease_ms: LEASE_MS.min(settings.max_lease_ms),
-        yield_ms: YIELD_MS,
-        // The last holder has given no orders since it was last heard of.
-        settle_ms: settings.settle_ms.saturating_sub(silence),
-        stop_ms: settings.stop_ms,
-        keep_ms: settings.keep_ms,
-    };
-    let mut guard = shared.lock();
-    let state = &mut *guard;
-    let policy = Arc::clone(&state.policy);
-    let targets = entries.len();
-    let mut leader = Leader::open(settings, &mut state.table, policy, entries, now, wall_ms());
-    for wave in state.waves.values() {
-        leader.handle(&mut state.table, Event::Wave(wave.clone()), now);
-    }
-    state.leader = Some(leader);
-    state.inbox = Some(sender.clone());
-    spdlog::info!("role_taken", kv: { epoch, targets, jobs = state.table.len() });
-    drop(guard);
-    let write = writer::run(Arc::clone(shared), receiver, sender.clone(), producer);
-    shared.runtime.spawn(write).detach();
-    shared.wake();
-    Office {
-        epoch,
-        inbox,
-        sender,
-        batches,
-    }
-}
-
-/// Gives the role up, so that another process claims it at once.
-pub(super) async fn hand_over<S: Services>(shared: &Shared<S>) {
-    let released = {
-        let mut state = shared.lock();
-        state.stopping = true;
-        let leads = state.leader.is_some();
-        let holder = state.table.holder().cloned();
-        if leads {
-            state.step_down("stopping");
-        }
-        holder.filter(|_| leads)
-    };
-    let Some(holder) = released else { return };
-    let producer = Producer {
-        epoch: holder.epoch + 1,
-        seq: fastrand::u64(..1 << CLAIM_SEQ_BITS),
-    };
-    let released = Holder {
-        epoch: holder.epoch + 1,
-        released: true,
-        ..holder
-    };
-    let records = [Record::Holder(released)];
-    let services = &shared.services;
-    let appended = services.append(&records, &[], Some(producer), None).await;
-    spdlog::info!("role_handed_over", kv: { epoch = producer.epoch, answer = format!("{appended:?}") });
-}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //! carries out what the leader decides.
 
 mod callers;
+mod claiming;
 mod clock;
 mod detour;
 mod follow;
@@ -92,6 +93,6 @@
 
     /// Hands the role over, if this process holds it, so that another claims it at once.
     pub async fn stop(&self) {
-        lead::hand_over(&self.shared).await;
+        claiming::hand_over(&self.shared).await;
     }
 }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -94,12 +94,10 @@
     pub(super) orders: IndexMap<TaskKey, Order>,
     pub(super) used: Capacity,
     pub(super) health: Health,
-    /// It gets no new work: its VM is to be moved or maintained.
-    pub(super) vacating: bool,
+    /// Since when it gets no new work, as its VM is to be moved or maintained.
+    pub(super) vacating: Option<Millis>,
     /// Its VM is to have its upkeep in a wave that is open.
     pub(super) due_upkeep: bool,
-    /// Since when it gets no new work.
-    pub(super) vacating_since: Millis,
     /// It refused a start for want of room; no further one before this time.
     pub(super) full_until: Millis,
     /// Its VM's orders were last more than none.
@@ -123,9 +121,8 @@
             orders: IndexMap::new(),
             used: Capacity::default(),
             health: Health::default(),
-            vacating: false,
+            vacating: None,
             due_upkeep: false,
-            vacating_since: 0,
             full_until: 0,
             idle_since: now,
         }
@@ -135,7 +132,7 @@
     pub(super) fn open(&self, now: Millis) -> bool {
         self.listed
             && self.fenced
-            && !self.vacating
+            && self.vacating.is_none()
             && self.silent == 0
             && self.entry.state == TargetState::Ready
             && self.health.usable(now)
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -95,7 +95,7 @@
                         step,
                     };
                     let open = spec.after.iter().all(|before| at.step_done(*before));
-                    let pending = super::starts::pending_tasks(job, step).len() as u64;
+                    let pending = super::schedule::pending_tasks(job, step).len() as u64;
                     if open && pending > 0 {
                         pool.needs.add(&times(&spec.takes(), pending));
                     }
@@ -119,7 +119,7 @@
                     None => Some(Millis::MAX),
                     Some(id) => {
                         let target = self.targets.get(id)?;
-                        let idle = target.idle() && target.listed && !target.vacating;
+                        let idle = target.idle() && target.listed && target.vacating.is_none();
                         idle.then(|| now - target.idle_since)
                     }
                 };
--- /dev/null
+++ b/src/scheduler/leader/messages.rs
@@ -0,0 +1,225 @@
+//! What happens to the leader, and what it wants done.
+
+use std::sync::Arc;
+
+use crate::scheduler::machines::{Machine, MachineOutcome};
+use crate::scheduler::order::{Ended, RunningTask};
+use crate::scheduler::{
+    Change, JobKey, JobSpec, Millis, Policy, Record, TargetEntry, TargetId, TaskKey, Wave,
+};
+
+/// What a target said to a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartOutcome {
+    /// The run is there.
+    Running,
+    /// It has no room.
+    NoRoom,
+    /// The start came after its deadline.
+    Late,
+    /// A run with this number or a higher one ended there.
+    OldRun,
+    /// Another holder with a higher fencing token has called.
+    Fenced,
+    /// The start was malformed.
+    Invalid,
+    /// Another incarnation answers there.
+    OtherIncarnation,
+    /// It refused as unhealthy and did nothing.
+    Unhealthy,
+    /// Nothing is known: it may begin now or later.
+    Unknown,
+}
+
+/// What a target said to a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopOutcome {
+    /// The run ends, or will never begin.
+    Confirmed,
+    /// Another holder with a higher fencing token has called.
+    Fenced,
+    /// Another incarnation answers there.
+    OtherIncarnation,
+    /// Nothing is known.
+    Unknown,
+}
+
+/// What a target lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Its incarnation.
+    pub born: u64,
+    /// Its clock, in ms.
+    pub clock_ms: u64,
+    /// What runs.
+    pub running: Vec<RunningTask>,
+    /// Ends that were not forgotten yet, in order.
+    pub ended: Vec<Ended>,
+}
+
+/// Why there is no list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldFailure {
+    /// Another holder with a higher fencing token has called.
+    Fenced,
+    /// Another incarnation answers there: the one that was meant has ended.
+    OtherIncarnation,
+    /// No whole answer came in time, or one that makes no sense.
+    NoAnswer,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A change of the stream was applied to the table.
+    Job(JobKey),
+    /// The operators changed what they allow.
+    Policy(Arc<Policy>),
+    /// A target described itself.
+    Target(TargetEntry),
+    /// A target's entry has gone.
+    TargetGone(TargetId),
+    /// A wave is asked for.
+    Wave(Wave),
+    /// A batch is stored.
+    Stored {
+        /// Its number.
+        batch: u64,
+    },
+    /// A start was answered, or its time is over.
+    Started {
+        /// The target.
+        target: TargetId,
+        /// Incarnation that it was meant for.
+        born: u64,
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// What is known.
+        outcome: StartOutcome,
+        /// The target's clock, in ms, where it said.
+        clock_ms: Option<u64>,
+        /// When the call was sent.
+        sent: Millis,
+    },
+    /// A stop was answered, or its time is over.
+    Stopped {
+        /// The target.
+        target: TargetId,
+        /// Incarnation that it was meant for.
+        born: u64,
+        /// The task.
+        task: TaskKey,
+        /// What is known.
+        outcome: StopOutcome,
+    },
+    /// A hold was answered, or its time is over.
+    Held {
+        /// The target.
+        target: TargetId,
+        /// Incarnation that it was meant for.
+        born: u64,
+        /// What it listed.
+        result: Result<Held, HoldFailure>,
+        /// When the call was sent.
+        sent: Millis,
+    },
+    /// The list of VMs; `None` when it could not be read.
+    Machines(Option<Vec<Machine>>),
+    /// The platform answered an order for a VM.
+    Machine {
+        /// The VM.
+        machine: String,
+        /// What is known.
+        outcome: MachineOutcome,
+    },
+    /// The state of a wave was reported, or could not be.
+    Reported {
+        /// The wave.
+        wave: u64,
+        /// True when the report is stored.
+        stored: bool,
+    },
+}
+
+/// Something to be done.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Store records, all or none; answered by [`Event::Stored`].
+    Append {
+        /// Number of the batch.
+        batch: u64,
+        /// The records.
+        records: Vec<Record>,
+        /// Jobs whose records are deleted.
+        forget: Vec<JobKey>,
+    },
+    /// Start a task.
+    Start {
+        /// The target.
+        target: Arc<TargetEntry>,
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+        /// Its job.
+        spec: Arc<JobSpec>,
+        /// Lease for all that runs there, by the target's clock.
+        deadline_ms: u64,
+        /// Checkpoint to resume from; empty for none.
+        checkpoint: String,
+    },
+    /// Stop a task.
+    Stop {
+        /// The target.
+        target: Arc<TargetEntry>,
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        run: u32,
+    },
+    /// Extend the lease and list what runs.
+    Hold {
+        /// The target.
+        target: Arc<TargetEntry>,
+        /// Lease, by the target's clock; `None` while the clock is not known.
+        deadline_ms: Option<u64>,
+        /// Ends up to this one may be forgotten.
+        cursor: u64,
+        /// Time that the target may wait for an end, in ms.
+        wait_ms: u64,
+    },
+    /// List the VMs.
+    ListMachines,
+    /// Begin the upkeep of a VM.
+    Upkeep {
+        /// The VM.
+        machine: String,
+        /// The wave.
+        wave: u64,
+    },
+    /// Move a VM to another pool.
+    Move {
+        /// The VM.
+        machine: String,
+        /// The pool.
+        pool: Arc<str>,
+    },
+    /// Report the state of a wave to the operators.
+    Report {
+        /// The wave.
+        wave: u64,
+        /// True when its work is done.
+        complete: bool,
+    },
+}
+
+/// What folding a change means for the leader.
+#[must_use]
+pub fn event_of(change: &Change) -> Option<Event> {
+    match change {
+        Change::Put(Record::Job(job, _) | Record::Cancel(job)) => Some(Event::Job(*job)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/scheduler/leader/schedule.rs
@@ -0,0 +1,271 @@
+//! Which tasks start next, and where.
+
+use std::collections::HashMap;
+
+use super::Leader;
+use crate::scheduler::order::{Order, OrderPhase};
+use crate::scheduler::place::{self, Ask, Kept};
+use crate::scheduler::urgency::Urgency;
+use crate::scheduler::{
+    Capacity, Job, JobKey, JobState, JobTable, Millis, Occurrence, Phase, Step, StepKey, TargetId,
+    TaskKey,
+};
+
+/// What one pass over the jobs keeps in mind.
+struct Pass {
+    /// What the teams have running.
+    used: HashMap<String, Capacity>,
+    kept: Kept,
+    now: Millis,
+}
+
+impl Leader {
+    /// Brings occurrences into being once they are due.
+    pub(super) fn advance_occurrences(&mut self, table: &mut JobTable, now: Millis, wall_ms: u64) {
+        self.now = now;
+        self.wall_ms = wall_ms;
+        if wall_ms < self.next_due {
+            return;
+        }
+        self.next_due = u64::MAX;
+        for key in self.active.clone() {
+            let Some(job) = table.get_mut(key) else {
+                continue;
+            };
+            while let Some(due) = next_occurrence(job) {
+                if due > wall_ms {
+                    self.next_due = self.next_due.min(due);
+                    break;
+                }
+                job.progress.occurrences.push(Occurrence::new(&job.spec));
+                self.changed = true;
+            }
+        }
+    }
+
+    /// Places every task that may start and finds a target.
+    pub(super) fn schedule(&mut self, table: &mut JobTable, now: Millis) {
+        let mut pass = Pass {
+            used: self.used_by_team(),
+            kept: Kept::new(),
+            now,
+        };
+        for Urgency { job: key, .. } in self.by_urgency(table) {
+            let steps = table.get(key);
+            let steps = steps.map_or_else(Vec::new, |job| ready_steps(key, job));
+            for step in steps {
+                self.start_step(table, step, &mut pass);
+            }
+        }
+    }
+
+    fn used_by_team(&self) -> HashMap<String, Capacity> {
+        let mut used: HashMap<String, Capacity> = HashMap::new();
+        for order in self.targets.values().flat_map(|t| t.orders.values()) {
+            if let Some(team) = &order.team {
+                match used.get_mut(team) {
+                    Some(sum) => sum.add(&order.takes),
+                    None => {
+                        used.insert(team.clone(), order.takes);
+                    }
+                }
+            }
+        }
+        used
+    }
+
+    fn by_urgency(&self, table: &JobTable) -> Vec<Urgency> {
+        let mut jobs: Vec<Urgency> = self
+            .active
+            .iter()
+            .filter_map(|key| {
+                let job = table.get(*key)?;
+                let queue = self.policy.queues.get(job.spec.queue.as_str());
+                Some(Urgency::of(*key, job, queue, self.wall_ms))
+            })
+            .collect();
+        jobs.sort_unstable();
+        jobs
+    }
+
+    fn start_step(&mut self, table: &mut JobTable, key: StepKey, pass: &mut Pass) {
+        let now = pass.now;
+        let Some(job) = table.get(key.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(step) = spec.steps.get(key.step as usize) else {
+            return;
+        };
+        let pending = pending_tasks(job, key);
+        if pending.is_empty() || (step.gang && pending.len() < step.count as usize) {
+            return;
+        }
+        let pool = self.policy.pool_of(&spec.queue, &spec.pool).to_owned();
+        let ask = Ask {
+            pool: &pool,
+            key,
+            step,
+        };
+        let mut placed = Vec::new();
+        for index in pending {
+            let task = key.task(index);
+            if self.orphans.contains_key(&task)
+                || !self.within_cap(spec.team.as_ref(), step, &pass.used)
+            {
+                break;
+            }
+            let Some(id) = place::choose(&self.targets, &ask, &pass.kept, now) else {
+                if step.lasting {
+                    pass.kept
+                        .extend(place::choose_later(&self.targets, &ask, &pass.kept, now));
+                }
+                break;
+            };
+            self.intend(&id, task, step, spec.team.as_ref(), now);
+            add_used(&mut pass.used, spec.team.as_ref(), step);
+            placed.push((task, id));
+        }
+        if step.gang && placed.len() < step.count as usize {
+            self.withdraw(&placed, &mut pass.used, spec.team.as_ref(), step, now);
+            return;
+        }
+        self.record_intents(table, key, &placed);
+    }
+
+    fn within_cap(
+        &self,
+        team: Option<&String>,
+        step: &Step,
+        used: &HashMap<String, Capacity>,
+    ) -> bool {
+        let Some(team) = team else { return true };
+        let Some(tenant) = self.policy.tenants.get(team.as_str()) else {
+            return true;
+        };
+        let now = used.get(team).copied().unwrap_or_default();
+        now.within_cap(&step.takes(), &tenant.cap)
+    }
+
+    fn intend(
+        &mut self,
+        id: &TargetId,
+        task: TaskKey,
+        step: &Step,
+        team: Option<&String>,
+        now: Millis,
+    ) {
+        if let Some(target) = self.targets.get_mut(id) {
+            let order = Order {
+                run: 0,
+                phase: OrderPhase::Intended,
+                takes: step.takes(),
+                since: now,
+                at_work: None,
+                lasting: step.lasting,
+                team: team.cloned(),
+            };
+            target.insert(task, order);
+        }
+    }
+
+    fn withdraw(
+        &mut self,
+        placed: &[(TaskKey, TargetId)],
+        used: &mut HashMap<String, Capacity>,
+        team: Option<&String>,
+        step: &Step,
+        now: Millis,
+    ) {
+        for (task, id) in placed {
+            if let Some(target) = self.targets.get_mut(id) {
+                target.remove(*task, now);
+            }
+            if let Some(sum) = team.and_then(|team| used.get_mut(team)) {
+                sum.subtract(&step.takes());
+            }
+        }
+    }
+
+    /// Numbers the runs and marks the tasks as placed; members of a gang share a number.
+    fn record_intents(
+        &mut self,
+        table: &mut JobTable,
+        key: StepKey,
+        placed: &[(TaskKey, TargetId)],
+    ) {
+        if placed.is_empty() {
+            return;
+        }
+        let Some(job) = table.get_mut(key.job) else {
+            return;
+        };
+        let gang = job.spec.steps[key.step as usize].gang;
+        let highest = placed
+            .iter()
+            .filter_map(|(task, _)| job.progress.task(*task))
+            .map(|task| task.run)
+            .max()
+            .unwrap_or(0);
+        for (task, id) in placed {
+            let Some(target) = self.targets.get_mut(id) else {
+                continue;
+            };
+            let Some(stored) = job.progress.task_mut(*task) else {
+                continue;
+            };
+            stored.run = if gang { highest } else { stored.run } + 1;
+            stored.phase = Phase::Placed {
+                target: id.clone(),
+                born: target.entry.born,
+            };
+            if let Some(order) = target.orders.get_mut(task) {
+                order.run = stored.run;
+            }
+        }
+        if job.progress.state == JobState::Queued {
+            job.progress.state = JobState::Running;
+        }
+        self.journal.touch(key.job);
+    }
+}
+
+fn add_used(used: &mut HashMap<String, Capacity>, team: Option<&String>, step: &Step) {
+    if let Some(team) = team {
+        used.entry(team.clone()).or_default().add(&step.takes());
+    }
+}
+
+/// Due time of the next occurrence, in ms since 1970; `None` when all have begun.
+fn next_occurrence(job: &Job) -> Option<u64> {
+    let begun = u32::try_from(job.progress.occurrences.len()).unwrap_or(u32::MAX);
+    (begun < job.spec.occurrences()).then(|| job.spec.due_ms(begun).unwrap_or(0))
+}
+
+/// Steps whose earlier steps are all done.
+fn ready_steps(key: JobKey, job: &Job) -> Vec<StepKey> {
+    let mut ready = Vec::new();
+    for (occurrence, at) in (0..).zip(&job.progress.occurrences) {
+        for (step, spec) in (0..).zip(&job.spec.steps) {
+            let open = !at.steps[step as usize].is_empty();
+            if open && spec.after.iter().all(|before| at.step_done(*before)) {
+                ready.push(StepKey {
+                    job: key,
+                    occurrence,
+                    step,
+                });
+            }
+        }
+    }
+    ready
+}
+
+pub(super) fn pending_tasks(job: &Job, key: StepKey) -> Vec<u32> {
+    let occurrence = &job.progress.occurrences[key.occurrence as usize];
+    let tasks = occurrence.steps.get(key.step as usize);
+    let tasks = (0..).zip(tasks.into_iter().flatten());
+    tasks
+        .filter(|(_, task)| task.phase == Phase::Pending)
+        .map(|(index, _)| index)
+        .collect()
+}
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -105,7 +105,11 @@
         let target = machine.target.as_ref().and_then(|id| self.targets.get(id));
         target.map_or(0, |target| {
             let left = target.orders.len() as u64 + u64::from(!target.idle());
-            if target.vacating { left } else { left * 2 }
+            if target.vacating.is_some() {
+                left
+            } else {
+                left * 2
+            }
         })
     }
 
@@ -118,14 +122,14 @@
         let Some(target) = self.targets.get_mut(&id) else {
             return;
         };
-        if target.vacating != chosen {
-            target.vacating = chosen;
-            target.vacating_since = now;
+        if target.vacating.is_some() != chosen {
+            target.vacating = chosen.then_some(now);
             self.changed = true;
             spdlog::info!("target_vacating", kv: { target = id.0.as_ref(), vm = name, chosen });
         }
         if chosen {
-            let patient = now - target.vacating_since < RUN_OUT_MS;
+            let since = target.vacating.unwrap_or(now);
+            let patient = now - since < RUN_OUT_MS;
             self.move_tasks(table, &id, late && !patient, now);
         }
     }
@@ -187,7 +191,7 @@
             .get(name)
             .and_then(|m| m.target.clone());
         if let Some(target) = target.and_then(|id| self.targets.get_mut(&id)) {
-            target.vacating = true;
+            target.vacating.get_or_insert(now);
         }
         self.commands.push(match &order {
             MachineOrder::Upkeep(wave) => Command::Upkeep {
@@ -224,7 +228,7 @@
         let machine = self.desk.machines().get(name);
         let target = machine.and_then(|machine| machine.target.clone());
         if let Some(target) = target.and_then(|id| self.targets.get_mut(&id)) {
-            target.vacating = false;
+            target.vacating = None;
             self.changed = true;
         }
     }
