Keep a task that lasts where it is until another target can take it

Maintenance kept ten targets free at a time; tasks that last were stopped although every other target of the pool ran one of their step already, and waited 4 s and more for a VM. Ruled out: a start that was not sent (the intent is from the moment at which a new target appeared), caps, room. Change: such a task is stopped only while another target could take it, and a target that gets no new work no longer counts for what its pool has, so that a VM is ordered in its place. Test: a_task_that_lasts_stays_until_another_target_can_take_it (failed before).

--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -68,7 +68,8 @@
             incoming.swap_remove(entry.machine.as_ref());
             pool.size = entry.capacity;
             pool.needs.add(&target.used);
-            pool.have += 1;
+            // One that is to go soon has to be replaced.
+            pool.have += usize::from(target.vacating.is_none());
         }
         for goal in incoming.into_values() {
             if let Some(pool) = pools.get_mut(goal) {
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -7,7 +7,8 @@
 use crate::scheduler::fleet::Target;
 use crate::scheduler::machines::{Machine, MachineOrder, MachineOutcome, MachineState, OpenWave};
 use crate::scheduler::order::OrderPhase;
-use crate::scheduler::{JobTable, Millis, StepKey, TargetId, TaskKey};
+use crate::scheduler::place::{self, Ask, Kept};
+use crate::scheduler::{JobTable, Millis, Step, StepKey, TargetId, TaskKey};
 
 /// Part of a wave's time after which its VMs no longer wait for their work to end, in
 /// parts of a hundred.
@@ -151,7 +152,9 @@
                 continue;
             };
             let movable = if step.lasting {
-                step.may_miss == 0 || self.missing_of(task.step, step.count, now) < step.may_miss
+                let spared = step.may_miss == 0
+                    || self.missing_of(task.step, step.count, now) < step.may_miss;
+                spared && self.has_home(id, task.step, step, now)
             } else {
                 late
             };
@@ -165,6 +168,19 @@
         }
     }
 
+    /// True when another target of the same pool could take a task of the step now.
+    fn has_home(&self, id: &TargetId, key: StepKey, step: &Step, now: Millis) -> bool {
+        let Some(target) = self.targets.get(id) else {
+            return false;
+        };
+        let ask = Ask {
+            pool: &target.entry.pool,
+            key,
+            step,
+        };
+        place::choose(&self.targets, &ask, &Kept::new(), now).is_some()
+    }
+
     /// Tasks of a step that are not at work, or not for long.
     pub(super) fn missing_of(&self, step: StepKey, count: u32, now: Millis) -> u32 {
         let at_work = |target: &Target| {
--- a/tests/scheduler/upkeep.rs
+++ b/tests/scheduler/upkeep.rs
@@ -109,3 +109,22 @@
     assert!(fewest >= 4);
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// A task that lasts was stopped for maintenance although no other target could take it.
+#[test]
+fn a_task_that_lasts_stays_until_another_target_can_take_it() {
+    let mut world = World::new(5, 1);
+    world.claim();
+    let key = world.submit(1, job(vec![lasting(5, 1)]));
+    world.run_for(6_000);
+
+    world.ask(wave(&["vm-t0"], 1));
+    let mut fewest = usize::MAX;
+    for _ in 0..100 {
+        world.run_for(50);
+        fewest = fewest.min(world.running(key).len());
+    }
+
+    assert_eq!(fewest, 5);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
