Believe departures only once lapsed entries had time to come back

A leader that claimed before the entries were back took VMs whose targets it didn't know for idle, and stopped runs that it couldn't match as strays. A living leader gave no work to targets until they were listed again. Ruled out: a wrong count of tasks at work (what is not listed counts as missing).

--- a/src/dispatch/claiming.rs
+++ b/src/dispatch/claiming.rs
@@ -79,11 +79,12 @@
 async fn list_targets<S: Services>(shared: &Shared<S>) -> Option<Vec<TargetEntry>> {
     for _ in 0..CLAIM_TRIES {
         if let Read::Page((changes, _)) = shared.services.targets(None, 0).await {
-            let entry = |change| match change {
-                TargetChange::Entry(entry) => Some(entry),
-                TargetChange::Gone(_) => None,
-            };
-            return Some(changes.into_iter().filter_map(entry).collect());
+            return Some(
+                changes
+                    .into_iter()
+                    .filter_map(TargetChange::entry)
+                    .collect(),
+            );
         }
         Timer::after(Duration::from_millis(CLAIM_RETRY_MS)).await;
     }
--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -221,9 +221,13 @@
         }
         match shared.services.targets(cursor, WAIT_MS).await {
             Read::Page((changes, next)) => {
-                link.works();
+                if link.works() {
+                    let now = shared.clock.now();
+                    shared.lock().tell(Event::TargetsRegained, now);
+                }
+                let whole = cursor.is_none();
                 cursor = Some(next);
-                tell_targets(&shared, changes);
+                tell_targets(&shared, changes, whole);
                 Timer::after(Duration::from_millis(TARGETS_PAUSE_MS)).await;
             }
             Read::Expired => cursor = None,
@@ -232,9 +236,16 @@
     }
 }
 
-fn tell_targets<S>(shared: &Shared<S>, changes: Vec<TargetChange>) {
+fn tell_targets<S>(shared: &Shared<S>, changes: Vec<TargetChange>, whole: bool) {
     let now = shared.clock.now();
     let mut state = shared.lock();
+    if whole {
+        let entries = changes.into_iter().filter_map(TargetChange::entry);
+        state.tell(Event::Targets(entries.collect()), now);
+        drop(state);
+        shared.wake();
+        return;
+    }
     for change in changes {
         let event = match change {
             TargetChange::Entry(entry) => Event::Target(entry),
@@ -258,11 +269,14 @@
         Self { feed, failures: 0 }
     }
 
-    fn works(&mut self) {
-        if self.failures > 0 {
+    /// Returns true when the feed had failed before.
+    fn works(&mut self) -> bool {
+        let regained = self.failures > 0;
+        if regained {
             spdlog::info!("feed_regained", kv: { feed = self.feed, failures = self.failures });
         }
         self.failures = 0;
+        regained
     }
 
     async fn failed(&mut self, cause: &str) {
--- a/src/dispatch/services.rs
+++ b/src/dispatch/services.rs
@@ -85,6 +85,15 @@
     Gone(TargetId),
 }
 
+impl TargetChange {
+    pub(super) fn entry(self) -> Option<TargetEntry> {
+        match self {
+            Self::Entry(entry) => Some(entry),
+            Self::Gone(_) => None,
+        }
+    }
+}
+
 /// A start for a target.
 #[derive(Debug)]
 pub struct Start<'a> {
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -77,6 +77,10 @@
     Policy(Arc<Policy>),
     /// A target described itself.
     Target(TargetEntry),
+    /// The whole list of targets was read anew.
+    Targets(Vec<TargetEntry>),
+    /// The list of targets can be read again after it could not.
+    TargetsRegained,
     /// A target's entry has gone.
     TargetGone(TargetId),
     /// A wave is asked for.
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -5,6 +5,7 @@
 //! may be running, and where.
 
 mod balance;
+mod departures;
 mod ends;
 mod holds;
 mod journal;
@@ -26,6 +27,7 @@
 
 pub use messages::{Command, Event, Held, HoldFailure, StartOutcome, StopOutcome, event_of};
 
+use departures::Departures;
 use journal::Journal;
 
 /// Bounds that the platform sets, and who leads.
@@ -53,6 +55,7 @@
     started: Millis,
     policy: Arc<Policy>,
     targets: IndexMap<TargetId, Target>,
+    departures: Departures,
     /// Jobs that have not ended.
     active: IndexSet<JobKey>,
     /// Tasks on targets that are not listed, and until when they may be running.
@@ -99,7 +102,9 @@
             Event::Job(job) => self.job_changed(table, job),
             Event::Policy(policy) => self.adopt_policy(policy),
             Event::Target(entry) => self.target_entry(table, entry, now),
-            Event::TargetGone(id) => self.target_gone(&id),
+            Event::Targets(entries) => self.target_list(table, entries, now),
+            Event::TargetsRegained => self.departures.regained(now),
+            Event::TargetGone(id) => self.target_gone(&id, now),
             Event::Wave(wave) => self.desk.wave(wave, now),
             Event::Stored { batch } => self.stored(table, batch, now),
             Event::Started {
@@ -134,6 +139,7 @@
 
     /// Decides what to do now; `wall_ms` is the time of day in ms since 1970.
     pub fn poll(&mut self, table: &mut JobTable, now: Millis, wall_ms: u64) -> Vec<Command> {
+        self.confirm_departures(now);
         self.expire(table, now);
         self.advance_occurrences(table, now, wall_ms);
         if std::mem::take(&mut self.changed) {
@@ -155,16 +161,6 @@
         }
     }
 
-    fn target_gone(&mut self, id: &TargetId) {
-        if let Some(target) = self.targets.get_mut(id) {
-            target.listed = false;
-            spdlog::info!("target_unlisted", kv: { target = id.0.as_ref(), orders = target.orders.len() });
-            if target.orders.is_empty() {
-                self.targets.swap_remove(id);
-            }
-        }
-    }
-
     fn observe(&mut self, id: &TargetId, born: u64, clock: Option<u64>, sent: Millis, now: Millis) {
         let target = self.targets.get_mut(id);
         let target = target.filter(|target| target.entry.born == born);
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -4,6 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::departures::Departures;
 use super::journal::Journal;
 use super::{Leader, LeaderSettings};
 use crate::scheduler::fleet::Target;
@@ -36,6 +37,7 @@
             started: now,
             policy,
             targets: IndexMap::new(),
+            departures: Departures::default(),
             active: IndexSet::new(),
             orphans: IndexMap::new(),
             journal: Journal::new(now),
@@ -68,7 +70,7 @@
 
     /// When the leases of targets that are no longer listed have surely lapsed: a target
     /// that reaches the store would be listed, and the last holder has been fenced off.
-    const fn lapsed_at(&self) -> Millis {
+    pub(super) const fn lapsed_at(&self) -> Millis {
         let length = self.settings.lease_ms;
         self.started + length + length * MARGIN_PERCENT / 100 + UNLISTED_SLACK_MS
     }
@@ -116,9 +118,10 @@
     pub(super) fn target_entry(&mut self, table: &mut JobTable, entry: TargetEntry, now: Millis) {
         self.changed = true;
         let id = entry.id.clone();
+        self.departures.returned(&id);
         let Some(target) = self.targets.get_mut(&id) else {
             spdlog::info!("target_new", kv: { target = id.0.as_ref(), pool = entry.pool.as_ref(), born = entry.born });
-            self.targets.insert(id, Target::new(entry, 0, now));
+            self.insert_target(table, entry, now);
             return;
         };
         if entry.born == target.entry.born {
@@ -131,6 +134,38 @@
         }
     }
 
+    /// Takes up a target that was not listed before, with the tasks that a former holder
+    /// had placed there.
+    fn insert_target(&mut self, table: &mut JobTable, entry: TargetEntry, now: Millis) {
+        let (id, born) = (entry.id.clone(), entry.born);
+        let blind = if now < self.lapsed_at() {
+            self.blind_until()
+        } else {
+            0
+        };
+        self.targets
+            .insert(id.clone(), Target::new(entry, blind, now));
+        let orphans: Vec<(TaskKey, u64, u32)> = self
+            .orphans
+            .keys()
+            .filter_map(|task| {
+                let stored = table.get(task.step.job)?.progress.task(*task)?;
+                match &stored.phase {
+                    Phase::Placed { target, born } if *target == id => {
+                        Some((*task, *born, stored.run))
+                    }
+                    _ => None,
+                }
+            })
+            .collect();
+        for (task, placed, run) in orphans {
+            if placed <= born {
+                self.orphans.swap_remove(&task);
+                self.adopt_task(table, task, &id, placed, run, now);
+            }
+        }
+    }
+
     /// The last incarnation has ended, and everything on it. Starts that were not answered
     /// may still reach the new one, so they are barred there first.
     pub(super) fn reborn(&mut self, table: &mut JobTable, entry: TargetEntry, now: Millis) {
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -74,7 +74,7 @@
             if self.desk.away(name) || machine.state != MachineState::Up {
                 continue;
             }
-            match self.load_of(machine) {
+            match self.load_of(machine, now) {
                 0 if free > 0 => {
                     free -= 1;
                     self.send_order(name, MachineOrder::Upkeep(wave.number), now);
@@ -102,9 +102,11 @@
     }
 
     /// Orders on the target of a VM, with those that vacate first.
-    fn load_of(&self, machine: &Machine) -> u64 {
-        let target = machine.target.as_ref().and_then(|id| self.targets.get(id));
-        target.map_or(0, |target| {
+    fn load_of(&self, machine: &Machine, now: Millis) -> u64 {
+        let Some(id) = &machine.target else { return 0 };
+        // What a former holder has placed on a target that isn't listed may still run.
+        let unknown = if now < self.lapsed_at() { u64::MAX } else { 0 };
+        self.targets.get(id).map_or(unknown, |target| {
             let left = target.orders.len() as u64 + u64::from(!target.idle());
             if target.vacating.is_some() {
                 left
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod fixtures;
 mod jobs;
+mod lapsed;
 mod target;
 mod upkeep;
 mod world;
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -35,6 +35,8 @@
     pub(crate) entry: TargetEntry,
     /// False while nothing reaches it and no answer leaves it.
     pub(crate) reachable: bool,
+    /// Its entry is in the store's list.
+    pub(crate) listed: bool,
     pub(crate) alive: bool,
     started: Millis,
     until: u64,
@@ -66,6 +68,7 @@
                 state: TargetState::Ready,
             },
             reachable: true,
+            listed: true,
             alive: true,
             started: 0,
             until: 0,
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -144,7 +144,8 @@
             stop_ms: 400,
             keep_ms: 120_000,
         };
-        let listed = self.targets.values().filter(|target| target.alive);
+        let listed = self.targets.values();
+        let listed = listed.filter(|target| target.alive && target.listed);
         let entries = listed.map(|target| target.entry.clone()).collect();
         let policy = Arc::clone(&self.policy);
         let now = self.now;
@@ -192,10 +193,41 @@
 
     /// Tells all processes what a target says of itself.
     pub(crate) fn announce(&mut self, id: &TargetId) {
-        let entry = self.targets[id].entry.clone();
+        let target = self.targets.get_mut(id).unwrap();
+        target.listed = true;
+        let entry = target.entry.clone();
         self.tell(&Event::Target(entry));
     }
 
+    /// The entries of all targets lapse while the store is away, and it is back.
+    pub(crate) fn lapse_entries(&mut self) {
+        self.tell(&Event::TargetsRegained);
+        for target in self.targets.values_mut() {
+            target.listed = false;
+        }
+        for id in self.ids() {
+            self.tell(&Event::TargetGone(id));
+        }
+    }
+
+    /// All targets describe themselves anew.
+    pub(crate) fn announce_all(&mut self) {
+        for id in self.ids() {
+            self.announce(&id);
+        }
+    }
+
+    /// The list of targets is read anew as a whole.
+    pub(crate) fn list_again(&mut self) {
+        let listed = self.targets.values().filter(|target| target.listed);
+        let entries = listed.map(|target| target.entry.clone()).collect();
+        self.tell(&Event::Targets(entries));
+    }
+
+    fn ids(&self) -> Vec<TargetId> {
+        self.targets.keys().cloned().collect()
+    }
+
     /// The target starts anew under its id.
     pub(crate) fn restart(&mut self, id: &TargetId) {
         let now = self.now;
@@ -209,6 +241,7 @@
         let target = self.targets.get_mut(id).unwrap();
         target.alive = false;
         target.reachable = false;
+        target.listed = false;
         self.tell(&Event::TargetGone(id.clone()));
     }
 
