Store callers' records together, and read back what has no answer

Cause: a partition takes one append at a time; with a store 60 times slower that is 16 a second, and each job and retry was one. When answers are lost, a leader's batch and each job waited 0.4 s and more for one. Ruled out: reads (they go on beside appends).

--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -6,6 +6,7 @@
 use async_io::Timer;
 
 use super::clock::wall_ms;
+use super::intake;
 use super::services::{Appended, Services};
 use super::{Dispatch, state::Shared};
 use crate::scheduler::{Change, Event, JobKey, JobSpec, JobState, Millis, Policy, Record};
@@ -85,11 +86,11 @@
             Lookup::Unavailable => return Submission::Refused,
             Lookup::NotFound => {}
         }
-        let record = [Record::Job(key, spec.clone())];
+        let record = Record::Job(key, spec);
         let mut sent = false;
         let mut refused = 0;
         loop {
-            match shared.services.append(&record, &[], None, None).await {
+            match intake::append(&shared.intake, record.clone()).await {
                 Appended::Stored { .. } => break,
                 Appended::Unknown => sent = true,
                 _ => refused += 1,
@@ -113,7 +114,6 @@
             }
             Timer::after(Duration::from_millis(RETRY_MS)).await;
         }
-        let [record] = record;
         self.adopt(key, record);
         Submission::Accepted
     }
@@ -159,9 +159,9 @@
             Lookup::Unavailable => return CancelOutcome::Unavailable,
         }
         let deadline = shared.clock.now() + limit_ms;
-        let record = [Record::Cancel(key)];
+        let record = Record::Cancel(key);
         loop {
-            let appended = shared.services.append(&record, &[], None, None).await;
+            let appended = intake::append(&shared.intake, record.clone()).await;
             if matches!(appended, Appended::Stored { .. }) {
                 break;
             }
@@ -170,7 +170,6 @@
             }
             Timer::after(Duration::from_millis(RETRY_MS)).await;
         }
-        let [record] = record;
         self.adopt(key, record);
         CancelOutcome::Accepted
     }
--- a/src/dispatch/claiming.rs
+++ b/src/dispatch/claiming.rs
@@ -122,6 +122,7 @@
         leader.handle(&mut state.table, Event::Wave(wave.clone()), now);
     }
     state.leader = Some(leader);
+    state.read_back = 0;
     state.inbox = Some(sender.clone());
     spdlog::info!("role_taken", kv: { epoch, targets, jobs = state.table.len() });
     drop(guard);
--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -41,7 +41,7 @@
             introduce(&shared).await;
             continue;
         };
-        match shared.services.read(from, WAIT_MS).await {
+        match shared.services.read(from, link.wait_ms(WAIT_MS)).await {
             Read::Page(page) => {
                 link.works();
                 let some = !page.changes.is_empty();
@@ -153,6 +153,9 @@
             state.step_down("another process claimed the role");
             return;
         }
+        if own == Some(holder.epoch) {
+            state.read_back = holder.beat;
+        }
     }
     // The leader's own table is ahead of what it has stored.
     let own = matches!(
@@ -174,7 +177,11 @@
     let mut link = Link::new("operator");
     let mut cursor = None;
     loop {
-        match shared.services.operator(cursor, OPERATOR_WAIT_MS).await {
+        match shared
+            .services
+            .operator(cursor, link.wait_ms(OPERATOR_WAIT_MS))
+            .await
+        {
             Read::Page((changes, next)) => {
                 link.works();
                 cursor = Some(next);
@@ -219,7 +226,7 @@
             Timer::after(Duration::from_millis(IDLE_PAUSE_MS)).await;
             continue;
         }
-        match shared.services.targets(cursor, WAIT_MS).await {
+        match shared.services.targets(cursor, link.wait_ms(WAIT_MS)).await {
             Read::Page((changes, next)) => {
                 if link.works() {
                     let now = shared.clock.now();
@@ -279,6 +286,12 @@
         regained
     }
 
+    /// Time that the next read may wait for news: none after a failure, so that the
+    /// store's return is noticed soon.
+    const fn wait_ms(&self, usual_ms: u64) -> u64 {
+        if self.failures > 0 { 0 } else { usual_ms }
+    }
+
     async fn failed(&mut self, cause: &str) {
         if self.failures == 0 {
             spdlog::warn!("feed_lost", kv: { feed = self.feed, cause });
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod detour;
 mod follow;
+mod intake;
 mod lead;
 mod services;
 mod state;
@@ -78,8 +79,11 @@
         metrics: Metrics,
         runtime: &Runtime,
     ) -> Result<Self> {
-        let shared = Arc::new(Shared::new(settings, services, metrics, runtime.clone()));
+        let (intake, entries) = async_channel::unbounded();
+        let shared = Shared::new(settings, services, metrics, runtime.clone(), intake);
+        let shared = Arc::new(shared);
         let tasks = vec![
+            runtime.spawn(intake::run(Arc::clone(&shared), entries)),
             runtime.spawn(follow::records(Arc::clone(&shared))),
             runtime.spawn(follow::operator(Arc::clone(&shared))),
             runtime.spawn(follow::targets(Arc::clone(&shared))),
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -7,6 +7,7 @@
 
 use super::DispatchSettings;
 use super::clock::Clock;
+use super::intake::Entry;
 use crate::runtime::Runtime;
 use crate::scheduler::{Claim, Event, JobTable, Leader, Millis, Policy, Wave};
 use crate::telemetry::Metrics;
@@ -25,6 +26,8 @@
     pub(super) leader: Option<Leader>,
     /// Events for the leader of this epoch.
     pub(super) inbox: Option<Sender<Event>>,
+    /// Last batch of this leader that was read back from the stream.
+    pub(super) read_back: u64,
     /// The process stops and claims nothing more.
     pub(super) stopping: bool,
 }
@@ -37,6 +40,8 @@
     pub(super) metrics: Metrics,
     pub(super) runtime: Runtime,
     pub(super) clock: Clock,
+    /// Records of callers, to be stored.
+    pub(super) intake: Sender<Entry>,
     state: Mutex<State>,
     wake: (Sender<()>, Receiver<()>),
     poke: (Sender<()>, Receiver<()>),
@@ -48,6 +53,7 @@
         services: S,
         metrics: Metrics,
         runtime: Runtime,
+        intake: Sender<Entry>,
     ) -> Self {
         let claim = Claim::new(&settings.member, settings.incarnation, settings.rank);
         let state = State {
@@ -59,6 +65,7 @@
             claim,
             leader: None,
             inbox: None,
+            read_back: 0,
             stopping: false,
         };
         Self {
@@ -67,6 +74,7 @@
             metrics,
             runtime,
             clock: Clock::start(),
+            intake,
             state: Mutex::new(state),
             wake: async_channel::bounded(1),
             poke: async_channel::bounded(1),
--- a/src/dispatch/writer.rs
+++ b/src/dispatch/writer.rs
@@ -5,6 +5,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use futures_lite::future;
 
 use super::clock::micros;
 use super::services::{Appended, Producer, Services};
@@ -15,6 +16,10 @@
 /// Pause after an append that the store refused for now, or did not answer, in ms.
 const RETRY_MS: u64 = 60;
 
+/// Time between two looks whether a batch was stored although no answer has come, in ms;
+/// the store usually answers in a tenth of it.
+const LOOK_EVERY_MS: u64 = 50;
+
 /// Records to be stored together.
 #[derive(Debug)]
 pub(super) struct Batch {
@@ -57,9 +62,8 @@
             return false;
         }
         let services = &shared.services;
-        let appended = services
-            .append(&batch.records, &batch.forget, Some(producer), None)
-            .await;
+        let append = services.append(&batch.records, &batch.forget, Some(producer), None);
+        let appended = future::or(append, read_back(shared, batch.number)).await;
         match appended {
             Appended::Stored { .. } => {
                 let elapsed = micros(begun.elapsed());
@@ -83,3 +87,15 @@
         }
     }
 }
+
+/// Ends once the stream shows the end of the batch: the answer may be lost, or late.
+async fn read_back<S: Services>(shared: &Shared<S>, batch: u64) -> Appended {
+    loop {
+        Timer::after(Duration::from_millis(LOOK_EVERY_MS)).await;
+        let state = shared.lock();
+        if state.read_back >= batch {
+            let end = state.next.unwrap_or_default();
+            return Appended::Stored { end };
+        }
+    }
+}
--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -35,7 +35,6 @@
     /// When a batch was last sent.
     sent_at: Millis,
     forget_at: Millis,
-    beat: u64,
 }
 
 impl Journal {
@@ -48,7 +47,6 @@
             stored_at: now,
             sent_at: now,
             forget_at: now + FORGET_EVERY_MS,
-            beat: 0,
         }
     }
 
@@ -94,13 +92,11 @@
                 records.push(Record::Wave(wave, progress.clone()));
             }
         }
-        if records.is_empty() {
-            self.journal.beat += 1;
-            records.push(Record::Holder(Holder {
-                beat: self.journal.beat,
-                ..self.settings.holder.clone()
-            }));
-        }
+        // Reading it back confirms the batch when its answer is lost.
+        records.push(Record::Holder(Holder {
+            beat: self.journal.next,
+            ..self.settings.holder.clone()
+        }));
         self.journal.sent_at = now;
         let all = self.journal.dirty.is_empty();
         let batch = Batch {
--- a/src/scheduler/record.rs
+++ b/src/scheduler/record.rs
@@ -21,7 +21,7 @@
     pub epoch: u64,
     /// True once the holder has stopped; anyone may claim at once.
     pub released: bool,
-    /// Number of the record among those of the holder, so that each differs.
+    /// Number of the holder's batch that the record closes; 0 in a claim.
     pub beat: u64,
 }
 
--- a/src/scheduler/table.rs
+++ b/src/scheduler/table.rs
@@ -103,6 +103,16 @@
         self.jobs.get(&key)
     }
 
+    /// True when a caller's record has been applied.
+    #[must_use]
+    pub fn shows(&self, record: &Record) -> bool {
+        match record {
+            Record::Job(key, _) => self.jobs.contains_key(key),
+            Record::Cancel(key) => self.jobs.get(key).is_some_and(|job| job.cancelled),
+            _ => false,
+        }
+    }
+
     pub(super) fn get_mut(&mut self, key: JobKey) -> Option<&mut Job> {
         self.jobs.get_mut(&key)
     }
