--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -1,5 +1,8 @@
 //! Log of a process: one line of `key=value` pairs for each event.
 //!
+//! Daemons hand their lines to a thread that writes them: a reader that is slow, or gone,
+//! costs lines and never holds a decision up. What is left out is counted in the log.
+//!
 //! An event is written as
 //! `time=2026-03-01T04:05:06.789Z level=info event=listening address=127.0.0.1:4000`.
 
@@ -10,11 +13,12 @@
 use anyhow::{Context, Result};
 use chrono::{DateTime, SecondsFormat, Utc};
 use spdlog::formatter::{Formatter, FormatterContext};
-use spdlog::sink::StdStreamSink;
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStreamSink};
 use spdlog::terminal_style::StyleMode;
 use spdlog::{Level, LevelFilter, Logger, Record, StringBuf};
 
 use super::pair::write_pair;
+use super::throttle::Throttle;
 
 /// Environment variable that names the least severe level to be written.
 pub const LEVEL_VARIABLE: &str = "AMARANTHWICK_LOG";
@@ -53,6 +57,10 @@
         Stream::Stderr => sink.stderr(),
     };
     let sink = sink.formatter(Format).build_arc().context("open the log")?;
+    let sink: Arc<dyn Sink> = match stream {
+        Stream::Stdout => unblocked(sink)?,
+        Stream::Stderr => sink,
+    };
     let logger = Logger::builder()
         .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(level))
@@ -62,6 +70,16 @@
     Ok(())
 }
 
+/// Writes to `sink` from a thread of its own; lines that find its queue full are dropped.
+fn unblocked(sink: Arc<StdStreamSink>) -> Result<Arc<dyn Sink>> {
+    let queue = AsyncPoolSink::builder()
+        .sink(sink)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build_arc()
+        .context("open the log's queue")?;
+    Ok(Arc::new(Throttle::new(queue)))
+}
+
 /// Says that the process listens on `address` in `role`: `callers`, `peers` or `admin`.
 pub fn listening(role: &str, address: SocketAddr) {
     spdlog::info!("listening", kv: { role, address = address.to_string() });
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -7,6 +7,7 @@
 mod sink;
 #[cfg(test)]
 mod tests;
+mod throttle;
 mod view;
 
 pub use admin::{Admin, Dump, Process};
