--- a/src/dispatch/lead.rs
+++ b/src/dispatch/lead.rs
@@ -21,6 +21,13 @@
 /// The same for a process that doesn't lead.
 const FOLLOWER_TICK_MS: u64 = 100;
 
+/// Time without decisions after one, as a multiple of the time that it took: events that
+/// come meanwhile are taken together, and leave processor time for calls.
+const REST_FACTOR: u32 = 2;
+
+/// Longest time without decisions after one.
+const MAX_REST: Duration = Duration::from_millis(30);
+
 /// Decides for as long as the process runs.
 pub(super) async fn run<S: Services>(shared: Arc<Shared<S>>) {
     let mut office: Option<Office> = None;
@@ -34,9 +41,13 @@
             Timer::after(Duration::from_millis(tick)).await;
         };
         future::or(shared.woken(), pause).await;
+        let begun = Instant::now();
         match &office {
             Some(held) if !held.decide(&shared) => office = None,
-            Some(_) => {}
+            Some(_) => {
+                let rest = (begun.elapsed() * REST_FACTOR).min(MAX_REST);
+                Timer::after(rest).await;
+            }
             None => office = claim(&shared).await,
         }
     }
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -64,6 +64,8 @@
     desk: Desk,
     /// How the demand of each pool has changed lately.
     trends: IndexMap<Arc<str>, Trend>,
+    /// When the waves are looked at next.
+    waves_at: Millis,
     /// When the demand is looked at next.
     balance_at: Millis,
     /// When the demand is logged next.
--- a/src/scheduler/leader/schedule.rs
+++ b/src/scheduler/leader/schedule.rs
@@ -16,9 +16,20 @@
     /// What the teams have running.
     used: HashMap<String, Capacity>,
     kept: Kept,
+    /// What no target of a pool has room for.
+    full: HashMap<String, Vec<Capacity>>,
     now: Millis,
 }
 
+impl Pass {
+    /// True when a smaller or equal task has found no room in the pool.
+    fn lacks_room(&self, pool: &str, takes: &Capacity) -> bool {
+        let nothing = Capacity::default();
+        let full = self.full.get(pool);
+        full.is_some_and(|full| full.iter().any(|least| nothing.fits(least, takes)))
+    }
+}
+
 impl Leader {
     /// Brings occurrences into being once they are due.
     pub(super) fn advance_occurrences(&mut self, table: &mut JobTable, now: Millis, wall_ms: u64) {
@@ -48,6 +59,7 @@
         let mut pass = Pass {
             used: self.used_by_team(),
             kept: Kept::new(),
+            full: HashMap::new(),
             now,
         };
         for Urgency { job: key, .. } in self.by_urgency(table) {
@@ -102,6 +114,9 @@
             return;
         }
         let pool = self.policy.pool_of(&spec.queue, &spec.pool).to_owned();
+        if !step.lasting && pass.lacks_room(&pool, &step.takes()) {
+            return;
+        }
         let ask = Ask {
             pool: &pool,
             key,
@@ -116,6 +131,10 @@
                 break;
             }
             let Some(id) = place::choose(&self.targets, &ask, &pass.kept, now) else {
+                if step.label.is_empty() && step.per_target == 0 {
+                    let full = pass.full.entry(pool.clone()).or_default();
+                    full.push(step.takes());
+                }
                 if step.lasting {
                     pass.kept
                         .extend(place::choose_later(&self.targets, &ask, &pass.kept, now));
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -42,6 +42,7 @@
             orphans: IndexMap::new(),
             journal: Journal::new(now),
             trends: IndexMap::new(),
+            waves_at: 0,
             balance_at: 0,
             demand_log_at: 0,
             begun: Vec::new(),
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -10,6 +10,9 @@
 use crate::scheduler::place::{self, Ask, Kept};
 use crate::scheduler::{JobTable, Millis, Step, StepKey, TargetId, TaskKey};
 
+/// Time between two looks at the waves, in ms.
+const WAVES_EVERY_MS: Millis = 50;
+
 /// Part of a wave's time after which its VMs no longer wait for their work to end, in
 /// parts of a hundred.
 const PATIENCE_PERCENT: u64 = 20;
@@ -28,17 +31,17 @@
 impl Leader {
     /// Lists VMs, and moves maintenance on.
     pub(super) fn tend_machines(&mut self, table: &mut JobTable, now: Millis) {
-        let waves = self.desk.open_waves();
         if self.desk.list_due(now) {
             self.commands.push(Command::ListMachines);
         }
-        if !self.may_order(now) {
+        if now < self.waves_at || !self.may_order(now) {
             return;
         }
+        self.waves_at = now + WAVES_EVERY_MS;
         for (name, order) in self.desk.repeats(now) {
             self.send_order(&name, order, now);
         }
-        for open in waves {
+        for open in self.desk.open_waves() {
             self.tend_wave(table, &open, now);
         }
     }
