Hand callers' records to the leader, which stores those of all processes together

Change: a process forwards what its callers hand in to the leader, whose appends take in those of all; without an answer of the leader it appends by itself for a second.

--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -90,7 +90,7 @@
         let mut sent = false;
         let mut refused = 0;
         loop {
-            match intake::append(&shared.intake, record.clone()).await {
+            match intake::append(&shared.intake, vec![record.clone()]).await {
                 Appended::Stored { .. } => break,
                 Appended::Unknown => sent = true,
                 _ => refused += 1,
@@ -128,6 +128,22 @@
         self.shared.wake();
     }
 
+    /// Stores records that callers of another process sent, if this process leads.
+    pub async fn take_in(&self, records: Vec<Record>) -> Appended {
+        if self.shared.lock().leader.is_none() {
+            return Appended::Busy;
+        }
+        let appended = intake::append(&self.shared.intake, records.clone()).await;
+        if matches!(appended, Appended::Stored { .. }) {
+            for record in records {
+                if let Record::Job(key, _) | Record::Cancel(key) = &record {
+                    self.adopt(*key, record);
+                }
+            }
+        }
+        appended
+    }
+
     /// The state of a job.
     pub async fn look_up(&self, key: JobKey) -> Lookup {
         let first = self.known(key);
@@ -161,7 +177,7 @@
         let deadline = shared.clock.now() + limit_ms;
         let record = Record::Cancel(key);
         loop {
-            let appended = intake::append(&shared.intake, record.clone()).await;
+            let appended = intake::append(&shared.intake, vec![record.clone()]).await;
             if matches!(appended, Appended::Stored { .. }) {
                 break;
             }
--- a/src/dispatch/services.rs
+++ b/src/dispatch/services.rs
@@ -167,6 +167,13 @@
         expected: Option<u64>,
     ) -> impl Future<Output = Appended> + Send;
 
+    /// Hands callers' records to the process at `peer`, which stores them if it leads.
+    fn forward(
+        &self,
+        peer: SocketAddr,
+        records: &[Record],
+    ) -> impl Future<Output = Appended> + Send;
+
     /// What the operators changed since `cursor`, or everything without one.
     fn operator(
         &self,
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -1,5 +1,6 @@
 //! What the parts of a scheduler process share.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
@@ -107,6 +108,13 @@
 }
 
 impl State {
+    /// Address of the leader, if it is another process than `member`.
+    pub(super) fn leader_address(&self, member: &str) -> Option<SocketAddr> {
+        let holder = self.table.holder();
+        let holder = holder.filter(|holder| !holder.released && holder.member != member)?;
+        self.table.member(&holder.member)
+    }
+
     /// Hands an event to the leader, if this process leads.
     pub(super) fn tell(&mut self, event: Event, now: Millis) {
         if let Some(leader) = &mut self.leader {
--- a/src/dispatch/writer.rs
+++ b/src/dispatch/writer.rs
@@ -92,6 +92,7 @@
 async fn read_back<S: Services>(shared: &Shared<S>, batch: u64) -> Appended {
     loop {
         Timer::after(Duration::from_millis(LOOK_EVERY_MS)).await;
+        shared.poke();
         let state = shared.lock();
         if state.read_back >= batch {
             let end = state.next.unwrap_or_default();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -32,7 +32,7 @@
 pub use order::{EndKind, Ended, RunningTask};
 pub use policy::{Policy, Pool, Queue, Tenant};
 pub use progress::{JobState, Occurrence, Phase, Progress, Task};
-pub use record::{Change, Holder, Member, Record, WaveProgress};
+pub use record::{Change, Holder, Member, Record, WaveProgress, decode_records, encode_records};
 pub use spec::{JobSpec, MAX_TASKS, SpecFault, Step};
 pub use table::{Job, JobTable};
 pub use usage::Capacity;
--- a/src/scheduler/record.rs
+++ b/src/scheduler/record.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{Context, Result, bail};
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 
 use super::{JobKey, JobSpec, Progress};
 
@@ -111,6 +112,34 @@
     }
 }
 
+/// Writes records as one message for another process.
+///
+/// # Errors
+/// Fails when the codec does.
+pub fn encode_records(records: &[Record]) -> Result<Vec<u8>> {
+    let mut pairs = Vec::with_capacity(records.len());
+    for record in records {
+        pairs.push((record.key(), ByteBuf::from(record.encode()?)));
+    }
+    Ok(rmp_serde::to_vec(&pairs)?)
+}
+
+/// Reads a message of records.
+///
+/// # Errors
+/// Says why it can't be used; records are used all or none.
+pub fn decode_records(message: &[u8]) -> Result<Vec<Record>> {
+    let pairs: Vec<(String, ByteBuf)> = rmp_serde::from_slice(message)?;
+    let mut records = Vec::with_capacity(pairs.len());
+    for (key, value) in pairs {
+        match Change::decode(&key, &value)? {
+            Change::Put(record) => records.push(record),
+            _ => bail!("record {key:?} is a deletion"),
+        }
+    }
+    Ok(records)
+}
+
 impl Change {
     /// Reads a record of the stream; an empty value is a deletion.
     ///
