--- a/benches/capacity/beat.rs
+++ b/benches/capacity/beat.rs
@@ -14,6 +14,7 @@
 const LIMITS: Limits = Limits {
     connect_ms: 500,
     answer_ms: 500,
+    body_ms: 0,
     max_body: 64 << 10,
 };
 
--- a/src/bin/amaranthwick/admin.rs
+++ b/src/bin/amaranthwick/admin.rs
@@ -9,6 +9,7 @@
 const LIMITS: Limits = Limits {
     connect_ms: 1_000,
     answer_ms: 5_000,
+    body_ms: 0,
     max_body: 16 << 20,
 };
 
--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -25,6 +25,10 @@
 /// Time that the store may wait for a change of the operators, in ms.
 const OPERATOR_WAIT_MS: u64 = 2_000;
 
+/// Pause after a change of the operators was read, in ms: of those in quick succession
+/// fewer are read by themselves, and all are in force well within two seconds.
+const OPERATOR_PAUSE_MS: u64 = 500;
+
 /// Pause between two reads of the list of targets, in ms; heartbeats come all the time.
 const TARGETS_PAUSE_MS: u64 = 200;
 
@@ -185,13 +189,21 @@
             Read::Page((changes, next)) => {
                 link.works();
                 cursor = Some(next);
+                let some = !changes.is_empty();
                 for change in changes {
                     adopt(&shared, change);
                 }
                 shared.wake();
+                if some {
+                    Timer::after(Duration::from_millis(OPERATOR_PAUSE_MS)).await;
+                }
             }
             Read::Expired => cursor = None,
-            Read::Failed(cause) => link.failed(&cause).await,
+            Read::Failed(cause) => {
+                // Versions that were missed are of no use; the newest is loaded.
+                cursor = None;
+                link.failed(&cause).await;
+            }
         }
     }
 }
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -132,6 +132,7 @@
     Limits {
         connect_ms: NOTE_MS,
         answer_ms: NOTE_MS,
+        body_ms: 0,
         max_body: MAX_NOTE_BYTES,
     }
 }
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -209,6 +209,7 @@
             limits: Limits {
                 connect_ms: CONNECT_MS,
                 answer_ms: service.run_limit_ms,
+                body_ms: 0,
                 max_body: self.max_body,
             },
             request: Arc::new(outgoing(forward)),
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -118,6 +118,7 @@
         let limits = Limits {
             connect_ms: CONNECT_MS,
             answer_ms: forward.wait_ms + run_limit_ms(view, &forward.queue) + GRACE_MS,
+            body_ms: 0,
             max_body: self.max_body + PEER_EXTRA_BYTES,
         };
         let message = PeerRequest::Forward(forward.clone());
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,6 +12,9 @@
     pub connect_ms: u64,
     /// Time from the first byte written to the whole answer read, in ms.
     pub answer_ms: u64,
+    /// Further time for the body of an answer whose head has come, in ms: a long one over
+    /// a slow link says nothing of the other end's health.
+    pub body_ms: u64,
     /// Largest body of the answer, in bytes.
     pub max_body: usize,
 }
@@ -21,6 +24,7 @@
         Self {
             connect_ms: 1_000,
             answer_ms: 30_000,
+            body_ms: 0,
             max_body: 16 << 20,
         }
     }
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -9,7 +9,7 @@
 
 use super::codec;
 use super::deadline::within;
-use super::frame::{Fault, reply_head};
+use super::frame::{Fault, ReplyHead, reply_head};
 use super::wire::{ReadError, Wire};
 use super::{Limits, Reply, Request};
 
@@ -120,21 +120,39 @@
             None => connect(address, limits).await?,
         };
         let mut written = 0;
-        let work = exchange(&mut wire, &bytes, &request.method, limits, &mut written);
-        let result = within(limits.answer_ms, work).await;
-        match result {
-            Some(Ok((reply, clean))) => {
-                if clean {
+        let begun = Instant::now();
+        let work = ask(&mut wire, &bytes, &request.method, &mut written);
+        let head = within(limits.answer_ms, work).await;
+        let head = match head.unwrap_or_else(silent) {
+            Ok(head) => head,
+            Err((kind, detail)) => return Err(self.failed(address, kind, written, &detail)),
+        };
+        let limit_ms = limits.answer_ms.saturating_add(limits.body_ms);
+        let elapsed_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let work = answer(&mut wire, &head, limits);
+        let reply = within(limit_ms.saturating_sub(elapsed_ms), work).await;
+        match reply.unwrap_or_else(silent) {
+            Ok(reply) => {
+                if !head.close && wire.unread().is_empty() {
                     self.keep(address, wire);
                 }
                 Ok(reply)
             }
-            Some(Err((kind, detail))) => Err(Failure::new(kind, written, &detail)),
-            None => {
-                self.forget(address);
-                Err(Failure::new(FailureKind::Silent, written, &"timeout"))
-            }
+            Err((kind, detail)) => Err(self.failed(address, kind, written, &detail)),
+        }
+    }
+
+    fn failed(
+        &self,
+        address: SocketAddr,
+        kind: FailureKind,
+        written: usize,
+        detail: &str,
+    ) -> Failure {
+        if kind == FailureKind::Silent {
+            self.forget(address);
         }
+        Failure::new(kind, written, &detail.to_owned())
     }
 
     /// Closes the idle connections to an address.
@@ -203,29 +221,33 @@
 
 type Broken = (FailureKind, String);
 
-async fn exchange(
+fn silent<T>() -> Result<T, Broken> {
+    Err((FailureKind::Silent, "timeout".to_owned()))
+}
+
+/// Writes a request and reads the head of its answer.
+async fn ask(
     wire: &mut Wire,
     bytes: &[u8],
     method: &str,
-    limits: &Limits,
     written: &mut usize,
-) -> Result<(Reply, bool), Broken> {
+) -> Result<ReplyHead, Broken> {
     wire.write(bytes, written)
         .await
         .map_err(|e| (FailureKind::Cut, e.to_string()))?;
-    let head = wire
-        .head(MAX_HEAD, |bytes| reply_head(bytes, method))
+    wire.head(MAX_HEAD, |bytes| reply_head(bytes, method))
         .await
-        .map_err(|e| broken(&e))?;
+        .map_err(|e| broken(&e))
+}
+
+/// Reads the rest of an answer.
+async fn answer(wire: &mut Wire, head: &ReplyHead, limits: &Limits) -> Result<Reply, Broken> {
     let raw = wire.take(head.size);
     let body = wire
         .body(head.framing, limits.max_body)
         .await
         .map_err(|e| broken(&e))?;
-    let reply =
-        codec::decode_reply(&raw, body).map_err(|e| (FailureKind::BadAnswer, e.to_string()))?;
-    let clean = !head.close && wire.unread().is_empty();
-    Ok((reply, clean))
+    codec::decode_reply(&raw, body).map_err(|e| (FailureKind::BadAnswer, e.to_string()))
 }
 
 fn broken(error: &ReadError) -> Broken {
--- a/src/membership/peers.rs
+++ b/src/membership/peers.rs
@@ -42,12 +42,14 @@
 const BEAT_LIMITS: Limits = Limits {
     connect_ms: 500,
     answer_ms: 900,
+    body_ms: 0,
     max_body: 64 << 10,
 };
 
 const STATE_LIMITS: Limits = Limits {
     connect_ms: 500,
     answer_ms: 10_000,
+    body_ms: 0,
     max_body: 64 << 20,
 };
 
--- a/src/services/call.rs
+++ b/src/services/call.rs
@@ -57,6 +57,7 @@
         request.headers.push(header);
         let limits = Limits {
             answer_ms,
+            body_ms: 0,
             ..self.limits
         };
         send(self.address, &request, &limits).await
--- a/src/services/vms.rs
+++ b/src/services/vms.rs
@@ -38,6 +38,7 @@
     pub fn new(address: SocketAddr, data_centre: &DataCentre) -> Self {
         let limits = Limits {
             answer_ms: ANSWER_MS,
+            body_ms: 0,
             ..Limits::default()
         };
         Self {
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -207,3 +207,31 @@
     assert_eq!(refused.kind, FailureKind::Connect);
     assert_eq!(refused.written, 0);
 }
+
+/// A long body over a slow link was cut off, and asked for again without end.
+#[test]
+fn a_body_has_time_of_its_own_once_the_head_has_come() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    thread::spawn(move || {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().expect("accept");
+            read_head(&mut stream);
+            let (head, body) = WHOLE.split_at(WHOLE.len() - 2);
+            stream.write_all(head).expect("write");
+            thread::sleep(Duration::from_millis(600));
+            let _ = stream.write_all(body);
+        }
+    });
+    let slow = Limits {
+        body_ms: 2_000,
+        ..limits()
+    };
+    let pool = Pool::new();
+
+    let whole = block_on(pool.send(address, &get(), Reuse::Idle, &slow)).expect("an answer");
+    let cut = block_on(pool.send(address, &get(), Reuse::Idle, &limits())).expect_err("timeout");
+
+    assert_eq!(whole.body, b"whole");
+    assert_eq!(cut.kind, FailureKind::Silent);
+}
--- a/tests/services.rs
+++ b/tests/services.rs
@@ -25,6 +25,7 @@
 const SHORT: Limits = Limits {
     connect_ms: 2_000,
     answer_ms: 200,
+    body_ms: 0,
     max_body: 1 << 20,
 };
 
