Move runs that make no progress, and put their targets aside

A trial logged what targets list: the share of a task's work that is done, which stays where it is on just those four and on no other. Change: a run whose share stays the same for 0.8 s and a tenth of its estimate is stopped, and its target gets no new work for 2 s, doubled each time. Tasks that last and gangs are left alone: theirs says something else. Tests: tasks_that_stand_still_run_elsewhere (failed before), a_slow_task_that_goes_on_is left_alone.

--- a/src/scheduler/health.rs
+++ b/src/scheduler/health.rs
@@ -49,6 +49,13 @@
         true
     }
 
+    /// A run made no progress for long; others there are likely to stand still, too.
+    pub(super) fn stalled(&mut self, now: Millis) {
+        if self.usable(now) {
+            self.put_aside(now, ASIDE_MS);
+        }
+    }
+
     /// The target refused a start as unhealthy.
     pub(super) fn refused(&mut self, now: Millis) {
         self.refusals += 1;
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -2,7 +2,7 @@
 
 use super::{Command, Held, HoldFailure, Leader};
 use crate::scheduler::fleet::{HoldState, Target};
-use crate::scheduler::order::OrderPhase;
+use crate::scheduler::order::{Advance, OrderPhase};
 use crate::scheduler::{JobTable, Millis, Phase, TargetId, TaskKey};
 
 /// Time that a target with work may wait for an end before it answers, in ms; a third of
@@ -12,6 +12,13 @@
 /// Time between two holds of a target without work, in ms: its clock and health stay known.
 const IDLE_EVERY_MS: Millis = 2_500;
 
+/// Least time without progress after which a run is taken to stand still, in ms: a cold
+/// start and a lost list.
+const STALL_MS: Millis = 800;
+
+/// A slow target takes this many times as long; progress is told in parts of a hundred.
+const SLOWEST: u64 = 10;
+
 /// Time between two holds while ends can't be stored, in ms; the lease must not lapse.
 const UNSTORED_EVERY_MS: Millis = 300;
 
@@ -192,6 +199,13 @@
                 } else {
                     order.at_work = None;
                 }
+                let still_ms = order.advance.observe(running.percent, now);
+                if order.phase == OrderPhase::Running
+                    && stall_ms(table, task).is_some_and(|limit| still_ms > limit)
+                {
+                    self.stalled(id, running, still_ms, now);
+                    return;
+                }
             }
             Some(_) => {}
             None => return self.stray(table, id, running, now),
@@ -204,6 +218,26 @@
         }
     }
 
+    /// The work of a run stands still, as that of all runs on some targets does: it is
+    /// stopped, and the target gets no new work for a while.
+    fn stalled(
+        &mut self,
+        id: &TargetId,
+        running: &crate::scheduler::RunningTask,
+        still_ms: Millis,
+        now: Millis,
+    ) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        spdlog::warn!("run_stalled", kv: {
+            task = running.task.to_string(), run = running.run, target = id.0.as_ref(),
+            percent = running.percent, still_ms
+        });
+        target.stop(running.task, now);
+        target.health.stalled(now);
+    }
+
     /// Something runs that no order here stands for: it is stopped. The intent is stored
     /// before each start, so this is a run that was given up.
     fn stray(
@@ -227,6 +261,7 @@
             takes,
             since: now,
             at_work: None,
+            advance: Advance::default(),
             lasting: false,
             team: None,
         };
@@ -307,6 +342,15 @@
     }
 }
 
+/// Time without progress after which a run is taken to stand still, in ms; `None` for one
+/// whose progress says nothing: it lasts, or waits for the rest of its gang.
+fn stall_ms(table: &JobTable, task: TaskKey) -> Option<Millis> {
+    let job = table.get(task.step.job)?;
+    let step = job.spec.steps.get(task.step.step as usize)?;
+    let counts = !step.lasting && !step.gang;
+    counts.then(|| STALL_MS + step.estimate_ms * SLOWEST / 100)
+}
+
 /// A call without an answer: the next goes out soon, over a new connection.
 fn missed(target: &mut Target, now: Millis) {
     target.silent += 1;
--- a/src/scheduler/leader/schedule.rs
+++ b/src/scheduler/leader/schedule.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use super::Leader;
-use crate::scheduler::order::{Order, OrderPhase};
+use crate::scheduler::order::{Advance, Order, OrderPhase};
 use crate::scheduler::place::{self, Ask, Kept};
 use crate::scheduler::urgency::Urgency;
 use crate::scheduler::{
@@ -181,6 +181,7 @@
                 takes: step.takes(),
                 since: now,
                 at_work: None,
+                advance: Advance::default(),
                 lasting: step.lasting,
                 team: team.cloned(),
             };
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -9,7 +9,7 @@
 use super::{Leader, LeaderSettings};
 use crate::scheduler::fleet::Target;
 use crate::scheduler::machines::Desk;
-use crate::scheduler::order::{Order, OrderPhase};
+use crate::scheduler::order::{Advance, Order, OrderPhase};
 use crate::scheduler::{JobTable, Millis, Phase, Policy, TargetEntry, TargetId, TaskKey};
 
 /// Added to a lease's length where its start isn't known exactly, in parts of a hundred:
@@ -224,6 +224,7 @@
         takes: step.takes(),
         since: now,
         at_work: None,
+        advance: Advance::default(),
         lasting: step.lasting,
         team: job.spec.team.clone(),
     })
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -70,6 +70,30 @@
     },
 }
 
+/// How far the work of a run has come, as its target says.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Advance {
+    percent: u32,
+    /// When that was first seen.
+    since: Option<Millis>,
+}
+
+impl Advance {
+    /// Takes in a reading; returns for how long there has been no other, in ms.
+    pub(super) fn observe(&mut self, percent: u32, now: Millis) -> Millis {
+        match self.since {
+            Some(since) if self.percent == percent => now.saturating_sub(since),
+            _ => {
+                *self = Self {
+                    percent,
+                    since: Some(now),
+                };
+                0
+            }
+        }
+    }
+}
+
 /// A start that was given, or is about to be given, to a target.
 #[derive(Clone, Debug)]
 pub(super) struct Order {
@@ -81,6 +105,7 @@
     pub(super) since: Millis,
     /// When its work was first seen to be whole; `None` while it starts up or is paced.
     pub(super) at_work: Option<Millis>,
+    pub(super) advance: Advance,
     /// The task runs until its job is cancelled.
     pub(super) lasting: bool,
     /// Team that it counts for.
--- a/tests/scheduler/faults.rs
+++ b/tests/scheduler/faults.rs
@@ -24,6 +24,33 @@
     assert_eq!(world.broken, Vec::<String>::new());
 }
 
+/// Tasks on a target that answers while its work stands still were waited for without end.
+#[test]
+fn tasks_that_stand_still_run_elsewhere() {
+    let mut world = World::new(4, 1);
+    world.claim();
+    let key = world.submit(1, job(vec![step(8, 2_000, &[])]));
+    world.run_for(500);
+    let stuck = world.running(key)[0].0.clone();
+
+    world.targets.get_mut(&stuck).unwrap().stuck = true;
+    world.run_for(6_000);
+
+    assert_eq!(world.state(key), Some(JobState::Complete));
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_slow_task_that_goes_on_is_left_alone() {
+    let mut world = World::new(2, 1);
+    world.claim();
+    let key = world.submit(1, job(vec![step(2, 500, &[])]));
+    world.lengths.insert(key, 8_000);
+    world.run_for(9_000);
+
+    assert_eq!(world.state(key), Some(JobState::Complete));
+}
+
 #[test]
 fn a_lost_target_is_replaced_by_another() {
     let mut world = World::new(4, 1);
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -21,6 +21,19 @@
     pub(crate) fails: bool,
 }
 
+impl Run {
+    /// Share of its work that is done, or for a task that lasts, whether it is at work.
+    fn percent(&self, now: Millis) -> u32 {
+        let worked = now.saturating_sub(self.since);
+        let percent = match self.work.length_ms {
+            Some(length) => worked * 100 / length.max(1),
+            None if worked >= 300 => 100,
+            None => 0,
+        };
+        u32::try_from(percent.min(100)).unwrap()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Run {
     number: u32,
@@ -35,10 +48,14 @@
     pub(crate) entry: TargetEntry,
     /// False while nothing reaches it and no answer leaves it.
     pub(crate) reachable: bool,
+    /// What runs there makes no progress.
+    pub(crate) stuck: bool,
     /// Its entry is in the store's list.
     pub(crate) listed: bool,
     pub(crate) alive: bool,
     started: Millis,
+    /// When time last passed.
+    seen: Millis,
     until: u64,
     fence: u64,
     runs: IndexMap<TaskKey, Run>,
@@ -68,6 +85,8 @@
                 state: TargetState::Ready,
             },
             reachable: true,
+            stuck: false,
+            seen: 0,
             listed: true,
             alive: true,
             started: 0,
@@ -99,6 +118,16 @@
 
     /// Lets time pass: work ends, leases expire.
     pub(crate) fn advance(&mut self, now: Millis) {
+        let passed = now - self.seen;
+        self.seen = now;
+        if self.stuck {
+            for run in self.runs.values_mut() {
+                run.since += passed;
+                if let Some((at, EndKind::Done)) = &mut run.ends {
+                    *at += passed;
+                }
+            }
+        }
         let lapsed = self.clock(now) > self.until;
         let over: Vec<(TaskKey, EndKind)> = self
             .runs
@@ -213,7 +242,7 @@
             task: *task,
             run: run.number,
             checkpoint: String::new(),
-            percent: if now - run.since >= 300 { 100 } else { 0 },
+            percent: run.percent(now),
             load: 0,
         });
         Ok(Held {
