--- a/src/dispatch/claiming.rs
+++ b/src/dispatch/claiming.rs
@@ -123,7 +123,6 @@
     }
     state.leader = Some(leader);
     state.read_back = 0;
-    state.inbox = Some(sender.clone());
     spdlog::info!("role_taken", kv: { epoch, targets, jobs = state.table.len() });
     drop(guard);
     let write = writer::run(Arc::clone(shared), receiver, sender.clone(), producer);
--- a/src/dispatch/services.rs
+++ b/src/dispatch/services.rs
@@ -67,6 +67,17 @@
     Failed(String),
 }
 
+impl<T> Read<T> {
+    /// Turns what was read into something else.
+    pub fn map<U>(self, turn: impl FnOnce(T) -> U) -> Read<U> {
+        match self {
+            Self::Page(page) => Read::Page(turn(page)),
+            Self::Expired => Read::Expired,
+            Self::Failed(cause) => Read::Failed(cause),
+        }
+    }
+}
+
 /// What the operators changed.
 #[derive(Debug)]
 pub enum OperatorChange {
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -25,8 +25,6 @@
     pub(super) waves: IndexMap<u64, Wave>,
     pub(super) claim: Claim,
     pub(super) leader: Option<Leader>,
-    /// Events for the leader of this epoch.
-    pub(super) inbox: Option<Sender<Event>>,
     /// Last batch of this leader that was read back from the stream.
     pub(super) read_back: u64,
     /// The process stops and claims nothing more.
@@ -65,7 +63,6 @@
             waves: IndexMap::new(),
             claim,
             leader: None,
-            inbox: None,
             read_back: 0,
             stopping: false,
         };
@@ -127,7 +124,6 @@
         if let Some(leader) = self.leader.take() {
             spdlog::warn!("role_lost", kv: { epoch = leader.epoch(), cause });
         }
-        self.inbox = None;
         self.next = None;
         self.read_at = None;
     }
--- a/tests/scheduler/faults.rs
+++ b/tests/scheduler/faults.rs
@@ -4,6 +4,7 @@
 use rstest::rstest;
 
 use crate::fixtures::{job, lasting, step};
+use crate::target::Pace;
 use crate::world::{Troubles, World};
 
 /// The holds of a silent target went on extending its lease, so its tasks never came back.
@@ -33,7 +34,7 @@
     world.run_for(500);
     let stuck = world.running(key)[0].0.clone();
 
-    world.targets.get_mut(&stuck).unwrap().stuck = true;
+    world.targets.get_mut(&stuck).unwrap().pace = Pace::StandsStill;
     world.run_for(6_000);
 
     assert_eq!(world.state(key), Some(JobState::Complete));
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -21,6 +21,13 @@
     pub(crate) fails: bool,
 }
 
+/// Whether work makes progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Pace {
+    Usual,
+    StandsStill,
+}
+
 impl Run {
     /// Share of its work that is done, or for a task that lasts, whether it is at work.
     fn percent(&self, now: Millis) -> u32 {
@@ -48,8 +55,8 @@
     pub(crate) entry: TargetEntry,
     /// False while nothing reaches it and no answer leaves it.
     pub(crate) reachable: bool,
-    /// What runs there makes no progress.
-    pub(crate) stuck: bool,
+    /// Whether what runs there makes progress.
+    pub(crate) pace: Pace,
     /// Its entry is in the store's list.
     pub(crate) listed: bool,
     pub(crate) alive: bool,
@@ -85,7 +92,7 @@
                 state: TargetState::Ready,
             },
             reachable: true,
-            stuck: false,
+            pace: Pace::Usual,
             seen: 0,
             listed: true,
             alive: true,
@@ -120,7 +127,7 @@
     pub(crate) fn advance(&mut self, now: Millis) {
         let passed = now - self.seen;
         self.seen = now;
-        if self.stuck {
+        if self.pace == Pace::StandsStill {
             for run in self.runs.values_mut() {
                 run.since += passed;
                 if let Some((at, EndKind::Done)) = &mut run.ends {
