--- a/tests/scheduler/faults.rs
+++ b/tests/scheduler/faults.rs
@@ -146,12 +146,27 @@
                 let i = world.rng().usize(..keys.len());
                 world.cancel(keys[i]);
             }
+            12 => world.lapse_entries(),
+            13 | 14 => world.announce_all(),
+            15 => {
+                let i = world.rng().usize(..8);
+                world.targets[i].pace = Pace::StandsStill;
+            }
+            16 => {
+                for target in world.targets.values_mut() {
+                    target.pace = Pace::Usual;
+                }
+            }
             _ => {}
         }
         world.run_for(500);
     }
     world.store_up = true;
     world.troubles = Troubles::default();
+    world.announce_all();
+    for target in world.targets.values_mut() {
+        target.pace = Pace::Usual;
+    }
     for id in dark {
         world.targets.get_mut(&id).unwrap().reachable = true;
     }
