--- a/src/dispatch/intake.rs
+++ b/src/dispatch/intake.rs
@@ -1,5 +1,6 @@
 //! Stores callers' records together: what comes while an append is on its way waits for
-//! the next one, so that a slow store gets few calls, and no more of them under load.
+//! the next one, so that a slow store gets few calls, and no more of them under load. The
+//! leader stores those of all processes.
 
 use std::sync::Arc;
 use std::time::Duration;
