Give the second request of a test a pool of its own

The server of the test closes a connection after its answer; the second request went over the first one's connection when the end had not been seen yet. Ruled out: the client's limits (it is the request that is cut, on an old connection). Change: a pool each, so that both requests have a connection of their own; the assertions stay.

--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -227,10 +227,11 @@
         body_ms: 2_000,
         ..limits()
     };
-    let pool = Pool::new();
+    // A pool each: the server closes a connection after its answer.
+    let (first, second) = (Pool::new(), Pool::new());
 
-    let whole = block_on(pool.send(address, &get(), Reuse::Idle, &slow)).expect("an answer");
-    let cut = block_on(pool.send(address, &get(), Reuse::Idle, &limits())).expect_err("timeout");
+    let whole = block_on(first.send(address, &get(), Reuse::Idle, &slow)).expect("an answer");
+    let cut = block_on(second.send(address, &get(), Reuse::Idle, &limits())).expect_err("timeout");
 
     assert_eq!(whole.body, b"whole");
     assert_eq!(cut.kind, FailureKind::Silent);
