Count log lines that the queue could not take

Read-through: Throttle had a counter of lines dropped because nobody reads the log, and nothing raised it, so log_lines_left_out with cause 'stream blocked' never came and the refusal went to the logger's error handler instead. Change: a refused line is counted there. No test asserts the count yet; the whole path test shows that such a process goes on.

--- a/src/telemetry/throttle.rs
+++ b/src/telemetry/throttle.rs
@@ -95,11 +95,10 @@
         if dropped > 0 {
             spdlog::warn!("log_lines_left_out", kv: { kind = "any", lines = dropped, cause = "stream blocked" });
         }
-        if admitted {
-            self.sink.log(record)
-        } else {
-            Ok(())
+        if admitted && self.sink.log(record).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
         }
+        Ok(())
     }
 
     fn flush(&self) -> Result<()> {
