Reset connections of calls that are given up, so that no order arrives late

Cause: a request that a zone cut held up was delivered when the cut ended. Where fences aren't checked that breaks ONE.

Now a connection whose exchange is not finished is reset when it is dropped, and the kernel gives unacknowledged bytes up after 1 s, also for a process that is suspended or killed. The model has a VM service that checks tokens, with fences or without, and orders that the network holds up.

Both tests of the HTTP client failed before (an orderly end instead of a reset)."

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod codec;
 mod connection;
 mod deadline;
+mod exchange;
 mod head;
 mod message;
 mod pool;
@@ -13,6 +14,7 @@
 mod stream;
 
 pub use client::{ClientLimits, SendError, send};
+pub use exchange::UNACKNOWLEDGED_LIMIT_MS;
 pub use message::{Reply, Request};
 pub use pool::{ConnectionPool, Failure, FailureKind, Reuse};
 pub use problem::{Execution, Problem};
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -4,11 +4,11 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use async_net::TcpStream;
 use indexmap::IndexMap;
 
 use super::codec;
 use super::deadline::timeout;
+use super::exchange::Exchange;
 use super::head::{MessageError, ReplyHead, parse_reply_head};
 use super::stream::{BufferedStream, ReadError};
 use super::{ClientLimits, Reply, Request};
@@ -117,13 +117,14 @@
     ) -> Result<Reply, Failure> {
         let bytes = codec::encode_request(&address.to_string(), request)
             .map_err(|e| Failure::new(FailureKind::BadRequest, 0, &e))?;
-        let mut stream = match self.take_idle(address, reuse.max_idle()) {
-            Some(stream) => stream,
+        let mut exchange = match self.take_idle(address, reuse.max_idle()) {
+            Some(stream) => Exchange::begin(stream),
             None => connect(address, limits).await?,
         };
+        let stream = exchange.stream();
         let mut written = 0;
         let started = Instant::now();
-        let work = send_request(&mut stream, &bytes, &request.method, &mut written);
+        let work = send_request(stream, &bytes, &request.method, &mut written);
         let head = timeout(limits.response_ms, work).await;
         let head = match head.unwrap_or_else(timed_out) {
             Ok(head) => head,
@@ -131,10 +132,11 @@
         };
         let limit_ms = limits.response_ms.saturating_add(limits.body_ms);
         let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let work = read_response(&mut stream, &head, limits);
+        let work = read_response(stream, &head, limits);
         let reply = timeout(limit_ms.saturating_sub(elapsed_ms), work).await;
         match reply.unwrap_or_else(timed_out) {
             Ok(reply) => {
+                let stream = exchange.finish();
                 if !head.close && stream.unread().is_empty() {
                     self.put_back(address, stream);
                 }
@@ -212,13 +214,11 @@
     }
 }
 
-async fn connect(address: SocketAddr, limits: &ClientLimits) -> Result<BufferedStream, Failure> {
-    let stream = timeout(limits.connect_ms, TcpStream::connect(address))
-        .await
+async fn connect(address: SocketAddr, limits: &ClientLimits) -> Result<Exchange, Failure> {
+    let connected = timeout(limits.connect_ms, Exchange::connect(address)).await;
+    connected
         .ok_or_else(|| Failure::new(FailureKind::Connect, 0, &"connect timeout"))?
-        .map_err(|e| Failure::new(FailureKind::Connect, 0, &e))?;
-    let _ = stream.set_nodelay(true);
-    Ok(BufferedStream::new(stream))
+        .map_err(|e| Failure::new(FailureKind::Connect, 0, &e))
 }
 
 type FailureCause = (FailureKind, String);
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// The stream without its buffer.
+    pub(crate) const fn tcp(&self) -> &TcpStream {
+        &self.stream
+    }
+
     /// Bytes that were read from the stream and not yet taken.
     pub(crate) fn unread(&self) -> &[u8] {
         &self.buffer
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -244,3 +244,55 @@
     assert_eq!(complete.body, b"whole");
     assert_eq!(timeout.kind, FailureKind::Silent);
 }
+
+/// Guards against a call that is carried out long after it was given up: the bytes of a request
+/// that a network cut held up were delivered when the cut ended, because the client closed the
+/// connection in order. A reset discards them.
+#[test]
+fn a_request_given_up_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accept");
+        assert!(read_head(&mut stream));
+        stream.read(&mut [0]).map_err(|error| error.kind())
+    });
+    let limits = ClientLimits {
+        response_ms: 50,
+        ..limits()
+    };
+
+    let sent = block_on(ConnectionPool::new().send(address, &get(), Reuse::Any, &limits));
+    let seen = server.join().expect("server");
+
+    assert_eq!(sent.unwrap_err().kind, FailureKind::Silent);
+    assert_eq!(seen, Err(std::io::ErrorKind::ConnectionReset));
+}
+
+/// Guards against the same when the caller gives up: it drops the future that sends the request.
+#[test]
+fn a_request_whose_future_is_dropped_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accept");
+        assert!(read_head(&mut stream));
+        stream.read(&mut [0]).map_err(|error| error.kind())
+    });
+    let pool = ConnectionPool::new();
+
+    let (request, limits) = (get(), ClientLimits::default());
+    let sent = pool.send(address, &request, Reuse::Any, &limits);
+    let given_up = async {
+        async_io::Timer::after(Duration::from_millis(50)).await;
+        None
+    };
+    let answer = block_on(futures_lite::future::or(
+        async { Some(sent.await) },
+        given_up,
+    ));
+    let seen = server.join().expect("server");
+
+    assert!(answer.is_none());
+    assert_eq!(seen, Err(std::io::ErrorKind::ConnectionReset));
+}
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -6,4 +6,6 @@
 mod jobs;
 mod target;
 mod upkeep;
+mod vm_orders;
+mod vm_service;
 mod world;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use amaranthwick::http::UNACKNOWLEDGED_LIMIT_MS;
 use amaranthwick::scheduler::{
     Change, Command, Event, HoldFailure, Holder, JobKey, JobSpec, JobState, JobTable, Leader,
     LeaderSettings, Millis, Policy, Record, StartOutcome, Step, StopOutcome, TargetId, TaskKey, Vm,
@@ -13,6 +14,7 @@
 
 use crate::fixtures::{POOL, policy};
 use crate::target::{FakeTarget, Work};
+use crate::vm_service::{Refusal, VmService};
 
 /// Length of a step of the simulation, in ms; leaders decide once in each.
 const TICK_MS: Millis = 5;
@@ -22,8 +24,12 @@
 const CALL_LATENCY_MS: Millis = 1;
 /// Time after which a call without an answer fails, in ms.
 const CALL_TIMEOUT_MS: Millis = 400;
+/// Time after which a call to the VM service without an answer fails, in ms.
+const VM_CALL_TIMEOUT_MS: Millis = 900;
 /// Time that the maintenance of a VM takes, in ms.
 const UPKEEP_MS: Millis = 2_000;
+/// Time after the last batch of a leader in which its successor sends no orders for VMs, in ms.
+const VM_ORDER_DELAY_MS: Millis = 3_000;
 /// Time of day at virtual time 0, in ms since 1970.
 pub(crate) const MIDNIGHT_MS: u64 = 1_700_000_000_000;
 
@@ -42,6 +48,12 @@
         batch: u64,
         changes: Vec<Change>,
     },
+    Upkeep {
+        leader: usize,
+        vm: String,
+        /// The network delivers the order after its sender has given the call up.
+        held_up: bool,
+    },
     FinishUpkeep(String),
 }
 
@@ -62,6 +74,9 @@
     pub(crate) late_starts: u32,
     /// Runs that end as failed, of all runs.
     pub(crate) failed_runs: u32,
+    /// Orders for VMs that the network holds up for as long as a connection lasts without
+    /// acknowledgements, of all orders.
+    pub(crate) held_up_orders: u32,
 }
 
 /// The simulated platform and the processes that lead or have led.
@@ -93,8 +108,9 @@
     /// Tasks whose ends as done were forgotten by their targets; they must not start again.
     done: IndexSet<TaskKey>,
     wave: Option<Wave>,
-    /// VMs that are being maintained.
-    down: IndexSet<String>,
+    pub(crate) vm_service: VmService,
+    /// When a batch was last stored.
+    last_stored: Millis,
 }
 
 impl World {
@@ -124,7 +140,8 @@
             cancelled: IndexMap::new(),
             done: IndexSet::new(),
             wave: None,
-            down: IndexSet::new(),
+            vm_service: VmService::default(),
+            last_stored: 0,
         }
     }
 
@@ -151,7 +168,7 @@
             holder,
             lease_ms: 4_000,
             step_down_after_ms: 7_000,
-            vm_order_delay_ms: 3_000,
+            vm_order_delay_ms: VM_ORDER_DELAY_MS.saturating_sub(self.now - self.last_stored),
             stop_timeout_ms: 400,
             job_retention_ms: 120_000,
         };
@@ -394,7 +411,7 @@
                 let vms = self.targets.values().filter(|t| t.alive).map(|target| Vm {
                     name: target.entry.vm.to_string(),
                     pool: Arc::clone(&target.entry.pool),
-                    state: if self.down.contains(&*target.entry.vm) {
+                    state: if self.vm_service.is_down(&target.entry.vm) {
                         VmState::Upkeep
                     } else {
                         VmState::Up
@@ -406,7 +423,7 @@
                 let event = Event::VmList(Some(vms.collect()));
                 self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
             }
-            Command::BeginUpkeep { vm, .. } => self.upkeep(leader, vm),
+            Command::BeginUpkeep { vm, .. } => self.order_upkeep(leader, vm),
             Command::MoveVm { vm, .. } => {
                 let outcome = VmOutcome::Invalid;
                 let event = Event::VmOrderAnswered { vm, outcome };
@@ -420,23 +437,70 @@
         }
     }
 
-    fn upkeep(&mut self, leader: usize, vm: String) {
-        let cap = self.wave.as_ref().map_or(0, |wave| wave.max_down);
-        if self.down.len() >= cap {
-            self.violations
-                .push(format!("{}: over the wave's cap", self.now));
+    fn order_upkeep(&mut self, leader: usize, vm: String) {
+        let held_up = self.rng.u32(..1_000) < self.faults.held_up_orders;
+        let delay = if held_up {
+            self.vm_answer(VM_CALL_TIMEOUT_MS, leader, &vm, VmOutcome::Unknown);
+            self.rng.u64(..Millis::from(UNACKNOWLEDGED_LIMIT_MS))
+        } else {
+            CALL_LATENCY_MS
+        };
+        let order = Action::Upkeep {
+            leader,
+            vm,
+            held_up,
+        };
+        self.schedule(delay, order);
+    }
+
+    fn vm_answer(&mut self, delay: Millis, leader: usize, vm: &str, outcome: VmOutcome) {
+        let vm = vm.to_owned();
+        let event = Event::VmOrderAnswered { vm, outcome };
+        self.schedule(delay, Action::Deliver { leader, event });
+    }
+
+    /// An order to maintain a VM arrives.
+    fn upkeep(&mut self, leader: usize, vm: &str, held_up: bool) {
+        let now = self.now;
+        let epoch = self.epoch_of(leader);
+        let outcome = match self.vm_service.admit(vm, epoch) {
+            Ok(()) => {
+                if !held_up {
+                    self.check_vm_is_empty(vm);
+                }
+                self.begin_upkeep(vm);
+                VmOutcome::Begun
+            }
+            Err(Refusal::Done) => VmOutcome::Begun,
+            Err(Refusal::Fenced) => VmOutcome::Fenced,
+            Err(Refusal::LowerToken) => {
+                self.violations.push(format!(
+                    "{now}: order for {vm} with token {epoch} after a higher one"
+                ));
+                return;
+            }
+        };
+        if !held_up {
+            self.vm_answer(CALL_LATENCY_MS, leader, vm, outcome);
         }
+    }
+
+    fn check_vm_is_empty(&mut self, vm: &str) {
         let target = self.targets.values().find(|target| *target.entry.vm == *vm);
         if target.is_some_and(|target| target.running().next().is_some()) {
             self.violations
                 .push(format!("{}: upkeep under running tasks", self.now));
         }
-        self.upkeeps.push((self.now, vm.clone()));
-        self.down.insert(vm.clone());
-        self.schedule(UPKEEP_MS, Action::FinishUpkeep(vm.clone()));
-        let outcome = VmOutcome::Begun;
-        let event = Event::VmOrderAnswered { vm, outcome };
-        self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
+    }
+
+    fn begin_upkeep(&mut self, vm: &str) {
+        let cap = self.wave.as_ref().map_or(0, |wave| wave.max_down);
+        if self.vm_service.down_count() > cap {
+            self.violations
+                .push(format!("{}: over the wave's cap", self.now));
+        }
+        self.upkeeps.push((self.now, vm.to_owned()));
+        self.schedule(UPKEEP_MS, Action::FinishUpkeep(vm.to_owned()));
     }
 
     fn perform(&mut self, action: Action) {
@@ -450,8 +514,13 @@
             Action::Start(leader, command) => self.start(leader, command),
             Action::Stop(leader, command) => self.stop(leader, &command),
             Action::Hold(leader, command) => self.hold(leader, &command),
+            Action::Upkeep {
+                leader,
+                vm,
+                held_up,
+            } => self.upkeep(leader, &vm, held_up),
             Action::FinishUpkeep(vm) => {
-                self.down.shift_remove(&vm);
+                self.vm_service.finish(&vm);
                 let now = self.now;
                 let mut found = self.targets.values_mut();
                 let target = found.find(|target| *target.entry.vm == *vm).unwrap();
@@ -494,6 +563,7 @@
             return;
         }
         self.log.extend(changes);
+        self.last_stored = self.now;
         let event = Event::BatchStored { batch };
         self.schedule(STORE_LATENCY_MS, Action::Deliver { leader, event });
     }
