Count a claim as confirmed from the sending of the stored batch

Cause: a leader that was frozen while the store's answer was on its way handled the answer after the thaw, took the role for confirmed at that time, and sent orders for VMs after those of its successor.

Ruled out: orders held up by the network (the limit was 1 s already).

--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -27,6 +27,7 @@
     /// Targets, `born` of their incarnations, and positions of ended runs up to which the
     /// targets may forget.
     ends: Vec<(TargetId, u64, u64)>,
+    sent_at: Millis,
 }
 
 /// Changes that are not stored yet, and the batch that is being stored.
@@ -39,8 +40,11 @@
     in_flight: Option<Batch>,
     /// Number of the next batch, from 1.
     next_batch: u64,
-    /// When a batch was last stored.
+    /// When the answer that a batch is stored was last handled.
     pub(super) stored_at: Millis,
+    /// When the newest stored batch was sent: at that time, no other process had claimed the role.
+    /// The answer may be handled much later, if the process was suspended.
+    pub(super) confirmed_at: Millis,
     /// When a batch was last sent.
     sent_at: Millis,
     /// When ended jobs that may be forgotten are next searched for.
@@ -55,6 +59,7 @@
             in_flight: None,
             next_batch: 1,
             stored_at: now,
+            confirmed_at: now,
             sent_at: now,
             next_forget_at: now + FORGET_INTERVAL_MS,
         }
@@ -120,6 +125,7 @@
             } else {
                 Vec::new()
             },
+            sent_at: now,
         };
         self.journal.next_batch += 1;
         self.commands.push(Command::Append {
@@ -164,6 +170,7 @@
             return;
         };
         self.journal.stored_at = now;
+        self.journal.confirmed_at = batch.sent_at;
         for (id, born, end) in batch.ends {
             let target = self.targets.get_mut(&id);
             if let Some(target) = target.filter(|target| target.entry.born == born) {
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -21,8 +21,8 @@
 /// it; the work of those that are stopped is lost.
 const TASK_END_WAIT_MS: Millis = 2_500;
 
-/// Time for which a stored batch confirms that this process leads, in ms; other processes
-/// need a little more to presume the leader dead.
+/// Time for which a stored batch confirms that this process leads, in ms from its sending; other
+/// processes need a little more to presume the leader dead.
 const CLAIM_CONFIRMED_MS: Millis = 900;
 
 /// A long-running task that has been working for no longer than this counts as unavailable, in
@@ -52,7 +52,7 @@
     /// recent, the store has just confirmed that there is no later leader, and the VMs are
     /// known.
     pub(super) fn may_order_vms(&self, now: Millis) -> bool {
-        let confirmed = now.saturating_sub(self.journal.stored_at) < CLAIM_CONFIRMED_MS;
+        let confirmed = now.saturating_sub(self.journal.confirmed_at) < CLAIM_CONFIRMED_MS;
         confirmed && self.vm_tracker.orders_allowed(now) && self.vm_tracker.has_list()
     }
 
--- a/tests/scheduler/vm_orders.rs
+++ b/tests/scheduler/vm_orders.rs
@@ -10,7 +10,8 @@
 /// Number of seeds of each case.
 const SEEDS: u64 = 60;
 
-/// Simulates leaders that are killed, with orders that the network holds up.
+/// Simulates leaders that are killed, and frozen while an answer of the store is on its way, with
+/// orders that the network holds up.
 fn run_with_changes_of_leader(seed: u64, fenced: bool) -> World {
     let mut world = World::new(16, seed);
     world.vm_service.fenced = fenced;
@@ -29,7 +30,12 @@
         }
         let span = 1_000 + world.rng().u64(..3_000);
         world.run_for(span);
-        world.kill();
+        if world.rng().bool() {
+            world.kill();
+        } else {
+            let span = 3_000 + world.rng().u64(..3_000);
+            world.freeze(span);
+        }
         let pause = 1_000 + world.rng().u64(..300);
         world.run_for(pause);
         world.claim();
@@ -38,8 +44,8 @@
     world
 }
 
-/// Guards against an order that arrives after one of a later leader, because a partition held it
-/// up.
+/// Guards against an order that arrives after one of a later leader: it was held up by a partition,
+/// or sent by a process that had been frozen and took an old answer of the store for a new one.
 #[rstest]
 fn no_order_for_a_vm_follows_one_of_a_later_leader(#[values(false, true)] fenced: bool) {
     for seed in 0..SEEDS {
