Check the claim again as an order is written, and count suspended time

Cause: an order for a VM was decided while the claim held, but written later: the process was frozen between the two, or while it connected. Instant does not count the time for which a VM is suspended, so that a suspended leader took old confirmations of the store for new ones as well.

Ruled out: the order of the commands in one poll (a freeze inside it takes one tick).

Now a command for a VM says until when it may be sent; the connection asks that immediately before it writes, and the scheduler's clock is the one that counts suspensions. Sending of calls has a file of its own, src/dispatch/calls.rs.

The test a_request_that_is_withdrawn_is_not_written is new with its function."

--- a/src/dispatch/lead.rs
+++ b/src/dispatch/lead.rs
@@ -7,13 +7,13 @@
 use async_io::Timer;
 use futures_lite::future;
 
+use super::calls::send_command;
 use super::claiming::claim;
-use super::clock::{wall_ms, whole_micros};
-use super::services::{HoldRequest, Services, StartRequest, StopRequest};
+use super::clock::wall_ms;
+use super::services::Services;
 use super::state::Shared;
 use super::writer::Batch;
 use crate::scheduler::{Command, Event};
-use crate::telemetry::metrics;
 
 /// Longest time until a leading process runs the leader again, in ms.
 const LEADER_TICK_MS: u64 = 25;
@@ -117,115 +117,3 @@
         shared.runtime.spawn(task).detach();
     }
 }
-
-/// Label of a command in the metric that counts the leader's calls.
-const fn call_label(command: &Command) -> &'static str {
-    match command {
-        Command::Append { .. } => "append",
-        Command::Start { .. } => "start",
-        Command::Stop { .. } => "stop",
-        Command::Hold { .. } => "hold",
-        Command::ListVms => "list_vms",
-        Command::BeginUpkeep { .. } => "upkeep",
-        Command::MoveVm { .. } => "move",
-        Command::ReportWave { .. } => "report",
-    }
-}
-
-/// Sends the call of a command and passes its outcome to the leader as an event.
-async fn send_command<S: Services>(
-    shared: Arc<Shared<S>>,
-    event_tx: Sender<Event>,
-    epoch: u64,
-    command: Command,
-) {
-    let services = &shared.services;
-    let sent_at = shared.clock.now();
-    let tags = [("call", call_label(&command))];
-    shared.metrics.count(metrics::LEADER_CALLS, 1, &tags);
-    let event = match command {
-        Command::Append { .. } => return,
-        Command::Start {
-            target,
-            task,
-            run,
-            spec,
-            deadline_ms,
-            checkpoint,
-        } => {
-            let start = StartRequest {
-                target: &target,
-                task,
-                run,
-                spec: &spec,
-                deadline_ms,
-                epoch,
-                checkpoint: &checkpoint,
-            };
-            let started_at = Instant::now();
-            let started = services.start_run(start).await;
-            let elapsed = whole_micros(started_at.elapsed());
-            shared.metrics.record(metrics::START_US, elapsed, &[]);
-            Event::StartAnswered {
-                target: target.id.clone(),
-                born: target.born,
-                task,
-                run,
-                outcome: started.outcome,
-                clock_ms: started.clock_ms,
-                sent_at,
-            }
-        }
-        Command::Stop { target, task, run } => {
-            let stop = StopRequest {
-                target: &target,
-                task,
-                run,
-                epoch,
-            };
-            let outcome = services.stop_run(stop).await;
-            Event::StopAnswered {
-                target: target.id.clone(),
-                born: target.born,
-                task,
-                outcome,
-            }
-        }
-        Command::Hold {
-            target,
-            deadline_ms,
-            forget_up_to,
-            wait_ms,
-        } => {
-            let hold = HoldRequest {
-                target: &target,
-                deadline_ms,
-                forget_up_to,
-                wait_ms,
-                epoch,
-            };
-            let result = services.hold(hold).await;
-            Event::HoldAnswered {
-                target: target.id.clone(),
-                born: target.born,
-                result,
-                sent_at,
-            }
-        }
-        Command::ListVms => Event::VmList(services.list_vms().await),
-        Command::BeginUpkeep { vm, wave } => {
-            let outcome = services.begin_upkeep(&vm, wave, epoch).await;
-            Event::VmOrderAnswered { vm, outcome }
-        }
-        Command::MoveVm { vm, pool } => {
-            let outcome = services.move_vm(&vm, &pool, epoch).await;
-            Event::VmOrderAnswered { vm, outcome }
-        }
-        Command::ReportWave { wave, complete } => {
-            let stored = services.report_wave(wave, complete).await;
-            Event::WaveReported { wave, stored }
-        }
-    };
-    let _ = event_tx.try_send(event);
-    shared.wake();
-}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 
 mod append_queue;
 mod callers;
+mod calls;
 mod claiming;
 mod clock;
 mod follow;
@@ -24,8 +25,8 @@
 
 pub use callers::{CancelOutcome, Lookup, Submission};
 pub use services::{
-    AppendOutcome, HoldRequest, OperatorChange, Page, Producer, ReadOutcome, Services, Snapshot,
-    StartAnswer, StartRequest, StopRequest, TargetChange,
+    AppendOutcome, HoldRequest, OperatorChange, OrderClaim, Page, Producer, ReadOutcome, Services,
+    Snapshot, StartAnswer, StartRequest, StopRequest, TargetChange,
 };
 pub use store_router::{StoreRoute, StoreRouter};
 
--- a/src/dispatch/services.rs
+++ b/src/dispatch/services.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::clock::Clock;
 use crate::scheduler::{
-    Change, HoldFailure, JobKey, JobSpec, Policy, Record, StartOutcome, StopOutcome, TargetEntry,
-    TargetId, TargetReport, TaskKey, Vm, VmOutcome, Wave,
+    Change, HoldFailure, JobKey, JobSpec, Millis, Policy, Record, StartOutcome, StopOutcome,
+    TargetEntry, TargetId, TargetReport, TaskKey, Vm, VmOutcome, Wave,
 };
 
 /// Identifies an append of a leader, so that the store can refuse those of earlier leaders and
@@ -165,6 +166,25 @@
     pub epoch: u64,
 }
 
+/// The claim of the leader role under which an order for a VM is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderClaim {
+    /// Fencing token of the leader.
+    pub epoch: u64,
+    pub(super) clock: Clock,
+    pub(super) send_by: Millis,
+}
+
+impl OrderClaim {
+    /// Returns whether the order may be sent now: the store confirmed the claim so recently that
+    /// no other process can have claimed the role since. It must be called immediately before the
+    /// order is written, as the process may be suspended at any time.
+    #[must_use]
+    pub fn holds(&self) -> bool {
+        self.clock.now() < self.send_by
+    }
+}
+
 /// Calls to the platform: its store, targets and VMs.
 pub trait Services: Send + Sync + std::fmt::Debug + 'static {
     /// Loads the newest record of each key of the stream.
@@ -226,16 +246,21 @@
     /// Lists the VMs; `None` if the list could not be read as a whole.
     fn list_vms(&self) -> impl Future<Output = Option<Vec<Vm>>> + Send;
 
-    /// Begins the maintenance of a VM as part of a wave; `epoch` is the leader's fencing token.
+    /// Begins the maintenance of a VM as part of a wave.
     fn begin_upkeep(
         &self,
         vm: &str,
         wave: u64,
-        epoch: u64,
+        claim: OrderClaim,
     ) -> impl Future<Output = VmOutcome> + Send;
 
-    /// Moves a VM to another pool; `epoch` is the leader's fencing token.
-    fn move_vm(&self, vm: &str, pool: &str, epoch: u64) -> impl Future<Output = VmOutcome> + Send;
+    /// Moves a VM to another pool.
+    fn move_vm(
+        &self,
+        vm: &str,
+        pool: &str,
+        claim: OrderClaim,
+    ) -> impl Future<Output = VmOutcome> + Send;
 
     /// Sets the addresses of the other processes, through which the store may be reached.
     fn set_peers(&self, peers: Vec<SocketAddr>);
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -9,6 +9,7 @@
 use super::DispatchSettings;
 use super::append_queue::PendingAppend;
 use super::clock::Clock;
+use super::services::OrderClaim;
 use crate::runtime::Runtime;
 use crate::scheduler::{Election, Event, JobTable, Leader, Millis, Policy, Wave};
 use crate::telemetry::Metrics;
@@ -91,6 +92,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The claim under which orders for VMs are sent until `send_by`.
+    pub(super) const fn order_claim(&self, epoch: u64, send_by: Millis) -> OrderClaim {
+        OrderClaim {
+            epoch,
+            clock: self.clock,
+            send_by,
+        }
+    }
+
     /// Makes the control loop run at once instead of at its next tick.
     pub(super) fn wake(&self) {
         let _ = self.wakes.0.try_send(());
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -73,7 +73,8 @@
 /// have run the request.
 fn failed_attempt(failure: &Failure) -> AttemptOutcome {
     let reason = match failure.kind {
-        FailureKind::Connect => Reason::NoTarget,
+        // The entry withdraws no request.
+        FailureKind::Connect | FailureKind::Withdrawn => Reason::NoTarget,
         FailureKind::Cut => Reason::Cut,
         FailureKind::BadAnswer => Reason::BadAnswer,
         FailureKind::Silent => Reason::Silent,
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -39,6 +39,8 @@
     Silent,
     /// The request can't be encoded as HTTP.
     BadRequest,
+    /// The caller no longer allowed the request when it was to be written.
+    Withdrawn,
 }
 
 /// A request that got no complete response.
@@ -114,6 +116,23 @@
         request: &Request,
         reuse: Reuse,
         limits: &ClientLimits,
+    ) -> Result<Reply, Failure> {
+        self.send_if(address, request, reuse, limits, || true).await
+    }
+
+    /// Sends `request` as [`Self::send`] does, but only if `allowed` returns true once the
+    /// connection is open, immediately before the request is written.
+    ///
+    /// # Errors
+    /// The failure tells how much of the request was written; it is [`FailureKind::Withdrawn`] if
+    /// the request was not allowed.
+    pub async fn send_if(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+        reuse: Reuse,
+        limits: &ClientLimits,
+        allowed: impl Fn() -> bool + Send,
     ) -> Result<Reply, Failure> {
         let bytes = codec::encode_request(&address.to_string(), request)
             .map_err(|e| Failure::new(FailureKind::BadRequest, 0, &e))?;
@@ -121,6 +140,9 @@
             Some(stream) => Exchange::begin(stream),
             None => connect(address, limits).await?,
         };
+        if !allowed() {
+            return Err(Failure::new(FailureKind::Withdrawn, 0, &"withdrawn"));
+        }
         let stream = exchange.stream();
         let mut written = 0;
         let started = Instant::now();
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -208,6 +208,9 @@
         vm: String,
         /// Number of the wave.
         wave: u64,
+        /// Time on the leader's clock after which the order must not be sent, because another
+        /// process may have claimed the role.
+        send_by: Millis,
     },
     /// Move a VM to another pool; answered by [`Event::VmOrderAnswered`].
     MoveVm {
@@ -215,6 +218,8 @@
         vm: String,
         /// Name of the pool that the VM is to move to.
         pool: Arc<str>,
+        /// As for [`Command::BeginUpkeep`].
+        send_by: Millis,
     },
     /// Report the state of a wave to the operators; answered by [`Event::WaveReported`].
     ReportWave {
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -251,11 +251,17 @@
         if let Some(target) = target.and_then(|id| self.targets.get_mut(&id)) {
             target.vacating_since.get_or_insert(now);
         }
+        let send_by = self.journal.confirmed_at + CLAIM_CONFIRMED_MS;
         self.commands.push(match &order {
-            VmOrder::Upkeep(wave) => Command::BeginUpkeep { vm, wave: *wave },
+            VmOrder::Upkeep(wave) => Command::BeginUpkeep {
+                vm,
+                wave: *wave,
+                send_by,
+            },
             VmOrder::Move(pool) => Command::MoveVm {
                 vm,
                 pool: Arc::clone(pool),
+                send_by,
             },
         });
         self.vm_tracker.record_order(name, order, now);
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -296,3 +296,23 @@
     assert!(answer.is_none());
     assert_eq!(seen, Err(std::io::ErrorKind::ConnectionReset));
 }
+
+/// Guards against an order that is sent although its sender may no longer give orders: the process
+/// was suspended after the decision, or while it connected.
+#[test]
+fn a_request_that_is_withdrawn_is_not_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accept");
+        stream.read(&mut [0]).map_err(|error| error.kind())
+    });
+    let pool = ConnectionPool::new();
+
+    let sent = block_on(pool.send_if(address, &get(), Reuse::Any, &limits(), || false));
+    let seen = server.join().expect("server");
+
+    let failure = sent.unwrap_err();
+    assert_eq!((failure.kind, failure.written), (FailureKind::Withdrawn, 0));
+    assert_eq!(seen, Err(std::io::ErrorKind::ConnectionReset));
+}
