Name the settings of a claim, and let leaders hand over in the random faults

The read-through: claim() passed four values in a tuple; they are LeaderSettings now, built by a function of their own. role_taken logs how long leases of earlier leaders are waited for. No decision changes.

--- a/src/dispatch/claiming.rs
+++ b/src/dispatch/claiming.rs
@@ -5,12 +5,13 @@
 
 use async_io::Timer;
 
+use super::DispatchSettings;
 use super::clock::wall_ms;
 use super::lead::LeaderChannels;
 use super::services::{AppendOutcome, Producer, ReadOutcome, Services, TargetChange};
-use super::state::Shared;
+use super::state::{Shared, State};
 use super::writer;
-use crate::scheduler::{Event, Holder, Leader, LeaderSettings, Record, TargetEntry};
+use crate::scheduler::{Event, Holder, Leader, LeaderSettings, Millis, Record, TargetEntry};
 
 /// Length of the leases that the leader gives targets, in ms, unless they accept only shorter
 /// ones. It is longer than it takes to notice a dead leader, claim the role and call every
@@ -36,38 +37,37 @@
 /// Claims the role if this process should. Returns the channels of the new leader, or `None` if
 /// the role was not claimed or the targets could not be listed.
 pub(super) async fn claim<S: Services>(shared: &Arc<Shared<S>>) -> Option<LeaderChannels> {
-    let (holder, expected, silence_ms, earlier_extend_ms) = {
+    let (settings, expected) = {
         let state = shared.lock();
         let now = shared.clock.now();
-        let current = state.table.holder();
-        if state.stopping || !state.election.should_claim(current, now) {
+        if state.stopping || !state.election.should_claim(state.table.holder(), now) {
             return None;
         }
-        let silence_ms = state.election.silence_ms(now);
-        (
-            state.election.next_claim(current),
-            state.next_offset?,
-            silence_ms,
-            state
-                .election
-                .earlier_extend_ms(current, now, STEP_DOWN_AFTER_MS),
-        )
+        let settings = leader_settings(&shared.settings, &state, now);
+        (settings, state.next_offset?)
     };
-    let producer = append_claim(shared, &holder, expected).await?;
-    spdlog::info!("role_claimed", kv: { epoch = holder.epoch, offset = expected, seq = producer.seq });
+    let producer = append_claim(shared, &settings.holder, expected).await?;
+    spdlog::info!("role_claimed", kv: { epoch = producer.epoch, offset = expected, seq = producer.seq });
     let entries = list_targets(shared).await?;
-    let settings = &shared.settings;
-    let settings = LeaderSettings {
-        holder,
+    Some(become_leader(shared, settings, producer, entries))
+}
+
+/// Settings of a leader that claims the role at `now`, after the holder that `state` knows.
+fn leader_settings(settings: &DispatchSettings, state: &State, now: Millis) -> LeaderSettings {
+    let current = state.table.holder();
+    let election = &state.election;
+    LeaderSettings {
+        holder: election.next_claim(current),
         lease_ms: LEASE_MS.min(settings.max_lease_ms),
-        earlier_extend_ms,
+        earlier_extend_ms: election.earlier_extend_ms(current, now, STEP_DOWN_AFTER_MS),
         step_down_after_ms: STEP_DOWN_AFTER_MS,
         // The earlier leader has sent no orders for VMs since its last record was read.
-        vm_order_delay_ms: settings.vm_order_delay_ms.saturating_sub(silence_ms),
+        vm_order_delay_ms: settings
+            .vm_order_delay_ms
+            .saturating_sub(election.silence_ms(now)),
         stop_timeout_ms: settings.stop_timeout_ms,
         job_retention_ms: settings.job_retention_ms,
-    };
-    Some(become_leader(shared, settings, producer, entries))
+    }
 }
 
 /// Appends the record that claims the role, provided that the stream still ends at `expected`.
@@ -130,6 +130,7 @@
     let (event_tx, events) = async_channel::unbounded();
     let (batch_tx, batches) = async_channel::unbounded();
     let epoch = settings.holder.epoch;
+    let earlier_extend_ms = settings.earlier_extend_ms;
     let mut guard = shared.lock();
     let state = &mut *guard;
     let policy = Arc::clone(&state.policy);
@@ -140,7 +141,7 @@
     }
     state.leader = Some(leader);
     state.read_back_batch = 0;
-    spdlog::info!("role_taken", kv: { epoch, targets, jobs = state.table.len() });
+    spdlog::info!("role_taken", kv: { epoch, targets, jobs = state.table.len(), earlier_extend_ms });
     drop(guard);
     let write = writer::run(Arc::clone(shared), batches, event_tx.clone(), producer);
     shared.runtime.spawn(write).detach();
--- a/src/scheduler/election.rs
+++ b/src/scheduler/election.rs
@@ -57,7 +57,8 @@
         }
     }
 
-    /// Notes that the stream says at `now` that `holder` comes after `before`.
+    /// Notes that a record of `holder` was read at `now`; `before` is the holder of the record
+    /// before it.
     pub fn holder_read(&mut self, before: Option<&Holder>, holder: &Holder, now: Millis) {
         let replaces = before.is_some_and(|before| before.epoch < holder.epoch && !before.released);
         if replaces && !holder.released {
--- a/tests/scheduler/faults.rs
+++ b/tests/scheduler/faults.rs
@@ -207,6 +207,11 @@
                     target.pace = Pace::Normal;
                 }
             }
+            17 => {
+                world.hand_over();
+                world.run_for(200);
+                world.claim();
+            }
             _ => {}
         }
         world.run_for(500);
