--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -225,7 +225,11 @@
                     return;
                 }
             }
-            Some(_) => {}
+            Some(run) => {
+                spdlog::warn!("run_number_differs", kv: {
+                    task = task.to_string(), run = run.number, reported = running.run, target = id.0.as_ref()
+                });
+            }
             None => return self.stop_unknown_run(table, id, running, now),
         }
         let stored = table.get_mut(task.step.job);
--- a/src/scheduler/leader/stops.rs
+++ b/src/scheduler/leader/stops.rs
@@ -11,12 +11,12 @@
 impl Leader {
     /// Stops all runs of a job that has ended. Runs whose start was not sent yet are removed.
     pub(super) fn stop_runs_of_ended_job(&mut self, table: &JobTable, key: JobKey) {
-        let ended = table.get(key).is_some_and(|job| job.progress.state.ended());
-        if !ended {
+        let Some(job) = table.get(key).filter(|job| job.progress.state.ended()) else {
             return;
-        }
+        };
+        let state = job.progress.state;
         let now = self.now;
-        for target in self.targets.values_mut() {
+        for (id, target) in &mut self.targets {
             let tasks: Vec<TaskKey> = target
                 .runs
                 .keys()
@@ -28,6 +28,10 @@
                 if planned {
                     target.remove_run(task, now);
                 } else {
+                    spdlog::info!("run_stopping", kv: {
+                        task = task.to_string(), run = target.runs[&task].number, target = id.0.as_ref(),
+                        cause = "its job has ended", state = format!("{state:?}")
+                    });
                     target.request_stop(task, now);
                 }
             }
@@ -76,20 +80,28 @@
             self.fenced = true;
             return;
         }
-        let run = target.runs.get_mut(&task);
-        let Some(RunPhase::Stopping {
+        let Some(run) = target.runs.get_mut(&task) else {
+            return;
+        };
+        let number = run.number;
+        let RunPhase::Stopping {
             resend_at,
             confirmed_at,
-        }) = run.map(|run| &mut run.phase)
+        } = &mut run.phase
         else {
             return;
         };
-        match outcome {
-            StopOutcome::Confirmed => {
-                confirmed_at.get_or_insert(now);
-                self.expedite_hold(id, now);
-            }
-            _ => *resend_at = now + RETRY_MS,
+        if outcome != StopOutcome::Confirmed {
+            spdlog::info!("stop_unconfirmed", kv: {
+                task = task.to_string(), run = number, target = id.0.as_ref(), outcome = format!("{outcome:?}")
+            });
+            *resend_at = now + RETRY_MS;
+            return;
+        }
+        if confirmed_at.is_none() {
+            spdlog::info!("stop_confirmed", kv: { task = task.to_string(), run = number, target = id.0.as_ref() });
         }
+        confirmed_at.get_or_insert(now);
+        self.expedite_hold(id, now);
     }
 }
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -171,6 +171,11 @@
         for (task, placed, run) in orphans {
             if placed <= born {
                 self.orphans.swap_remove(&task);
+                let state = table.get(task.step.job).map(|job| job.progress.state);
+                spdlog::info!("run_adopted", kv: {
+                    task = task.to_string(), run, target = id.0.as_ref(), cause = "its target is listed late",
+                    job = state.map_or_else(|| "unknown".to_owned(), |state| format!("{state:?}"))
+                });
                 self.adopt_task(table, task, &id, placed, run, now);
             }
         }
