--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -118,6 +118,11 @@
 }
 
 impl Run {
+    /// Returns whether it is being stopped.
+    pub(super) const fn stopping(&self) -> bool {
+        matches!(self.phase, RunPhase::Stopping { .. })
+    }
+
     /// Returns whether the target may be executing it, or may still begin to.
     pub(super) const fn may_be_executing(&self) -> bool {
         !matches!(self.phase, RunPhase::Planned)
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -188,7 +188,7 @@
         let Some(run) = self.runs.get_mut(&task) else {
             return;
         };
-        if !matches!(run.phase, RunPhase::Stopping { .. }) {
+        if !run.stopping() {
             run.phase = RunPhase::Stopping {
                 resend_at: now,
                 confirmed_at: None,
--- a/tests/scheduler/cancelled_jobs.rs
+++ b/tests/scheduler/cancelled_jobs.rs
@@ -1,11 +1,15 @@
 //! Runs of cancelled jobs that the leader learns of only after the cancel.
 
-use amaranthwick::scheduler::JobState;
+use amaranthwick::scheduler::{JobKey, JobState, Millis};
 use rstest::rstest;
 
-use crate::fixtures::{job, long_running_step};
+use crate::fixtures::{job, long_running_step, step};
 use crate::world::World;
 
+/// Time after a cancel in which the runs of the job must have ended, in ms, once calls arrive and
+/// all targets are listed.
+const CANCEL_LIMIT_MS: Millis = 3_400;
+
 /// When a job is cancelled whose targets are not listed while another process claims the role.
 #[derive(Clone, Copy, Debug)]
 enum CancelAt {
@@ -44,3 +48,70 @@
     assert_eq!(world.running(key), Vec::new());
     assert_eq!(world.state(key), Some(JobState::Canceled));
 }
+
+/// Cancels may come at any time; once faults are over, no run of a cancelled job goes on.
+#[rstest]
+fn no_run_outlives_the_cancel_of_its_job(#[values(0, 1, 2, 3)] block: u64) {
+    for seed in block * SEEDS..(block + 1) * SEEDS {
+        let (world, cancelled) = run_with_cancels(seed);
+        for key in cancelled {
+            assert_eq!(world.running(key), Vec::new(), "seed {seed}");
+            assert_eq!(world.state(key), Some(JobState::Canceled), "seed {seed}");
+        }
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Number of seeds in each block.
+const SEEDS: u64 = 12;
+
+/// Simulates about 12 s in which entries lapse, leaders change and targets restart while jobs
+/// are cancelled, and then [`CANCEL_LIMIT_MS`] without faults. Returns the cancelled jobs, too.
+fn run_with_cancels(seed: u64) -> (World, Vec<JobKey>) {
+    let mut world = World::new(8, seed);
+    world.faults.lost_answers = 30;
+    world.claim();
+    let mut running = Vec::new();
+    let mut cancelled = Vec::new();
+    for round in 0..24 {
+        let steps = match round % 2 {
+            0 => vec![long_running_step(3, 0)],
+            _ => vec![step(3, 8_000, &[])],
+        };
+        running.push(world.submit(round, job(steps)));
+        match world.rng().u32(..8) {
+            0 => {
+                world.expire_entries();
+                world.kill();
+                world.run_for(1_300);
+                world.claim();
+            }
+            1 => world.expire_entries(),
+            2 | 3 => world.publish_all_entries(),
+            4 => {
+                world.hand_over();
+                world.run_for(200);
+                world.claim();
+            }
+            5 => {
+                let i = world.rng().usize(..8);
+                let id = world.targets.get_index(i).unwrap().0.clone();
+                world.restart(&id);
+            }
+            _ => {}
+        }
+        if world.rng().bool() {
+            let i = world.rng().usize(..running.len());
+            let key = running.swap_remove(i);
+            if world.state(key).is_some_and(|state| !state.ended()) {
+                world.cancel(key);
+                cancelled.push(key);
+            }
+        }
+        world.run_for(400);
+    }
+    world.faults.lost_answers = 0;
+    world.publish_all_entries();
+    world.run_for(CANCEL_LIMIT_MS);
+    (world, cancelled)
+}
