--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -4,7 +4,7 @@
 use super::{Command, HoldFailure, Leader, TargetReport};
 use crate::scheduler::run::{ReportedProgress, RunPhase};
 use crate::scheduler::target::{HoldState, Target};
-use crate::scheduler::{JobState, JobTable, Millis, TargetId, TaskKey, TaskPhase};
+use crate::scheduler::{JobTable, Millis, TargetId, TaskKey, TaskPhase};
 
 /// Time that a target with work may wait for a run to end before it answers, in ms; at most a
 /// third of a lease, so that the lease does not expire when one answer is lost.
@@ -225,15 +225,11 @@
                     return;
                 }
             }
-            Some(run) => {
-                spdlog::warn!("run_number_differs", kv: {
-                    task = task.to_string(), run = run.number, reported = running.run, target = id.0.as_ref()
-                });
-            }
+            Some(_) => return self.stop_renumbered_run(table, id, running, now),
             None => return self.stop_unknown_run(table, id, running, now),
         }
-        if !may_run_on(table, task) {
-            return self.stop_unwanted_run(id, task, now);
+        if self.stop_unwanted_run(table, id, task, now) {
+            return;
         }
         let stored = table.get_mut(task.step.job);
         if let Some(task) = stored.and_then(|job| job.progress.task_mut(task))
@@ -263,21 +259,6 @@
         target.health.run_stalled(now);
     }
 
-    /// Stops a run of a job that was cancelled or has failed. The leader may learn of a run only
-    /// after that, from a report or because its target is listed late.
-    fn stop_unwanted_run(&mut self, id: &TargetId, task: TaskKey, now: Millis) {
-        let Some(target) = self.targets.get_mut(id) else {
-            return;
-        };
-        if let Some(run) = target.runs.get(&task).filter(|run| !run.stopping()) {
-            spdlog::info!("run_stopping", kv: {
-                task = task.to_string(), run = run.number, target = id.0.as_ref(),
-                cause = "it still runs, and its job has ended"
-            });
-            target.request_stop(task, now);
-        }
-    }
-
     /// Stops a run that the leader does not know. The decision to start a run is stored before
     /// its start is sent, so this is one that was given up.
     fn stop_unknown_run(
@@ -389,13 +370,6 @@
     }
 }
 
-/// Returns whether a run of the task may go on. Runs of a complete job are left to end by
-/// themselves: the members of a gang end together.
-fn may_run_on(table: &JobTable, task: TaskKey) -> bool {
-    let state = table.get(task.step.job).map(crate::scheduler::Job::state);
-    !matches!(state, None | Some(JobState::Canceled | JobState::Failed))
-}
-
 /// Time without progress after which a run of the task counts as stalled, in ms: the time that
 /// one percent takes on a slow target, and [`MIN_STALL_MS`]. `None` for a task whose progress
 /// may stand still: it is long-running, or may be waiting for the rest of its gang.
--- a/src/scheduler/leader/stops.rs
+++ b/src/scheduler/leader/stops.rs
@@ -3,7 +3,7 @@
 
 use super::{Command, Leader, StopOutcome};
 use crate::scheduler::run::RunPhase;
-use crate::scheduler::{JobKey, JobTable, Millis, TargetId, TaskKey};
+use crate::scheduler::{Job, JobKey, JobState, JobTable, Millis, RunningTask, TargetId, TaskKey};
 
 /// Pause before a stop call is repeated that was not confirmed, in ms.
 const RETRY_MS: Millis = 250;
@@ -38,6 +38,71 @@
         }
     }
 
+    /// Stops a run of a job that was cancelled or has failed, and returns whether it is one. The
+    /// leader may learn of a run only after that, from a report or because its target is listed
+    /// late. Runs of a complete job are left to end by themselves: the members of a gang end
+    /// together.
+    pub(super) fn stop_unwanted_run(
+        &mut self,
+        table: &JobTable,
+        id: &TargetId,
+        task: TaskKey,
+        now: Millis,
+    ) -> bool {
+        let state = table.get(task.step.job).map(Job::state);
+        if !matches!(state, None | Some(JobState::Canceled | JobState::Failed)) {
+            return false;
+        }
+        let Some(target) = self.targets.get_mut(id) else {
+            return true;
+        };
+        if let Some(run) = target.runs.get(&task).filter(|run| !run.stopping()) {
+            spdlog::info!("run_stopping", kv: {
+                task = task.to_string(), run = run.number, target = id.0.as_ref(),
+                cause = "it still runs, and its job has ended"
+            });
+            target.request_stop(task, now);
+        }
+        true
+    }
+
+    /// Stops a run that a target reports under another number than the leader's, as a start that
+    /// was carried out late may leave it. The task starts anew once its target no longer reports
+    /// it: with a number that is higher than both, because a target refuses any other.
+    pub(super) fn stop_renumbered_run(
+        &mut self,
+        table: &mut JobTable,
+        id: &TargetId,
+        running: &RunningTask,
+        now: Millis,
+    ) {
+        let task = running.task;
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let Some(run) = target.runs.get_mut(&task) else {
+            return;
+        };
+        spdlog::warn!("run_number_differs", kv: {
+            task = task.to_string(), run = run.number, reported = running.run, target = id.0.as_ref()
+        });
+        if running.run < run.number {
+            self.commands.push(Command::Stop {
+                target: target.entry.clone(),
+                task,
+                run: running.run,
+            });
+            return;
+        }
+        run.number = running.run;
+        target.request_stop(task, now);
+        let stored = table.get_mut(task.step.job);
+        if let Some(stored) = stored.and_then(|job| job.progress.task_mut(task)) {
+            stored.run = stored.run.max(running.run);
+            self.journal.mark_job_dirty(task.step.job);
+        }
+    }
+
     /// Sends the stop calls that are due.
     pub(super) fn send_stops(&mut self, now: Millis) {
         let resend_after_ms = self.settings.stop_timeout_ms + RETRY_MS;
--- a/tests/scheduler/cancelled_jobs.rs
+++ b/tests/scheduler/cancelled_jobs.rs
@@ -49,6 +49,51 @@
     assert_eq!(world.state(key), Some(JobState::Canceled));
 }
 
+/// Guards against runs that no stop reaches: the leader named its own number of the run, and a
+/// target that runs a later one does not end that.
+#[rstest]
+fn a_run_under_another_number_stops_with_its_job(#[values(1, 5)] reported: u32) {
+    let mut world = World::new(2, 1);
+    world.claim();
+    let key = world.submit(1, job(vec![long_running_step(1, 0)]));
+    run_for_the_second_time(&mut world, key);
+    let (id, task) = world.running(key)[0].clone();
+
+    world.targets[&id].renumber_run(task, reported);
+    world.cancel(key);
+    world.run_for(CANCEL_LIMIT_MS);
+
+    assert_eq!(world.running(key), Vec::new());
+}
+
+/// Guards against a task that stays with a run which its target does not have.
+#[rstest]
+fn a_task_that_runs_under_another_number_starts_anew(#[values(1, 5)] reported: u32) {
+    let mut world = World::new(2, 1);
+    world.claim();
+    let key = world.submit(1, job(vec![long_running_step(1, 0)]));
+    run_for_the_second_time(&mut world, key);
+    let (id, task) = world.running(key)[0].clone();
+
+    world.targets[&id].renumber_run(task, reported);
+    world.run_for(CANCEL_LIMIT_MS);
+
+    let number = world
+        .running(key)
+        .first()
+        .map(|(id, task)| world.targets[id].run_number(*task));
+    assert_eq!(number, Some(reported.max(2) + 1));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Restarts the target of the job's only task, so that the task's second run is the current one.
+fn run_for_the_second_time(world: &mut World, key: JobKey) {
+    world.run_for(1_000);
+    let (id, _) = world.running(key)[0].clone();
+    world.restart(&id);
+    world.run_for(1_000);
+}
+
 /// Cancels may come at any time; once faults are over, no run of a cancelled job goes on.
 #[rstest]
 fn no_run_outlives_the_cancel_of_its_job(#[values(0, 1, 2, 3)] block: u64) {
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -173,6 +173,18 @@
         self.runs.keys().copied()
     }
 
+    /// Number of the run of a task that is running here.
+    pub(crate) fn run_number(&self, task: TaskKey) -> u32 {
+        self.runs[&task].number
+    }
+
+    /// Gives the run of a task another number, as if a start of that number had been carried out
+    /// here instead.
+    pub(crate) fn renumber_run(&mut self, task: TaskKey, number: u32) {
+        self.runs.get_mut(&task).unwrap().number = number;
+        self.highest_runs.insert(task, number);
+    }
+
     pub(crate) fn start(
         &mut self,
         task: TaskKey,
@@ -238,6 +250,7 @@
         *high = (*high).max(run);
         if let Some(there) = self.runs.get_mut(&task)
             && there.number <= run
+            && !matches!(there.end, Some((_, EndKind::Stopped)))
         {
             there.end = Some((now + STOP_MS, EndKind::Stopped));
         }
