--- a/tests/scheduler/fixtures.rs
+++ b/tests/scheduler/fixtures.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use amaranthwick::scheduler::{Capacity, JobSpec, Policy, Pool, Queue, Step, Team};
+use amaranthwick::scheduler::{
+    Capacity, JobKey, JobSpec, Policy, Pool, Queue, Step, StepKey, TaskKey, Team,
+};
 
 pub(crate) const POOL: &str = "herd";
 pub(crate) const QUEUE: &str = "count";
@@ -85,3 +87,13 @@
         accepted_ms: 0,
     }
 }
+
+/// The task with this index of the first step of a job that runs once.
+pub(crate) fn task(job: u64, index: u32) -> TaskKey {
+    let step = StepKey {
+        job: JobKey(job),
+        occurrence: 0,
+        step: 0,
+    };
+    step.task(index)
+}
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod fixtures;
 mod jobs;
+mod returned_targets;
 mod target;
 mod upkeep;
 mod vm_orders;
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -64,6 +64,8 @@
     pub(crate) listed: bool,
     /// False once it is lost for good.
     pub(crate) alive: bool,
+    /// When its process crashed; its VM is up and refuses connections. `None` while it runs.
+    pub(crate) crashed_at: Option<Millis>,
     /// When this incarnation started; its clock counts from then.
     started_at: Millis,
     /// Time of the latest call of [`Self::advance`].
@@ -105,6 +107,7 @@
             advanced_at: 0,
             listed: true,
             alive: true,
+            crashed_at: None,
             started_at: 0,
             lease_deadline: 0,
             highest_epoch: 0,
@@ -132,6 +135,34 @@
         self.entry = entry;
     }
 
+    /// Returns whether its process runs.
+    pub(crate) const fn is_up(&self) -> bool {
+        self.alive && self.crashed_at.is_none()
+    }
+
+    /// Its process ends with all it knew.
+    pub(crate) fn crash(&mut self, now: Millis) {
+        self.crashed_at = Some(now);
+        self.runs.clear();
+        self.ended.clear();
+    }
+
+    /// The target that takes its place on its VM, under another id; it is not listed yet.
+    pub(crate) fn successor(&self, id: TargetId, now: Millis) -> Self {
+        let entry = TargetEntry {
+            id,
+            born: self.entry.born + 1,
+            ..self.entry.clone()
+        };
+        Self {
+            entry,
+            reachable: self.reachable,
+            listed: false,
+            started_at: now,
+            ..Self::new("", "", "", 0)
+        }
+    }
+
     /// Advances time to `now`: runs end, and the lease may expire.
     pub(crate) fn advance(&mut self, now: Millis) {
         let passed = now - self.advanced_at;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -1,5 +1,7 @@
 //! A simulated platform in virtual time, which checks what its callers and targets see.
 
+mod crash;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -15,6 +17,9 @@
 use crate::fixtures::{POOL, policy};
 use crate::target::{FakeTarget, Work};
 use crate::vm_service::{Refusal, VmService};
+use crash::{Contact, CrashStep, Crashes};
+
+pub(crate) use crash::Returns;
 
 /// Length of a step of the simulation, in ms; leaders decide once in each.
 const TICK_MS: Millis = 5;
@@ -57,6 +62,7 @@
         held_up: bool,
     },
     FinishUpkeep(String),
+    Crash(CrashStep),
 }
 
 /// A process that holds the leader role, or has held it.
@@ -86,6 +92,7 @@
     pub(crate) now: Millis,
     pub(crate) targets: IndexMap<TargetId, FakeTarget>,
     pub(crate) faults: Faults,
+    pub(crate) crashes: Crashes,
     /// Whether leaders can append to the store.
     pub(crate) store_up: bool,
     /// All changes in the store.
@@ -131,6 +138,7 @@
             now: 0,
             targets: (0..targets).map(target).collect(),
             faults: Faults::default(),
+            crashes: Crashes::default(),
             store_up: true,
             log: Vec::new(),
             violations: Vec::new(),
@@ -187,8 +195,7 @@
             stop_timeout_ms: 400,
             job_retention_ms: 120_000,
         };
-        let listed = self.targets.values();
-        let listed = listed.filter(|target| target.alive && target.listed);
+        let listed = self.targets.values().filter(|target| target.listed);
         let entries = listed.map(|target| target.entry.clone()).collect();
         let policy = Arc::clone(&self.policy);
         let now = self.now;
@@ -273,7 +280,9 @@
     /// All targets publish their entries.
     pub(crate) fn publish_all_entries(&mut self) {
         for id in self.ids() {
-            self.publish_entry(&id);
+            if self.targets[&id].is_up() {
+                self.publish_entry(&id);
+            }
         }
     }
 
@@ -518,7 +527,8 @@
     }
 
     fn check_vm_is_empty(&mut self, vm: &str) {
-        let target = self.targets.values().find(|target| *target.entry.vm == *vm);
+        let mut found = self.targets.values();
+        let target = found.rfind(|target| *target.entry.vm == *vm);
         if target.is_some_and(|target| target.running().next().is_some()) {
             self.violations
                 .push(format!("{}: upkeep under running tasks", self.now));
@@ -546,6 +556,7 @@
             Action::Start(leader, command) => self.start(leader, command),
             Action::Stop(leader, command) => self.stop(leader, &command),
             Action::Hold(leader, command) => self.hold(leader, &command),
+            Action::Crash(step) => self.perform_crash_step(&step),
             Action::Upkeep {
                 leader,
                 vm,
@@ -555,7 +566,7 @@
                 self.vm_service.finish(&vm);
                 let now = self.now;
                 let mut found = self.targets.values_mut();
-                let target = found.find(|target| *target.entry.vm == *vm).unwrap();
+                let target = found.rfind(|target| *target.entry.vm == *vm).unwrap();
                 target.restart(now);
                 let id = target.entry.id.clone();
                 self.publish_entry(&id);
@@ -594,6 +605,7 @@
             self.processes[leader].gone = true;
             return;
         }
+        self.check_failed_jobs(&changes);
         self.log.extend(changes);
         self.last_stored = self.now;
         let event = Event::BatchStored { batch };
@@ -666,17 +678,25 @@
         let sent_at = self.now - CALL_LATENCY_MS;
         let work = self.work(&spec.steps[task.step.step as usize], task);
         let running = self.running(task.step.job);
-        let there = &self.targets[&target.id];
-        let mut outcome = StartOutcome::Unknown;
-        if there.reachable && there.alive && there.entry.born == target.born {
-            let fake = self.targets.get_mut(&target.id).unwrap();
-            let before = fake.running().any(|other| other == task);
-            outcome = fake.start(task, run, work, deadline_ms, epoch, self.now);
-            if outcome == StartOutcome::Running && !before {
-                self.check_start(task, &target.id, &running);
+        let mut crashed = false;
+        let contact = self.contact(&target);
+        let mut outcome = match contact {
+            Contact::Silent => StartOutcome::Unknown,
+            Contact::Refused => StartOutcome::Unhealthy,
+            Contact::Restarted | Contact::Replaced => StartOutcome::OtherIncarnation,
+            Contact::Reached => {
+                let fake = self.targets.get_mut(&target.id).unwrap();
+                let before = fake.running().any(|other| other == task);
+                let outcome = fake.start(task, run, work, deadline_ms, epoch, self.now);
+                if outcome == StartOutcome::Running && !before {
+                    self.check_start(task, &target.id, &running);
+                    crashed = self.started(task, &target);
+                }
+                outcome
             }
-        } else if there.reachable && there.alive {
-            outcome = StartOutcome::OtherIncarnation;
+        };
+        if crashed {
+            outcome = StartOutcome::Unknown;
         }
         let event = Event::StartAnswered {
             target: target.id.clone(),
@@ -687,7 +707,9 @@
             clock_ms: None,
             sent_at,
         };
-        if outcome == StartOutcome::Unknown {
+        if crashed || contact == Contact::Refused {
+            self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
+        } else if outcome == StartOutcome::Unknown {
             self.schedule(CALL_TIMEOUT_MS, Action::Deliver { leader, event });
         } else {
             self.answer(leader, event);
@@ -714,10 +736,14 @@
     fn work(&mut self, step: &Step, task: TaskKey) -> Work {
         let length = self.run_times.get(&task.step.job);
         let length = length.copied().unwrap_or(step.estimate_ms);
+        let fails = self.rng.u32(..1_000) < self.faults.failed_runs;
+        if fails {
+            self.crashes.allow_failure(task.step.job);
+        }
         Work {
             reserved: step.reservation(),
             run_ms: (!step.long_running).then_some(length),
-            fails: self.rng.u32(..1_000) < self.faults.failed_runs,
+            fails,
         }
     }
 
@@ -727,12 +753,12 @@
         };
         let epoch = self.epoch_of(leader);
         let now = self.now;
+        let contact = self.contact(target);
         let fake = self.targets.get_mut(&target.id).unwrap();
-        let reached = fake.reachable && fake.alive && fake.entry.born == target.born;
-        let outcome = if reached {
-            fake.stop(*task, *run, epoch, now)
-        } else {
-            StopOutcome::Unknown
+        let outcome = match contact {
+            Contact::Reached => fake.stop(*task, *run, epoch, now),
+            Contact::Replaced => StopOutcome::OtherIncarnation,
+            Contact::Restarted | Contact::Refused | Contact::Silent => StopOutcome::Unknown,
         };
         let event = Event::StopAnswered {
             target: target.id.clone(),
@@ -740,10 +766,25 @@
             task: *task,
             outcome,
         };
-        if reached {
-            self.answer(leader, event);
-        } else {
-            self.schedule(CALL_TIMEOUT_MS, Action::Deliver { leader, event });
+        let met = match contact {
+            Contact::Restarted => Contact::Silent,
+            other => other,
+        };
+        self.answer_contact(met, leader, event);
+    }
+
+    /// Delivers the result of a stop or hold call that met `contact`.
+    fn answer_contact(&mut self, contact: Contact, leader: usize, event: Event) {
+        match contact {
+            Contact::Reached | Contact::Restarted | Contact::Replaced => {
+                self.answer(leader, event);
+            }
+            Contact::Refused => {
+                self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
+            }
+            Contact::Silent => {
+                self.schedule(CALL_TIMEOUT_MS, Action::Deliver { leader, event });
+            }
         }
     }
 
@@ -760,14 +801,12 @@
         };
         let epoch = self.epoch_of(leader);
         let now = self.now;
+        let contact = self.contact(target);
         let fake = self.targets.get_mut(&target.id).unwrap();
-        let reached = fake.reachable && fake.alive;
-        let result = if !reached {
-            Err(HoldFailure::NoAnswer)
-        } else if fake.entry.born != target.born {
-            Err(HoldFailure::OtherIncarnation)
-        } else {
-            fake.hold(*deadline_ms, *forget_up_to, epoch, now)
+        let result = match contact {
+            Contact::Reached => fake.hold(*deadline_ms, *forget_up_to, epoch, now),
+            Contact::Restarted | Contact::Replaced => Err(HoldFailure::OtherIncarnation),
+            Contact::Refused | Contact::Silent => Err(HoldFailure::NoAnswer),
         };
         self.done.extend(fake.forgotten_done.drain(..));
         let event = Event::HoldAnswered {
@@ -776,10 +815,6 @@
             result,
             sent_at: now - CALL_LATENCY_MS,
         };
-        if reached {
-            self.answer(leader, event);
-        } else {
-            self.schedule(CALL_TIMEOUT_MS, Action::Deliver { leader, event });
-        }
+        self.answer_contact(contact, leader, event);
     }
 }
