--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -1,10 +1,12 @@
 //! Tests of the scheduler against a simulated platform in virtual time.
 
 mod cancelled_jobs;
+mod crashing_tasks;
 mod expired_entries;
 mod faults;
 mod fixtures;
 mod jobs;
+mod returned_targets;
 mod target;
 mod upkeep;
 mod vm_orders;
