--- a/standins/src/workers/program.rs
+++ b/standins/src/workers/program.rs
@@ -11,11 +11,15 @@
     pub(crate) memory_mb: Option<u32>,
     /// Output, or the error that the task fails with.
     pub(crate) result: Result<String, String>,
+    /// How long the worker is away after the program, at the end of its run time, crashes it,
+    /// in ms; `None` for a program that just ends.
+    pub(crate) crash_ms: Option<u64>,
 }
 
 impl Program {
     /// Parses the name of a program: `echo`, `echo:MS`, `sleep:MS`, `fail`,
-    /// `fail:MS`, `hang` or `hog:MS:MEMORY_MB`; any other program fails at once.
+    /// `fail:MS`, `hang`, `hog:MS:MEMORY_MB` or `crash:MS:AWAY_MS`; any other program fails at
+    /// once.
     pub(crate) fn parse(task: &str, input: &str) -> Self {
         let parts: Vec<&str> = task.split(':').collect();
         match parts.as_slice() {
@@ -29,6 +33,7 @@
                 ..Self::timed(0, Ok(""))
             },
             ["hog", ms, memory] => Self::hog(task, ms, memory),
+            ["crash", ms, away_ms] => Self::crash(task, ms, away_ms),
             _ => Self::unknown(task),
         }
     }
@@ -59,6 +64,16 @@
         }
     }
 
+    fn crash(task: &str, ms: &str, away_ms: &str) -> Self {
+        let (Ok(ms), Ok(away_ms)) = (ms.parse(), away_ms.parse()) else {
+            return Self::unknown(task);
+        };
+        Self {
+            crash_ms: Some(away_ms),
+            ..Self::timed(ms, Ok(""))
+        }
+    }
+
     fn parse_timed(task: &str, ms: &str, result: Result<&str, &str>) -> Self {
         match ms.parse() {
             Ok(ms) => Self::timed(ms, result),
@@ -71,6 +86,7 @@
             run_ms: Some(ms),
             memory_mb: None,
             result: result.map(str::to_owned).map_err(str::to_owned),
+            crash_ms: None,
         }
     }
 
--- a/standins/src/workers/service.rs
+++ b/standins/src/workers/service.rs
@@ -160,10 +160,10 @@
         let Some(worker) = state.workers.get_mut(vm) else {
             return Reply::error(404, "no such worker");
         };
+        worker.advance_to(Instant::now());
         if worker.is_off() {
             return Reply::error(503, "worker is down");
         }
-        worker.advance_to(Instant::now());
         read(worker)
     }
 
@@ -173,6 +173,7 @@
         let Some(worker) = state.workers.get_mut(vm) else {
             return Reply::error(404, "no such worker");
         };
+        worker.advance_to(now);
         if worker.is_off() {
             return Reply::error(503, "worker is down");
         }
--- a/standins/src/workers/task.rs
+++ b/standins/src/workers/task.rs
@@ -144,7 +144,11 @@
         if self.end.is_some() {
             return;
         }
-        let completion = self.completes_at();
+        // A crash takes the task away with its worker: it has no end of its own.
+        let completion = match self.program.crash_ms {
+            Some(_) => None,
+            None => self.completes_at(),
+        };
         let last = now.min(self.lease_expires);
         if let Some(at) = completion.filter(|at| *at <= last) {
             let (state, output) = match &self.program.result {
@@ -163,6 +167,16 @@
         }
     }
 
+    /// When the task crashes its worker, if that is by `now`, and when the worker is back.
+    pub(crate) fn crash_by(&self, now: Instant) -> Option<(Instant, Instant)> {
+        let away = Duration::from_millis(self.program.crash_ms?);
+        if !self.is_running() {
+            return None;
+        }
+        let at = self.completes_at()?;
+        (at <= now.min(self.lease_expires)).then(|| (at, at + away))
+    }
+
     /// Sets the lease to end `lease_ms` from `now`; valid after [`Task::advance_to`].
     pub(crate) fn renew(&mut self, lease_ms: u64, now: Instant) {
         if self.is_running() {
--- a/standins/src/workers/tests.rs
+++ b/standins/src/workers/tests.rs
@@ -72,6 +72,7 @@
 #[case::unknown("compile")]
 #[case::no_number("sleep:long")]
 #[case::no_memory("hog:5:much")]
+#[case::no_return("crash:5")]
 fn an_unknown_program_fails_at_once(#[case] task: &str) {
     let mut worker = worker();
 
@@ -255,3 +256,82 @@
         (TaskState::Failed, TaskState::Done)
     );
 }
+
+#[test]
+fn a_crash_takes_the_worker_away_and_all_its_tasks_with_it() {
+    let started_at = Instant::now();
+    let mut worker = worker();
+    start(&mut worker, "t-1", "echo", started_at);
+    start(&mut worker, "t-2", "hang", started_at);
+    start(&mut worker, "t-3", "crash:50:1000", started_at);
+
+    worker.advance_to(started_at + ms(49));
+    let before = (worker.is_off(), worker.running());
+    worker.advance_to(started_at + ms(50));
+    let away = (worker.is_off(), worker.statuses());
+    let refused = worker.start(&spec("t-4", "hang"), Duration::ZERO, started_at + ms(1_049));
+    let again = worker.start(&spec("t-2", "hang"), Duration::ZERO, started_at + ms(1_050));
+
+    assert_eq!(before, (false, 2));
+    assert_eq!(away, (true, vec![]));
+    assert_eq!(refused, Err(StartRefused::Off));
+    assert!(matches!(again, Ok(StartOutcome::New(_))), "{again:?}");
+}
+
+#[test]
+fn a_crash_at_once_follows_the_answer_to_the_start() {
+    let started_at = Instant::now();
+    let mut worker = worker();
+
+    let answer = start(&mut worker, "t-1", "crash:0:1000", started_at);
+    worker.advance_to(started_at);
+
+    assert_eq!(answer.state, TaskState::Running);
+    assert!(worker.is_off());
+}
+
+#[test]
+fn a_worker_that_nobody_looked_at_for_long_is_back_from_its_crash() {
+    let started_at = Instant::now();
+    let mut worker = worker();
+    start(&mut worker, "t-1", "crash:50:1000", started_at);
+
+    worker.advance_to(started_at + ms(60_000));
+
+    assert!(!worker.is_off());
+    assert_eq!(worker.statuses(), vec![]);
+}
+
+#[rstest]
+#[case::stopped(TaskState::Stopped)]
+#[case::lapsed(TaskState::Lapsed)]
+fn a_task_that_ended_before_does_not_crash_its_worker(#[case] end: TaskState) {
+    let started_at = Instant::now();
+    let mut worker = worker();
+    start(&mut worker, "t-1", "crash:20000:1000", started_at);
+
+    if end == TaskState::Stopped {
+        let stopped_at = started_at + ms(10);
+        let task = worker.task("t-1", stopped_at).unwrap();
+        task.stop(TaskState::Stopped, "stopped on request", stopped_at);
+    }
+
+    let after = status(&mut worker, "t-1", started_at + ms(20_500));
+    assert_eq!(after.state, end);
+    assert!(!worker.is_off());
+}
+
+#[test]
+fn repairing_a_worker_does_not_end_its_crash() {
+    let started_at = Instant::now();
+    let mut worker = worker();
+    start(&mut worker, "t-1", "crash:50:1000", started_at);
+
+    worker.set_powered(false, started_at + ms(60));
+    worker.set_powered(true, started_at + ms(70));
+
+    worker.advance_to(started_at + ms(1_049));
+    assert!(worker.is_off());
+    worker.advance_to(started_at + ms(1_050));
+    assert!(!worker.is_off());
+}
--- a/standins/src/workers/worker.rs
+++ b/standins/src/workers/worker.rs
@@ -48,7 +48,7 @@
 /// Why a task was not started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StartRefused {
-    /// The worker is powered off.
+    /// The worker is powered off, or away after a crash.
     Off,
     /// The free resources, given here, don't cover those that the task asks for.
     Full(Resources),
@@ -69,6 +69,8 @@
     resources: Resources,
     data_centre: String,
     off: bool,
+    /// When the worker is back after a crash; `None` while it is not away.
+    back_at: Option<Instant>,
     broken: bool,
     tasks: IndexMap<String, Task>,
 }
@@ -80,6 +82,7 @@
             resources,
             data_centre: data_centre.to_owned(),
             off: false,
+            back_at: None,
             broken: false,
             tasks: IndexMap::new(),
         }
@@ -95,13 +98,21 @@
         self.resources
     }
 
-    /// True while the worker is powered off.
+    /// True while the worker is powered off, or away after a crash; valid after
+    /// [`Worker::advance_to`].
     pub(crate) const fn is_off(&self) -> bool {
-        self.off
+        self.off || self.back_at.is_some()
     }
 
-    /// Updates the state of all tasks to `now`, and forgets tasks that ended over an hour ago.
+    /// Updates the worker and its tasks to `now`: a crash by then ends its tasks without a
+    /// trace. Forgets tasks that ended over an hour ago.
     pub(crate) fn advance_to(&mut self, now: Instant) {
+        let crashes = self.tasks.values().filter_map(|task| task.crash_by(now));
+        if let Some((_, back_at)) = crashes.min() {
+            self.tasks.clear();
+            self.back_at = Some(back_at);
+        }
+        self.back_at = self.back_at.filter(|at| now < *at);
         for task in self.tasks.values_mut() {
             task.advance_to(now);
         }
@@ -131,7 +142,7 @@
         now: Instant,
     ) -> Result<StartOutcome, StartRefused> {
         self.advance_to(now);
-        if self.off {
+        if self.is_off() {
             return Err(StartRefused::Off);
         }
         if let Some(task) = self.tasks.get(&spec.id) {
@@ -153,11 +164,10 @@
         Ok(StartOutcome::New(status))
     }
 
-    /// Updates a task to `now` and returns it; `None` if the id is unknown.
+    /// Updates the worker to `now` and returns one of its tasks; `None` if the id is unknown.
     pub(crate) fn task(&mut self, id: &str, now: Instant) -> Option<&mut Task> {
-        let task = self.tasks.get_mut(id)?;
-        task.advance_to(now);
-        Some(task)
+        self.advance_to(now);
+        self.tasks.get_mut(id)
     }
 
     /// Status of each task; valid after [`Worker::advance_to`].
@@ -173,6 +183,7 @@
 
     /// Powers the worker on or off; powering off fails its running tasks.
     pub(crate) fn set_powered(&mut self, on: bool, now: Instant) {
+        self.advance_to(now);
         self.off = !on;
         if on {
             return;
--- a/standins/tests/workers.rs
+++ b/standins/tests/workers.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use amaranthwick_standins::{Fleet, FleetSpec};
-use common::{Answer, fleet, request, spec};
+use common::{Answer, fleet, request, spec, wait_until};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -140,6 +140,33 @@
     assert_eq!(tasks["workers"][WORKER][0]["id"], "t-1");
 }
 
+#[test]
+fn a_task_crashes_its_worker_which_comes_back_without_tasks() {
+    let fleet = fleet();
+    start(&fleet, "t-1", "hang");
+    start(&fleet, "t-2", "crash:10:300");
+
+    wait_until("the worker is away", || {
+        call(&fleet, "GET", "tasks", &Value::Null).status == 503
+    });
+    let renewed = call(
+        &fleet,
+        "PUT",
+        "tasks/t-1/lease",
+        &json!({"lease_ms": 9_000}),
+    );
+    let list = request(fleet.workers_address(), "GET /workers", &[], "").json();
+    wait_until("the worker is back", || {
+        call(&fleet, "GET", "tasks", &Value::Null).status == 200
+    });
+    let tasks = call(&fleet, "GET", "tasks", &Value::Null).json();
+    let after = call(&fleet, "GET", "tasks/t-1", &Value::Null);
+
+    assert_eq!((renewed.status, after.status), (503, 404));
+    assert_eq!(list["workers"][0]["off"], true);
+    assert_eq!(tasks, json!({"tasks": []}));
+}
+
 #[rstest]
 #[case::unknown_task("GET", "tasks/none", Value::Null, 404)]
 #[case::unknown_call("GET", "none", Value::Null, 404)]
