--- a/standins/src/control/handle.rs
+++ b/standins/src/control/handle.rs
@@ -12,7 +12,7 @@
 use crate::lifecycle::VmLifecycle;
 use crate::log::LogService;
 use crate::vms::VmState;
-use crate::workers::TaskStatus;
+use crate::workers::{Resources, TaskStatus};
 
 /// Handle to a running fleet, cheap to clone. Injects faults and VM failures, and reads state
 /// and counters.
@@ -138,6 +138,15 @@
         found.then_some(()).context("no such worker")
     }
 
+    /// Replaces the total resources of a worker; tasks that run go on.
+    ///
+    /// # Errors
+    /// Fails if the worker is unknown.
+    pub fn set_resources(&self, vm: &str, resources: Resources) -> Result<()> {
+        let found = self.lifecycle.workers.set_resources(vm, resources);
+        found.then_some(()).context("no such worker")
+    }
+
     /// All VMs as they are now, without the lag of the VM list.
     #[must_use]
     pub fn vms(&self) -> Vec<VmState> {
--- a/standins/src/control/service.rs
+++ b/standins/src/control/service.rs
@@ -115,6 +115,13 @@
         }
     }
 
+    fn set_size(&self, vm: &str, call: &Call) -> Reply {
+        match call.json() {
+            Ok(size) => done(self.control.set_resources(vm, size)),
+            Err(reply) => reply,
+        }
+    }
+
     fn read(&self, segments: &[&str]) -> Reply {
         let control = &self.control;
         match segments {
@@ -141,6 +148,7 @@
             ["data-centres", name, "fail"] => done(control.fail_data_centre(name)),
             ["data-centres", name, "repair"] => done(control.repair_data_centre(name)),
             ["workers", vm, "broken"] => self.set_broken(vm, call),
+            ["workers", vm, "size"] => self.set_size(vm, call),
             _ => Reply::error(404, "no such call"),
         }
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -26,4 +26,4 @@
 pub use fleet::{ExecutorAddress, Fleet};
 pub use spec::{ClassSpec, DataCentreSpec, FleetSpec, Kind, LogSpec};
 pub use vms::{Phase, VmState};
-pub use workers::{TaskSpec, TaskState, TaskStatus, Usage};
+pub use workers::{Resources, TaskSpec, TaskState, TaskStatus, Usage};
--- a/standins/src/workers/mod.rs
+++ b/standins/src/workers/mod.rs
@@ -11,4 +11,5 @@
 pub(crate) use registry::WorkerRegistry;
 pub(crate) use service::WorkersService;
 pub use task::{TaskSpec, TaskState, TaskStatus, Usage};
-pub(crate) use worker::{Resources, Worker};
+pub use worker::Resources;
+pub(crate) use worker::Worker;
--- a/standins/src/workers/registry.rs
+++ b/standins/src/workers/registry.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use super::task::TaskStatus;
-use super::worker::Worker;
+use super::worker::{Resources, Worker};
 
 /// All workers of the fleet.
 #[derive(Debug)]
@@ -58,6 +58,17 @@
         }
     }
 
+    /// Replaces the total resources of a worker. Returns false if the worker is unknown.
+    pub(crate) fn set_resources(&self, vm: &str, resources: Resources) -> bool {
+        match self.lock().workers.get_mut(vm) {
+            Some(worker) => {
+                worker.set_resources(resources);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Number of tasks running on a worker now; 0 for other VMs.
     pub(crate) fn running(&self, vm: &str, now: Instant) -> u64 {
         self.lock().workers.get_mut(vm).map_or(0, |worker| {
--- a/standins/src/workers/tests.rs
+++ b/standins/src/workers/tests.rs
@@ -335,3 +335,25 @@
     worker.advance_to(started_at + ms(1_050));
     assert!(!worker.is_off());
 }
+
+#[test]
+fn a_worker_shrinks_under_its_tasks_and_grows_again() {
+    let started_at = Instant::now();
+    let mut worker = worker();
+    start(&mut worker, "t-1", "hang", started_at);
+    let small = Resources {
+        cores: 2,
+        ..RESOURCES
+    };
+
+    worker.set_resources(small);
+    let free = worker.free();
+    let refused = worker.start(&spec("t-2", "hang"), Duration::ZERO, started_at);
+    worker.set_resources(RESOURCES);
+    let started = worker.start(&spec("t-2", "hang"), Duration::ZERO, started_at);
+
+    assert_eq!(free.cores, 0);
+    assert_eq!(refused, Err(StartRefused::Full(free)));
+    assert!(matches!(started, Ok(StartOutcome::New(_))), "{started:?}");
+    assert_eq!(worker.running(), 2);
+}
--- a/standins/src/workers/worker.rs
+++ b/standins/src/workers/worker.rs
@@ -12,13 +12,14 @@
 
 /// Resources of a worker, or of a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Resources {
+#[serde(deny_unknown_fields)]
+pub struct Resources {
     /// CPU cores.
-    pub(crate) cores: u32,
+    pub cores: u32,
     /// Memory in MB.
-    pub(crate) memory_mb: u32,
+    pub memory_mb: u32,
     /// Accelerators, such as GPUs.
-    pub(crate) accelerators: u32,
+    pub accelerators: u32,
 }
 
 impl Resources {
@@ -98,6 +99,11 @@
         self.resources
     }
 
+    /// Replaces the total resources; tasks that run go on, also those that no longer fit.
+    pub(crate) const fn set_resources(&mut self, resources: Resources) {
+        self.resources = resources;
+    }
+
     /// True while the worker is powered off, or away after a crash; valid after
     /// [`Worker::advance_to`].
     pub(crate) const fn is_off(&self) -> bool {
--- a/standins/tests/workers.rs
+++ b/standins/tests/workers.rs
@@ -167,6 +167,33 @@
     assert_eq!(tasks, json!({"tasks": []}));
 }
 
+#[test]
+fn a_worker_shows_the_size_that_it_was_given_over_the_control_path() {
+    let fleet = fleet();
+    start(&fleet, "t-1", "hang");
+    let line = format!("POST /workers/{WORKER}/size");
+    let size = json!({"cores": 6, "memory_mb": 2_048, "accelerators": 0});
+
+    let set = request(fleet.control_address(), &line, &[], &size.to_string());
+    let list = request(fleet.workers_address(), "GET /workers", &[], "").json();
+    let refused = start(&fleet, "t-2", "hang");
+    let unknown = request(
+        fleet.control_address(),
+        "POST /workers/none/size",
+        &[],
+        &size.to_string(),
+    );
+
+    assert_eq!(
+        (set.status, refused.status, unknown.status),
+        (204, 409, 404)
+    );
+    assert_eq!(list["workers"][0]["size"], size);
+    assert_eq!(list["workers"][0]["free"]["cores"], 2);
+    let running = call(&fleet, "GET", "tasks/t-1", &Value::Null).json();
+    assert_eq!(running["state"], "running");
+}
+
 #[rstest]
 #[case::unknown_task("GET", "tasks/none", Value::Null, 404)]
 #[case::unknown_call("GET", "none", Value::Null, 404)]
