--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -5,6 +5,7 @@
 mod expired_entries;
 mod faults;
 mod fixtures;
+mod gangs;
 mod jobs;
 mod returned_targets;
 mod target;
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -30,6 +30,25 @@
 }
 
 impl Run {
+    /// It works from now on.
+    pub(crate) fn begin_work(&mut self, now: Millis) {
+        let kind = if self.work.fails {
+            EndKind::Failed
+        } else {
+            EndKind::Done
+        };
+        self.worked_since = now;
+        self.end = self.work.run_ms.map(|length| (now + length, kind));
+    }
+
+    /// It made no progress for `passed` ms.
+    pub(crate) fn hold_back(&mut self, passed: Millis) {
+        self.worked_since += passed;
+        if let Some((at, EndKind::Done)) = &mut self.end {
+            *at += passed;
+        }
+    }
+
     /// Progress in percent; 100 for a long-running task that has run for 300 ms.
     fn percent(&self, now: Millis) -> u32 {
         let worked = now.saturating_sub(self.worked_since);
@@ -43,13 +62,13 @@
 }
 
 #[derive(Clone, Debug)]
-struct Run {
+pub(crate) struct Run {
     number: u32,
     work: Work,
     /// When the run started, moved on by the time for which it was stalled.
     worked_since: Millis,
     /// When and how the run is to end; `None` for one that runs on.
-    end: Option<(Millis, EndKind)>,
+    pub(crate) end: Option<(Millis, EndKind)>,
 }
 
 /// A fake target.
@@ -169,23 +188,13 @@
         self.advanced_at = now;
         if self.pace == Pace::Stalled {
             for run in self.runs.values_mut() {
-                run.worked_since += passed;
-                if let Some((at, EndKind::Done)) = &mut run.end {
-                    *at += passed;
-                }
+                run.hold_back(passed);
             }
         }
-        let lapsed = self.clock(now) > self.lease_deadline;
         let over: Vec<(TaskKey, EndKind)> = self
             .runs
             .iter()
-            .filter_map(|(task, run)| {
-                if lapsed {
-                    return Some((*task, EndKind::Lapsed));
-                }
-                let (at, kind) = run.end?;
-                (at <= now).then_some((*task, kind))
-            })
+            .filter_map(|(task, run)| Some((*task, self.due_end(run, now)?)))
             .collect();
         for (task, kind) in over {
             let run = self.runs.shift_remove(&task).unwrap();
@@ -200,6 +209,25 @@
         }
     }
 
+    /// How the run ends now; `None` for one that goes on.
+    pub(crate) fn due_end(&self, run: &Run, now: Millis) -> Option<EndKind> {
+        if self.clock(now) > self.lease_deadline {
+            return Some(EndKind::Lapsed);
+        }
+        let (at, kind) = run.end?;
+        (at <= now).then_some(kind)
+    }
+
+    /// The run of a task under this number.
+    pub(crate) fn run(&self, task: TaskKey, number: u32) -> Option<&Run> {
+        self.runs.get(&task).filter(|run| run.number == number)
+    }
+
+    pub(crate) fn run_mut(&mut self, task: TaskKey, number: u32) -> Option<&mut Run> {
+        let run = self.runs.get_mut(&task);
+        run.filter(|run| run.number == number)
+    }
+
     pub(crate) fn running(&self) -> impl Iterator<Item = TaskKey> {
         self.runs.keys().copied()
     }
@@ -254,19 +282,13 @@
         if !used.fits(&work.reserved, &self.entry.capacity) {
             return StartOutcome::NoRoom;
         }
-        let kind = if work.fails {
-            EndKind::Failed
-        } else {
-            EndKind::Done
-        };
-        let end = work.run_ms.map(|length| (now + length, kind));
-        let worked_since = now;
-        let begun = Run {
+        let mut begun = Run {
             number: run,
             work,
-            worked_since,
-            end,
+            worked_since: now,
+            end: None,
         };
+        begun.begin_work(now);
         self.highest_runs.insert(task, run);
         self.runs.insert(task, begun);
         StartOutcome::Running
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -1,6 +1,7 @@
 //! A simulated platform in virtual time, which checks what its callers and targets see.
 
 mod crash;
+mod gangs;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use crate::target::{FakeTarget, Work};
 use crate::vm_service::{Refusal, VmService};
 use crash::{Contact, CrashStep, Crashes};
+use gangs::Gangs;
 
 pub(crate) use crash::Returns;
 
@@ -93,6 +95,7 @@
     pub(crate) targets: IndexMap<TargetId, FakeTarget>,
     pub(crate) faults: Faults,
     pub(crate) crashes: Crashes,
+    gangs: Gangs,
     /// Whether leaders can append to the store.
     pub(crate) store_up: bool,
     /// All changes in the store.
@@ -139,6 +142,7 @@
             targets: (0..targets).map(target).collect(),
             faults: Faults::default(),
             crashes: Crashes::default(),
+            gangs: Gangs::new(),
             store_up: true,
             log: Vec::new(),
             violations: Vec::new(),
@@ -364,6 +368,7 @@
     }
 
     fn step(&mut self) {
+        self.advance_gangs();
         for target in self.targets.values_mut().filter(|target| target.alive) {
             target.advance(self.now);
         }
@@ -690,6 +695,8 @@
                 let outcome = fake.start(task, run, work, deadline_ms, epoch, self.now);
                 if outcome == StartOutcome::Running && !before {
                     self.check_start(task, &target.id, &running);
+                    let step = &spec.steps[task.step.step as usize];
+                    self.join_gang(step, task, run, &target.id);
                     crashed = self.started(task, &target);
                 }
                 outcome
