--- /dev/null
+++ b/tests/scheduler/capacity.rs
@@ -0,0 +1,130 @@
+//! Targets whose capacity shrinks and grows while they run.
+
+use amaranthwick::scheduler::{Capacity, Millis, TargetId, TaskKey};
+
+use crate::fixtures::{job, long_running_step, step};
+use crate::world::World;
+
+/// Time after which a capacity that has shrunk counts, in ms: the time that leaders have to learn
+/// of it, and a heartbeat of the target.
+const SHRUNK_AFTER_MS: Millis = 4_500;
+
+/// Capacity of a target with this number of cores, and 2 GB of memory for each.
+pub(crate) const fn cores(count: u64) -> Capacity {
+    Capacity {
+        cpu: count * 1_000,
+        mem_mb: count * 2_048,
+        gpu: 0,
+    }
+}
+
+/// The capacity of a fake target.
+#[derive(Clone, Debug)]
+pub(crate) struct Room {
+    /// Whether the target refuses what does not fit.
+    pub(crate) guarded: bool,
+    capacity: Capacity,
+    /// Earlier capacities, each with the time until which the target had it.
+    earlier: Vec<(Millis, Capacity)>,
+}
+
+impl Room {
+    pub(crate) const fn new(capacity: Capacity) -> Self {
+        Self {
+            guarded: true,
+            capacity,
+            earlier: Vec::new(),
+        }
+    }
+
+    pub(crate) const fn capacity(&self) -> Capacity {
+        self.capacity
+    }
+
+    pub(crate) fn change(&mut self, capacity: Capacity, now: Millis) {
+        self.earlier.push((now, self.capacity));
+        self.capacity = capacity;
+    }
+
+    /// Returns whether the target starts a task while `used` is reserved there.
+    pub(crate) const fn admits(&self, used: &Capacity, reserved: &Capacity) -> bool {
+        !self.guarded || used.fits(reserved, &self.capacity)
+    }
+
+    /// What may be reserved on the target after a start that was sent at `sent_at`: a capacity
+    /// counts for a while after it has shrunk.
+    fn limit_at(&self, sent_at: Millis) -> Capacity {
+        let counting = self
+            .earlier
+            .iter()
+            .filter(|(until, _)| until + SHRUNK_AFTER_MS > sent_at)
+            .map(|(_, capacity)| capacity);
+        counting.fold(self.capacity, |largest, other| Capacity {
+            cpu: largest.cpu.max(other.cpu),
+            mem_mb: largest.mem_mb.max(other.mem_mb),
+            gpu: largest.gpu.max(other.gpu),
+        })
+    }
+}
+
+impl World {
+    /// Checks that the start of a task, sent at `sent_at`, has not brought a target over its
+    /// capacity. The network may have held the start up.
+    pub(crate) fn check_room(&mut self, task: TaskKey, on: &TargetId, sent_at: Millis) {
+        let now = self.now;
+        let target = &self.targets[on];
+        let (used, limit) = (target.used(), target.room.limit_at(sent_at));
+        if !target.room.guarded && !used.fits(&Capacity::default(), &limit) {
+            self.violations.push(format!(
+                "{now}: {task} brings {on} over its capacity: {used:?} of {limit:?}"
+            ));
+        }
+    }
+}
+
+fn first_target(world: &World) -> TargetId {
+    world.targets.get_index(0).unwrap().0.clone()
+}
+
+#[test]
+fn a_shrunk_target_gets_work_up_to_what_is_left_and_more_when_it_grows() {
+    let mut world = World::new(1, 1);
+    world.remove_admission_check();
+    world.claim();
+    let id = first_target(&world);
+    for i in 0..200 {
+        world.submit(i, job(vec![step(2, 900, &[])]));
+    }
+    world.run_for(2_000);
+    let before = world.targets[&id].used().cpu;
+
+    world.set_capacity(&id, cores(5));
+    world.run_for(6_000);
+    let shrunk = world.targets[&id].used().cpu;
+    world.set_capacity(&id, cores(0));
+    world.run_for(6_000);
+    let nothing = world.targets[&id].used().cpu;
+    world.set_capacity(&id, cores(9));
+    world.run_for(2_000);
+    let grown = world.targets[&id].used().cpu;
+
+    assert_eq!([before, shrunk, nothing, grown], [16_000, 5_000, 0, 9_000]);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn tasks_go_on_running_on_a_target_that_shrinks_below_them() {
+    let mut world = World::new(2, 1);
+    world.claim();
+    let key = world.submit(1, job(vec![long_running_step(2, 1)]));
+    world.run_for(1_000);
+    let before = world.running(key);
+
+    for (id, _) in &before {
+        world.set_capacity(id, cores(0));
+    }
+    world.run_for(10_000);
+
+    assert_eq!(before.len(), 2);
+    assert_eq!(world.running(key), before);
+}
--- a/tests/scheduler/faults.rs
+++ b/tests/scheduler/faults.rs
@@ -3,6 +3,7 @@
 use amaranthwick::scheduler::JobState;
 use rstest::rstest;
 
+use crate::capacity::cores;
 use crate::fixtures::{job, long_running_step, step};
 use crate::target::Pace;
 use crate::world::{Faults, World};
@@ -212,12 +213,21 @@
                 world.run_for(200);
                 world.claim();
             }
+            18 => {
+                let i = world.rng().usize(..8);
+                let id = world.targets.get_index(i).unwrap().0.clone();
+                let left = world.rng().u64(..=16);
+                world.set_capacity(&id, cores(left));
+            }
             _ => {}
         }
         world.run_for(500);
     }
     world.store_up = true;
     world.faults = Faults::default();
+    for target in world.targets.values_mut() {
+        target.room.change(cores(16), world.now);
+    }
     world.publish_all_entries();
     for target in world.targets.values_mut() {
         target.pace = Pace::Normal;
--- a/tests/scheduler/fixtures.rs
+++ b/tests/scheduler/fixtures.rs
@@ -46,6 +46,13 @@
     }
 }
 
+/// The same policy with a pool whose targets start whatever they are told to.
+pub(crate) fn policy_without_admission_check() -> Policy {
+    let mut policy = policy();
+    policy.pools[POOL].admission_check = false;
+    policy
+}
+
 /// A step of `count` tasks that need one core and 500 MB each.
 pub(crate) fn step(count: u32, estimate_ms: u64, depends_on: &[u32]) -> Step {
     Step {
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler against a simulated platform in virtual time.
 
+mod capacity;
 mod expired_entries;
 mod faults;
 mod fixtures;
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -10,6 +10,8 @@
 };
 use indexmap::IndexMap;
 
+use crate::capacity::Room;
+
 /// Time from a stop to the end of the run, in ms.
 const STOP_MS: Millis = 200;
 
@@ -64,6 +66,7 @@
     pub(crate) listed: bool,
     /// False once it is lost for good.
     pub(crate) alive: bool,
+    pub(crate) room: Room,
     /// When this incarnation started; its clock counts from then.
     started_at: Millis,
     /// Time of the latest call of [`Self::advance`].
@@ -85,6 +88,11 @@
 impl FakeTarget {
     pub(crate) fn new(name: &str, pool: &str, rack: &str, cores: u64) -> Self {
         let address: SocketAddr = "127.0.0.1:9".parse().unwrap();
+        let capacity = Capacity {
+            cpu: cores * 1_000,
+            mem_mb: 32_768,
+            gpu: 0,
+        };
         Self {
             entry: TargetEntry {
                 id: TargetId(Arc::from(name)),
@@ -93,11 +101,7 @@
                 pool: Arc::from(pool),
                 vm: Arc::from(format!("vm-{name}")),
                 labels: vec!["a".to_owned(), rack.to_owned()],
-                capacity: Capacity {
-                    cpu: cores * 1_000,
-                    mem_mb: 32_768,
-                    gpu: 0,
-                },
+                capacity,
                 state: TargetState::Ready,
             },
             reachable: true,
@@ -105,6 +109,7 @@
             advanced_at: 0,
             listed: true,
             alive: true,
+            room: Room::new(capacity),
             started_at: 0,
             lease_deadline: 0,
             highest_epoch: 0,
@@ -127,6 +132,7 @@
         *self = Self {
             entry: entry.clone(),
             started_at: now,
+            room: self.room.clone(),
             ..Self::new("", "", "", 0)
         };
         self.entry = entry;
@@ -173,6 +179,15 @@
         self.runs.keys().copied()
     }
 
+    /// Sum of what its runs reserve.
+    pub(crate) fn used(&self) -> Capacity {
+        let mut used = Capacity::default();
+        for run in self.runs.values() {
+            used.add(&run.work.reserved);
+        }
+        used
+    }
+
     pub(crate) fn start(
         &mut self,
         task: TaskKey,
@@ -204,11 +219,7 @@
         {
             return StartOutcome::OldRun;
         }
-        let mut used = Capacity::default();
-        self.runs
-            .values()
-            .for_each(|run| used.add(&run.work.reserved));
-        if !used.fits(&work.reserved, &self.entry.capacity) {
+        if !self.room.admits(&self.used(), &work.reserved) {
             return StartOutcome::NoRoom;
         }
         let kind = if work.fails {
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -5,14 +5,14 @@
 
 use amaranthwick::http::UNACKNOWLEDGED_LIMIT_MS;
 use amaranthwick::scheduler::{
-    Change, Command, Election, Event, HoldFailure, Holder, JobKey, JobSpec, JobState, JobTable,
-    Leader, LeaderSettings, Millis, Policy, Record, StartOutcome, Step, StopOutcome, TargetId,
-    TaskKey, Vm, VmOutcome, VmState, Wave, leader_event,
+    Capacity, Change, Command, Election, Event, HoldFailure, Holder, JobKey, JobSpec, JobState,
+    JobTable, Leader, LeaderSettings, Millis, Policy, Record, StartOutcome, Step, StopOutcome,
+    TargetId, TaskKey, Vm, VmOutcome, VmState, Wave, leader_event,
 };
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::fixtures::{POOL, policy};
+use crate::fixtures::{POOL, policy, policy_without_admission_check};
 use crate::target::{FakeTarget, Work};
 use crate::vm_service::{Refusal, VmService};
 
@@ -32,6 +32,9 @@
 const STEP_DOWN_AFTER_MS: Millis = 7_000;
 /// Time after the last batch of a leader in which its successor sends no orders for VMs, in ms.
 const VM_ORDER_DELAY_MS: Millis = 3_000;
+/// Longest time until a leader reads of a change of a target's entry, in ms: the time between two
+/// heartbeats, and between two reads of the list.
+const ENTRY_LAG_MS: Millis = 1_700;
 /// Time of day at virtual time 0, in ms since 1970.
 pub(crate) const MIDNIGHT_MS: u64 = 1_700_000_000_000;
 
@@ -42,7 +45,11 @@
         leader: usize,
         event: Event,
     },
-    Start(usize, Command),
+    Start {
+        leader: usize,
+        command: Command,
+        sent_at: Millis,
+    },
     Stop(usize, Command),
     Hold(usize, Command),
     Store {
@@ -57,6 +64,7 @@
         held_up: bool,
     },
     FinishUpkeep(String),
+    Publish(TargetId),
 }
 
 /// A process that holds the leader role, or has held it.
@@ -153,6 +161,22 @@
         }
     }
 
+    /// The targets start whatever they are told to, whether it fits or not.
+    pub(crate) fn remove_admission_check(&mut self) {
+        self.policy = Arc::new(policy_without_admission_check());
+        for target in self.targets.values_mut() {
+            target.room.guarded = false;
+        }
+    }
+
+    /// The capacity of a target changes, and a while later its entry.
+    pub(crate) fn set_capacity(&mut self, id: &TargetId, capacity: Capacity) {
+        let target = self.targets.get_mut(id).unwrap();
+        target.room.change(capacity, self.now);
+        let delay = self.rng.u64(..ENTRY_LAG_MS);
+        self.schedule(delay, Action::Publish(id.clone()));
+    }
+
     pub(crate) fn rng(&mut self) -> &mut Rng {
         &mut self.rng
     }
@@ -255,6 +279,7 @@
     pub(crate) fn publish_entry(&mut self, id: &TargetId) {
         let target = self.targets.get_mut(id).unwrap();
         target.listed = true;
+        target.entry.capacity = target.room.capacity();
         let entry = target.entry.clone();
         self.notify_leaders(&Event::TargetEntry(entry));
     }
@@ -435,7 +460,12 @@
                     };
                     self.schedule(CALL_TIMEOUT_MS, Action::Deliver { leader, event });
                 }
-                self.schedule(delay, Action::Start(leader, command));
+                let start = Action::Start {
+                    leader,
+                    command,
+                    sent_at: self.now,
+                };
+                self.schedule(delay, start);
             }
             Command::Stop { .. } => self.schedule(CALL_LATENCY_MS, Action::Stop(leader, command)),
             Command::Hold { .. } => self.schedule(CALL_LATENCY_MS, Action::Hold(leader, command)),
@@ -543,7 +573,11 @@
                 batch,
                 changes,
             } => self.append(leader, batch, changes),
-            Action::Start(leader, command) => self.start(leader, command),
+            Action::Start {
+                leader,
+                command,
+                sent_at,
+            } => self.start(leader, command, sent_at),
             Action::Stop(leader, command) => self.stop(leader, &command),
             Action::Hold(leader, command) => self.hold(leader, &command),
             Action::Upkeep {
@@ -551,6 +585,11 @@
                 vm,
                 held_up,
             } => self.upkeep(leader, &vm, held_up),
+            Action::Publish(id) => {
+                if self.targets[&id].listed {
+                    self.publish_entry(&id);
+                }
+            }
             Action::FinishUpkeep(vm) => {
                 self.vm_service.finish(&vm);
                 let now = self.now;
@@ -650,7 +689,7 @@
         self.processes[leader].leader.epoch()
     }
 
-    fn start(&mut self, leader: usize, command: Command) {
+    fn start(&mut self, leader: usize, command: Command, ordered_at: Millis) {
         let Command::Start {
             target,
             task,
@@ -674,6 +713,7 @@
             outcome = fake.start(task, run, work, deadline_ms, epoch, self.now);
             if outcome == StartOutcome::Running && !before {
                 self.check_start(task, &target.id, &running);
+                self.check_room(task, &target.id, ordered_at);
             }
         } else if there.reachable && there.alive {
             outcome = StartOutcome::OtherIncarnation;
