--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -10,7 +10,8 @@
 
 impl Leader {
     /// Sends the start of a run, now that the decision to start it is stored. If the target
-    /// no longer accepts work or the job has ended, the task may be placed again instead.
+    /// no longer accepts work or has room, or the job has ended, the task may be placed again
+    /// instead.
     pub(super) fn send_start(
         &mut self,
         table: &mut JobTable,
@@ -32,8 +33,8 @@
         };
         let job = table.get(task.step.job);
         let job = job.filter(|job| !job.state().ended());
-        let accepts_work = target.accepts_work(now);
-        let deadline = target.lease.extend(now, lease_ms).filter(|_| accepts_work);
+        let may_start = target.accepts_work(now) && target.fits_planned_run(task);
+        let deadline = target.lease.extend(now, lease_ms).filter(|_| may_start);
         let (Some(job), Some(deadline_ms)) = (job, deadline) else {
             target.remove_run(task, now);
             self.release_task(table, task, run);
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -145,6 +145,18 @@
             && now >= self.starts_paused_until
     }
 
+    /// Returns whether the planned run of a task fits beside the runs that may be executing. The
+    /// capacity may have shrunk since the run was planned.
+    pub(super) fn fits_planned_run(&self, task: TaskKey) -> bool {
+        let mut used = Capacity::default();
+        for run in self.runs.values().filter(|run| run.may_be_executing()) {
+            used.add(&run.reserved);
+        }
+        self.runs
+            .get(&task)
+            .is_some_and(|run| used.fits(&run.reserved, &self.entry.capacity))
+    }
+
     /// Adds a run and reserves its capacity.
     pub(super) fn add_run(&mut self, task: TaskKey, run: Run) {
         self.used.add(&run.reserved);
--- a/tests/scheduler/capacity.rs
+++ b/tests/scheduler/capacity.rs
@@ -1,6 +1,6 @@
 //! Targets whose capacity shrinks and grows while they run.
 
-use amaranthwick::scheduler::{Capacity, Millis, TargetId, TaskKey};
+use amaranthwick::scheduler::{Capacity, JobState, Millis, TargetId, TaskKey};
 
 use crate::fixtures::{job, long_running_step, step};
 use crate::world::World;
@@ -128,3 +128,28 @@
     assert_eq!(before.len(), 2);
     assert_eq!(world.running(key), before);
 }
+
+/// Guards against starts beyond a target's capacity: the target shrank while the store was
+/// unavailable, and the starts that had waited for the store were sent all the same.
+#[test]
+fn starts_that_waited_for_the_store_still_fit_their_target() {
+    let mut world = World::new(1, 1);
+    world.remove_admission_check();
+    world.claim();
+    world.run_for(200);
+    let id = first_target(&world);
+    world.store_up = false;
+    let key = world.submit(1, job(vec![step(8, 900, &[])]));
+    world.run_for(200);
+
+    world.set_capacity(&id, cores(3));
+    world.run_for(5_500);
+    world.store_up = true;
+    world.run_for(600);
+    let together = world.running(key).len();
+    world.run_for(3_000);
+
+    assert_eq!(together, 3);
+    assert_eq!(world.state(key), Some(JobState::Complete));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
--- a/tests/scheduler/faults.rs
+++ b/tests/scheduler/faults.rs
@@ -156,6 +156,9 @@
     world.faults.lost_answers = 30;
     world.faults.late_starts = 20;
     world.faults.failed_runs = 10;
+    if seed % 2 == 1 {
+        world.remove_admission_check();
+    }
     world.claim();
     let mut keys = Vec::new();
     let mut unreachable = Vec::new();
