--- a/src/scheduler/capacity.rs
+++ b/src/scheduler/capacity.rs
@@ -37,6 +37,16 @@
         self.gpu += more.gpu;
     }
 
+    /// The larger amount of each resource.
+    #[must_use]
+    pub fn max_each(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            mem_mb: self.mem_mb.max(other.mem_mb),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Subtracts `less` from each resource, stopping at 0.
     pub const fn subtract(&mut self, less: &Self) {
         self.cpu = self.cpu.saturating_sub(less.cpu);
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -17,8 +17,11 @@
 /// The VMs that a pool has and the demand for them.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PoolDemand {
-    /// Capacity of one of its VMs; all zero while it has none.
+    /// Largest capacity of its VMs, by resource.
     pub(super) vm_capacity: Capacity,
+    /// Capacity that its smaller VMs lack to be as large: they are of another kind, or have
+    /// shrunk.
+    pub(super) lacking: Capacity,
     /// Number of VMs in the pool or on their way to it, without those that are to leave.
     pub(super) vms: usize,
     /// Capacity that its running tasks and the tasks that could start now reserve.
@@ -85,19 +88,21 @@
 impl PoolDemand {
     /// Number of VMs that the pool should have, at least 1.
     pub(super) fn wanted_vms(&self) -> usize {
-        let count = |demand: u64, per_vm: u64| {
-            let demand = demand + demand * FRAGMENTATION_PERCENT / 100;
+        let count = |demand: u64, lacking: u64, per_vm: u64| {
+            let demand = demand + demand * FRAGMENTATION_PERCENT / 100 + lacking;
             usize::try_from(demand.div_ceil(per_vm.max(1))).unwrap_or(usize::MAX)
         };
         let cores = count(
             self.demand.cpu + self.expected_rise.cpu,
+            self.lacking.cpu,
             self.vm_capacity.cpu,
         );
         let memory = count(
             self.demand.mem_mb + self.expected_rise.mem_mb,
+            self.lacking.mem_mb,
             self.vm_capacity.mem_mb,
         );
-        let accelerators = count(self.demand.gpu, self.vm_capacity.gpu);
+        let accelerators = count(self.demand.gpu, self.lacking.gpu, self.vm_capacity.gpu);
         cores.max(memory).max(accelerators).max(self.min_vms).max(1)
     }
 }
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -57,7 +57,13 @@
     fn pool_demands(&self, table: &JobTable, standby: &str) -> IndexMap<Arc<str>, PoolDemand> {
         let names = self.policy.pools.keys().filter(|name| ***name != *standby);
         let mut pools: IndexMap<Arc<str>, PoolDemand> = names
-            .map(|name| (Arc::clone(name), PoolDemand::default()))
+            .map(|name| {
+                let pool = PoolDemand {
+                    vm_capacity: self.largest_capacity(name),
+                    ..PoolDemand::default()
+                };
+                (Arc::clone(name), pool)
+            })
             .collect();
         // A VM that is being moved counts once, for its destination: its target may be listed
         // there before the list of VMs shows the VM as moved.
@@ -72,10 +78,15 @@
                 continue;
             };
             incoming.swap_remove(entry.vm.as_ref());
-            pool.vm_capacity = entry.capacity;
             pool.demand.add(&target.used);
             // A VM that is about to be moved or maintained has to be replaced.
-            pool.vms += usize::from(target.vacating_since.is_none());
+            if target.vacating_since.is_none() {
+                pool.vms += 1;
+                // What runs on a target that has shrunk goes on there.
+                let mut lacking = pool.vm_capacity;
+                lacking.subtract(&entry.capacity.max_each(&target.used));
+                pool.lacking.add(&lacking);
+            }
         }
         for destination in incoming.into_values() {
             if let Some(pool) = pools.get_mut(destination) {
@@ -119,6 +130,28 @@
         pools
     }
 
+    /// Largest capacity of the VMs in a pool, by resource, and of their targets. While these have
+    /// nothing left, or there are none, that of all VMs.
+    fn largest_capacity(&self, pool: &str) -> Capacity {
+        let vms = self.vm_tracker.vms().values();
+        let in_pool = vms.filter(|vm| *vm.pool == *pool).map(|vm| vm.capacity);
+        let entries = self.targets.values().filter(|target| target.listed);
+        let entries = entries
+            .map(|target| &target.entry)
+            .filter(|entry| *entry.pool == *pool)
+            .map(|entry| entry.capacity);
+        let largest = in_pool
+            .chain(entries)
+            .fold(Capacity::default(), |largest, other| {
+                largest.max_each(&other)
+            });
+        if largest.cpu > 0 && largest.mem_mb > 0 {
+            return largest;
+        }
+        let vms = self.vm_tracker.vms().values();
+        vms.fold(largest, |largest, vm| largest.max_each(&vm.capacity))
+    }
+
     /// VMs that could be moved now: those that are off, and those whose target has no work.
     fn move_candidates(&self, now: Millis) -> Vec<MoveCandidate> {
         let vms = self.vm_tracker.vms().iter();
--- a/tests/scheduler/capacity.rs
+++ b/tests/scheduler/capacity.rs
@@ -1,8 +1,10 @@
 //! Targets whose capacity shrinks and grows while they run.
 
+use std::sync::Arc;
+
 use amaranthwick::scheduler::{Capacity, JobState, Millis, TargetId, TaskKey};
 
-use crate::fixtures::{job, long_running_step, step};
+use crate::fixtures::{POOL, job, long_running_step, step};
 use crate::world::World;
 
 /// Time after which a capacity that has shrunk counts, in ms: the time that leaders have to learn
@@ -153,3 +155,51 @@
     assert_eq!(world.state(key), Some(JobState::Complete));
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// A platform with `working` targets in the pool that runs jobs, of which one has nothing left, and
+/// 6 in the standby pool. A job of `tasks` tasks of a core is in, and leaders have begun to send
+/// orders for VMs.
+fn world_with_standby(working: usize, without_capacity: usize, tasks: u32) -> World {
+    let mut world = World::new(working + 6, 1);
+    for target in world.targets.values_mut().skip(working) {
+        target.entry.pool = Arc::from("spare");
+    }
+    world.claim();
+    let id = world.targets.get_index(without_capacity).unwrap().0.clone();
+    world.set_capacity(&id, cores(0));
+    world.run_for(1_800);
+    world.submit(1, job(vec![step(tasks, 60_000, &[])]));
+    world.run_for(2_700);
+    world
+}
+
+/// Number of VMs that were to be moved to the pool that runs jobs.
+fn moves_to_pool(world: &World) -> usize {
+    world.moves.iter().filter(|(_, pool)| pool == POOL).count()
+}
+
+/// Guards against needless VMs: when the last target of a pool had nothing left, the pool wanted a
+/// VM for each thousandth of a core in demand, and got all that were off.
+#[test]
+fn a_target_without_capacity_does_not_draw_all_vms_into_its_pool() {
+    let world = world_with_standby(2, 1, 4);
+
+    assert_eq!(moves_to_pool(&world), 0);
+}
+
+/// Guards against tasks that wait although VMs are off: a target that had shrunk counted as a
+/// whole VM of its pool.
+#[test]
+fn a_pool_gets_vms_for_what_its_targets_have_lost() {
+    let world = world_with_standby(2, 0, 20);
+
+    assert_eq!(moves_to_pool(&world), 1);
+}
+
+/// Guards against needless VMs, as above, in a pool whose targets all have nothing left.
+#[test]
+fn a_pool_without_capacity_gets_as_many_vms_as_its_demand_needs() {
+    let world = world_with_standby(1, 0, 4);
+
+    assert_eq!(moves_to_pool(&world), 1);
+}
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -102,6 +102,9 @@
     pub(crate) violations: Vec<String>,
     /// VMs whose maintenance began, with the time.
     pub(crate) upkeeps: Vec<(Millis, String)>,
+    /// Orders to move a VM: the VM and the pool. The VM service refuses moves to the standby
+    /// pool; others begin, but do not end.
+    pub(crate) moves: Vec<(String, String)>,
     /// Reports on waves: the number, and whether the wave is complete.
     pub(crate) reports: Vec<(u64, bool)>,
     /// Run time of a job's tasks in ms, where it is not the step's estimate.
@@ -143,6 +146,7 @@
             log: Vec::new(),
             violations: Vec::new(),
             upkeeps: Vec::new(),
+            moves: Vec::new(),
             reports: Vec::new(),
             run_times: IndexMap::new(),
             policy: Arc::new(policy()),
@@ -486,8 +490,13 @@
                 self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
             }
             Command::BeginUpkeep { vm, .. } => self.order_upkeep(leader, vm),
-            Command::MoveVm { vm, .. } => {
-                let outcome = VmOutcome::Invalid;
+            Command::MoveVm { vm, pool, .. } => {
+                self.moves.push((vm.clone(), pool.to_string()));
+                let outcome = if *pool == *POOL {
+                    VmOutcome::Begun
+                } else {
+                    VmOutcome::Invalid
+                };
                 let event = Event::VmOrderAnswered { vm, outcome };
                 self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
             }
