--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -8,7 +8,7 @@
 use super::Leader;
 use crate::scheduler::demand::{MoveCandidate, PoolDemand, PoolMove, plan_moves};
 use crate::scheduler::vms::{VmOrder, VmState};
-use crate::scheduler::{Capacity, JobTable, Millis, StepKey};
+use crate::scheduler::{Capacity, JobTable, Millis, Step, StepKey};
 
 /// Time between two computations of the demand, in ms.
 const BALANCE_INTERVAL_MS: Millis = 100;
@@ -121,7 +121,10 @@
                         pool.demand.add(&multiply(&spec.reservation(), pending));
                     }
                     if spec.long_running && spec.max_per_target > 0 {
-                        let targets = spec.count.div_ceil(spec.max_per_target) as usize;
+                        let mut targets = spec.count.div_ceil(spec.max_per_target) as usize;
+                        if pending > 0 {
+                            targets += self.targets_too_small(name, step, spec, &pool.vm_capacity);
+                        }
                         pool.min_vms = pool.min_vms.max(targets);
                     }
                 }
@@ -130,6 +133,27 @@
         pools
     }
 
+    /// Number of targets of a pool that run no task of the step, and are too small for one; 0 if
+    /// the pool's `largest` VM is, too.
+    fn targets_too_small(
+        &self,
+        pool: &str,
+        key: StepKey,
+        step: &Step,
+        largest: &Capacity,
+    ) -> usize {
+        let fits = |capacity| Capacity::default().fits(&step.reservation(), capacity);
+        if !fits(largest) {
+            return 0;
+        }
+        let targets = self.targets.values().filter(|target| {
+            target.listed && target.vacating_since.is_none() && *target.entry.pool == *pool
+        });
+        targets
+            .filter(|target| !fits(&target.entry.capacity) && target.runs_of_step(key) == 0)
+            .count()
+    }
+
     /// Largest capacity of the VMs in a pool, by resource, and of their targets. While these have
     /// nothing left, or there are none, that of all VMs.
     fn largest_capacity(&self, pool: &str) -> Capacity {
--- a/tests/scheduler/capacity.rs
+++ b/tests/scheduler/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use amaranthwick::scheduler::{Capacity, JobState, Millis, TargetId, TaskKey};
+use amaranthwick::scheduler::{Capacity, JobState, Millis, Step, TargetId, TaskKey};
 
 use crate::fixtures::{POOL, job, long_running_step, step};
 use crate::world::World;
@@ -157,9 +157,8 @@
 }
 
 /// A platform with `working` targets in the pool that runs jobs, of which one has nothing left, and
-/// 6 in the standby pool. A job of `tasks` tasks of a core is in, and leaders have begun to send
-/// orders for VMs.
-fn world_with_standby(working: usize, without_capacity: usize, tasks: u32) -> World {
+/// 6 in the standby pool. A job of one step is in, and the leader has begun to send orders for VMs.
+fn world_with_standby(working: usize, without_capacity: usize, step: Step) -> World {
     let mut world = World::new(working + 6, 1);
     for target in world.targets.values_mut().skip(working) {
         target.entry.pool = Arc::from("spare");
@@ -168,7 +167,7 @@
     let id = world.targets.get_index(without_capacity).unwrap().0.clone();
     world.set_capacity(&id, cores(0));
     world.run_for(1_800);
-    world.submit(1, job(vec![step(tasks, 60_000, &[])]));
+    world.submit(1, job(vec![step]));
     world.run_for(2_700);
     world
 }
@@ -182,7 +181,7 @@
 /// VM for each thousandth of a core in demand, and got all that were off.
 #[test]
 fn a_target_without_capacity_does_not_draw_all_vms_into_its_pool() {
-    let world = world_with_standby(2, 1, 4);
+    let world = world_with_standby(2, 1, step(4, 60_000, &[]));
 
     assert_eq!(moves_to_pool(&world), 0);
 }
@@ -191,7 +190,7 @@
 /// whole VM of its pool.
 #[test]
 fn a_pool_gets_vms_for_what_its_targets_have_lost() {
-    let world = world_with_standby(2, 0, 20);
+    let world = world_with_standby(2, 0, step(20, 60_000, &[]));
 
     assert_eq!(moves_to_pool(&world), 1);
 }
@@ -199,7 +198,28 @@
 /// Guards against needless VMs, as above, in a pool whose targets all have nothing left.
 #[test]
 fn a_pool_without_capacity_gets_as_many_vms_as_its_demand_needs() {
-    let world = world_with_standby(1, 0, 4);
+    let world = world_with_standby(1, 0, step(4, 60_000, &[]));
 
     assert_eq!(moves_to_pool(&world), 1);
 }
+
+/// Guards against a long-running task that waits although VMs are off: its step may not share
+/// targets, and one that was too small for its tasks counted as one for them.
+#[test]
+fn a_step_that_may_not_share_targets_gets_vms_for_those_that_are_too_small() {
+    let world = world_with_standby(2, 1, long_running_step(2, 1));
+
+    assert_eq!(moves_to_pool(&world), 1);
+}
+
+/// A target that shrinks below a task that it runs is still a target for its step.
+#[test]
+fn a_step_that_runs_on_targets_that_have_shrunk_gets_no_further_vms() {
+    let mut world = world_with_standby(3, 2, long_running_step(2, 1));
+    let first = first_target(&world);
+
+    world.set_capacity(&first, cores(0));
+    world.run_for(3_000);
+
+    assert_eq!(moves_to_pool(&world), 0);
+}
