--- a/src/scheduler/capacity.rs
+++ b/src/scheduler/capacity.rs
@@ -17,24 +17,24 @@
     /// Returns whether the sum of `self` and `more` exceeds `limit` in no resource.
     #[must_use]
     pub const fn fits(&self, more: &Self, limit: &Self) -> bool {
-        self.cpu + more.cpu <= limit.cpu
-            && self.mem_mb + more.mem_mb <= limit.mem_mb
-            && self.gpu + more.gpu <= limit.gpu
+        self.cpu.saturating_add(more.cpu) <= limit.cpu
+            && self.mem_mb.saturating_add(more.mem_mb) <= limit.mem_mb
+            && self.gpu.saturating_add(more.gpu) <= limit.gpu
     }
 
     /// Like [`Self::fits`], but a resource that is 0 in `limit` is not limited.
     #[must_use]
     pub const fn within_limit(&self, more: &Self, limit: &Self) -> bool {
-        (limit.cpu == 0 || self.cpu + more.cpu <= limit.cpu)
-            && (limit.mem_mb == 0 || self.mem_mb + more.mem_mb <= limit.mem_mb)
-            && (limit.gpu == 0 || self.gpu + more.gpu <= limit.gpu)
+        (limit.cpu == 0 || self.cpu.saturating_add(more.cpu) <= limit.cpu)
+            && (limit.mem_mb == 0 || self.mem_mb.saturating_add(more.mem_mb) <= limit.mem_mb)
+            && (limit.gpu == 0 || self.gpu.saturating_add(more.gpu) <= limit.gpu)
     }
 
-    /// Adds `more` to each resource.
+    /// Adds `more` to each resource, stopping at the largest number.
     pub const fn add(&mut self, more: &Self) {
-        self.cpu += more.cpu;
-        self.mem_mb += more.mem_mb;
-        self.gpu += more.gpu;
+        self.cpu = self.cpu.saturating_add(more.cpu);
+        self.mem_mb = self.mem_mb.saturating_add(more.mem_mb);
+        self.gpu = self.gpu.saturating_add(more.gpu);
     }
 
     /// The larger amount of each resource.
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -59,7 +59,9 @@
         }
         let (at, before) = self.samples[0];
         let span = (now - at).max(TREND_WINDOW_MS);
-        let rise = |current: u64, before: u64| current.saturating_sub(before) * MOVE_LEAD_MS / span;
+        let rise = |current: u64, before: u64| {
+            current.saturating_sub(before).saturating_mul(MOVE_LEAD_MS) / span
+        };
         Capacity {
             cpu: rise(demand.cpu, before.cpu),
             mem_mb: rise(demand.mem_mb, before.mem_mb),
@@ -89,20 +91,16 @@
     /// Number of VMs that the pool should have, at least 1.
     pub(super) fn wanted_vms(&self) -> usize {
         let count = |demand: u64, lacking: u64, per_vm: u64| {
-            let demand = demand + demand * FRAGMENTATION_PERCENT / 100 + lacking;
+            let lost = demand.saturating_mul(FRAGMENTATION_PERCENT) / 100;
+            let demand = demand.saturating_add(lost).saturating_add(lacking);
             usize::try_from(demand.div_ceil(per_vm.max(1))).unwrap_or(usize::MAX)
         };
-        let cores = count(
-            self.demand.cpu + self.expected_rise.cpu,
-            self.lacking.cpu,
-            self.vm_capacity.cpu,
-        );
-        let memory = count(
-            self.demand.mem_mb + self.expected_rise.mem_mb,
-            self.lacking.mem_mb,
-            self.vm_capacity.mem_mb,
-        );
-        let accelerators = count(self.demand.gpu, self.lacking.gpu, self.vm_capacity.gpu);
+        let mut demand = self.demand;
+        demand.add(&self.expected_rise);
+        let (lacking, per_vm) = (&self.lacking, &self.vm_capacity);
+        let cores = count(demand.cpu, lacking.cpu, per_vm.cpu);
+        let memory = count(demand.mem_mb, lacking.mem_mb, per_vm.mem_mb);
+        let accelerators = count(demand.gpu, lacking.gpu, per_vm.gpu);
         cores.max(memory).max(accelerators).max(self.min_vms).max(1)
     }
 }
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -202,8 +202,8 @@
 
 const fn multiply(amount: &Capacity, count: u64) -> Capacity {
     Capacity {
-        cpu: amount.cpu * count,
-        mem_mb: amount.mem_mb * count,
-        gpu: amount.gpu * count,
+        cpu: amount.cpu.saturating_mul(count),
+        mem_mb: amount.mem_mb.saturating_mul(count),
+        gpu: amount.gpu.saturating_mul(count),
     }
 }
--- a/tests/scheduler/capacity.rs
+++ b/tests/scheduler/capacity.rs
@@ -223,3 +223,24 @@
 
     assert_eq!(moves_to_pool(&world), 0);
 }
+
+/// Guards against an overflow: a task that needs more than any number of targets has was taken to
+/// fit beside another one, because the sum of what they need exceeded 64 bits.
+#[test]
+fn a_task_of_any_size_is_weighed_without_overflow() {
+    let mut world = World::new(1, 1);
+    world.remove_admission_check();
+    world.claim();
+    let small = world.submit(1, job(vec![step(1, 6_000, &[])]));
+    world.run_for(500);
+    let mut huge = step(2, 1_000, &[]);
+    huge.needs.cpu = u64::MAX;
+    huge.needs.mem_mb = u64::MAX;
+    let huge = world.submit(2, job(vec![huge]));
+
+    world.run_for(5_000);
+
+    assert_eq!(world.running(small).len(), 1);
+    assert_eq!(world.running(huge), Vec::new());
+    assert_eq!(world.violations, Vec::<String>::new());
+}
