--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::target::{Target, TargetId};
-use super::{Capacity, Millis, Step, StepKey};
+use super::{Millis, Step, StepKey};
 
 /// A request to place one task of a step.
 #[derive(Clone, Copy, Debug)]
@@ -47,8 +47,8 @@
 }
 
 /// Chooses the target to reserve for a task that has no room yet: the one with the least CPU
-/// in use, among those that could run the task if they were empty. It is likely to have room
-/// first.
+/// in use, among those that could run the task beside their long-running ones. It is likely to
+/// have room first.
 pub(super) fn target_to_reserve(
     targets: &IndexMap<TargetId, Target>,
     request: &PlacementRequest<'_>,
@@ -56,10 +56,10 @@
     now: Millis,
 ) -> Option<TargetId> {
     let reservation = request.step.reservation();
-    let nothing = Capacity::default();
     eligible_targets(targets, request, now)
         .filter(|(id, target)| {
-            let large_enough = nothing.fits(&reservation, &target.entry.capacity);
+            let kept = target.long_running_used();
+            let large_enough = kept.fits(&reservation, &target.entry.capacity);
             large_enough && !reserved.contains(*id)
         })
         .min_by_key(|(id, target)| (target.used.cpu, (*id).clone()))
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -189,6 +189,15 @@
         self.runs.values().filter(|run| run.long_running).count()
     }
 
+    /// Sum of what its runs of long-running tasks reserve.
+    pub(super) fn long_running_used(&self) -> Capacity {
+        let mut used = Capacity::default();
+        for run in self.runs.values().filter(|run| run.long_running) {
+            used.add(&run.reserved);
+        }
+        used
+    }
+
     /// Returns whether it may be executing any run.
     pub(super) fn may_be_executing(&self) -> bool {
         self.runs.values().any(Run::may_be_executing)
--- a/tests/scheduler/capacity.rs
+++ b/tests/scheduler/capacity.rs
@@ -244,3 +244,29 @@
     assert_eq!(world.running(huge), Vec::new());
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Guards against starvation: a target that had shrunk was kept free for a task that could never
+/// fit there beside a long-running one, because it had the least CPU in use.
+#[test]
+fn no_target_is_reserved_that_long_running_tasks_keep_too_full() {
+    let mut world = World::new(2, 1);
+    world.claim();
+    let mut first = long_running_step(1, 1);
+    first.needs.cpu = 4_000;
+    let first = world.submit(1_000, job(vec![first]));
+    world.run_for(1_000);
+    let home = world.running(first)[0].0.clone();
+    world.set_capacity(&home, cores(8));
+    world.run_for(2_000);
+    for i in 0..400 {
+        world.submit(i, job(vec![step(1, 500 + i * 37 % 900, &[])]));
+    }
+    world.run_for(2_000);
+    let mut large = long_running_step(1, 1);
+    large.needs.cpu = 6_000;
+
+    let key = world.submit(1_001, job(vec![large]));
+    world.run_for(2_000);
+
+    assert_eq!(world.running(key).len(), 1);
+}
