--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -8,7 +8,7 @@
 use super::Leader;
 use crate::scheduler::demand::{MoveCandidate, PoolDemand, PoolMove, plan_moves};
 use crate::scheduler::vms::{VmOrder, VmState};
-use crate::scheduler::{Capacity, JobTable, Millis, StepKey};
+use crate::scheduler::{Capacity, JobTable, Millis, Step, StepKey};
 
 /// Time between two computations of the demand, in ms.
 const BALANCE_INTERVAL_MS: Millis = 100;
@@ -57,7 +57,13 @@
     fn pool_demands(&self, table: &JobTable, standby: &str) -> IndexMap<Arc<str>, PoolDemand> {
         let names = self.policy.pools.keys().filter(|name| ***name != *standby);
         let mut pools: IndexMap<Arc<str>, PoolDemand> = names
-            .map(|name| (Arc::clone(name), PoolDemand::default()))
+            .map(|name| {
+                let pool = PoolDemand {
+                    vm_capacity: self.largest_capacity(name),
+                    ..PoolDemand::default()
+                };
+                (Arc::clone(name), pool)
+            })
             .collect();
         // A VM that is being moved counts once, for its destination: its target may be listed
         // there before the list of VMs shows the VM as moved.
@@ -72,10 +78,15 @@
                 continue;
             };
             incoming.swap_remove(entry.vm.as_ref());
-            pool.vm_capacity = entry.capacity;
             pool.demand.add(&target.used);
             // A VM that is about to be moved or maintained has to be replaced.
-            pool.vms += usize::from(target.vacating_since.is_none());
+            if target.vacating_since.is_none() {
+                pool.vms += 1;
+                // What runs on a target that has shrunk goes on there.
+                let mut lacking = pool.vm_capacity;
+                lacking.subtract(&entry.capacity.max_each(&target.used));
+                pool.lacking.add(&lacking);
+            }
         }
         for destination in incoming.into_values() {
             if let Some(pool) = pools.get_mut(destination) {
@@ -110,7 +121,10 @@
                         pool.demand.add(&multiply(&spec.reservation(), pending));
                     }
                     if spec.long_running && spec.max_per_target > 0 {
-                        let targets = spec.count.div_ceil(spec.max_per_target) as usize;
+                        let mut targets = spec.count.div_ceil(spec.max_per_target) as usize;
+                        if pending > 0 {
+                            targets += self.targets_too_small(name, step, spec, &pool.vm_capacity);
+                        }
                         pool.min_vms = pool.min_vms.max(targets);
                     }
                 }
@@ -119,6 +133,49 @@
         pools
     }
 
+    /// Number of targets of a pool that run no task of the step, and are too small for one; 0 if
+    /// the pool's `largest` VM is, too.
+    fn targets_too_small(
+        &self,
+        pool: &str,
+        key: StepKey,
+        step: &Step,
+        largest: &Capacity,
+    ) -> usize {
+        let fits = |capacity| Capacity::default().fits(&step.reservation(), capacity);
+        if !fits(largest) {
+            return 0;
+        }
+        let targets = self.targets.values().filter(|target| {
+            target.listed && target.vacating_since.is_none() && *target.entry.pool == *pool
+        });
+        targets
+            .filter(|target| !fits(&target.entry.capacity) && target.runs_of_step(key) == 0)
+            .count()
+    }
+
+    /// Largest capacity of the VMs in a pool, by resource, and of their targets. While these have
+    /// nothing left, or there are none, that of all VMs.
+    fn largest_capacity(&self, pool: &str) -> Capacity {
+        let vms = self.vm_tracker.vms().values();
+        let in_pool = vms.filter(|vm| *vm.pool == *pool).map(|vm| vm.capacity);
+        let entries = self.targets.values().filter(|target| target.listed);
+        let entries = entries
+            .map(|target| &target.entry)
+            .filter(|entry| *entry.pool == *pool)
+            .map(|entry| entry.capacity);
+        let largest = in_pool
+            .chain(entries)
+            .fold(Capacity::default(), |largest, other| {
+                largest.max_each(&other)
+            });
+        if largest.cpu > 0 && largest.mem_mb > 0 {
+            return largest;
+        }
+        let vms = self.vm_tracker.vms().values();
+        vms.fold(largest, |largest, vm| largest.max_each(&vm.capacity))
+    }
+
     /// VMs that could be moved now: those that are off, and those whose target has no work.
     fn move_candidates(&self, now: Millis) -> Vec<MoveCandidate> {
         let vms = self.vm_tracker.vms().iter();
@@ -145,8 +202,8 @@
 
 const fn multiply(amount: &Capacity, count: u64) -> Capacity {
     Capacity {
-        cpu: amount.cpu * count,
-        mem_mb: amount.mem_mb * count,
-        gpu: amount.gpu * count,
+        cpu: amount.cpu.saturating_mul(count),
+        mem_mb: amount.mem_mb.saturating_mul(count),
+        gpu: amount.gpu.saturating_mul(count),
     }
 }
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -170,6 +170,18 @@
         self.suspect_runs > 0 && runs.any(|run| run.suspect && !run.past_startup(now))
     }
 
+    /// Returns whether the planned run of a task fits beside the runs that may be executing. The
+    /// capacity may have shrunk since the run was planned.
+    pub(super) fn fits_planned_run(&self, task: TaskKey) -> bool {
+        let mut used = Capacity::default();
+        for run in self.runs.values().filter(|run| run.may_be_executing()) {
+            used.add(&run.reserved);
+        }
+        self.runs
+            .get(&task)
+            .is_some_and(|run| used.fits(&run.reserved, &self.entry.capacity))
+    }
+
     /// Adds a run and reserves its capacity.
     pub(super) fn add_run(&mut self, task: TaskKey, run: Run) {
         self.used.add(&run.reserved);
@@ -219,6 +231,15 @@
         self.runs.values().filter(|run| run.long_running).count()
     }
 
+    /// Sum of what its runs of long-running tasks reserve.
+    pub(super) fn long_running_used(&self) -> Capacity {
+        let mut used = Capacity::default();
+        for run in self.runs.values().filter(|run| run.long_running) {
+            used.add(&run.reserved);
+        }
+        used
+    }
+
     /// Returns whether it may be executing any run.
     pub(super) fn may_be_executing(&self) -> bool {
         self.runs.values().any(Run::may_be_executing)
--- a/tests/scheduler/faults.rs
+++ b/tests/scheduler/faults.rs
@@ -3,6 +3,7 @@
 use amaranthwick::scheduler::JobState;
 use rstest::rstest;
 
+use crate::capacity::cores;
 use crate::fixtures::{further_seeds, job, long_running_step, step};
 use crate::target::Pace;
 use crate::world::{Faults, World};
@@ -155,6 +156,9 @@
     world.faults.lost_answers = 30;
     world.faults.late_starts = 20;
     world.faults.failed_runs = 10;
+    if seed % 2 == 1 {
+        world.remove_admission_check();
+    }
     world.claim();
     let mut keys = Vec::new();
     let mut unreachable = Vec::new();
@@ -212,12 +216,21 @@
                 world.run_for(200);
                 world.claim();
             }
+            18 => {
+                let i = world.rng().usize(..8);
+                let id = world.targets.get_index(i).unwrap().0.clone();
+                let left = world.rng().u64(..=16);
+                world.set_capacity(&id, cores(left));
+            }
             _ => {}
         }
         world.run_for(500);
     }
     world.store_up = true;
     world.faults = Faults::default();
+    for target in world.targets.values_mut() {
+        target.room.change(cores(16), world.now);
+    }
     world.publish_all_entries();
     for target in world.targets.values_mut() {
         target.pace = Pace::Normal;
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler against a simulated platform in virtual time.
 
 mod cancelled_jobs;
+mod capacity;
 mod crashing_tasks;
 mod expired_entries;
 mod faults;
