--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -177,7 +177,7 @@
     }
 }
 
-fn is_gang(job: &Job, task: TaskKey) -> bool {
+pub(super) fn is_gang(job: &Job, task: TaskKey) -> bool {
     let step = job.spec.steps.get(task.step.step as usize);
     step.is_some_and(|step| step.gang)
 }
--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -178,7 +178,8 @@
                 self.expedite_hold(&id, now);
             }
         }
-        for (id, task) in batch.planned_runs {
+        let planned_runs = self.drop_broken_gangs(table, batch.planned_runs, now);
+        for (id, task) in planned_runs {
             self.send_start(table, &id, task, now);
         }
     }
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -1,8 +1,11 @@
 //! Sends start calls and applies the answers to them.
 
+use indexmap::IndexSet;
+
+use super::ends::is_gang;
 use super::{Command, Leader, StartOutcome};
 use crate::scheduler::run::RunPhase;
-use crate::scheduler::{JobTable, Millis, TargetId, TaskKey};
+use crate::scheduler::{JobTable, Millis, StepKey, TargetId, TaskKey};
 
 /// Time for which a target gets no further start after it refused one for another reason than
 /// its health, in ms.
@@ -62,6 +65,55 @@
         });
     }
 
+    /// Releases the planned runs of gangs of which some member can't start any more, since the
+    /// others would wait for it in vain. Returns the remaining planned runs.
+    pub(super) fn drop_broken_gangs(
+        &mut self,
+        table: &mut JobTable,
+        planned: Vec<(TargetId, TaskKey)>,
+        now: Millis,
+    ) -> Vec<(TargetId, TaskKey)> {
+        let broken: IndexSet<StepKey> = planned
+            .iter()
+            .filter(|(_, task)| {
+                let job = table.get(task.step.job);
+                job.is_some_and(|job| is_gang(job, *task))
+            })
+            .filter(|(id, task)| {
+                let target = self.targets.get(id);
+                !target.is_some_and(|t| t.accepts_work(now) && t.fits_planned_step(task.step))
+            })
+            .map(|(_, task)| task.step)
+            .collect();
+        let (dropped, kept) = planned
+            .into_iter()
+            .partition(|(_, task)| broken.contains(&task.step));
+        for (id, task) in dropped {
+            self.release_planned_run(table, &id, task, now);
+        }
+        kept
+    }
+
+    /// Removes a planned run, so that its task may be placed again.
+    fn release_planned_run(
+        &mut self,
+        table: &mut JobTable,
+        id: &TargetId,
+        task: TaskKey,
+        now: Millis,
+    ) {
+        let target = self.targets.get_mut(id);
+        let Some(target) = target.filter(|target| {
+            let run = target.runs.get(&task);
+            run.is_some_and(|run| run.phase == RunPhase::Planned)
+        }) else {
+            return;
+        };
+        if let Some(run) = target.remove_run(task, now) {
+            self.release_task(table, task, run.number);
+        }
+    }
+
     /// Applies the answer to a start call; ignores one that does not match a run that was sent
     /// to this incarnation.
     #[allow(clippy::too_many_arguments)] // One for each field of the event.
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -170,6 +170,17 @@
         self.suspect_runs > 0 && runs.any(|run| run.suspect && !run.past_startup(now))
     }
 
+    /// Returns whether the planned runs of a step fit beside the runs that may be executing.
+    pub(super) fn fits_planned_step(&self, step: StepKey) -> bool {
+        let mut used = Capacity::default();
+        for (task, run) in &self.runs {
+            if run.may_be_executing() || task.step == step {
+                used.add(&run.reserved);
+            }
+        }
+        used.fits(&Capacity::default(), &self.entry.capacity)
+    }
+
     /// Returns whether the planned run of a task fits beside the runs that may be executing. The
     /// capacity may have shrunk since the run was planned.
     pub(super) fn fits_planned_run(&self, task: TaskKey) -> bool {
--- a/tests/scheduler/gangs.rs
+++ b/tests/scheduler/gangs.rs
@@ -2,6 +2,7 @@
 
 use amaranthwick::scheduler::{JobKey, JobState, Step};
 
+use crate::capacity::cores;
 use crate::fixtures::{job, step};
 use crate::world::{Returns, World};
 
@@ -34,6 +35,34 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Guards against members that wait for others in vain: a target shrank while the decision to
+/// start was being stored, and the rest of the gang started without the member there.
+#[test]
+fn no_member_starts_when_another_has_lost_its_room() {
+    let mut world = World::new(5, 1);
+    world.remove_admission_check();
+    world.claim();
+    world.run_for(500);
+
+    world.store_up = false;
+    let key = world.submit(1, job(vec![gang_of_four()]));
+    world.run_for(100);
+    for i in 0..2 {
+        let id = world.targets.get_index(i).unwrap().0.clone();
+        world.set_capacity(&id, cores(0));
+    }
+    world.run_for(2_000);
+    world.store_up = true;
+    let mut started = Vec::new();
+    for _ in 0..40 {
+        world.run_for(50);
+        started.push(world.running(key).len());
+    }
+
+    assert_eq!(started, vec![0; 40]);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 #[test]
 fn a_crash_under_one_member_breaks_the_others_and_the_gang_runs_again() {
     let mut world = World::new(4, 1);
