--- a/src/scheduler/leader/crashes.rs
+++ b/src/scheduler/leader/crashes.rs
@@ -113,9 +113,12 @@
         stored.crashes.count += 1;
         stored.crashes.run = run;
         let (crashes, limit) = (stored.crashes.count, crash.limit());
+        let jobs = crash
+            .suspected_jobs
+            .map_or_else(|| "unknown".to_owned(), |jobs| jobs.to_string());
         spdlog::warn!("run_suspected", kv: {
             task = task.to_string(), run, target = crash.target.0.as_ref(), loss = crash.loss.name(),
-            suspected_jobs = format!("{:?}", crash.suspected_jobs), crashes, limit
+            suspected_jobs = jobs, crashes, limit
         });
         let job = task.step.job;
         self.journal.mark_job_dirty(job);
