--- a/tests/scheduler/cancelled_jobs.rs
+++ b/tests/scheduler/cancelled_jobs.rs
@@ -53,10 +53,7 @@
 /// target that runs a later one does not end that.
 #[rstest]
 fn a_run_under_another_number_stops_with_its_job(#[values(1, 5)] reported: u32) {
-    let mut world = World::new(2, 1);
-    world.claim();
-    let key = world.submit(1, job(vec![long_running_step(1, 0)]));
-    run_for_the_second_time(&mut world, key);
+    let (mut world, key) = world_with_second_run();
     let (id, task) = world.running(key)[0].clone();
 
     world.targets[&id].renumber_run(task, reported);
@@ -69,10 +66,7 @@
 /// Guards against a task that stays with a run which its target does not have.
 #[rstest]
 fn a_task_that_runs_under_another_number_starts_anew(#[values(1, 5)] reported: u32) {
-    let mut world = World::new(2, 1);
-    world.claim();
-    let key = world.submit(1, job(vec![long_running_step(1, 0)]));
-    run_for_the_second_time(&mut world, key);
+    let (mut world, key) = world_with_second_run();
     let (id, task) = world.running(key)[0].clone();
 
     world.targets[&id].renumber_run(task, reported);
@@ -86,12 +80,17 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
-/// Restarts the target of the job's only task, so that the task's second run is the current one.
-fn run_for_the_second_time(world: &mut World, key: JobKey) {
+/// A world with a job of one long-running task, which runs for the second time because its
+/// target has restarted.
+fn world_with_second_run() -> (World, JobKey) {
+    let mut world = World::new(2, 1);
+    world.claim();
+    let key = world.submit(1, job(vec![long_running_step(1, 0)]));
     world.run_for(1_000);
     let (id, _) = world.running(key)[0].clone();
     world.restart(&id);
     world.run_for(1_000);
+    (world, key)
 }
 
 /// Cancels may come at any time; once faults are over, no run of a cancelled job goes on.
