--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -2,6 +2,7 @@
 
 mod cancelled_jobs;
 mod capacity;
+mod crash_limits;
 mod crashing_tasks;
 mod expired_entries;
 mod faults;
