--- a/tests/scheduler/crash_limits.rs
+++ b/tests/scheduler/crash_limits.rs
@@ -146,3 +146,62 @@
         "away for {longest} ms"
     );
 }
+
+/// Guards against a crash that counts for nobody: the leader is lost with the target, and the next
+/// one finds another incarnation, or no entry.
+#[rstest]
+fn a_crash_that_only_the_next_leader_learns_of_counts(
+    #[values(Returns::SameId, Returns::NewId)] returns: Returns,
+    #[values(3_600, 5_000)] away_ms: u64,
+) {
+    let mut world = crashing_world(8, returns);
+    world.crashes.deadly.insert(task(1, 0));
+    let deadly = world.submit(1, job(vec![step(1, 800, &[])]));
+    world.run_until_crashes(1, 1_000);
+
+    world.kill();
+    world.run_for(away_ms);
+    world.claim();
+    world.run_for(40_000);
+
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.state(deadly), Some(JobState::Failed));
+    assert_eq!(world.crashes.under(task(1, 0)), 3);
+}
+
+/// Guards against tasks that wait for those of another job to end, though they need only wait
+/// until these have started up.
+#[test]
+fn tasks_of_two_jobs_start_one_after_the_other_once_their_target_crashed() {
+    let mut world = crashing_world(1, Returns::SameId);
+    let jobs = [1, 2].map(|number| world.submit(number, job(vec![step(1, 8_000, &[])])));
+    world.run_for(100);
+    let (id, _) = world.running(jobs[0])[0].clone();
+
+    world.restart(&id);
+    world.run_for(START_LIMIT_MS);
+
+    assert_eq!(jobs.map(|key| world.running(key).len()), [1, 1]);
+}
+
+/// Guards against a suspect task that waits although it is the most urgent: less urgent ones keep
+/// starting up on the only target of its pool.
+#[test]
+fn an_urgent_suspect_task_starts_before_others() {
+    let mut world = crashing_world(1, Returns::SameId);
+    let suspect = world.submit(1, job(vec![step(1, 400, &[])]));
+    world.run_for(100);
+    let (id, _) = world.running(suspect)[0].clone();
+    for number in 0..4 {
+        world.submit(1_000 + number, job(vec![step(1, 700, &[])]));
+    }
+    world.restart(&id);
+    world.run_for(20);
+
+    for number in 0..15 {
+        world.submit(2_000 + number, job(vec![step(1, 700, &[])]));
+        world.run_for(200);
+    }
+
+    assert_eq!(world.state(suspect), Some(JobState::Complete));
+}
