--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -181,10 +181,10 @@
         let vms = self.vm_tracker.vms().iter();
         vms.filter(|(name, vm)| vm.state == VmState::Up && !self.vm_tracker.has_pending_order(name))
             .filter_map(|(name, vm)| {
-                let idle_ms = match &vm.target {
+                let idle_ms = match self.target_on(name) {
                     None => Some(Millis::MAX),
                     Some(id) => {
-                        let target = self.targets.get(id)?;
+                        let target = self.targets.get(&id)?;
                         let idle =
                             target.removable() && target.listed && target.vacating_since.is_none();
                         idle.then(|| now - target.idle_since)
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -7,7 +7,7 @@
 use crate::scheduler::placement::{self, PlacementRequest, ReservedTargets};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::target::Target;
-use crate::scheduler::vms::{OpenWave, Vm, VmOrder, VmOutcome, VmState};
+use crate::scheduler::vms::{OpenWave, VmOrder, VmOutcome, VmState};
 use crate::scheduler::{JobTable, Millis, Step, StepKey, TargetId, TaskKey};
 
 /// Time between two checks of the waves, in ms.
@@ -82,7 +82,7 @@
             if self.vm_tracker.has_pending_order(name) || vm.state != VmState::Up {
                 continue;
             }
-            match self.vacate_rank(vm, now) {
+            match self.vacate_rank(name, now) {
                 0 if allowed > 0 => {
                     allowed -= 1;
                     self.send_vm_order(name, VmOrder::Upkeep(wave.number), now);
@@ -102,27 +102,41 @@
     /// not moved there.
     fn mark_upkeep_due(&mut self, vms: &[&String]) {
         for name in vms {
-            let vm = self.vm_tracker.vms().get(*name);
-            let target = vm.and_then(|vm| vm.target.clone());
+            let target = self.target_on(name);
             if let Some(target) = target.and_then(|id| self.targets.get_mut(&id)) {
                 target.upkeep_due = true;
             }
         }
     }
 
+    /// Id of the target on a VM; `None` if the VM is off or has none. The list of VMs may still name
+    /// a target that another one has replaced.
+    pub(super) fn target_on(&self, vm: &str) -> Option<TargetId> {
+        let named = self.vm_tracker.vms().get(vm)?.target.as_ref()?;
+        if self.targets.get(named).is_some_and(|target| target.listed) {
+            return Some(named.clone());
+        }
+        let there = |target: &&Target| target.listed && *target.entry.vm == *vm;
+        let newest = self.targets.values().filter(there);
+        let newest = newest.max_by_key(|target| target.entry.born);
+        Some(newest.map_or_else(|| named.clone(), |target| target.entry.id.clone()))
+    }
+
     /// Rank of a VM in the order in which VMs are vacated, lowest first; 0 if its maintenance can
     /// begin now. It counts the runs on the VM's target, plus 1 while the target can't be removed,
     /// and is twice that for a VM that is not being vacated yet, so that vacating that has begun
     /// is finished first.
-    fn vacate_rank(&self, vm: &Vm, now: Millis) -> u64 {
-        let Some(id) = &vm.target else { return 0 };
+    fn vacate_rank(&self, vm: &str, now: Millis) -> u64 {
+        let Some(id) = self.target_on(vm) else {
+            return 0;
+        };
         // Tasks that an earlier leader placed on an unlisted target may still be running.
         let unknown = if now < self.unlisted_leases_lapsed_at() {
             u64::MAX
         } else {
             0
         };
-        self.targets.get(id).map_or(unknown, |target| {
+        self.targets.get(&id).map_or(unknown, |target| {
             let remaining = target.runs.len() as u64 + u64::from(!target.removable());
             if target.vacating_since.is_some() {
                 remaining
@@ -143,8 +157,7 @@
         may_stop_tasks: bool,
         now: Millis,
     ) {
-        let vm = self.vm_tracker.vms().get(name);
-        let Some(id) = vm.and_then(|vm| vm.target.clone()) else {
+        let Some(id) = self.target_on(name) else {
             return;
         };
         let Some(target) = self.targets.get_mut(&id) else {
@@ -244,11 +257,7 @@
     pub(super) fn send_vm_order(&mut self, name: &str, order: VmOrder, now: Millis) {
         spdlog::info!("vm_order", kv: { vm = name, order = format!("{order:?}"), epoch = self.epoch() });
         let vm = name.to_owned();
-        let target = self
-            .vm_tracker
-            .vms()
-            .get(name)
-            .and_then(|m| m.target.clone());
+        let target = self.target_on(name);
         if let Some(target) = target.and_then(|id| self.targets.get_mut(&id)) {
             target.vacating_since.get_or_insert(now);
         }
@@ -287,8 +296,7 @@
 
     /// Lets the target of a VM get work again, because the order for the VM was refused.
     fn end_vacating(&mut self, name: &str) {
-        let vm = self.vm_tracker.vms().get(name);
-        let target = vm.and_then(|vm| vm.target.clone());
+        let target = self.target_on(name);
         if let Some(target) = target.and_then(|id| self.targets.get_mut(&id)) {
             target.vacating_since = None;
             self.needs_scheduling = true;
