--- a/src/scheduler/leader/crashes.rs
+++ b/src/scheduler/leader/crashes.rs
@@ -8,15 +8,18 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::Leader;
-use crate::scheduler::run::Run;
-use crate::scheduler::{JobKey, JobState, JobTable, Millis, TargetId, TaskKey};
+use crate::scheduler::run::{CLEARED_MS, Run, STARTUP_MS};
+use crate::scheduler::{
+    Crashes, JobKey, JobState, JobTable, Millis, TargetEntry, TargetId, TargetState, TaskKey,
+};
 
-/// Crashes after which a job is given up if runs of no other job are suspected of the last one.
-const CRASH_LIMIT: u32 = 3;
+/// Targets known to have crashed after which a job is given up, if runs of no other job are
+/// suspected of the last crash.
+const SEEN_LIMIT: u32 = 3;
 
-/// The same if others are suspected, too, or may be: a task that crashes its targets must not go
-/// on to do so.
-const SHARED_LIMIT: u32 = 5;
+/// Targets that crashed, or may have, after which a job is given up in any case: a task that
+/// crashes its targets must not go on to do so.
+const LIMIT: u32 = 5;
 
 /// How the loss of a target was noticed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,8 +28,8 @@
     Replaced,
     /// It did not answer until its lease had expired.
     Silent,
-    /// An earlier leader had placed runs on it, and it is gone.
-    Unseen,
+    /// An earlier leader had placed runs on it, and it was not listed until its lease had expired.
+    Unlisted,
 }
 
 impl Loss {
@@ -35,7 +38,7 @@
         match self {
             Self::Replaced => "replaced",
             Self::Silent => "lease lapsed",
-            Self::Unseen => "gone after a claim",
+            Self::Unlisted => "not listed",
         }
     }
 }
@@ -50,18 +53,23 @@
 }
 
 impl Crash<'_> {
-    /// Crashes of a task after which its job is given up.
-    const fn limit(&self) -> u32 {
-        match self.suspected_jobs {
-            Some(1) => CRASH_LIMIT,
-            _ => SHARED_LIMIT,
-        }
+    /// Returns whether it is too much for the job of a task with these crashes, which include it.
+    fn exceeds(&self, crashes: &Crashes) -> bool {
+        let alone = self.loss == Loss::Replaced && self.suspected_jobs == Some(1);
+        crashes.count >= LIMIT || (alone && crashes.seen >= SEEN_LIMIT)
     }
 }
 
 impl Leader {
+    /// Returns whether the end of a target is expected: it drains, or its VM was ordered to be moved
+    /// or maintained.
+    pub(super) fn is_leaving(&self, entry: &TargetEntry) -> bool {
+        entry.state == TargetState::Draining || self.vm_tracker.has_pending_order(&entry.vm)
+    }
+
     /// Counts the loss of a target, which last answered at `answered_at`, against the runs that
-    /// may have caused it.
+    /// may have caused it: those that were starting up or, if all were of one job, any that had
+    /// not gone on for long.
     pub(super) fn suspect_runs(
         &mut self,
         table: &mut JobTable,
@@ -70,9 +78,13 @@
         answered_at: Option<Millis>,
         loss: Loss,
     ) {
+        let mut others = runs.keys().skip(1);
+        let first = runs.keys().next();
+        let lone = others.all(|task| first.is_some_and(|first| first.step.job == task.step.job));
+        let window_ms = if lone { CLEARED_MS } else { STARTUP_MS };
         let suspects: Vec<(TaskKey, u32)> = runs
             .iter()
-            .filter(|(_, run)| run.may_have_crashed(answered_at))
+            .filter(|(_, run)| run.may_have_crashed(answered_at, window_ms))
             .map(|(task, run)| (*task, run.number))
             .collect();
         let jobs: IndexSet<JobKey> = suspects.iter().map(|(task, _)| task.step.job).collect();
@@ -93,10 +105,11 @@
         task: TaskKey,
         run: u32,
         id: &TargetId,
+        loss: Loss,
     ) {
         let crash = Crash {
             target: id,
-            loss: Loss::Unseen,
+            loss,
             suspected_jobs: None,
         };
         self.count_crash(table, task, run, crash);
@@ -110,35 +123,40 @@
         let Some(stored) = stored.filter(|task| task.run == run && task.crashes.run != run) else {
             return;
         };
-        stored.crashes.count += 1;
-        stored.crashes.run = run;
-        let (crashes, limit) = (stored.crashes.count, crash.limit());
+        stored.crashes = Crashes {
+            count: stored.crashes.count + 1,
+            seen: stored.crashes.seen + u32::from(crash.loss == Loss::Replaced),
+            run,
+        };
+        let given_up = crash.exceeds(&stored.crashes);
+        let Crashes { count, seen, .. } = stored.crashes;
         let jobs = crash
             .suspected_jobs
             .map_or_else(|| "unknown".to_owned(), |jobs| jobs.to_string());
         spdlog::warn!("run_suspected", kv: {
             task = task.to_string(), run, target = crash.target.0.as_ref(), loss = crash.loss.name(),
-            suspected_jobs = jobs, crashes, limit
+            suspected_jobs = jobs, crashes = count, seen, given_up
         });
         let job = task.step.job;
         self.journal.mark_job_dirty(job);
-        if crashes >= limit {
+        if given_up {
             self.end_job(table, job, JobState::Failed, "a task crashes its targets");
             self.stop_runs_of_ended_job(table, job);
         }
     }
 
-    /// Forgets the crashes of a task whose run has gone on for long.
+    /// Forgets the crashes of a task, if it has any, because its run has gone on for long.
     pub(super) fn clear_task(&mut self, table: &mut JobTable, id: &TargetId, task: TaskKey) {
-        let Some(target) = self.targets.get_mut(id) else {
+        let stored = table.get_mut(task.step.job);
+        let stored = stored.and_then(|job| job.progress.task_mut(task));
+        let Some(stored) = stored.filter(|task| !task.crashes.is_empty()) else {
             return;
         };
-        target.clear_suspect(task);
-        let stored = table.get_mut(task.step.job);
-        if let Some(stored) = stored.and_then(|job| job.progress.task_mut(task)) {
-            let crashes = std::mem::take(&mut stored.crashes).count;
-            spdlog::info!("task_cleared", kv: { task = task.to_string(), target = id.0.as_ref(), crashes });
-            self.journal.mark_job_dirty(task.step.job);
+        let crashes = std::mem::take(&mut stored.crashes).count;
+        spdlog::info!("task_cleared", kv: { task = task.to_string(), target = id.0.as_ref(), crashes });
+        self.journal.mark_job_dirty(task.step.job);
+        if let Some(target) = self.targets.get_mut(id) {
+            target.clear_suspect(task);
         }
     }
 }
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -1,6 +1,8 @@
 //! Sends hold calls and applies the answers to them. A hold call extends a target's lease and
 //! asks for its running tasks and ended runs.
 
+use std::sync::Arc;
+
 use super::crashes::Loss;
 use super::{Command, HoldFailure, Leader, TargetReport};
 use crate::scheduler::run::{ReportedProgress, RunPhase};
@@ -217,7 +219,7 @@
                 } else {
                     run.working_since = None;
                 }
-                let cleared = run.suspect && run.clears_task(now);
+                let cleared = run.clears_task(now);
                 let unchanged_ms = run.progress.observe(running.percent, now);
                 if run.phase == RunPhase::Running
                     && stall_ms(table, task).is_some_and(|limit| unchanged_ms > limit)
@@ -353,7 +355,7 @@
             };
             spdlog::info!("run_given_up", kv: { task = task.to_string(), run, cause = "its target is not listed" });
             if let Some(target) = target {
-                self.suspect_earlier_run(table, task, run, &target);
+                self.suspect_earlier_run(table, task, run, &target, Loss::Unlisted);
             }
             self.release_task(table, task, run);
         }
@@ -376,7 +378,8 @@
         };
         let runs = target.take_runs(now);
         let listed = target.listed;
-        let (leaving, answered_at) = (target.leaving(), target.last_answer_at);
+        let (entry, answered_at) = (Arc::clone(&target.entry), target.last_answer_at);
+        let leaving = self.is_leaving(&entry);
         let silent_ms = answered_at.map_or(0, |at| now - at);
         spdlog::warn!("runs_given_up", kv: {
             target = id.0.as_ref(), cause = loss.name(), silent_ms, runs = runs.len(), leaving
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod ends;
 mod holds;
+mod isolation;
 mod journal;
 mod messages;
 mod removed_entries;
@@ -22,6 +23,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::demand::DemandTrend;
+use super::placement::ReservedTargets;
 use super::target::{HoldState, Target};
 use super::vms::VmTracker;
 use super::{Holder, JobKey, JobTable, Millis, Policy, TargetId, TaskKey};
@@ -86,6 +88,8 @@
     fenced: bool,
     /// Whether something has changed since the last scheduling that may let a task start.
     needs_scheduling: bool,
+    /// Targets that are kept free of other tasks until suspect ones can start there.
+    isolation_targets: ReservedTargets,
     /// When to schedule again although nothing has changed, because a suspect task is isolated for
     /// a while.
     reschedule_at: Option<Millis>,
--- a/src/scheduler/leader/schedule.rs
+++ b/src/scheduler/leader/schedule.rs
@@ -1,37 +1,29 @@
 //! Decides which tasks start next, and on which targets.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
-use indexmap::IndexSet;
-
 use super::Leader;
+use super::isolation::{Isolation, IsolationPass};
 use crate::scheduler::placement::{self, PlacementRequest, ReservedTargets};
 use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
-use crate::scheduler::target::Target;
 use crate::scheduler::urgency::Urgency;
 use crate::scheduler::{
     Capacity, Job, JobKey, JobState, JobTable, Millis, Occurrence, Step, StepKey, TargetId,
     TaskKey, TaskPhase,
 };
 
-/// Time between two passes over the jobs while a suspect task is isolated or waits to be, in ms.
-const ISOLATION_CHECK_MS: Millis = 50;
-
-/// Largest share of a pool's targets that are reserved for suspect tasks, in percent; at least
-/// one target.
-const RESERVED_PERCENT: usize = 25;
-
 /// State of one pass over the jobs.
 struct SchedulingPass {
     /// Capacity that the runs of each team reserve, by the team's name.
     used_by_team: HashMap<String, Capacity>,
-    /// Targets that get no tasks in this pass, because a long-running task waits for room there.
+    /// Targets that get no tasks in this pass, because a long-running task waits for room there,
+    /// and those that get only isolated ones.
     reserved_targets: ReservedTargets,
+    isolation: IsolationPass,
     /// Reservations of tasks without special requirements that no target of a pool had room for,
     /// by the pool's name.
     without_room: HashMap<String, Vec<Capacity>>,
-    /// Number of targets that are reserved for suspect tasks, by the pool's name.
-    reserved_for_suspects: HashMap<String, usize>,
     now: Millis,
 }
 
@@ -78,9 +70,9 @@
     pub(super) fn schedule(&mut self, table: &mut JobTable, now: Millis) {
         let mut pass = SchedulingPass {
             used_by_team: self.used_by_team(),
-            reserved_targets: ReservedTargets::new(),
+            reserved_targets: self.isolation_targets.clone(),
+            isolation: IsolationPass::new(std::mem::take(&mut self.isolation_targets)),
             without_room: HashMap::new(),
-            reserved_for_suspects: HashMap::new(),
             now,
         };
         for Urgency { job: key, .. } in self.jobs_by_urgency(table) {
@@ -90,12 +82,7 @@
                 self.start_step(table, step, &mut pass);
             }
         }
-        let isolating = self
-            .targets
-            .values()
-            .any(|target| target.starts_suspect(now));
-        let waiting = isolating || !pass.reserved_for_suspects.is_empty();
-        self.reschedule_at = waiting.then_some(now + ISOLATION_CHECK_MS);
+        self.finish_isolation(pass.isolation, now);
     }
 
     /// Capacity that the runs of each team reserve on all targets, by the team's name.
@@ -143,52 +130,56 @@
             return;
         };
         let mut pending = pending_tasks(job, key);
-        let suspects: IndexSet<u32> = pending
-            .iter()
-            .copied()
-            .filter(|index| is_suspect(job, key.task(*index)))
-            .collect();
-        // The suspect ones can go to fewer targets.
-        pending.sort_by_key(|index| !suspects.contains(index));
+        let crashes = |index: u32| {
+            let stored = job.progress.task(key.task(index));
+            stored.map_or(0, |task| task.crashes.count)
+        };
+        // Suspect tasks can go to fewer targets.
+        pending.sort_by_cached_key(|index| Reverse(crashes(*index)));
         if pending.is_empty() || (step.gang && pending.len() < step.count as usize) {
             return;
         }
         let pool = self.policy.pool_of(&spec.queue, &spec.pool).to_owned();
-        if !step.long_running && pass.lacks_room(&pool, &step.reservation()) {
-            return;
-        }
+        let reservation = step.reservation();
         let mut placed = Vec::new();
         for index in pending {
             let task = key.task(index);
-            let request = PlacementRequest {
+            let mut request = PlacementRequest {
                 pool: &pool,
                 key,
                 step,
-                suspect: suspects.contains(&index),
+                suspect: false,
             };
             if self.orphans.contains_key(&task)
                 || !self.within_team_limit(spec.team.as_ref(), step, &pass.used_by_team)
             {
                 break;
             }
-            let Some(id) =
-                placement::choose_target(&self.targets, &request, &pass.reserved_targets, now)
-            else {
-                if request.suspect {
-                    self.reserve_for_suspect(&request, pass);
-                    continue;
+            let isolation = self.isolate(&request, crashes(index), &mut pass.isolation, now);
+            let target = match isolation {
+                Isolation::On(id) => {
+                    request.suspect = true;
+                    Some(id)
+                }
+                Isolation::Wait => continue,
+                Isolation::None if !step.long_running && pass.lacks_room(&pool, &reservation) => {
+                    break;
+                }
+                Isolation::None => {
+                    placement::choose_target(&self.targets, &request, &pass.reserved_targets, now)
                 }
+            };
+            let Some(id) = target else {
                 if step.required_label.is_empty() && step.max_per_target == 0 {
                     let no_room = pass.without_room.entry(pool.clone()).or_default();
                     no_room.push(step.reservation());
                 }
                 if step.long_running {
-                    pass.reserved_targets.extend(placement::target_to_reserve(
-                        &self.targets,
-                        &request,
-                        &pass.reserved_targets,
-                        now,
-                    ));
+                    let reserved = &pass.reserved_targets;
+                    let target =
+                        placement::target_to_reserve(&self.targets, &request, reserved, now);
+                    pass.isolation.exclude(target.as_ref());
+                    pass.reserved_targets.extend(target);
                 }
                 break;
             };
@@ -209,23 +200,6 @@
         self.record_planned_runs(table, key, &placed);
     }
 
-    /// Reserves a target for a suspect task: it can start there once the runs of other jobs have
-    /// started up.
-    fn reserve_for_suspect(&self, request: &PlacementRequest<'_>, pass: &mut SchedulingPass) {
-        let in_pool = |target: &&Target| *target.entry.pool == *request.pool && target.listed;
-        let targets = self.targets.values().filter(in_pool).count();
-        let limit = (targets * RESERVED_PERCENT / 100).max(1);
-        let reserved = pass.reserved_for_suspects.entry(request.pool.to_owned());
-        let reserved = reserved.or_default();
-        if *reserved >= limit {
-            return;
-        }
-        let target =
-            placement::target_to_reserve(&self.targets, request, &pass.reserved_targets, pass.now);
-        *reserved += usize::from(target.is_some());
-        pass.reserved_targets.extend(target);
-    }
-
     /// Returns whether the team's limit allows one more task of the step.
     fn within_team_limit(
         &self,
@@ -368,12 +342,6 @@
     ready
 }
 
-/// Returns whether a target crashed soon after it had started the task.
-fn is_suspect(job: &Job, task: TaskKey) -> bool {
-    let stored = job.progress.task(task);
-    stored.is_some_and(|task| !task.crashes.is_empty())
-}
-
 /// Indices of the step's tasks that are neither placed nor done.
 pub(super) fn pending_tasks(job: &Job, key: StepKey) -> Vec<u32> {
     let occurrence = &job.progress.occurrences[key.occurrence as usize];
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -9,6 +9,7 @@
 use super::journal::Journal;
 use super::removed_entries::RemovedEntries;
 use super::{Leader, LeaderSettings};
+use crate::scheduler::placement::ReservedTargets;
 use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
 use crate::scheduler::target::Target;
 use crate::scheduler::vms::VmTracker;
@@ -51,6 +52,7 @@
             commands: Vec::new(),
             fenced: false,
             needs_scheduling: true,
+            isolation_targets: ReservedTargets::new(),
             reschedule_at: None,
             next_occurrence_ms: 0,
             now,
@@ -115,7 +117,7 @@
                 let number = run.number;
                 target.add_run(task, run);
                 target.request_stop(task, now);
-                self.suspect_earlier_run(table, task, number, id);
+                self.suspect_earlier_run(table, task, number, id, Loss::Replaced);
             }
             _ => {
                 self.orphans.insert(task, self.unlisted_leases_lapsed_at());
@@ -205,7 +207,7 @@
         spdlog::warn!("target_restarted", kv: {
             target = id.0.as_ref(), born = new_target.entry.born, before = old_target.entry.born, runs = old_target.runs.len()
         });
-        if !old_target.leaving() {
+        if !self.is_leaving(&old_target.entry) {
             let answered_at = old_target.last_answer_at;
             self.suspect_runs(table, &id, &old_target.runs, answered_at, Loss::Replaced);
         }
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -15,7 +15,8 @@
     pub(super) pool: &'a str,
     pub(super) key: StepKey,
     pub(super) step: &'a Step,
-    /// Whether a target crashed soon after an earlier start of the task.
+    /// Whether the task is to be isolated as it starts up, because a target crashed soon after an
+    /// earlier start of it.
     pub(super) suspect: bool,
 }
 
@@ -75,12 +76,17 @@
     request: &'a PlacementRequest<'_>,
     now: Millis,
 ) -> impl Iterator<Item = (&'a TargetId, &'a Target)> {
-    targets.iter().filter(move |(_, target)| {
-        *target.entry.pool == *request.pool
-            && target.accepts_work(now)
-            && has_label(&target.entry.labels, &request.step.required_label)
-            && below_limit(target, request)
-    })
+    targets
+        .iter()
+        .filter(move |(_, target)| may_run(target, request, now))
+}
+
+/// Returns whether a target may run the task, whatever capacity it has free.
+pub(super) fn may_run(target: &Target, request: &PlacementRequest<'_>, now: Millis) -> bool {
+    *target.entry.pool == *request.pool
+        && target.accepts_work(now)
+        && has_label(&target.entry.labels, &request.step.required_label)
+        && below_limit(target, request)
 }
 
 /// Rank of a target that has room; the highest is chosen. Suspect tasks go to the target with the
--- a/src/scheduler/progress.rs
+++ b/src/scheduler/progress.rs
@@ -65,8 +65,10 @@
 /// Crashes of targets soon after they had started a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crashes {
-    /// Number of targets that crashed.
+    /// Number of targets that crashed or, being silent, may have crashed.
     pub count: u32,
+    /// Number of these that are known to have crashed.
+    pub seen: u32,
     /// Number of the latest run that was counted. Several leaders may learn of the same crash.
     pub run: u32,
 }
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -99,10 +99,10 @@
 
 /// Time after its start in which a run may crash its target, in ms. A crash after that is put
 /// down to other runs.
-const STARTUP_MS: Millis = 500;
+pub(super) const STARTUP_MS: Millis = 500;
 
 /// Time after which a run shows that its task does not crash targets, in ms.
-const CLEARED_MS: Millis = 5_000;
+pub(super) const CLEARED_MS: Millis = 5_000;
 
 /// A run of a task on a target, from the decision to start it until its end is known.
 #[derive(Clone, Debug)]
@@ -120,7 +120,8 @@
     pub(super) progress: ReportedProgress,
     /// When the target first confirmed that it runs; `None` before.
     pub(super) running_since: Option<Millis>,
-    /// Whether a target crashed soon after an earlier start of the task.
+    /// Whether it is isolated as it starts up, because a target crashed soon after an earlier start
+    /// of the task.
     pub(super) suspect: bool,
     /// Whether the task runs until its job is cancelled.
     pub(super) long_running: bool,
@@ -143,18 +144,22 @@
 
     /// Returns whether it had gone on for longer than [`STARTUP_MS`] at the time `at`.
     pub(super) fn past_startup(&self, at: Millis) -> bool {
-        self.running_since
-            .is_some_and(|since| at >= since + STARTUP_MS)
+        self.has_run_for(STARTUP_MS, at)
     }
 
     /// Returns whether it has gone on for so long that its task is no longer suspect.
     pub(super) fn clears_task(&self, now: Millis) -> bool {
+        self.has_run_for(CLEARED_MS, now)
+    }
+
+    fn has_run_for(&self, span_ms: Millis, at: Millis) -> bool {
         self.running_since
-            .is_some_and(|since| now >= since + CLEARED_MS)
+            .is_some_and(|since| at >= since + span_ms)
     }
 
-    /// Returns whether it may have crashed its target, which last answered at `answered_at`.
-    pub(super) fn may_have_crashed(&self, answered_at: Option<Millis>) -> bool {
+    /// Returns whether it may have crashed its target, which last answered at `answered_at`, within
+    /// `window_ms` of its start.
+    pub(super) fn may_have_crashed(&self, answered_at: Option<Millis>, window_ms: Millis) -> bool {
         let refused = matches!(
             self.phase,
             RunPhase::Stopping {
@@ -163,7 +168,8 @@
             }
         );
         let executed = self.running_since.is_some() || !refused;
-        self.may_be_executing() && executed && !answered_at.is_some_and(|at| self.past_startup(at))
+        let outlasted = answered_at.is_some_and(|at| self.has_run_for(window_ms, at));
+        self.may_be_executing() && executed && !outlasted
     }
 
     /// Returns whether the target may be executing it, or may still begin to.
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -137,11 +137,6 @@
         }
     }
 
-    /// Returns whether its end is expected: it drains, or its VM is to be moved or maintained.
-    pub(super) fn leaving(&self) -> bool {
-        self.vacating_since.is_some() || self.entry.state == TargetState::Draining
-    }
-
     /// Returns whether new runs may be placed on it at `now`.
     pub(super) fn accepts_work(&self, now: Millis) -> bool {
         self.listed
