--- a/src/planner/task_runner.rs
+++ b/src/planner/task_runner.rs
@@ -30,7 +30,7 @@
     Start(VmId, TaskSpec),
     /// Extend the lease of the task with this id and read its state.
     Renew(VmId, String),
-    /// Stop the task with this id, whose job is no longer placed.
+    /// Stop the task with this id, whose placement no longer stands.
     Stop(VmId, String),
 }
 
@@ -46,14 +46,15 @@
 /// Keeps track of the tasks of placed jobs, as this process knows them.
 #[derive(Debug, Default)]
 pub struct TaskRunner {
-    tasks: IndexMap<JobId, TrackedTask>,
+    /// By their ids.
+    tasks: IndexMap<String, TrackedTask>,
 }
 
-/// The task of one placed job.
+/// The task of one placement of a job.
 #[derive(Debug)]
 struct TrackedTask {
+    job: JobId,
     vm: VmId,
-    id: String,
     /// True once the worker may have the task; then it is renewed and not started again.
     may_be_started: bool,
     /// When a call about the task last reached the worker, or may have.
@@ -66,13 +67,14 @@
     /// Records that this process has placed the job, so that no other has started its task.
     pub fn record_placement(&mut self, placement: &JobPlacement, now: Instant) {
         let task = TrackedTask {
+            job: placement.job.clone(),
             vm: placement.vm.clone(),
-            id: task_id(&placement.job, placement.step + 1),
             may_be_started: false,
             last_reached: now,
             next_call_at: now,
         };
-        self.tasks.insert(placement.job.clone(), task);
+        let id = task_id(&placement.job, placement.step + 1);
+        self.tasks.insert(id, task);
     }
 
     /// The calls that are due; `jobs` are all that have not ended.
@@ -91,16 +93,13 @@
     fn due_call(&mut self, state: &JobState, vm: &VmId, now: Instant) -> Option<JobCall> {
         let job = &state.job.id;
         let id = task_id(job, state.step);
-        let task = self
-            .tasks
-            .entry(job.clone())
-            .or_insert_with(|| TrackedTask {
-                vm: vm.clone(),
-                id: id.clone(),
-                may_be_started: true,
-                last_reached: now,
-                next_call_at: now,
-            });
+        let task = self.tasks.entry(id.clone()).or_insert_with(|| TrackedTask {
+            job: job.clone(),
+            vm: vm.clone(),
+            may_be_started: true,
+            last_reached: now,
+            next_call_at: now,
+        });
         if now < task.next_call_at {
             return None;
         }
@@ -114,17 +113,17 @@
         Some(JobCall { job, call })
     }
 
-    /// Forgets the tasks whose job is no longer placed, and returns calls to stop them.
+    /// Forgets the tasks of placements that no longer stand, and returns calls to stop them.
     fn stop_calls(&mut self, jobs: &[JobState]) -> Vec<JobCall> {
-        let placed: IndexSet<&JobId> = jobs
+        let placed: IndexSet<String> = jobs
             .iter()
             .filter(|state| matches!(state.phase, JobPhase::Placed(_)))
-            .map(|state| &state.job.id)
+            .map(|state| task_id(&state.job.id, state.step))
             .collect();
-        let gone = self.tasks.extract_if(.., |job, _| !placed.contains(job));
-        gone.map(|(job, task)| JobCall {
-            job,
-            call: WorkerCall::Stop(task.vm, task.id),
+        let gone = self.tasks.extract_if(.., |id, _| !placed.contains(id));
+        gone.map(|(id, task)| JobCall {
+            job: task.job,
+            call: WorkerCall::Stop(task.vm, id),
         })
         .collect()
     }
@@ -136,7 +135,7 @@
         epoch: Epoch,
         result: &Result<(), PlatformError>,
     ) -> Option<JobUpdate> {
-        let task = self.tasks.get_mut(&state.job.id)?;
+        let task = self.tasks.get_mut(&task_id(&state.job.id, state.step))?;
         match result {
             Err(PlatformError::NotSent(_)) => None,
             Ok(()) | Err(PlatformError::Unknown(_)) => {
@@ -155,7 +154,7 @@
         result: &Result<TaskStatus, PlatformError>,
         now: Instant,
     ) -> Option<JobUpdate> {
-        let task = self.tasks.get_mut(&state.job.id)?;
+        let task = self.tasks.get_mut(&task_id(&state.job.id, state.step))?;
         let lapsed = now.saturating_duration_since(task.last_reached) > TASK_LOST_AFTER;
         let phase = match result {
             Ok(status) => {
--- a/tests/planner/task_runner.rs
+++ b/tests/planner/task_runner.rs
@@ -129,3 +129,45 @@
         WorkerCall::Stop(VmId::new("w1"), "j1.1".to_owned())
     );
 }
+
+/// A runner whose worker has answered a renewal of the task of [`placed_job`].
+fn runner_of_running_task(now: Instant) -> TaskRunner {
+    let mut runner = TaskRunner::default();
+    let state = placed_job(true);
+    first_call(&mut runner, &state, now);
+    let running = TaskStatus {
+        state: TaskState::Running,
+        output: String::new(),
+    };
+    runner.on_renewal(&state, EPOCH, &Ok(running), now);
+    runner
+}
+
+fn stop_of_first() -> WorkerCall {
+    WorkerCall::Stop(VmId::new("w1"), "j1.1".to_owned())
+}
+
+fn worker_calls(runner: &mut TaskRunner, jobs: &[JobState], now: Instant) -> Vec<WorkerCall> {
+    let calls = runner.due_calls(jobs, now);
+    calls.into_iter().map(|call| call.call).collect()
+}
+
+// The new placement took the place of the old one, whose task ran on.
+#[test]
+fn the_task_of_a_replaced_placement_is_stopped() {
+    let now = Instant::now();
+    let mut runner = runner_of_running_task(now);
+    let replacement = JobPlacement {
+        job: JobId::new("j1"),
+        step: 2,
+        vm: VmId::new("w2"),
+    };
+    let mut state = job("j1", "red", 1, JobPhase::Placed(VmId::new("w2")));
+    state.step = 3;
+
+    runner.record_placement(&replacement, now);
+    let calls = worker_calls(&mut runner, &[state], now);
+
+    assert_eq!(calls[0], stop_of_first());
+    assert!(matches!(calls[1], WorkerCall::Start(..)));
+}
