--- a/src/planner/main_loop.rs
+++ b/src/planner/main_loop.rs
@@ -216,7 +216,8 @@
                 task_runner.on_renewal(&state, epoch, &result, Instant::now())
             }
             (WorkerCall::Stop(vm, task), _) => {
-                let _ = with_timeout(workers.stop(&vm, &task)).await;
+                let result = with_timeout(workers.stop(&vm, &task)).await;
+                self.task_runner.lock().await.on_stop(&task, &result);
                 None
             }
             (_, None) => None,
--- a/src/planner/task_runner.rs
+++ b/src/planner/task_runner.rs
@@ -19,6 +19,9 @@
 /// within a lease.
 const RENEWAL_INTERVAL_MS: u64 = 1_000;
 
+/// Time between two attempts to stop a task, in ms; longer than the timeout of a call.
+const STOP_INTERVAL_MS: u64 = 1_000;
+
 /// Time without contact to a worker after which its task has ended by its own lease: one
 /// lease, and as much again in case the worker's clock is slower.
 const TASK_LOST_AFTER: Duration = Duration::from_millis(2 * TASK_LEASE_MS);
@@ -55,12 +58,27 @@
 struct TrackedTask {
     job: JobId,
     vm: VmId,
-    /// True once the worker may have the task; then it is renewed and not started again.
-    may_be_started: bool,
+    contact: Contact,
     /// When a call about the task last reached the worker, or may have.
     last_reached: Instant,
     /// When the next call is due.
     next_call_at: Instant,
+    /// When the task has ended by its own lease at the latest; `None` while its placement
+    /// stands.
+    ends_by: Option<Instant>,
+}
+
+/// What is known of a task's start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Contact {
+    /// No start has had an effect.
+    None,
+    /// A call to start the task is under way.
+    Starting,
+    /// The worker may have the task; then it is renewed and not started again.
+    Unclear,
+    /// The worker has answered that it has the task.
+    Confirmed,
 }
 
 impl TaskRunner {
@@ -69,9 +87,10 @@
         let task = TrackedTask {
             job: placement.job.clone(),
             vm: placement.vm.clone(),
-            may_be_started: false,
+            contact: Contact::None,
             last_reached: now,
             next_call_at: now,
+            ends_by: None,
         };
         let id = task_id(&placement.job, placement.step + 1);
         self.tasks.insert(id, task);
@@ -79,7 +98,7 @@
 
     /// The calls that are due; `jobs` are all that have not ended.
     pub fn due_calls(&mut self, jobs: &[JobState], now: Instant) -> Vec<JobCall> {
-        let mut calls = self.stop_calls(jobs);
+        let mut calls = self.stop_calls(jobs, now);
         for state in jobs {
             if let JobPhase::Placed(vm) = &state.phase {
                 calls.extend(self.due_call(state, vm, now));
@@ -96,36 +115,62 @@
         let task = self.tasks.entry(id.clone()).or_insert_with(|| TrackedTask {
             job: job.clone(),
             vm: vm.clone(),
-            may_be_started: true,
+            contact: Contact::Unclear,
             last_reached: now,
             next_call_at: now,
+            ends_by: None,
         });
         if now < task.next_call_at {
             return None;
         }
         task.next_call_at = now + Duration::from_millis(RENEWAL_INTERVAL_MS);
-        let call = if task.may_be_started {
-            WorkerCall::Renew(vm.clone(), id)
-        } else {
-            WorkerCall::Start(vm.clone(), task_spec(state, id))
+        let call = match task.contact {
+            Contact::None | Contact::Starting => {
+                task.contact = Contact::Starting;
+                WorkerCall::Start(vm.clone(), task_spec(state, id))
+            }
+            Contact::Unclear | Contact::Confirmed => WorkerCall::Renew(vm.clone(), id),
         };
         let job = job.clone();
         Some(JobCall { job, call })
     }
 
-    /// Forgets the tasks of placements that no longer stand, and returns calls to stop them.
-    fn stop_calls(&mut self, jobs: &[JobState]) -> Vec<JobCall> {
+    /// The due calls to stop tasks of placements that no longer stand. Forgets those that never
+    /// started, or have ended by their own lease.
+    fn stop_calls(&mut self, jobs: &[JobState], now: Instant) -> Vec<JobCall> {
         let placed: IndexSet<String> = jobs
             .iter()
             .filter(|state| matches!(state.phase, JobPhase::Placed(_)))
             .map(|state| task_id(&state.job.id, state.step))
             .collect();
-        let gone = self.tasks.extract_if(.., |id, _| !placed.contains(id));
-        gone.map(|(id, task)| JobCall {
-            job: task.job,
-            call: WorkerCall::Stop(task.vm, id),
-        })
-        .collect()
+        let mut calls = Vec::new();
+        self.tasks.retain(|id, task| {
+            if placed.contains(id) {
+                return true;
+            }
+            let may_run = task.contact != Contact::None && task.may_run_at(now);
+            if may_run {
+                calls.extend(task.due_stop(id, now));
+            }
+            may_run
+        });
+        calls
+    }
+
+    /// Forgets a task once a call to stop it shows that it doesn't run and won't.
+    pub fn on_stop(&mut self, id: &str, result: &Result<TaskStatus, PlatformError>) {
+        let Some(task) = self.tasks.get(id) else {
+            return;
+        };
+        // A worker that doesn't know the task may get its start later.
+        let has_ended = match result {
+            Ok(status) => status.state != TaskState::Running,
+            Err(PlatformError::Missing) => task.contact == Contact::Confirmed,
+            Err(_) => false,
+        };
+        if has_ended {
+            self.tasks.swap_remove(id);
+        }
     }
 
     /// The job's update after a call to start its task; `None` if nothing changes.
@@ -137,12 +182,22 @@
     ) -> Option<JobUpdate> {
         let task = self.tasks.get_mut(&task_id(&state.job.id, state.step))?;
         match result {
-            Err(PlatformError::NotSent(_)) => None,
-            Ok(()) | Err(PlatformError::Unknown(_)) => {
-                task.may_be_started = true;
+            Err(PlatformError::NotSent(_)) => {
+                task.contact = Contact::None;
                 None
             }
-            Err(_) => Some(job_update(state, epoch, JobPhase::Waiting)),
+            Ok(()) => {
+                task.contact = Contact::Confirmed;
+                None
+            }
+            Err(PlatformError::Unknown(_)) => {
+                task.contact = Contact::Unclear;
+                None
+            }
+            Err(_) => {
+                task.contact = Contact::None;
+                Some(job_update(state, epoch, JobPhase::Waiting))
+            }
         }
     }
 
@@ -158,6 +213,7 @@
         let lapsed = now.saturating_duration_since(task.last_reached) > TASK_LOST_AFTER;
         let phase = match result {
             Ok(status) => {
+                task.contact = Contact::Confirmed;
                 task.last_reached = now;
                 phase_after(state, status)?
             }
@@ -177,6 +233,28 @@
     }
 }
 
+impl TrackedTask {
+    /// False once the task has ended by its own lease. The time until then begins with the
+    /// first call in which its placement is seen to be gone.
+    fn may_run_at(&mut self, now: Instant) -> bool {
+        if self.ends_by.is_none() {
+            self.next_call_at = now;
+        }
+        now <= *self.ends_by.get_or_insert(now + TASK_LOST_AFTER)
+    }
+
+    fn due_stop(&mut self, id: &str, now: Instant) -> Option<JobCall> {
+        if now < self.next_call_at {
+            return None;
+        }
+        self.next_call_at = now + Duration::from_millis(STOP_INTERVAL_MS);
+        Some(JobCall {
+            job: self.job.clone(),
+            call: WorkerCall::Stop(self.vm.clone(), id.to_owned()),
+        })
+    }
+}
+
 fn job_update(state: &JobState, epoch: Epoch, phase: JobPhase) -> JobUpdate {
     JobUpdate {
         id: state.job.id.clone(),
--- a/tests/planner/standins.rs
+++ b/tests/planner/standins.rs
@@ -14,14 +14,17 @@
     Revision, SectionId, VmId,
 };
 use amaranthwick::ledger::{
-    Claim, Edit, JobPhase, Proposal, Record, Role, Verdict, VmLocation, decode_record, encode_edit,
+    Claim, Edit, JobPhase, JobUpdate, Proposal, Record, Role, Verdict, VmLocation, decode_record,
+    encode_edit,
 };
 use amaranthwick::membership::NoPeers;
 use amaranthwick::planner::{self, Planner};
 use amaranthwick::runtime::Runtime;
 use amaranthwick::secret::FleetSecret;
 use amaranthwick::services::{Log, LogClient, PoolsClient, VmsClient, WorkersClient};
-use amaranthwick_standins::{ClassSpec, DataCentreSpec, Fleet, FleetSpec, Kind, Phase};
+use amaranthwick_standins::{
+    ClassSpec, DataCentreSpec, Fault, Fleet, FleetSpec, Kind, Phase, SiteName, TaskState,
+};
 use futures_lite::future::block_on;
 
 use crate::fixtures::{fleet_text, job, office_text, red_text};
@@ -276,3 +279,58 @@
         target_count(&entry, "red-pool") == 3
     });
 }
+
+fn submit(entry: &Control, id: &str, task: &str) {
+    let mut job = job(id, "red", 4, JobPhase::Waiting).job;
+    task.clone_into(&mut job.task);
+    let verdict = block_on(entry.propose(Proposal::Submit(job)));
+    assert!(matches!(verdict, Ok(Verdict::Accepted(_))), "{verdict:?}");
+}
+
+fn cancel(entry: &Control, id: &str) {
+    let id = JobId::new(id);
+    let step = block_on(entry.job(&id)).expect("a job").step;
+    let update = JobUpdate {
+        id,
+        expected_step: step,
+        phase: JobPhase::Cancelled,
+        epoch: None,
+    };
+    let verdict = block_on(entry.propose(Proposal::Update(update)));
+    assert!(matches!(verdict, Ok(Verdict::Accepted(_))), "{verdict:?}");
+}
+
+fn running_tasks(fleet: &Fleet) -> usize {
+    let tasks = fleet.control().tasks();
+    let running = tasks
+        .values()
+        .flatten()
+        .filter(|task| task.state == TaskState::Running);
+    running.count()
+}
+
+// Only the end of its lease, 10 s later, stopped it.
+#[test]
+fn a_task_whose_worker_was_unavailable_at_the_cancel_is_stopped_afterwards() {
+    let (fleet, runtime) = (open_standins(), Runtime::start(2).expect("threads"));
+    let entry = open_control(&fleet, "e1");
+    let _planner = open_planner(&fleet, "p1", &runtime);
+    publish_all(&fleet);
+    wait_until("the document is accepted", || {
+        target_count(&entry, "spare") == 1
+    });
+    submit(&entry, "j1", "hang");
+    wait_until("the task runs", || running_tasks(&fleet) == 1);
+    let workers = SiteName::Workers;
+    fleet
+        .control()
+        .set(&workers, &Fault::Unavailable)
+        .expect("set");
+
+    cancel(&entry, "j1");
+    sleep(Duration::from_secs(1));
+    fleet.control().clear(&workers).expect("cleared");
+    sleep(Duration::from_secs(3));
+
+    assert_eq!(running_tasks(&fleet), 0);
+}
--- a/tests/planner/task_runner.rs
+++ b/tests/planner/task_runner.rs
@@ -152,6 +152,79 @@
     calls.into_iter().map(|call| call.call).collect()
 }
 
+// A single stop whose call failed left the task running.
+#[test]
+fn a_stop_that_was_not_confirmed_is_repeated() {
+    let now = Instant::now();
+    let mut runner = runner_of_running_task(now);
+    let second = Duration::from_secs(1);
+
+    let first = worker_calls(&mut runner, &[], now);
+    let soon = worker_calls(&mut runner, &[], now + second / 2);
+    let later = worker_calls(&mut runner, &[], now + second);
+
+    assert_eq!(first, [stop_of_first()]);
+    assert_eq!(soon, []);
+    assert_eq!(later, [stop_of_first()]);
+}
+
+#[test]
+fn a_stop_is_repeated_until_its_task_has_ended_or_was_never_there() {
+    let now = Instant::now();
+    let second = Duration::from_secs(1);
+    let stopped = TaskStatus {
+        state: TaskState::Stopped,
+        output: String::new(),
+    };
+    let calls_after = |result: Result<TaskStatus, PlatformError>| {
+        let mut runner = runner_of_running_task(now);
+        worker_calls(&mut runner, &[], now);
+        runner.on_stop("j1.1", &result);
+        worker_calls(&mut runner, &[], now + second).len()
+    };
+
+    assert_eq!(calls_after(Ok(stopped)), 0);
+    assert_eq!(calls_after(Err(PlatformError::Missing)), 0);
+    assert_eq!(calls_after(unknown_result()), 1);
+    assert_eq!(calls_after(not_sent()), 1);
+}
+
+// The stop came first and found no task; the start that followed went on.
+#[test]
+fn a_stop_that_may_have_overtaken_the_start_is_repeated_until_twice_the_lease() {
+    let (mut runner, now) = (TaskRunner::default(), Instant::now());
+    runner.record_placement(&placement(), now);
+    first_call(&mut runner, &placed_job(true), now);
+    let limit = Duration::from_millis(2 * TASK_LEASE_MS);
+    let second = Duration::from_secs(1);
+
+    let first = worker_calls(&mut runner, &[], now);
+    runner.on_stop("j1.1", &Err(PlatformError::Missing));
+    let repeated = worker_calls(&mut runner, &[], now + limit);
+    let last = worker_calls(&mut runner, &[], now + limit + second);
+
+    assert_eq!(first, [stop_of_first()]);
+    assert_eq!(repeated, [stop_of_first()]);
+    assert_eq!(last, []);
+}
+
+#[test]
+fn a_task_whose_start_had_no_effect_is_not_stopped() {
+    let now = Instant::now();
+    let calls_after = |result: Result<(), PlatformError>| {
+        let mut runner = TaskRunner::default();
+        runner.record_placement(&placement(), now);
+        first_call(&mut runner, &placed_job(true), now);
+        runner.on_start(&placed_job(true), EPOCH, &result);
+        worker_calls(&mut runner, &[], now).len()
+    };
+
+    assert_eq!(calls_after(not_sent()), 0);
+    let full = PlatformError::Refused("full".to_owned());
+    assert_eq!(calls_after(Err(full)), 0);
+    assert_eq!(calls_after(unknown_result()), 1);
+}
+
 // The new placement took the place of the old one, whose task ran on.
 #[test]
 fn the_task_of_a_replaced_placement_is_stopped() {
