--- a/src/scheduler/leader/isolation.rs
+++ b/src/scheduler/leader/isolation.rs
@@ -48,14 +48,19 @@
     }
 }
 
-/// State of one pass over the jobs.
-pub(super) struct IsolationPass {
-    /// Targets that the last pass has reserved.
+/// Targets that are reserved in a pass over the jobs.
+struct Reservations {
+    /// Those that the last pass has reserved.
     earlier: ReservedTargets,
-    /// Targets that stay reserved after this pass.
-    reserved: ReservedTargets,
-    /// Targets that are reserved for other tasks.
+    /// Those that stay reserved after this pass.
+    kept: ReservedTargets,
+    /// Those that are reserved for tasks that are not isolated.
     excluded: ReservedTargets,
+}
+
+/// State of one pass over the jobs.
+pub(super) struct IsolationPass {
+    reservations: Reservations,
     /// Targets of pools with tasks to be isolated, by the pool's name.
     pools: HashMap<String, PoolTargets>,
 }
@@ -63,16 +68,18 @@
 impl IsolationPass {
     pub(super) fn new(earlier: ReservedTargets) -> Self {
         Self {
-            earlier,
-            reserved: IndexSet::new(),
-            excluded: IndexSet::new(),
+            reservations: Reservations {
+                earlier,
+                kept: IndexSet::new(),
+                excluded: IndexSet::new(),
+            },
             pools: HashMap::new(),
         }
     }
 
     /// Excludes a target that is reserved for another task.
     pub(super) fn exclude(&mut self, target: Option<&TargetId>) {
-        self.excluded.extend(target.cloned());
+        self.reservations.excluded.extend(target.cloned());
     }
 }
 
@@ -109,7 +116,10 @@
             suspect: true,
             ..*request
         };
-        if let Some(id) = placement::choose_target(&self.targets, &request, &pass.excluded, now) {
+        let reservations = &mut pass.reservations;
+        if let Some(id) =
+            placement::choose_target(&self.targets, &request, &reservations.excluded, now)
+        {
             let isolates = self.targets.get(&id).is_some_and(|t| t.starts_suspect(now));
             pool.isolating += usize::from(!isolates);
             return Isolation::On(id);
@@ -118,23 +128,36 @@
             pool.exhausted = true;
             return refused;
         }
-        let earlier = pass.earlier.iter().find(|id| {
-            let target = self.targets.get(*id);
-            let unused = !pass.reserved.contains(*id) && !pass.excluded.contains(*id);
-            unused && target.is_some_and(|target| placement::may_run(target, &request, now))
-        });
-        let target = earlier.cloned().or_else(|| {
-            let reserved: ReservedTargets = pass.reserved.union(&pass.excluded).cloned().collect();
-            placement::target_to_reserve(&self.targets, &request, &reserved, now)
-        });
-        let Some(target) = target else {
+        let Some(target) = self.target_to_isolate_on(&request, reservations, now) else {
             return refused;
         };
         pool.reserved += 1;
-        pass.reserved.insert(target);
+        reservations.kept.insert(target);
         Isolation::Wait
     }
 
+    /// Chooses a target to reserve for a task that waits to be isolated, if possible one that was
+    /// reserved in the last pass.
+    fn target_to_isolate_on(
+        &self,
+        request: &PlacementRequest<'_>,
+        reservations: &Reservations,
+        now: Millis,
+    ) -> Option<TargetId> {
+        let taken: ReservedTargets = reservations
+            .kept
+            .union(&reservations.excluded)
+            .cloned()
+            .collect();
+        let earlier = reservations.earlier.iter().find(|id| {
+            let target = self.targets.get(*id).filter(|_| !taken.contains(*id));
+            target.is_some_and(|target| placement::may_run(target, request, now))
+        });
+        earlier
+            .cloned()
+            .or_else(|| placement::target_to_reserve(&self.targets, request, &taken, now))
+    }
+
     fn pool_targets(&self, pool: &str, now: Millis) -> PoolTargets {
         let targets = self.targets.values();
         let targets = targets.filter(|target| *target.entry.pool == *pool && target.listed);
@@ -154,10 +177,11 @@
     /// Keeps the reserved targets for the next pass, and sets when that is due while tasks are
     /// isolated or wait to be.
     pub(super) fn finish_isolation(&mut self, pass: IsolationPass, now: Millis) {
-        let waiting = !pass.reserved.is_empty() || pass.pools.values().any(|pool| pool.exhausted);
+        let reserved = pass.reservations.kept;
+        let waiting = !reserved.is_empty() || pass.pools.values().any(|pool| pool.exhausted);
         let mut targets = self.targets.values();
         let isolating = targets.any(|target| target.starts_suspect(now));
         self.reschedule_at = (waiting || isolating).then_some(now + CHECK_INTERVAL_MS);
-        self.isolation_targets = pass.reserved;
+        self.isolation_targets = reserved;
     }
 }
