--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -10,6 +10,7 @@
 mod holds;
 mod isolation;
 mod journal;
+mod losses;
 mod messages;
 mod removed_entries;
 mod schedule;
