Evacuate data centres, and choose targets that have just started last

Operators write `evacuate/ZONE` to keep work out of a data centre. These records were not read, so that starts went on there.

Every process now keeps the set with the operators' other changes; a complete read replaces it. The leader sends no starts there, stops long-running tasks one at a time in each pool as their steps and the room elsewhere allow, leaves gangs and other tasks to end, counts the VMs there as no capacity and moves them to the standby pool once they have no work. A process claims the leader role only after it has read the operators' records once. A target whose entry says that it is still cold is chosen after warm ones with room.

The set: evacuation_set.rs.

The checks whether a long-running task can move have their own file, as upkeep and evacuations share them, and so have the operators' feed and the status of feeds.

--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -211,6 +211,7 @@
             ("jobs", state.table.len() as u64),
             ("next_offset", state.next_offset.unwrap_or(0)),
             ("holder_epoch", state.table.holder().map_or(0, |h| h.epoch)),
+            ("evacuated_data_centres", state.evacuations.len() as u64),
         ];
         if let Some(leader) = &state.leader {
             numbers.extend(leader.summary());
--- a/src/dispatch/claiming.rs
+++ b/src/dispatch/claiming.rs
@@ -40,7 +40,11 @@
     let (settings, expected) = {
         let state = shared.lock();
         let now = shared.clock.now();
-        if state.stopping || !state.election.should_claim(state.table.holder(), now) {
+        // Without the operators' records a leader would not know of limits and evacuations.
+        if state.stopping || state.operators_read_at.is_none() {
+            return None;
+        }
+        if !state.election.should_claim(state.table.holder(), now) {
             return None;
         }
         let settings = leader_settings(&shared.settings, &state, now);
@@ -119,7 +123,7 @@
     None
 }
 
-/// Creates the leader, passes it the known waves, and starts the task that stores its batches.
+/// Creates the leader, passes it the known waves and evacuations, and starts the task that stores its batches.
 fn become_leader<S: Services>(
     shared: &Arc<Shared<S>>,
     settings: LeaderSettings,
@@ -139,6 +143,8 @@
     for wave in state.waves.values() {
         leader.handle(&mut state.table, Event::WaveRequested(wave.clone()), now);
     }
+    let evacuations = state.evacuation_event(now);
+    leader.handle(&mut state.table, evacuations, now);
     state.leader = Some(leader);
     state.read_back_batch = 0;
     spdlog::info!("role_taken", kv: { epoch, targets, jobs = state.table.len(), earlier_extend_ms });
--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the stream of records, the operators' changes and the list of targets.
+//! Follows the stream of records and the list of targets.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,7 +6,8 @@
 use async_io::Timer;
 use futures_lite::future;
 
-use super::services::{OperatorChange, Page, ReadOutcome, Services, Snapshot, TargetChange};
+use super::feed::FeedStatus;
+use super::services::{Page, ReadOutcome, Services, Snapshot, TargetChange};
 use super::state::{Shared, State};
 use crate::scheduler::{Change, Event, JobTable, Member, Millis, Record, leader_event};
 
@@ -22,16 +23,6 @@
 /// also reads its own records back to confirm them.
 const LEADER_PAUSE_MS: u64 = 30;
 
-/// Pause after a read that failed, in ms.
-const FAILED_PAUSE_MS: u64 = 100;
-
-/// Time that the store may wait for a change of the operators, in ms.
-const OPERATOR_WAIT_MS: u64 = 2_000;
-
-/// Pause after a change of the operators was read, in ms. Changes in quick succession are then
-/// read together, and all are in force well within two seconds.
-const OPERATOR_PAUSE_MS: u64 = 500;
-
 /// Pause between two reads of the list of targets, in ms; without it each heartbeat of a target
 /// would be read by itself.
 const TARGETS_PAUSE_MS: u64 = 200;
@@ -193,59 +184,6 @@
     }
 }
 
-/// Follows the changes that the operators make, for as long as the process runs.
-pub(super) async fn operator<S: Services>(shared: Arc<Shared<S>>) {
-    let mut feed = FeedStatus::new("operator");
-    let mut cursor = None;
-    loop {
-        match shared
-            .services
-            .operator_changes(cursor, feed.wait_ms(OPERATOR_WAIT_MS))
-            .await
-        {
-            ReadOutcome::Read((changes, next)) => {
-                feed.read_succeeded();
-                cursor = Some(next);
-                let any_changes = !changes.is_empty();
-                for change in changes {
-                    apply_operator_change(&shared, change);
-                }
-                shared.wake();
-                if any_changes {
-                    Timer::after(Duration::from_millis(OPERATOR_PAUSE_MS)).await;
-                }
-            }
-            ReadOutcome::Expired => cursor = None,
-            ReadOutcome::Failed(cause) => {
-                // Changes that were missed are not needed; the newest ones are loaded.
-                cursor = None;
-                feed.read_failed(&cause).await;
-            }
-        }
-    }
-}
-
-/// Takes over a newer policy or a wave, and passes it to the leader.
-fn apply_operator_change<S>(shared: &Shared<S>, change: OperatorChange) {
-    let now = shared.clock.now();
-    let mut state = shared.lock();
-    match change {
-        OperatorChange::Policy(policy) if policy.version > state.policy.version => {
-            spdlog::info!("policy_adopted", kv: {
-                version = policy.version, before = state.policy.version,
-                queues = policy.queues.len(), keys = policy.api_keys.len()
-            });
-            state.policy = Arc::clone(&policy);
-            state.notify_leader(Event::PolicyChanged(policy), now);
-        }
-        OperatorChange::Policy(_) => {}
-        OperatorChange::Wave(wave) => {
-            state.waves.insert(wave.number, wave.clone());
-            state.notify_leader(Event::WaveRequested(wave), now);
-        }
-    }
-}
-
 /// Follows the list of targets, but only while this process leads.
 pub(super) async fn targets<S: Services>(shared: Arc<Shared<S>>) {
     let mut feed = FeedStatus::new("targets");
@@ -299,47 +237,6 @@
     shared.wake();
 }
 
-/// Tracks whether reading a feed succeeds, and logs when it begins to fail and when it succeeds
-/// again.
-#[derive(Debug)]
-struct FeedStatus {
-    /// Name of the feed in the log.
-    feed: &'static str,
-    /// Consecutive reads that failed.
-    failures: u64,
-}
-
-impl FeedStatus {
-    const fn new(feed: &'static str) -> Self {
-        Self { feed, failures: 0 }
-    }
-
-    /// Notes a successful read; returns whether the read before it had failed.
-    fn read_succeeded(&mut self) -> bool {
-        let regained = self.failures > 0;
-        if regained {
-            spdlog::info!("feed_regained", kv: { feed = self.feed, failures = self.failures });
-        }
-        self.failures = 0;
-        regained
-    }
-
-    /// Time that the next read may wait for a change, in ms: `usual_ms`, or 0 after a failure, so
-    /// that the return of the store is noticed soon.
-    const fn wait_ms(&self, usual_ms: u64) -> u64 {
-        if self.failures > 0 { 0 } else { usual_ms }
-    }
-
-    /// Notes a failed read and pauses before the next one.
-    async fn read_failed(&mut self, cause: &str) {
-        if self.failures == 0 {
-            spdlog::warn!("feed_lost", kv: { feed = self.feed, cause });
-        }
-        self.failures += 1;
-        Timer::after(Duration::from_millis(FAILED_PAUSE_MS)).await;
-    }
-}
-
 /// Waits for `pause_ms`, but no longer than until `early` completes.
 async fn pause_or(pause_ms: u64, early: impl Future<Output = ()>) {
     let pause = async {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,8 +6,10 @@
 mod calls;
 mod claiming;
 mod clock;
+mod feed;
 mod follow;
 mod lead;
+mod operators;
 mod services;
 mod state;
 mod store_router;
@@ -89,7 +91,7 @@
         let tasks = vec![
             runtime.spawn(append_queue::run(Arc::clone(&shared), entries)),
             runtime.spawn(follow::records(Arc::clone(&shared))),
-            runtime.spawn(follow::operator(Arc::clone(&shared))),
+            runtime.spawn(operators::run(Arc::clone(&shared))),
             runtime.spawn(follow::targets(Arc::clone(&shared))),
             runtime.spawn(lead::run(Arc::clone(&shared))),
         ];
--- a/src/dispatch/services.rs
+++ b/src/dispatch/services.rs
@@ -6,8 +6,8 @@
 
 use super::clock::Clock;
 use crate::scheduler::{
-    Change, HoldFailure, JobKey, JobSpec, Millis, Policy, Record, StartOutcome, StopOutcome,
-    TargetEntry, TargetId, TargetReport, TaskKey, Vm, VmOutcome, Wave,
+    Change, EvacuationChange, HoldFailure, JobKey, JobSpec, Millis, Policy, Record, StartOutcome,
+    StopOutcome, TargetEntry, TargetId, TargetReport, TaskKey, Vm, VmOutcome, Wave,
 };
 
 /// Identifies an append of a leader, so that the store can refuse those of earlier leaders and
@@ -89,6 +89,8 @@
     Policy(Arc<Policy>),
     /// A requested maintenance wave.
     Wave(Wave),
+    /// The evacuation of a data centre, or its withdrawal.
+    Evacuation(EvacuationChange),
 }
 
 /// A change in the list of targets.
@@ -215,8 +217,8 @@
         records: &[Record],
     ) -> impl Future<Output = AppendOutcome> + Send;
 
-    /// Reads the changes of the operators since `cursor`, or everything without one; waits for a
-    /// change for up to `wait_ms`. Returns the changes and the next cursor.
+    /// Reads the changes of the operators since `cursor`, or without one all that is in force;
+    /// waits for a change for up to `wait_ms`. Returns the changes and the next cursor.
     fn operator_changes(
         &self,
         cursor: Option<u64>,
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -11,7 +11,7 @@
 use super::clock::Clock;
 use super::services::OrderClaim;
 use crate::runtime::Runtime;
-use crate::scheduler::{Election, Event, JobTable, Leader, Millis, Policy, Wave};
+use crate::scheduler::{Election, Evacuations, Event, JobTable, Leader, Millis, Policy, Wave};
 use crate::telemetry::Metrics;
 
 /// State on which decisions are based, behind one lock that is never held during I/O.
@@ -28,6 +28,10 @@
     pub(super) policy: Arc<Policy>,
     /// Maintenance waves that the operators requested, by number.
     pub(super) waves: IndexMap<u64, Wave>,
+    /// Data centres that the operators have had evacuated.
+    pub(super) evacuations: Evacuations,
+    /// When the operators' changes were last read; `None` before the first time.
+    pub(super) operators_read_at: Option<Millis>,
     pub(super) election: Election,
     /// State of the leader while this process leads.
     pub(super) leader: Option<Leader>,
@@ -70,6 +74,8 @@
             caught_up_at: None,
             policy: Arc::new(Policy::default()),
             waves: IndexMap::new(),
+            evacuations: Evacuations::default(),
+            operators_read_at: None,
             election,
             leader: None,
             read_back_batch: 0,
@@ -138,6 +144,15 @@
         }
     }
 
+    /// The event that passes the evacuated data centres to the leader, with the age of what was
+    /// known of them before.
+    pub(super) fn evacuation_event(&self, now: Millis) -> Event {
+        Event::EvacuationsChanged {
+            evacuations: self.evacuations.clone(),
+            age_ms: now - self.operators_read_at.unwrap_or(now),
+        }
+    }
+
     /// Stops leading and has the table loaded anew, because it may hold decisions that were not
     /// stored.
     pub(super) fn step_down(&mut self, cause: &str) {
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -45,6 +45,7 @@
                 });
             }
         }
+        self.retire_evacuated_vms(&standby, now);
         let candidates = self.move_candidates(now);
         for PoolMove { vm, pool } in plan_moves(&pools, &candidates, &standby) {
             if !self.vm_tracker.is_impossible_move(&vm, &pool) {
@@ -67,7 +68,7 @@
             .collect();
         // A VM that is being moved counts once, for its destination: its target may be listed
         // there before the list of VMs shows the VM as moved.
-        let mut incoming = self.vm_tracker.pending_moves();
+        let mut incoming = self.usable_moves();
         for target in self.targets.values().filter(|target| target.listed) {
             let entry = &target.entry;
             let destination = incoming.get(entry.vm.as_ref()).copied();
@@ -79,8 +80,8 @@
             };
             incoming.swap_remove(entry.vm.as_ref());
             pool.demand.add(&target.used);
-            // A VM that is about to be moved or maintained has to be replaced.
-            if target.vacating_since.is_none() {
+            // A VM that is about to be moved or maintained, or is evacuated, has to be replaced.
+            if target.stays() {
                 pool.vms += 1;
                 // What runs on a target that has shrunk goes on there.
                 let mut lacking = pool.vm_capacity;
@@ -146,9 +147,10 @@
         if !fits(largest) {
             return 0;
         }
-        let targets = self.targets.values().filter(|target| {
-            target.listed && target.vacating_since.is_none() && *target.entry.pool == *pool
-        });
+        let targets = self
+            .targets
+            .values()
+            .filter(|target| target.listed && target.stays() && *target.entry.pool == *pool);
         targets
             .filter(|target| !fits(&target.entry.capacity) && target.runs_of_step(key) == 0)
             .count()
@@ -180,6 +182,7 @@
     fn move_candidates(&self, now: Millis) -> Vec<MoveCandidate> {
         let vms = self.vm_tracker.vms().iter();
         vms.filter(|(name, vm)| vm.state == VmState::Up && !self.vm_tracker.has_pending_order(name))
+            .filter(|(_, vm)| !self.is_evacuated(vm))
             .filter_map(|(name, vm)| {
                 let idle_ms = match self.target_on(name) {
                     None => Some(Millis::MAX),
--- a/src/scheduler/leader/isolation.rs
+++ b/src/scheduler/leader/isolation.rs
@@ -160,7 +160,8 @@
 
     fn pool_targets(&self, pool: &str, now: Millis) -> PoolTargets {
         let targets = self.targets.values();
-        let targets = targets.filter(|target| *target.entry.pool == *pool && target.listed);
+        let targets = targets
+            .filter(|target| *target.entry.pool == *pool && target.listed && !target.evacuated);
         let (mut count, mut isolating) = (0, 0);
         for target in targets {
             count += 1;
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -5,7 +5,8 @@
 use crate::scheduler::run::{EndedRun, RunningTask};
 use crate::scheduler::vms::{Vm, VmOutcome};
 use crate::scheduler::{
-    Change, JobKey, JobSpec, Millis, Policy, Record, TargetEntry, TargetId, TaskKey, Wave,
+    Change, Evacuations, JobKey, JobSpec, Millis, Policy, Record, TargetEntry, TargetId, TaskKey,
+    Wave,
 };
 
 /// Outcome of a start call.
@@ -88,6 +89,14 @@
     TargetRemoved(TargetId),
     /// The operators requested a maintenance wave. One whose number is known is ignored.
     WaveRequested(Wave),
+    /// The set of evacuated data centres changed, or is passed to a new leader.
+    EvacuationsChanged {
+        /// All data centres that are evacuated now.
+        evacuations: Evacuations,
+        /// Time since the operators' changes were last read before, in ms: the change may be that
+        /// old.
+        age_ms: Millis,
+    },
     /// The batch of a [`Command::Append`] was stored.
     BatchStored {
         /// Number of the batch, as in the command.
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -7,11 +7,13 @@
 mod balance;
 mod crashes;
 mod ends;
+mod evacuation;
 mod holds;
 mod isolation;
 mod journal;
 mod losses;
 mod messages;
+mod movable_tasks;
 mod removed_entries;
 mod schedule;
 mod starts;
@@ -27,7 +29,7 @@
 use super::placement::ReservedTargets;
 use super::target::{HoldState, Target};
 use super::vms::VmTracker;
-use super::{Holder, JobKey, JobTable, Millis, Policy, TargetId, TaskKey};
+use super::{Evacuations, Holder, JobKey, JobTable, Millis, Policy, TargetId, TaskKey};
 
 pub use messages::{
     Command, Event, HoldFailure, StartOutcome, StopOutcome, TargetReport, leader_event,
@@ -66,6 +68,10 @@
     policy: Arc<Policy>,
     targets: IndexMap<TargetId, Target>,
     removed_entries: RemovedEntries,
+    /// Data centres in which nothing more is started.
+    evacuations: Evacuations,
+    /// When tasks are next moved out of evacuated data centres.
+    next_evacuation_check: Millis,
     /// Keys of the jobs that have not ended.
     active_jobs: IndexSet<JobKey>,
     /// Tasks placed by an earlier leader on incarnations of targets that are not listed, with
@@ -127,6 +133,10 @@
             Event::TargetListRegained => self.removed_entries.list_regained(now),
             Event::TargetRemoved(id) => self.target_removed(&id, now),
             Event::WaveRequested(wave) => self.vm_tracker.add_wave(wave, now),
+            Event::EvacuationsChanged {
+                evacuations,
+                age_ms,
+            } => self.evacuations_changed(evacuations, age_ms),
             Event::BatchStored { batch } => self.batch_stored(table, batch, now),
             Event::StartAnswered {
                 target,
@@ -162,12 +172,14 @@
     /// time of day in ms since 1970.
     pub fn poll(&mut self, table: &mut JobTable, now: Millis, wall_ms: u64) -> Vec<Command> {
         self.apply_final_removals(now);
+        self.mark_evacuated_targets();
         self.expire_leases(table, now);
         self.advance_occurrences(table, now, wall_ms);
         let reschedule = self.reschedule_at.is_some_and(|at| at <= now);
         if std::mem::take(&mut self.needs_scheduling) || reschedule {
             self.schedule(table, now);
         }
+        self.move_evacuated_tasks(table, now);
         self.send_stops(now);
         self.send_holds(now);
         self.record_begun_upkeeps(table);
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -13,7 +13,9 @@
 use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
 use crate::scheduler::target::Target;
 use crate::scheduler::vms::VmTracker;
-use crate::scheduler::{JobTable, Millis, Policy, TargetEntry, TargetId, TaskKey, TaskPhase};
+use crate::scheduler::{
+    Evacuations, JobTable, Millis, Policy, TargetEntry, TargetId, TaskKey, TaskPhase,
+};
 
 /// Added to the length of a lease whose start is not known exactly, in percent: covers slow
 /// clocks of targets and the time that calls take.
@@ -41,6 +43,8 @@
             policy,
             targets: IndexMap::new(),
             removed_entries: RemovedEntries::default(),
+            evacuations: Evacuations::default(),
+            next_evacuation_check: 0,
             active_jobs: IndexSet::new(),
             orphans: IndexMap::new(),
             journal: Journal::new(now),
@@ -142,9 +146,7 @@
         };
         if entry.born == target.entry.born {
             target.listed = true;
-            if *target.entry != entry {
-                target.entry = Arc::new(entry);
-            }
+            target.update_entry(entry, now);
         } else if entry.born > target.entry.born {
             self.target_restarted(table, entry, now);
         }
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -4,11 +4,10 @@
 use std::sync::Arc;
 
 use super::{Command, Leader};
-use crate::scheduler::placement::{self, PlacementRequest, ReservedTargets};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::target::Target;
 use crate::scheduler::vms::{OpenWave, VmOrder, VmOutcome, VmState};
-use crate::scheduler::{JobTable, Millis, Step, StepKey, TargetId, TaskKey};
+use crate::scheduler::{JobTable, Millis, TargetId, TaskKey};
 
 /// Time between two checks of the waves, in ms.
 const WAVE_CHECK_INTERVAL_MS: Millis = 50;
@@ -25,10 +24,6 @@
 /// processes need a little more to presume the leader dead.
 const CLAIM_CONFIRMED_MS: Millis = 900;
 
-/// A long-running task that has been working for no longer than this counts as unavailable, in
-/// ms, because reports of its target may be that old.
-const MIN_WORKING_MS: Millis = 300;
-
 impl Leader {
     /// Lists the VMs when that is due, repeats orders of unknown outcome, and advances the open
     /// waves.
@@ -41,7 +36,9 @@
         }
         self.next_wave_check = now + WAVE_CHECK_INTERVAL_MS;
         for (name, order) in self.vm_tracker.take_retries(now) {
-            self.send_vm_order(&name, order, now);
+            if !self.drop_move(&name, &order, now) {
+                self.send_vm_order(&name, order, now);
+            }
         }
         for open in self.vm_tracker.open_waves() {
             self.advance_wave(table, &open, now);
@@ -200,9 +197,7 @@
                 continue;
             };
             let movable = if step.long_running {
-                let within_budget = step.max_unavailable == 0
-                    || self.unavailable_tasks(task.step, step.count, now) < step.max_unavailable;
-                within_budget && self.fits_elsewhere(id, task.step, step, now)
+                self.can_move_task(id, task.step, step, now)
             } else {
                 may_stop_tasks
             };
@@ -216,43 +211,6 @@
         }
     }
 
-    /// Returns whether another target of the same pool has room for a task of the step now.
-    fn fits_elsewhere(&self, id: &TargetId, key: StepKey, step: &Step, now: Millis) -> bool {
-        let Some(target) = self.targets.get(id) else {
-            return false;
-        };
-        let request = PlacementRequest {
-            pool: &target.entry.pool,
-            key,
-            step,
-            suspect: false,
-        };
-        placement::choose_target(&self.targets, &request, &ReservedTargets::new(), now).is_some()
-    }
-
-    /// Number of tasks of a step, out of `count`, that are not working or have not been for
-    /// long.
-    pub(super) fn unavailable_tasks(&self, step: StepKey, count: u32, now: Millis) -> u32 {
-        let working_runs = |target: &Target| {
-            let runs_of_step = target.runs.iter().filter(|(task, _)| task.step == step);
-            runs_of_step
-                .filter(|(_, run)| {
-                    run.phase == RunPhase::Running
-                        && run
-                            .working_since
-                            .is_some_and(|at| now - at > MIN_WORKING_MS)
-                })
-                .count()
-        };
-        // The last report of a target that does not answer may no longer be true.
-        let answering = self
-            .targets
-            .values()
-            .filter(|target| target.missed_calls == 0);
-        let working: usize = answering.map(working_runs).sum();
-        count.saturating_sub(u32::try_from(working).unwrap_or(u32::MAX))
-    }
-
     /// Sends an order for a VM and gives its target no new work.
     pub(super) fn send_vm_order(&mut self, name: &str, order: VmOrder, now: Millis) {
         spdlog::info!("vm_order", kv: { vm = name, order = format!("{order:?}"), epoch = self.epoch() });
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod demand;
 mod election;
+mod evacuation;
 mod health;
 mod ids;
 mod leader;
@@ -25,6 +26,7 @@
 
 pub use capacity::Capacity;
 pub use election::{Election, Role};
+pub use evacuation::{EvacuationChange, Evacuations};
 pub use ids::{JobKey, Millis, StepKey, TaskKey};
 pub use leader::{
     Command, Event, HoldFailure, Leader, LeaderSettings, StartOutcome, StopOutcome, TargetReport,
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -45,12 +45,17 @@
     pub pool: Arc<str>,
     /// Name of the VM that the target runs on.
     pub vm: Arc<str>,
+    /// Name of the data centre that the target is in; empty if its entry does not tell.
+    pub data_centre: Arc<str>,
     /// Labels of the target: its kind and, last, its rack.
     pub labels: Vec<String>,
     /// Total capacity that the target offers to tasks.
     pub capacity: Capacity,
     /// Whether the target takes new work.
     pub state: TargetState,
+    /// Time for which the target still runs tasks slowly after its start, in ms, counted from when
+    /// the entry was written; 0 for none.
+    pub cold_left_ms: u64,
 }
 
 impl TargetEntry {
@@ -72,6 +77,7 @@
 }
 
 /// The leader's state of one incarnation of a target.
+#[allow(clippy::struct_excessive_bools)] // They are independent of each other.
 #[derive(Debug)]
 pub(super) struct Target {
     pub(super) entry: Arc<TargetEntry>,
@@ -106,6 +112,10 @@
     pub(super) vacating_since: Option<Millis>,
     /// Whether its VM is still to be maintained in an open wave.
     pub(super) upkeep_due: bool,
+    /// Whether its data centre is evacuated, so that it gets no new work.
+    pub(super) evacuated: bool,
+    /// Until when it runs tasks slowly after its start.
+    pub(super) cold_until: Millis,
     /// After a refused start no further one is sent before this time.
     pub(super) starts_paused_until: Millis,
     /// When `runs` last became empty, or the target became known.
@@ -115,6 +125,7 @@
 impl Target {
     pub(super) fn new(entry: TargetEntry, inherited_until: Millis, now: Millis) -> Self {
         Self {
+            cold_until: now + entry.cold_left_ms,
             entry: Arc::new(entry),
             listed: true,
             token_accepted: false,
@@ -132,6 +143,7 @@
             health: Health::default(),
             vacating_since: None,
             upkeep_due: false,
+            evacuated: false,
             starts_paused_until: 0,
             idle_since: now,
         }
@@ -141,13 +153,27 @@
     pub(super) fn accepts_work(&self, now: Millis) -> bool {
         self.listed
             && self.token_accepted
-            && self.vacating_since.is_none()
+            && self.stays()
             && self.missed_calls == 0
             && self.entry.state == TargetState::Ready
             && self.health.usable(now)
             && now >= self.starts_paused_until
     }
 
+    /// Returns whether it is there for further work: its VM is not to be moved or maintained, and
+    /// its data centre is not evacuated.
+    pub(super) const fn stays(&self) -> bool {
+        self.vacating_since.is_none() && !self.evacuated
+    }
+
+    /// Replaces the entry by a newer one of the same incarnation.
+    pub(super) fn update_entry(&mut self, entry: TargetEntry, now: Millis) {
+        if *self.entry != entry {
+            self.cold_until = now + entry.cold_left_ms;
+            self.entry = Arc::new(entry);
+        }
+    }
+
     /// Returns whether a crash would show whose run caused it, if a run of `job` started now: while
     /// a suspect run starts up, no run of another job may.
     pub(super) fn isolates(&self, job: JobKey, suspect: bool, now: Millis) -> bool {
--- a/src/scheduler/vms.rs
+++ b/src/scheduler/vms.rs
@@ -41,6 +41,8 @@
     pub name: String,
     /// Name of the pool that the VM is in.
     pub pool: Arc<str>,
+    /// Name of the data centre that the VM is in; empty if the list does not tell.
+    pub data_centre: Arc<str>,
     /// Whether the VM is running, being moved, being maintained or down.
     pub state: VmState,
     /// Labels of the VM: its kind and its rack.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -42,6 +42,8 @@
 pub const LEADER_CALLS: &str = "leader_calls_total";
 /// Time from a call that starts a task to its response, in µs.
 pub const START_US: &str = "start_us";
+/// Data centres that the operators have had evacuated, as this process knows them.
+pub const EVACUATED_DATA_CENTRES: &str = "evacuated_data_centres";
 
 /// Handle to the metrics of a process; clones share the same series.
 #[derive(Clone, Debug)]
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -4,6 +4,8 @@
 mod capacity;
 mod crash_limits;
 mod crashing_tasks;
+mod evacuation;
+mod evacuation_set;
 mod expired_entries;
 mod faults;
 mod fixtures;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -1,6 +1,7 @@
 //! A simulated platform in virtual time, which checks what its callers and targets see.
 
 mod crash;
+mod evacuation;
 mod gangs;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
 use crate::target::{FakeTarget, Work};
 use crate::vm_service::{Refusal, VmService};
 use crash::{Contact, CrashStep, Crashes};
+use evacuation::Operators;
 use gangs::Gangs;
 
 pub(crate) use crash::Returns;
@@ -73,6 +75,8 @@
     FinishUpkeep(String),
     Crash(CrashStep),
     Publish(TargetId),
+    /// The processes read what the operators have had evacuated.
+    ReadEvacuations,
 }
 
 /// A process that holds the leader role, or has held it.
@@ -104,6 +108,7 @@
     pub(crate) faults: Faults,
     pub(crate) crashes: Crashes,
     gangs: Gangs,
+    pub(crate) operators: Operators,
     /// Whether leaders can append to the store.
     pub(crate) store_up: bool,
     /// All changes in the store.
@@ -141,11 +146,13 @@
 }
 
 impl World {
-    /// A platform with targets `t0`, `t1`, ... of 16 cores each, four to a rack.
+    /// A platform with targets `t0`, `t1`, ... of 16 cores each, four to a rack and in turns in the
+    /// data centres `z0`, `z1` and `z2`.
     pub(crate) fn new(targets: usize, seed: u64) -> Self {
         spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
         let target = |i: usize| {
-            let target = FakeTarget::new(&format!("t{i}"), POOL, &format!("r{}", i / 4), 16);
+            let mut target = FakeTarget::new(&format!("t{i}"), POOL, &format!("r{}", i / 4), 16);
+            target.entry.data_centre = Arc::from(format!("z{}", i % 3));
             (target.entry.id.clone(), target)
         };
         Self {
@@ -154,6 +161,7 @@
             faults: Faults::default(),
             crashes: Crashes::default(),
             gangs: Gangs::new(),
+            operators: Operators::default(),
             store_up: true,
             log: Vec::new(),
             violations: Vec::new(),
@@ -236,6 +244,7 @@
         if let Some(wave) = &self.wave {
             leader.handle(&mut table, Event::WaveRequested(wave.clone()), self.now);
         }
+        leader.handle(&mut table, self.operators.event(), self.now);
         self.processes.push(Process {
             leader,
             table,
@@ -493,6 +502,7 @@
                 let vms = self.targets.values().filter(|t| t.alive).map(|target| Vm {
                     name: target.entry.vm.to_string(),
                     pool: Arc::clone(&target.entry.pool),
+                    data_centre: Arc::clone(&target.entry.data_centre),
                     state: if self.vm_service.is_down(&target.entry.vm) {
                         VmState::Upkeep
                     } else {
@@ -502,6 +512,7 @@
                     capacity: target.entry.capacity,
                     target: Some(target.entry.id.clone()),
                 });
+                let vms = vms.chain(self.operators.standby_vms.iter().cloned());
                 let event = Event::VmList(Some(vms.collect()));
                 self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
             }
@@ -617,6 +628,7 @@
                     self.publish_entry(&id);
                 }
             }
+            Action::ReadEvacuations => self.read_evacuations(),
             Action::FinishUpkeep(vm) => {
                 self.vm_service.finish(&vm);
                 let now = self.now;
@@ -745,6 +757,7 @@
                 let outcome = fake.start(task, run, work, deadline_ms, epoch, self.now);
                 if outcome == StartOutcome::Running && !before {
                     self.check_start(task, &target.id, &running);
+                    self.check_evacuations(task, &target, ordered_at);
                     self.check_room(task, &target.id, ordered_at);
                     let step = &spec.steps[task.step.step as usize];
                     self.join_gang(step, task, run, &target.id);
