Claim the leader role whatever callers append meanwhile

The store admits one of several claims with a fencing token without that condition. The claimer now reads once more just before its claim, so that an outdated table deposes no active leader, and reads up to its claim before it leads, so that it knows all that was stored before. A claim without an answer is read back, a repeat with the same token has the same sequence number, and a process that is stopped between claim and role gives the role up. Records that are loaded during a claim no longer end it.

Tests: tests/claiming, with processes that share a store in memory, 5 ms a call and a caller's record every 2 ms. Without the last read, or without reading up to the claim, the tests for these fail.

--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -71,7 +71,8 @@
     }
 }
 
-/// Loads the table from the newest records of all keys.
+/// Loads the table from the newest records of all keys. This process does not lead meanwhile: a
+/// leader that steps down has `next_offset` reset, and the role is taken only while it is set.
 async fn load<S: Services>(shared: &Shared<S>, feed: &mut FeedStatus) {
     match shared.services.load_snapshot().await {
         ReadOutcome::Read(Snapshot { changes, next }) => {
@@ -84,11 +85,6 @@
             spdlog::info!("records_loaded", kv: { records = count, jobs = table.len(), next });
             let now = shared.clock.now();
             let mut state = shared.lock();
-            if state.leader.is_some() {
-                // This process became leader meanwhile, with the table as it was before.
-                state.step_down("records loaded during a claim");
-                return;
-            }
             state.table = table;
             state.next_offset = Some(next);
             // After a pause in reading, the timeout of the current leader starts anew.
@@ -151,9 +147,22 @@
     state.leader.is_some()
 }
 
+/// Returns whether only leaders write such a change, or processes that claim the role or give it up.
+pub(super) const fn is_leaders(change: &Change) -> bool {
+    matches!(
+        change,
+        Change::Put(Record::Holder(_) | Record::Progress(..) | Record::Wave(..))
+    )
+}
+
 /// Applies one change to the election and the table, and passes it to the leader.
 fn apply_change(state: &mut State, change: Change, now: Millis) {
-    if let Change::Put(Record::Holder(_) | Record::Progress(..) | Record::Wave(..)) = &change {
+    let own_claim = match (&mut state.claim, &change) {
+        (Some(claim), Change::Put(Record::Holder(holder))) => claim.observe(holder),
+        _ => false,
+    };
+    // A claim of this process tells nothing of earlier leaders.
+    if is_leaders(&change) && !own_claim {
         state.election.leader_seen(now);
     }
     if let Change::Put(Record::Holder(holder)) = &change {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod lead;
 mod operators;
+mod pending_claim;
 mod services;
 mod state;
 mod store_router;
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -9,7 +9,8 @@
 use super::DispatchSettings;
 use super::append_queue::PendingAppend;
 use super::clock::Clock;
-use super::services::OrderClaim;
+use super::pending_claim::{ClaimStatus, PendingClaim};
+use super::services::{OrderClaim, Producer};
 use crate::runtime::Runtime;
 use crate::scheduler::{Election, Evacuations, Event, JobTable, Leader, Millis, Policy, Wave};
 use crate::telemetry::Metrics;
@@ -33,6 +34,10 @@
     /// When the operators' changes were last read; `None` before the first time.
     pub(super) operators_read_at: Option<Millis>,
     pub(super) election: Election,
+    /// Claim of the leader role that this process has not taken yet.
+    pub(super) claim: Option<PendingClaim>,
+    /// Producer of the last claim that this process made.
+    pub(super) last_claim: Option<Producer>,
     /// State of the leader while this process leads.
     pub(super) leader: Option<Leader>,
     /// Number of the last batch of this leader that was read back from the stream; 0 before the
@@ -77,6 +82,8 @@
             evacuations: Evacuations::default(),
             operators_read_at: None,
             election,
+            claim: None,
+            last_claim: None,
             leader: None,
             read_back_batch: 0,
             stopping: false,
@@ -144,6 +151,14 @@
         }
     }
 
+    /// Status of the claim that is being made; lost without one.
+    pub(super) fn claim_status(&self) -> ClaimStatus {
+        let claim = self.claim.as_ref();
+        claim.map_or(ClaimStatus::Lost, |claim| {
+            claim.status(self.table.holder(), self.next_offset)
+        })
+    }
+
     /// The event that passes the evacuated data centres to the leader, with the age of what was
     /// known of them before.
     pub(super) fn evacuation_event(&self, now: Millis) -> Event {
--- /dev/null
+++ b/tests/claiming/fake.rs
@@ -0,0 +1,341 @@
+//! A platform in memory, whose store can be made to answer claims late, wrongly or not at all.
+
+use std::future::pending;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use amaranthwick::dispatch::{
+    AppendOutcome, Dispatch, DispatchSettings, HoldRequest, OperatorChange, OrderClaim, Page,
+    Producer, ReadOutcome, Services, Snapshot, StartAnswer, StartRequest, StopRequest,
+    TargetChange,
+};
+use amaranthwick::runtime::Runtime;
+use amaranthwick::scheduler::{
+    Change, HoldFailure, Holder, JobKey, Policy, Record, RunningTask, StartOutcome, StopOutcome,
+    TargetEntry, TargetReport, TaskKey, Vm, VmOutcome,
+};
+use amaranthwick::telemetry::Metrics;
+use async_io::Timer;
+
+/// Time of each call to the store, in both directions together.
+const CALL_TIME: Duration = Duration::from_millis(5);
+/// Interval at which a read that waits looks for a record.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Time for which the answer to a claim is held up.
+const LATE_ANSWER: Duration = Duration::from_millis(1_500);
+
+/// Time for which reads lag behind a claim.
+const HIDDEN_TIME: Duration = Duration::from_millis(300);
+
+/// What happens to a claim.
+#[derive(Clone, Debug, Default)]
+pub(crate) enum ClaimFault {
+    #[default]
+    None,
+    /// These records are appended just before it, and nothing is shown to readers for
+    /// [`HIDDEN_TIME`].
+    Preceded(Vec<Record>),
+    /// Another process's claim with the same fencing token is appended just before the first one.
+    Beaten,
+    /// It is stored, and the stream can't be read from where it was before.
+    Expired,
+    /// It is stored, and from then on the stream can't be read at all.
+    CutOff,
+    /// It is stored, and the answer to its first try is lost.
+    AnswerLost,
+    /// It is stored, and answered late.
+    AnswerLate,
+    /// It is stored, and never answered.
+    NoAnswer,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) log: Vec<Change>,
+    epoch: u64,
+    /// Sequence number of the last append of the epoch, and the end that was answered.
+    last_append: Option<(u64, u64)>,
+    pub(crate) fault: ClaimFault,
+    /// Whether reads that may wait show nothing new.
+    pub(crate) lags: bool,
+    /// Until when all reads show nothing new.
+    hidden_until: Option<Instant>,
+    /// Offset of the first record that can be read one by one.
+    first: u64,
+    /// Whether reads fail.
+    pub(crate) cut_off: bool,
+    /// The producers of all claims, with whether they were admitted.
+    pub(crate) claims: Vec<(Producer, bool)>,
+    /// Tasks that were started at targets.
+    pub(crate) starts: Vec<TaskKey>,
+    pub(crate) targets: Vec<TargetEntry>,
+    /// What the targets report as running.
+    pub(crate) running: Vec<RunningTask>,
+}
+
+impl State {
+    pub(crate) fn push(&mut self, record: Record) {
+        self.log.push(Change::Put(record));
+    }
+
+    /// Appends a record of a leader, as another process does.
+    pub(crate) fn lead_from_outside(&mut self, epoch: u64, batch: u64) {
+        self.epoch = epoch;
+        self.last_append = Some((batch, self.end() + 1));
+        self.push(Record::Holder(holder(epoch, batch, false)));
+    }
+
+    fn end(&self) -> u64 {
+        self.log.len() as u64
+    }
+
+    /// Appends as the store does; `None` for a refusal.
+    fn append(&mut self, records: &[Record], producer: Option<Producer>) -> Option<u64> {
+        if let Some(Producer { epoch, seq }) = producer {
+            if epoch < self.epoch {
+                return None;
+            }
+            if let Some((last, end)) = self.last_append.filter(|_| epoch == self.epoch) {
+                if seq == last {
+                    return Some(end);
+                }
+                if seq != last + 1 {
+                    return None;
+                }
+            }
+            self.epoch = epoch;
+        }
+        for record in records {
+            self.push(record.clone());
+        }
+        if let Some(Producer { seq, .. }) = producer {
+            self.last_append = Some((seq, self.end()));
+        }
+        Some(self.end())
+    }
+}
+
+/// The platform; clones share its state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Platform(Arc<Mutex<State>>);
+
+impl Platform {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Another process gives the role up.
+    pub(crate) fn release_from_outside(&self, epoch: u64) {
+        let mut state = self.lock();
+        state.epoch = epoch;
+        state.push(Record::Holder(holder(epoch, 0, true)));
+    }
+
+    /// Starts a process with this number.
+    pub(crate) fn spawn(&self, number: u64, rank: u64, runtime: &Runtime) -> Dispatch<Self> {
+        let settings = DispatchSettings {
+            member: format!("n{number}"),
+            incarnation: 1,
+            peer: SocketAddr::from(([127, 0, 0, 1], 9)),
+            rank,
+            vm_order_delay_ms: 3_000,
+            max_lease_ms: 6_000,
+            stop_timeout_ms: 400,
+            job_retention_ms: 120_000,
+        };
+        Dispatch::start(settings, self.clone(), Metrics::new(), runtime).expect("a process")
+    }
+
+    /// Applies the fault to a claim, and returns the answer; `None` if there never is one.
+    async fn claim(&self, records: &[Record], producer: Producer) -> Option<AppendOutcome> {
+        let (fault, first_try, end) = {
+            let mut state = self.lock();
+            let first_try = state.claims.iter().all(|(other, _)| *other != producer);
+            if let ClaimFault::Preceded(before) = &mut state.fault {
+                for record in std::mem::take(before) {
+                    state.push(record);
+                }
+                state.hidden_until = Some(Instant::now() + HIDDEN_TIME);
+            }
+            if matches!(state.fault, ClaimFault::Beaten) && state.claims.is_empty() {
+                state.lead_from_outside(producer.epoch, 0);
+            }
+            let end = state.append(records, Some(producer));
+            match state.fault {
+                ClaimFault::Expired => state.first = state.end(),
+                ClaimFault::CutOff => state.cut_off = true,
+                _ => {}
+            }
+            state.claims.push((producer, end.is_some()));
+            (state.fault.clone(), first_try, end)
+        };
+        let answer = end.map_or(AppendOutcome::Fenced, |end| AppendOutcome::Stored { end });
+        match fault {
+            ClaimFault::AnswerLost if first_try => return Some(AppendOutcome::Unknown),
+            ClaimFault::AnswerLate => {
+                Timer::after(LATE_ANSWER).await;
+            }
+            ClaimFault::NoAnswer => return None,
+            _ => {}
+        }
+        Some(answer)
+    }
+}
+
+/// A record of another process that leads, or gives the role up.
+pub(crate) fn holder(epoch: u64, batch: u64, released: bool) -> Holder {
+    Holder {
+        member: "other".to_owned(),
+        incarnation: 1,
+        epoch,
+        released,
+        batch,
+    }
+}
+
+impl Services for Platform {
+    async fn load_snapshot(&self) -> ReadOutcome<Snapshot> {
+        Timer::after(CALL_TIME).await;
+        let state = self.lock();
+        if state.cut_off {
+            return ReadOutcome::Failed("cut off".to_owned());
+        }
+        ReadOutcome::Read(Snapshot {
+            changes: state.log.clone(),
+            next: state.end(),
+        })
+    }
+
+    async fn read_records(&self, from: u64, wait_ms: u64) -> ReadOutcome<Page> {
+        Timer::after(CALL_TIME).await;
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            {
+                let state = self.lock();
+                if state.cut_off {
+                    return ReadOutcome::Failed("cut off".to_owned());
+                }
+                if from < state.first {
+                    return ReadOutcome::Expired;
+                }
+                let from_index = usize::try_from(from).expect("an offset");
+                let late = state
+                    .hidden_until
+                    .is_some_and(|until| Instant::now() < until);
+                let hidden = late || (state.lags && wait_ms > 0);
+                let changes = state.log.get(from_index..).unwrap_or_default();
+                let changes = if hidden { Vec::new() } else { changes.to_vec() };
+                if !changes.is_empty() || Instant::now() >= deadline {
+                    let next = from + changes.len() as u64;
+                    let end = if hidden { next } else { state.end() };
+                    return ReadOutcome::Read(Page { changes, next, end });
+                }
+            }
+            Timer::after(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn append(
+        &self,
+        records: &[Record],
+        _forget: &[JobKey],
+        producer: Option<Producer>,
+        expected: Option<u64>,
+    ) -> AppendOutcome {
+        Timer::after(CALL_TIME).await;
+        if expected.is_some_and(|expected| expected != self.lock().end()) {
+            return AppendOutcome::EndMismatch;
+        }
+        let is_claim = matches!(
+            records,
+            [Record::Holder(Holder {
+                released: false,
+                batch: 0,
+                ..
+            })]
+        );
+        if let Some(producer) = producer.filter(|_| is_claim) {
+            return match self.claim(records, producer).await {
+                Some(answer) => answer,
+                None => pending().await,
+            };
+        }
+        let end = self.lock().append(records, producer);
+        end.map_or(AppendOutcome::Fenced, |end| AppendOutcome::Stored { end })
+    }
+
+    async fn forward(&self, _peer: SocketAddr, _records: &[Record]) -> AppendOutcome {
+        AppendOutcome::Busy
+    }
+
+    async fn operator_changes(
+        &self,
+        cursor: Option<u64>,
+        wait_ms: u64,
+    ) -> ReadOutcome<(Vec<OperatorChange>, u64)> {
+        if cursor.is_some() {
+            Timer::after(Duration::from_millis(wait_ms)).await;
+            return ReadOutcome::Read((Vec::new(), 1));
+        }
+        let policy = Policy {
+            version: 1,
+            ..Policy::default()
+        };
+        ReadOutcome::Read((vec![OperatorChange::Policy(Arc::new(policy))], 1))
+    }
+
+    async fn target_changes(
+        &self,
+        cursor: Option<u64>,
+        wait_ms: u64,
+    ) -> ReadOutcome<(Vec<TargetChange>, u64)> {
+        if cursor.is_some() {
+            Timer::after(Duration::from_millis(wait_ms)).await;
+            return ReadOutcome::Read((Vec::new(), 1));
+        }
+        Timer::after(CALL_TIME).await;
+        let entries = self.lock().targets.clone();
+        ReadOutcome::Read((entries.into_iter().map(TargetChange::Entry).collect(), 1))
+    }
+
+    async fn start_run(&self, start: StartRequest<'_>) -> StartAnswer {
+        self.lock().starts.push(start.task);
+        StartAnswer {
+            outcome: StartOutcome::Running,
+            clock_ms: None,
+        }
+    }
+
+    async fn stop_run(&self, _stop: StopRequest<'_>) -> StopOutcome {
+        StopOutcome::Confirmed
+    }
+
+    async fn hold(&self, hold: HoldRequest<'_>) -> Result<TargetReport, HoldFailure> {
+        Timer::after(Duration::from_millis(hold.wait_ms)).await;
+        Ok(TargetReport {
+            born: hold.target.born,
+            clock_ms: 0,
+            running: self.lock().running.clone(),
+            ended: Vec::new(),
+        })
+    }
+
+    async fn list_vms(&self) -> Option<Vec<Vm>> {
+        Some(Vec::new())
+    }
+
+    async fn begin_upkeep(&self, _vm: &str, _wave: u64, _claim: OrderClaim) -> VmOutcome {
+        VmOutcome::Busy
+    }
+
+    async fn move_vm(&self, _vm: &str, _pool: &str, _claim: OrderClaim) -> VmOutcome {
+        VmOutcome::Busy
+    }
+
+    fn set_peers(&self, _peers: Vec<SocketAddr>) {}
+
+    async fn report_wave(&self, _wave: u64, _complete: bool) -> bool {
+        true
+    }
+}
