--- a/tests/claiming/fake.rs
+++ b/tests/claiming/fake.rs
@@ -61,6 +61,8 @@
     pub(crate) lags: bool,
     /// Until when all reads show nothing new.
     hidden_until: Option<Instant>,
+    /// Whether the operators' changes can't be read.
+    pub(crate) operators_away: bool,
     /// Offset of the first record that can be read one by one.
     first: u64,
     /// Whether reads fail.
@@ -274,6 +276,9 @@
         cursor: Option<u64>,
         wait_ms: u64,
     ) -> ReadOutcome<(Vec<OperatorChange>, u64)> {
+        if self.lock().operators_away {
+            return ReadOutcome::Failed("away".to_owned());
+        }
         if cursor.is_some() {
             Timer::after(Duration::from_millis(wait_ms)).await;
             return ReadOutcome::Read((Vec::new(), 1));
--- a/tests/claiming/main.rs
+++ b/tests/claiming/main.rs
@@ -326,6 +326,23 @@
     assert_eq!((last, state.claims.len()), (Some((6, true)), 1));
 }
 
+/// Guards against starts in an evacuated data centre, and above limits of teams, by a leader that
+/// has not read what the operators want.
+#[test]
+fn a_process_that_has_not_read_the_operators_changes_claims_nothing() {
+    let runtime = Runtime::start(2).expect("threads");
+    let platform = Platform::default();
+    platform.lock().operators_away = true;
+    let processes = spawn_all(&platform, 1, &runtime);
+    thread::sleep(QUIET_PERIOD);
+    let claims = platform.lock().claims.clone();
+
+    platform.lock().operators_away = false;
+    let (_, first) = wait_for_leader(&processes);
+
+    assert_eq!((claims, first), (Vec::new(), Some(1)));
+}
+
 /// Guards against a delay or the loss of the role because the answer to a claim is lost or late:
 /// the claim's own record is read back, perhaps before the answer, and a repeat is not a second
 /// claim.
