Compute what the order of jobs depends on only when a job changes

A pass over the jobs computed the urgency and the ready steps of every job anew, looked for a target among all targets for each task, and counted the runs of a long-running step on all targets for each target. Between passes, each poll visited all runs for stops that are due, each batch all runs for starts that wait for it, and each ended run all targets.

Facts on each job are cached and computed anew when its progress is marked to be stored; a few jobs are checked in each pass, and a debug build asserts that no change was missed. The control loop pauses for 2 ms at least.

--- a/src/dispatch/lead.rs
+++ b/src/dispatch/lead.rs
@@ -13,7 +13,7 @@
 use super::services::Services;
 use super::state::Shared;
 use super::writer::Batch;
-use crate::scheduler::{Command, Event};
+use crate::scheduler::{Command, Event, Millis};
 
 /// Longest time until a leading process runs the leader again, in ms.
 const LEADER_TICK_MS: u64 = 25;
@@ -26,15 +26,20 @@
 /// in the pause are handled together, which leaves processor time for calls.
 const PAUSE_FACTOR: u32 = 2;
 
+/// Shortest pause after the leader has run. Under load thousands of events arrive in a second, and
+/// each run has a cost of its own that grows with the number of targets.
+const MIN_PAUSE: Duration = Duration::from_millis(2);
+
 /// Longest pause after the leader has run.
 const MAX_PAUSE: Duration = Duration::from_millis(30);
 
 /// Runs the control loop for as long as the process runs.
 pub(super) async fn run<S: Services>(shared: Arc<Shared<S>>) {
     let mut channels: Option<LeaderChannels> = None;
+    let mut leader_tick = LEADER_TICK_MS;
     loop {
         let tick = if channels.is_some() {
-            LEADER_TICK_MS
+            leader_tick
         } else {
             FOLLOWER_TICK_MS
         };
@@ -44,11 +49,14 @@
         future::or(shared.wait_for_wake(), pause).await;
         let started_at = Instant::now();
         match &channels {
-            Some(leading) if !leading.run_leader(&shared) => channels = None,
-            Some(_) => {
-                let pause = (started_at.elapsed() * PAUSE_FACTOR).min(MAX_PAUSE);
-                Timer::after(pause).await;
-            }
+            Some(leading) => match leading.run_leader(&shared) {
+                Some(tick) => {
+                    leader_tick = tick;
+                    let pause = started_at.elapsed() * PAUSE_FACTOR;
+                    Timer::after(pause.clamp(MIN_PAUSE, MAX_PAUSE)).await;
+                }
+                None => channels = None,
+            },
             None => channels = claim(&shared).await,
         }
     }
@@ -68,28 +76,30 @@
 }
 
 impl LeaderChannels {
-    /// Passes the waiting events to the leader and carries out its commands. Returns false once
-    /// this process no longer leads.
-    fn run_leader<S: Services>(&self, shared: &Arc<Shared<S>>) -> bool {
+    /// Passes the waiting events to the leader and carries out its commands. Returns the time after
+    /// which it must run again although no event arrives, in ms, or `None` once this process no
+    /// longer leads.
+    fn run_leader<S: Services>(&self, shared: &Arc<Shared<S>>) -> Option<Millis> {
         let now = shared.clock.now();
         let mut guard = shared.lock();
         let state = &mut *guard;
         let Some(leader) = &mut state.leader else {
-            return false;
+            return None;
         };
         while let Ok(event) = self.events.try_recv() {
             leader.handle(&mut state.table, event, now);
         }
         if leader.deposed(now) {
             state.step_down("deposed");
-            return false;
+            return None;
         }
         let commands = leader.poll(&mut state.table, now, wall_ms());
+        let next_pass = leader.next_pass_at().map(|at| at.saturating_sub(now));
         drop(guard);
         for command in commands {
             self.execute(shared, command);
         }
-        true
+        Some(next_pass.map_or(LEADER_TICK_MS, |wait| wait.min(LEADER_TICK_MS)))
     }
 
     /// Queues a batch to be stored, or starts a task for any other command.
--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -43,15 +43,18 @@
         });
         self.needs_scheduling = true;
         if end.kind == EndKind::Done {
-            self.mark_task_done(table, end.task, now);
+            self.mark_task_done(table, id, end, now);
         } else if is_current_run {
             self.apply_unfinished_run(table, end);
         }
         self.update_job_state(table, end.task.step.job);
     }
 
-    /// Marks a task as done, for a gang all its tasks, and stops other runs of it.
-    fn mark_task_done(&mut self, table: &mut JobTable, task: TaskKey, now: Millis) {
+    /// Marks a task as done, for a gang all its tasks, and stops other runs of it. None but the
+    /// latest run of a task goes on: before that one was placed, the others had ended, or their
+    /// stop was requested.
+    fn mark_task_done(&mut self, table: &mut JobTable, id: &TargetId, end: &EndedRun, now: Millis) {
+        let (task, run) = (end.task, end.run);
         let Some(job) = table.get_mut(task.step.job) else {
             return;
         };
@@ -59,6 +62,11 @@
         let Some(tasks) = tasks_mut(job, task) else {
             return;
         };
+        let latest = tasks.get(task.index as usize);
+        let latest_ended = latest.is_some_and(|stored| {
+            let placed = matches!(&stored.phase, TaskPhase::Placed { target, .. } if target == id);
+            placed && stored.run == run
+        });
         if gang {
             // A gang is done as a whole: the first member that reports its end counts for all.
             for task in tasks {
@@ -68,15 +76,15 @@
             stored.phase = TaskPhase::Done;
         }
         self.journal.mark_job_dirty(task.step.job);
-        self.stop_other_runs(task, gang, now);
+        if !gang && !latest_ended {
+            self.stop_other_runs(task, now);
+        }
     }
 
-    /// Stops any other run of a task that is done; runs of gangs are left alone.
-    fn stop_other_runs(&mut self, task: TaskKey, gang: bool, now: Millis) {
+    /// Stops any run of a task that is done.
+    fn stop_other_runs(&mut self, task: TaskKey, now: Millis) {
         for target in self.targets.values_mut() {
-            if !gang && target.runs.contains_key(&task) {
-                target.request_stop(task, now);
-            }
+            target.request_stop(task, now);
         }
     }
 
@@ -163,6 +171,7 @@
     /// Applies that a job was accepted or cancelled, or was found at the takeover.
     pub(super) fn job_changed(&mut self, table: &mut JobTable, key: JobKey) {
         self.needs_scheduling = true;
+        self.facts.note_change(key);
         let Some(job) = table.get_mut(key) else {
             return;
         };
--- a/src/scheduler/leader/isolation.rs
+++ b/src/scheduler/leader/isolation.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexSet;
 
 use super::Leader;
-use crate::scheduler::placement::{self, PlacementRequest, ReservedTargets};
+use crate::scheduler::placement::{self, PlacementRequest, RackRuns, ReservedTargets};
 use crate::scheduler::{Millis, TargetId};
 
 /// Time between two passes over the jobs while a task is isolated or waits to be, in ms.
@@ -117,9 +117,9 @@
             ..*request
         };
         let reservations = &mut pass.reservations;
-        if let Some(id) =
-            placement::choose_target(&self.targets, &request, &reservations.excluded, now)
-        {
+        let runs = RackRuns::new(&self.targets, &request);
+        let (targets, excluded) = (self.targets.iter(), &reservations.excluded);
+        if let Some(id) = placement::choose_target(targets, &runs, &request, excluded, now) {
             let isolates = self.targets.get(&id).is_some_and(|t| t.starts_suspect(now));
             pool.isolating += usize::from(!isolates);
             return Isolation::On(id);
--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -35,6 +35,11 @@
 pub(super) struct Journal {
     /// Jobs whose progress is in no batch yet.
     dirty_jobs: IndexSet<JobKey>,
+    /// Jobs whose progress has changed since they were last taken.
+    changed_jobs: Vec<JobKey>,
+    /// Runs whose start waits until the progress of their job is stored. Some may be gone, or in
+    /// a batch already.
+    planned_runs: Vec<(TargetId, TaskKey)>,
     /// Waves whose progress is in no batch yet, by number.
     dirty_waves: IndexSet<u64>,
     in_flight: Option<Batch>,
@@ -55,6 +60,8 @@
     pub(super) fn new(now: Millis) -> Self {
         Self {
             dirty_jobs: IndexSet::new(),
+            changed_jobs: Vec::new(),
+            planned_runs: Vec::new(),
             dirty_waves: IndexSet::new(),
             in_flight: None,
             next_batch: 1,
@@ -68,6 +75,17 @@
     /// Has the job's progress stored with one of the next batches.
     pub(super) fn mark_job_dirty(&mut self, job: JobKey) {
         self.dirty_jobs.insert(job);
+        self.changed_jobs.push(job);
+    }
+
+    /// Returns the jobs whose progress has changed since the last call; some more than once.
+    pub(super) fn take_changed(&mut self) -> Vec<JobKey> {
+        std::mem::take(&mut self.changed_jobs)
+    }
+
+    /// Has the start of a run wait until the progress of its job is stored.
+    pub(super) fn add_planned_run(&mut self, target: TargetId, task: TaskKey) {
+        self.planned_runs.push((target, task));
     }
 
     /// Has the wave's progress stored with the next batch.
@@ -89,10 +107,10 @@
             return;
         }
         let forgotten_jobs = self.expired_jobs(table, now, wall_ms);
-        let nothing_to_store =
-            self.journal.dirty_jobs.is_empty() && self.journal.dirty_waves.is_empty();
-        let nothing_to_store =
-            nothing_to_store && forgotten_jobs.is_empty() && self.unstored_ends().is_empty();
+        let nothing_to_store = self.journal.dirty_jobs.is_empty()
+            && self.journal.dirty_waves.is_empty()
+            && forgotten_jobs.is_empty()
+            && !self.has_unstored_ends();
         if nothing_to_store && now - self.journal.sent_at < HEARTBEAT_MS {
             return;
         }
@@ -136,17 +154,24 @@
         self.journal.in_flight = Some(batch);
     }
 
-    /// Runs whose start waits until the progress of one of `jobs` is stored.
-    fn planned_runs_of(&self, jobs: &IndexSet<JobKey>) -> Vec<(TargetId, TaskKey)> {
-        let mut planned = Vec::new();
-        for (id, target) in &self.targets {
-            for (task, run) in &target.runs {
-                if run.phase == RunPhase::Planned && jobs.contains(&task.step.job) {
-                    planned.push((id.clone(), *task));
-                }
-            }
-        }
-        planned
+    /// Takes the runs whose start waits until the progress of one of `jobs` is stored.
+    fn planned_runs_of(&mut self, jobs: &IndexSet<JobKey>) -> Vec<(TargetId, TaskKey)> {
+        let (mut taken, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.journal.planned_runs)
+            .into_iter()
+            .partition(|(_, task)| jobs.contains(&task.step.job));
+        self.journal.planned_runs = left;
+        taken.retain(|(id, task)| {
+            let target = self.targets.get(id);
+            let run = target.and_then(|target| target.runs.get(task));
+            run.is_some_and(|run| run.phase == RunPhase::Planned)
+        });
+        taken
+    }
+
+    /// Returns whether some ended run is applied but not known to be stored.
+    fn has_unstored_ends(&self) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| target.applied_end > target.stored_end)
     }
 
     /// Targets with ended runs whose effect is applied but not known to be stored, `born` of the
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -12,6 +12,7 @@
 mod journal;
 mod losses;
 mod messages;
+mod place;
 mod removed_entries;
 mod schedule;
 mod starts;
@@ -24,6 +25,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::demand::DemandTrend;
+use super::order::FactsCache;
 use super::placement::ReservedTargets;
 use super::target::{HoldState, Target};
 use super::vms::VmTracker;
@@ -35,6 +37,7 @@
 
 use journal::Journal;
 use removed_entries::RemovedEntries;
+use schedule::LastPass;
 
 /// Settings of a leader: its claim of the role, and time limits.
 #[derive(Clone, Debug)]
@@ -68,6 +71,8 @@
     removed_entries: RemovedEntries,
     /// Keys of the jobs that have not ended.
     active_jobs: IndexSet<JobKey>,
+    /// Facts on these jobs.
+    facts: FactsCache,
     /// Tasks placed by an earlier leader on incarnations of targets that are not listed, with
     /// the time until which they may be running.
     orphans: IndexMap<TaskKey, Millis>,
@@ -89,6 +94,7 @@
     fenced: bool,
     /// Whether something has changed since the last scheduling that may let a task start.
     needs_scheduling: bool,
+    last_pass: LastPass,
     /// Targets that are kept free of other tasks until suspect ones can start there.
     isolation_targets: ReservedTargets,
     /// When to schedule again although nothing has changed, because a suspect task is isolated for
@@ -164,10 +170,7 @@
         self.apply_final_removals(now);
         self.expire_leases(table, now);
         self.advance_occurrences(table, now, wall_ms);
-        let reschedule = self.reschedule_at.is_some_and(|at| at <= now);
-        if std::mem::take(&mut self.needs_scheduling) || reschedule {
-            self.schedule(table, now);
-        }
+        self.schedule_if_due(table, now);
         self.send_stops(now);
         self.send_holds(now);
         self.record_begun_upkeeps(table);
--- a/src/scheduler/leader/stops.rs
+++ b/src/scheduler/leader/stops.rs
@@ -106,7 +106,8 @@
     /// Sends the stop calls that are due.
     pub(super) fn send_stops(&mut self, now: Millis) {
         let resend_after_ms = self.settings.stop_timeout_ms + RETRY_MS;
-        for target in self.targets.values_mut() {
+        let targets = self.targets.values_mut();
+        for target in targets.filter(|target| target.stopping_runs > 0) {
             for (task, run) in &mut target.runs {
                 let RunPhase::Stopping { resend_at, .. } = &mut run.phase else {
                     continue;
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -8,7 +8,9 @@
 use super::crashes::Loss;
 use super::journal::Journal;
 use super::removed_entries::RemovedEntries;
+use super::schedule::LastPass;
 use super::{Leader, LeaderSettings};
+use crate::scheduler::order::FactsCache;
 use crate::scheduler::placement::ReservedTargets;
 use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
 use crate::scheduler::target::Target;
@@ -42,6 +44,7 @@
             targets: IndexMap::new(),
             removed_entries: RemovedEntries::default(),
             active_jobs: IndexSet::new(),
+            facts: FactsCache::default(),
             orphans: IndexMap::new(),
             journal: Journal::new(now),
             demand_trends: IndexMap::new(),
@@ -52,6 +55,7 @@
             commands: Vec::new(),
             fenced: false,
             needs_scheduling: true,
+            last_pass: LastPass::default(),
             isolation_targets: ReservedTargets::new(),
             reschedule_at: None,
             next_occurrence_ms: 0,
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::{Command, Leader};
-use crate::scheduler::placement::{self, PlacementRequest, ReservedTargets};
+use crate::scheduler::placement::{self, PlacementRequest, RackRuns, ReservedTargets};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::target::Target;
 use crate::scheduler::vms::{OpenWave, VmOrder, VmOutcome, VmState};
@@ -227,7 +227,9 @@
             step,
             suspect: false,
         };
-        placement::choose_target(&self.targets, &request, &ReservedTargets::new(), now).is_some()
+        let runs = RackRuns::new(&self.targets, &request);
+        let (targets, reserved) = (self.targets.iter(), ReservedTargets::new());
+        placement::choose_target(targets, &runs, &request, &reserved, now).is_some()
     }
 
     /// Number of tasks of a step, out of `count`, that are not working or have not been for
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod ids;
 mod leader;
 mod lease;
+mod order;
 mod placement;
 mod policy;
 mod progress;
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -1,7 +1,7 @@
 //! Chooses the target that a task is placed on.
 
 use std::cmp::Reverse;
-use std::sync::Arc;
+use std::collections::HashMap;
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -23,31 +23,52 @@
 /// Targets whose free capacity is reserved for a task that needs more than is free yet.
 pub(super) type ReservedTargets = IndexSet<TargetId>;
 
-/// Chooses among the targets that have room one in the rack of the step's data if there is
+/// Runs of a long-running step in each rack, over which its tasks are spread; none for others.
+pub(super) struct RackRuns<'a>(HashMap<&'a str, usize>);
+
+impl<'a> RackRuns<'a> {
+    pub(super) fn new(
+        targets: &'a IndexMap<TargetId, Target>,
+        request: &PlacementRequest<'_>,
+    ) -> Self {
+        let mut runs = HashMap::new();
+        if request.step.long_running && !request.suspect {
+            for target in targets.values() {
+                *runs.entry(target.entry.rack()).or_default() += target.runs_of_step(request.key);
+            }
+        }
+        Self(runs)
+    }
+
+    fn get(&self, rack: &str) -> usize {
+        self.0.get(rack).copied().unwrap_or_default()
+    }
+}
+
+/// Chooses among the `targets` that have room one in the rack of the step's data if there is
 /// one, and then the fullest. Filling one target after the other leaves others empty, whose
 /// VMs can be moved to the standby pool.
-pub(super) fn choose_target(
-    targets: &IndexMap<TargetId, Target>,
+pub(super) fn choose_target<'a>(
+    targets: impl Iterator<Item = (&'a TargetId, &'a Target)>,
+    runs: &RackRuns<'_>,
     request: &PlacementRequest<'_>,
     reserved: &ReservedTargets,
     now: Millis,
 ) -> Option<TargetId> {
-    let reservation = request.step.reservation();
-    eligible_targets(targets, request, now)
+    let step = request.step;
+    let reservation = step.reservation();
+    targets
         .filter(|(id, target)| {
-            let room = target.used.fits(&reservation, &target.entry.capacity);
-            room && !reserved.contains(*id)
+            target.used.fits(&reservation, &target.entry.capacity)
+                && may_run(target, request, now)
+                && !reserved.contains(*id)
                 && target.isolates(request.key.job, request.suspect, now)
         })
         .max_by_key(|(id, target)| {
-            let near = target.entry.labels.contains(&request.step.data_rack);
-            (
-                near,
-                placement_rank(targets, target, request),
-                (*id).clone(),
-            )
+            let near = !step.data_rack.is_empty() && target.entry.labels.contains(&step.data_rack);
+            (near, placement_rank(runs, target, request), *id)
         })
-        .map(|(id, _)| TargetId(Arc::clone(&id.0)))
+        .map(|(id, _)| id.clone())
 }
 
 /// Chooses the target to reserve for a task that has no room yet: the one with the least CPU
@@ -95,7 +116,7 @@
 /// they can, so that the VMs of the others can be moved. Other tasks go to the target with the
 /// most CPU in use.
 fn placement_rank(
-    targets: &IndexMap<TargetId, Target>,
+    runs: &RackRuns<'_>,
     target: &Target,
     request: &PlacementRequest<'_>,
 ) -> (bool, Reverse<usize>, usize, u64) {
@@ -105,9 +126,7 @@
     if !request.step.long_running {
         return (true, Reverse(0), 0, target.used.cpu);
     }
-    let rack = target.entry.rack();
-    let same_rack = targets.values().filter(|other| other.entry.rack() == rack);
-    let same_step = same_rack.map(|other| other.runs_of_step(request.key)).sum();
+    let same_step = runs.get(target.entry.rack());
     let no_upkeep = !target.upkeep_due;
     (
         no_upkeep,
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -100,6 +100,8 @@
     pub(super) used: Capacity,
     /// Number of `runs` that are suspect.
     pub(super) suspect_runs: usize,
+    /// Number of `runs` that are being stopped.
+    pub(super) stopping_runs: usize,
     pub(super) health: Health,
     /// Since when it gets no new work because its VM is to be moved or maintained; `None`
     /// when it is not.
@@ -129,6 +131,7 @@
             runs: IndexMap::new(),
             used: Capacity::default(),
             suspect_runs: 0,
+            stopping_runs: 0,
             health: Health::default(),
             vacating_since: None,
             upkeep_due: false,
@@ -192,6 +195,7 @@
     pub(super) fn add_run(&mut self, task: TaskKey, run: Run) {
         self.used.add(&run.reserved);
         self.suspect_runs += usize::from(run.suspect);
+        self.stopping_runs += usize::from(run.stopping());
         self.runs.insert(task, run);
     }
 
@@ -200,6 +204,7 @@
         let run = self.runs.swap_remove(&task)?;
         self.used.subtract(&run.reserved);
         self.suspect_runs -= usize::from(run.suspect);
+        self.stopping_runs -= usize::from(run.stopping());
         if self.runs.is_empty() {
             self.idle_since = now;
         }
@@ -217,6 +222,7 @@
     pub(super) fn take_runs(&mut self, now: Millis) -> IndexMap<TaskKey, Run> {
         self.used = Capacity::default();
         self.suspect_runs = 0;
+        self.stopping_runs = 0;
         self.idle_since = now;
         std::mem::take(&mut self.runs)
     }
@@ -263,6 +269,7 @@
                 confirmed_at: None,
             };
             run.phase_since = now;
+            self.stopping_runs += 1;
         }
     }
 }
--- a/src/scheduler/urgency.rs
+++ b/src/scheduler/urgency.rs
@@ -1,4 +1,4 @@
-//! The order in which the tasks of jobs are placed.
+//! Whether jobs can still meet their latency objectives.
 
 use super::{Job, JobKey, Queue, TaskPhase};
 
@@ -18,21 +18,23 @@
     TooLate,
 }
 
-/// Position of a job in the order of placement; lower values come first. Among jobs of equal
-/// timeliness the queue's priority decides, then the end of the latency objective.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Urgency {
-    timeliness: Timeliness,
+/// Times by which a job should end, and what is left of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Deadlines {
+    long_running: bool,
     priority: u32,
     /// When the job should end by its latency objective, in ms since 1970.
     due_ms: u64,
-    pub(super) job: JobKey,
+    /// Until when the end of the job is of use to its caller, in ms since 1970.
+    useful_until_ms: u64,
+    /// Length of the critical path over steps with tasks that are not placed yet, in ms.
+    left_ms: u64,
 }
 
-impl Urgency {
-    /// Position of the job at `wall_ms`, the time of day in ms since 1970. A job whose queue is
-    /// gone has the lowest priority, no constant objective and a slack factor of 1.
-    pub(super) fn of(key: JobKey, job: &Job, queue: Option<&Queue>, wall_ms: u64) -> Self {
+impl Deadlines {
+    /// Times of a job. One whose queue is gone has the lowest priority, no constant objective and
+    /// a slack factor of 1.
+    pub(super) fn of(job: &Job, queue: Option<&Queue>) -> Self {
         let spec = &job.spec;
         let slack_factor = queue.map_or(1.0, |queue| queue.slack_factor);
         let path_ms = spec.critical_path_ms();
@@ -46,23 +48,57 @@
         let latest = job.progress.occurrences.len().saturating_sub(1);
         let latest = u32::try_from(latest).unwrap_or(u32::MAX);
         let start_ms = spec.due_ms(latest).unwrap_or(spec.accepted_ms);
-        let left_ms = remaining_path_ms(job);
-        let timeliness = if spec.is_long_running() {
+        Self {
+            long_running: spec.is_long_running(),
+            priority: queue.map_or(u32::MAX, |queue| queue.priority),
+            due_ms: start_ms + objective_ms,
+            useful_until_ms: start_ms + objective_ms * LATE_FACTOR,
+            left_ms: remaining_path_ms(job),
+        }
+    }
+
+    /// Whether the job can still meet its objective at `wall_ms`, the time of day in ms since 1970.
+    pub(super) const fn timeliness(&self, wall_ms: u64) -> Timeliness {
+        let end_ms = wall_ms + self.left_ms;
+        if self.long_running {
             Timeliness::LongRunning
-        } else if wall_ms + left_ms <= start_ms + objective_ms {
+        } else if end_ms <= self.due_ms {
             Timeliness::InTime
-        } else if wall_ms + left_ms <= start_ms + objective_ms * LATE_FACTOR {
+        } else if end_ms <= self.useful_until_ms {
             Timeliness::Late
         } else {
             Timeliness::TooLate
-        };
-        Self {
-            timeliness,
-            priority: queue.map_or(u32::MAX, |queue| queue.priority),
-            due_ms: start_ms + objective_ms,
-            job: key,
         }
     }
+
+    /// Position of the job at `wall_ms`, the time of day in ms since 1970.
+    pub(super) const fn urgency(&self, job: JobKey, wall_ms: u64) -> Urgency {
+        Urgency {
+            timeliness: self.timeliness(wall_ms),
+            priority: self.priority,
+            due_ms: self.due_ms,
+            job,
+        }
+    }
+}
+
+/// Position of a job in the order of placement; lower values come first. Among jobs of equal
+/// timeliness the queue's priority decides, then the end of the latency objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Urgency {
+    timeliness: Timeliness,
+    priority: u32,
+    /// When the job should end by its latency objective, in ms since 1970.
+    due_ms: u64,
+    pub(super) job: JobKey,
+}
+
+impl Urgency {
+    /// Position of a job at `wall_ms`, for callers without [`Deadlines`] of it.
+    #[allow(dead_code)] // For the demand of pools, which is to leave jobs past use out.
+    pub(super) fn of(key: JobKey, job: &Job, queue: Option<&Queue>, wall_ms: u64) -> Self {
+        Deadlines::of(job, queue).urgency(key, wall_ms)
+    }
 }
 
 /// Length in ms of the critical path over steps with tasks that are not placed yet.
