--- a/src/scheduler/leader/movable_tasks.rs
+++ b/src/scheduler/leader/movable_tasks.rs
@@ -1,7 +1,7 @@
 //! Decides whether a long-running task may be stopped, so that it starts on another target.
 
 use super::Leader;
-use crate::scheduler::placement::{self, PlacementRequest, ReservedTargets};
+use crate::scheduler::placement::{self, PlacementRequest, RackRuns, ReservedTargets};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::target::Target;
 use crate::scheduler::{Millis, Step, StepKey, TargetId};
@@ -36,7 +36,9 @@
             step,
             suspect: false,
         };
-        placement::choose_target(&self.targets, &request, &ReservedTargets::new(), now).is_some()
+        let runs = RackRuns::new(&self.targets, &request);
+        let (targets, reserved) = (self.targets.iter(), ReservedTargets::new());
+        placement::choose_target(targets, &runs, &request, &reserved, now).is_some()
     }
 
     /// Number of tasks of a step, out of `count`, that are not working or have not been for
