Drain the surplus VMs of a pool

A VM left its pool only once it had been without work for 500 ms by chance. Small tasks went to the rack of their data, whatever VM was there, so that a pool with a trickle of them never released a VM; and a VM that the platform refuses to move used up the surplus of its pool, so that no other VM left in its place.

As soon as a pool holds more VMs than it wants, that many are now drained: those without work, then those drained already, then those with the fewest and shortest runs, none with a long-running task. They get new tasks only if no other target has room, and move to the standby pool when empty and unneeded for 500 ms. The choice is made anew every 100 ms and kept apart from the vacating for maintenance, so that nothing of it needs to be stored or undone.

The model of the platform now carries moves out. Two tests show the faults; both fail without the change.

--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -7,7 +7,7 @@
 
 use super::{Capacity, Millis};
 
-/// A VM that has been without work for this long is moved to the standby pool, in ms: a move
+/// A VM without work is moved to the standby pool once its pool has not needed it for this long to the standby pool, in ms: a move
 /// costs as much as a second in a pool, and demand next changes several seconds later.
 const STANDBY_AFTER_IDLE_MS: Millis = 500;
 
@@ -76,7 +76,8 @@
     pub(super) vm: String,
     /// Pool that the VM is in.
     pub(super) pool: Arc<str>,
-    /// Time that it has been without work, in ms; the largest value for a VM that is off.
+    /// Time that it has been without work or drained, in ms; the largest value for a VM that is
+    /// off.
     pub(super) idle_ms: Millis,
 }
 
@@ -107,7 +108,7 @@
 
 impl PoolDemand {
     /// Number of VMs that the pool can give to others.
-    fn surplus_vms(&self) -> usize {
+    pub(super) fn surplus_vms(&self) -> usize {
         if self.has_had_jobs {
             self.vms.saturating_sub(self.wanted_vms())
         } else {
@@ -118,11 +119,13 @@
 
 /// Plans the moves to make now. Pools that lack VMs, those that lack most first, get the
 /// candidates that have been idle longest, beginning with VMs that are off. VMs that no pool
-/// needs move to the `standby` pool, whose VMs are off.
+/// needs move to the `standby` pool, whose VMs are off. The platform has refused moves for which
+/// `possible` is false.
 pub(super) fn plan_moves(
     pools: &IndexMap<Arc<str>, PoolDemand>,
     candidates: &[MoveCandidate],
     standby: &Arc<str>,
+    possible: impl Fn(&str, &Arc<str>) -> bool,
 ) -> Vec<PoolMove> {
     let mut surplus: IndexMap<&Arc<str>, usize> = pools
         .iter()
@@ -130,37 +133,38 @@
         .collect();
     let mut free: Vec<&MoveCandidate> = candidates.iter().collect();
     free.sort_by_key(|candidate| std::cmp::Reverse(candidate.idle_ms));
-    let mut free = free.into_iter().filter(|candidate| {
-        if candidate.pool == *standby {
-            return true;
-        }
-        let Some(left) = surplus.get_mut(&candidate.pool) else {
-            return false;
-        };
-        let can_give = *left > 0;
-        *left -= usize::from(can_give);
-        can_give
-    });
     let mut moves = Vec::new();
+    let mut take = |destination: &Arc<str>, count: usize, idle_ms: Millis| {
+        let mut left = count;
+        free.retain(|candidate| {
+            let fits = left > 0
+                && candidate.pool != *destination
+                && candidate.idle_ms >= idle_ms
+                && possible(&candidate.vm, destination);
+            let spare = surplus.get_mut(&candidate.pool);
+            let spare = spare.filter(|spare| **spare > 0);
+            if !fits || (candidate.pool != *standby && spare.is_none()) {
+                return true;
+            }
+            if let Some(spare) = spare {
+                *spare -= 1;
+            }
+            left -= 1;
+            moves.push(PoolMove {
+                vm: candidate.vm.clone(),
+                pool: Arc::clone(destination),
+            });
+            false
+        });
+    };
     let mut short: Vec<(&Arc<str>, usize)> = pools
         .iter()
         .map(|(name, pool)| (name, pool.wanted_vms().saturating_sub(pool.vms)))
         .collect();
     short.sort_by_key(|(_, missing)| std::cmp::Reverse(*missing));
     for (pool, missing) in short {
-        for candidate in free.by_ref().take(missing) {
-            moves.push(PoolMove {
-                vm: candidate.vm.clone(),
-                pool: Arc::clone(pool),
-            });
-        }
+        take(pool, missing, 0);
     }
-    let idle = free.filter(|candidate| {
-        candidate.pool != *standby && candidate.idle_ms >= STANDBY_AFTER_IDLE_MS
-    });
-    moves.extend(idle.map(|candidate| PoolMove {
-        vm: candidate.vm.clone(),
-        pool: Arc::clone(standby),
-    }));
+    take(standby, usize::MAX, STANDBY_AFTER_IDLE_MS);
     moves
 }
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -17,10 +17,10 @@
 const DEMAND_LOG_INTERVAL_MS: Millis = 1_000;
 
 impl Leader {
-    /// Plans moves of VMs from the current demand, and sends the orders for them. Does
-    /// nothing without a standby pool.
+    /// Chooses the VMs to drain from the current demand, plans moves of VMs, and sends the orders
+    /// for them. Does nothing without a standby pool.
     pub(super) fn balance_pools(&mut self, table: &JobTable, now: Millis) {
-        if now < self.next_balance || !self.may_order_vms(now) {
+        if now < self.next_balance || !self.vm_tracker.has_list() {
             return;
         }
         self.next_balance = now + BALANCE_INTERVAL_MS;
@@ -29,27 +29,30 @@
             .standby_pool()
             .map(|pool| Arc::clone(&pool.name))
         else {
-            return;
+            return self.end_drains();
         };
         let mut pools = self.pool_demands(table, &standby);
         for (name, pool) in &mut pools {
             let trend = self.demand_trends.entry(Arc::clone(name)).or_default();
             pool.expected_rise = trend.add_sample(pool.demand, now);
         }
+        self.update_drains(table, &pools, &standby, now);
         if now >= self.next_demand_log {
             self.next_demand_log = now + DEMAND_LOG_INTERVAL_MS;
             for (name, pool) in &pools {
                 spdlog::info!("demand", kv: {
                     pool = name.as_ref(), vms = pool.vms, wanted = pool.wanted_vms(), floor = pool.min_vms,
-                    cpu = pool.demand.cpu, mem_mb = pool.demand.mem_mb
+                    cpu = pool.demand.cpu, mem_mb = pool.demand.mem_mb, drained = self.drained_vms(name)
                 });
             }
         }
+        if !self.may_order_vms(now) {
+            return;
+        }
         let candidates = self.move_candidates(now);
-        for PoolMove { vm, pool } in plan_moves(&pools, &candidates, &standby) {
-            if !self.vm_tracker.is_impossible_move(&vm, &pool) {
-                self.send_vm_order(&vm, VmOrder::Move(pool), now);
-            }
+        let possible = |vm: &str, pool: &Arc<str>| !self.vm_tracker.is_impossible_move(vm, pool);
+        for PoolMove { vm, pool } in plan_moves(&pools, &candidates, &standby, possible) {
+            self.send_vm_order(&vm, VmOrder::Move(pool), now);
         }
     }
 
@@ -187,7 +190,7 @@
                         let target = self.targets.get(&id)?;
                         let idle =
                             target.removable() && target.listed && target.vacating_since.is_none();
-                        idle.then(|| now - target.idle_since)
+                        idle.then(|| target.draining_since.map_or(0, |since| now - since))
                     }
                 };
                 Some(MoveCandidate {
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -6,6 +6,7 @@
 
 mod balance;
 mod crashes;
+mod drains;
 mod ends;
 mod holds;
 mod isolation;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! holds the leader role also runs a [`Leader`], which takes events and the current time
 //! and returns commands for the process to carry out.
 
+mod balance;
 mod capacity;
 mod demand;
 mod election;
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -23,8 +23,8 @@
 /// Targets whose free capacity is reserved for a task that needs more than is free yet.
 pub(super) type ReservedTargets = IndexSet<TargetId>;
 
-/// Chooses among the targets that have room one in the rack of the step's data if there is
-/// one, and then the fullest. Filling one target after the other leaves others empty, whose
+/// Chooses among the targets that have room one that is not being drained if there is one, then
+/// one in the rack of the step's data, and then the fullest. Filling one target after the other leaves others empty, whose
 /// VMs can be moved to the standby pool.
 pub(super) fn choose_target(
     targets: &IndexMap<TargetId, Target>,
@@ -42,6 +42,7 @@
         .max_by_key(|(id, target)| {
             let near = target.entry.labels.contains(&request.step.data_rack);
             (
+                target.draining_since.is_none(),
                 near,
                 placement_rank(targets, target, request),
                 (*id).clone(),
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -104,6 +104,10 @@
     /// Since when it gets no new work because its VM is to be moved or maintained; `None`
     /// when it is not.
     pub(super) vacating_since: Option<Millis>,
+    /// Since when it gets no new work while other targets of its pool have room, because the pool
+    /// holds more VMs than it needs; `None` when it is not being drained. Unlike
+    /// `vacating_since` this is no order of the operators, and ends when the pool needs the VM.
+    pub(super) draining_since: Option<Millis>,
     /// Whether its VM is still to be maintained in an open wave.
     pub(super) upkeep_due: bool,
     /// After a refused start no further one is sent before this time.
@@ -131,6 +135,7 @@
             suspect_runs: 0,
             health: Health::default(),
             vacating_since: None,
+            draining_since: None,
             upkeep_due: false,
             starts_paused_until: 0,
             idle_since: now,
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -9,6 +9,8 @@
 mod fixtures;
 mod gangs;
 mod jobs;
+mod pool_day;
+mod pools;
 mod records;
 mod returned_targets;
 mod target;
--- /dev/null
+++ b/tests/scheduler/pools.rs
@@ -0,0 +1,85 @@
+//! VMs that are moved between pools, as the pools' demand changes.
+
+use amaranthwick::scheduler::Millis;
+use rstest::rstest;
+
+use crate::fixtures::{job, step};
+use crate::pool_day::{Day, Load, SETTLE_MS, pool_name, pool_policy};
+
+/// A load without random jobs.
+const NO_LOAD: Load = Load {
+    burst: 0.0,
+    quiet: 0.0,
+    turn_ms: 0,
+};
+
+/// Time over which the cost of a day is measured, in ms.
+const DAY_MS: Millis = 36_000;
+
+/// Guards against VMs that stay in pools after their turn, or are moved to and fro: of a quiet day
+/// they are the largest cost. Jobs must not become late for it.
+#[rstest]
+fn a_quiet_day_costs_little_more_than_what_runs(#[values(1, 2)] seed: u64) {
+    let mut day = Day::quiet(seed);
+    day.run(SETTLE_MS, false);
+    let from = day.world.now;
+
+    day.run(DAY_MS, true);
+    let to = day.world.now;
+    day.end_loads();
+    day.run(6_000, false);
+    let (figures, world) = day.finish(from, to);
+
+    println!("seed {seed}: cost {} {figures:?}", figures.cost_ms());
+    assert!(figures.cost_ms() * 10 < figures.least_ms * 21);
+    assert!(figures.late + figures.useless < figures.in_time / 10);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against VMs that stay in a pool for good: small tasks went to the rack of their data, so
+/// that no VM was without work for long enough to leave, although one could take them all.
+#[test]
+fn a_surplus_vm_leaves_although_small_tasks_keep_arriving() {
+    let mut day = Day::new(4, &[1], &[NO_LOAD], pool_policy(&[0]), 1);
+    let ids: Vec<_> = day.world.targets.keys().take(3).cloned().collect();
+    for id in &ids {
+        day.world.targets[id].entry.labels = vec!["a".to_owned(), format!("rack-{id}")];
+        day.world.publish_entry(id);
+    }
+    day.run(1_000, false);
+    let before = day.world.vms_in(&pool_name(0));
+
+    for _ in 0..25 {
+        for id in &ids {
+            let mut step = step(1, 350, &[]);
+            step.data_rack = format!("rack-{id}");
+            day.submit(0, job(vec![step]));
+        }
+        day.run(400, false);
+    }
+
+    assert_eq!(before, 3);
+    assert_eq!(day.world.vms_in(&pool_name(0)), 1);
+    assert_eq!(day.world.violations, Vec::<String>::new());
+}
+
+/// Guards against VMs that stay in a pool for good: VMs that can't be moved counted as those that
+/// left, so that no other did.
+#[test]
+fn a_vm_that_cannot_leave_does_not_hold_up_another() {
+    let mut day = Day::new(10, &[2], &[NO_LOAD], pool_policy(&[0]), 1);
+    day.run(1_000, false);
+    day.submit(0, job(vec![step(58, 20_000, &[])]));
+    day.run(500, false);
+    let targets = day.world.targets.values();
+    let free = targets.filter(|target| target.listed && target.running().next().is_none());
+    let vms: Vec<String> = free.map(|target| target.entry.vm.to_string()).collect();
+    let immovable = vms[..2].iter().cloned();
+    day.world.vm_service.immovable.extend(immovable);
+
+    day.run(8_000, false);
+
+    assert_eq!(vms.len(), 3);
+    assert_eq!(day.world.vms_in(&pool_name(0)), 4);
+    assert_eq!(day.world.violations, Vec::<String>::new());
+}
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -2,6 +2,7 @@
 
 mod crash;
 mod gangs;
+mod moves;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 use amaranthwick::scheduler::{
     Capacity, Change, Command, Election, Event, HoldFailure, Holder, JobKey, JobSpec, JobState,
     JobTable, Leader, LeaderSettings, Millis, Policy, Record, StartOutcome, Step, StopOutcome,
-    TargetId, TaskKey, Vm, VmOutcome, VmState, Wave, leader_event,
+    TargetId, TaskKey, VmOutcome, Wave, leader_event,
 };
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
@@ -71,6 +72,12 @@
         held_up: bool,
     },
     FinishUpkeep(String),
+    Move {
+        leader: usize,
+        vm: String,
+        pool: Arc<str>,
+    },
+    FinishMove(String),
     Crash(CrashStep),
     Publish(TargetId),
 }
@@ -112,8 +119,8 @@
     pub(crate) violations: Vec<String>,
     /// VMs whose maintenance began, with the time.
     pub(crate) upkeeps: Vec<(Millis, String)>,
-    /// Orders to move a VM: the VM and the pool. The VM service refuses moves to the standby
-    /// pool; others begin, but do not end.
+    /// Orders to move a VM: the VM and the pool. Unless moves are enabled, the VM service refuses
+    /// those to the standby pool; others begin, but do not end.
     pub(crate) moves: Vec<(String, String)>,
     /// Reports on waves: the number, and whether the wave is complete.
     pub(crate) reports: Vec<(u64, bool)>,
@@ -185,6 +192,11 @@
         }
     }
 
+    /// The operators' configuration changes; to be called before the first claim.
+    pub(crate) fn set_policy(&mut self, policy: Policy) {
+        self.policy = Arc::new(policy);
+    }
+
     /// The capacity of a target changes, and a while later its entry.
     pub(crate) fn set_capacity(&mut self, id: &TargetId, capacity: Capacity) {
         let target = self.targets.get_mut(id).unwrap();
@@ -490,32 +502,11 @@
             Command::Stop { .. } => self.schedule(CALL_LATENCY_MS, Action::Stop(leader, command)),
             Command::Hold { .. } => self.schedule(CALL_LATENCY_MS, Action::Hold(leader, command)),
             Command::ListVms => {
-                let vms = self.targets.values().filter(|t| t.alive).map(|target| Vm {
-                    name: target.entry.vm.to_string(),
-                    pool: Arc::clone(&target.entry.pool),
-                    state: if self.vm_service.is_down(&target.entry.vm) {
-                        VmState::Upkeep
-                    } else {
-                        VmState::Up
-                    },
-                    labels: target.entry.labels.clone(),
-                    capacity: target.entry.capacity,
-                    target: Some(target.entry.id.clone()),
-                });
-                let event = Event::VmList(Some(vms.collect()));
+                let event = Event::VmList(self.list_vms());
                 self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
             }
             Command::BeginUpkeep { vm, .. } => self.order_upkeep(leader, vm),
-            Command::MoveVm { vm, pool, .. } => {
-                self.moves.push((vm.clone(), pool.to_string()));
-                let outcome = if *pool == *POOL {
-                    VmOutcome::Begun
-                } else {
-                    VmOutcome::Invalid
-                };
-                let event = Event::VmOrderAnswered { vm, outcome };
-                self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
-            }
+            Command::MoveVm { vm, pool, .. } => self.order_move(leader, vm, pool),
             Command::ReportWave { wave, complete } => {
                 self.reports.push((wave, complete));
                 let event = Event::WaveReported { wave, stored: true };
@@ -559,6 +550,8 @@
                 VmOutcome::Begun
             }
             Err(Refusal::Done) => VmOutcome::Begun,
+            Err(Refusal::Busy) => VmOutcome::Busy,
+            Err(Refusal::Invalid) => VmOutcome::Invalid,
             Err(Refusal::Fenced) => VmOutcome::Fenced,
             Err(Refusal::LowerToken) => {
                 self.violations.push(format!(
@@ -617,6 +610,8 @@
                     self.publish_entry(&id);
                 }
             }
+            Action::Move { leader, vm, pool } => self.begin_move(leader, &vm, &pool),
+            Action::FinishMove(vm) => self.finish_move(&vm),
             Action::FinishUpkeep(vm) => {
                 self.vm_service.finish(&vm);
                 let now = self.now;
