--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -45,8 +45,8 @@
     }
 }
 
-/// Chooses among the `targets` that have room one that is not slow after its start, then one in the
-/// rack of the step's data if there is one, and then the fullest. Filling one target after the
+/// Chooses among the `targets` that have room one that is not slow after its start, then one that
+/// is not being drained, then one in the rack of the step's data, and then the fullest. Filling one target after the
 /// other leaves others empty, whose VMs can be moved to the standby pool.
 pub(super) fn choose_target<'a>(
     targets: impl Iterator<Item = (&'a TargetId, &'a Target)>,
@@ -67,7 +67,14 @@
         .max_by_key(|(id, target)| {
             let near = !step.data_rack.is_empty() && target.entry.labels.contains(&step.data_rack);
             let warm = now >= target.cold_until;
-            (warm, near, placement_rank(runs, target, request), *id)
+            let stays = target.draining_since.is_none();
+            (
+                warm,
+                stays,
+                near,
+                placement_rank(runs, target, request),
+                *id,
+            )
         })
         .map(|(id, _)| id.clone())
 }
