Let an order for a VM explain only the end of the target that was there

A crash counted for nobody if the VM had got an order by the time at which the runs were given up, although the order was for the target that had come up since, or for an earlier incarnation. A pending order now names the target and incarnation that it was sent for. Orders and their answers move to vm_orders.rs, what the platform lists to vm.rs.

--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -7,8 +7,8 @@
 
 use super::Leader;
 use crate::scheduler::demand::{MoveCandidate, PoolDemand, PoolMove, plan_moves};
-use crate::scheduler::vms::{VmOrder, VmState};
-use crate::scheduler::{Capacity, JobTable, Millis, Step, StepKey};
+use crate::scheduler::vms::VmOrder;
+use crate::scheduler::{Capacity, JobTable, Millis, Step, StepKey, VmState};
 
 /// Time between two computations of the demand, in ms.
 const BALANCE_INTERVAL_MS: Millis = 100;
--- a/src/scheduler/leader/crashes.rs
+++ b/src/scheduler/leader/crashes.rs
@@ -62,9 +62,9 @@
 
 impl Leader {
     /// Returns whether the end of a target is expected: it drains, or its VM was ordered to be moved
-    /// or maintained.
+    /// or maintained while it was there.
     pub(super) fn is_leaving(&self, entry: &TargetEntry) -> bool {
-        entry.state == TargetState::Draining || self.vm_tracker.has_pending_order(&entry.vm)
+        entry.state == TargetState::Draining || self.vm_tracker.has_order_for(entry)
     }
 
     /// Counts the loss of a target, which last answered at `answered_at`, against the runs that
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use crate::scheduler::run::{EndedRun, RunningTask};
-use crate::scheduler::vms::{Vm, VmOutcome};
 use crate::scheduler::{
-    Change, JobKey, JobSpec, Millis, Policy, Record, TargetEntry, TargetId, TaskKey, Wave,
+    Change, JobKey, JobSpec, Millis, Policy, Record, TargetEntry, TargetId, TaskKey, Vm, VmOutcome,
+    Wave,
 };
 
 /// Outcome of a start call.
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -18,6 +18,7 @@
 mod stops;
 mod takeover;
 mod upkeep;
+mod vm_orders;
 
 use std::sync::Arc;
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod table;
 mod target;
 mod urgency;
+mod vm;
 mod vms;
 mod wave;
 
@@ -37,5 +38,5 @@
 pub use spec::{JobSpec, MAX_TASKS, SpecFault, Step};
 pub use table::{Job, JobTable};
 pub use target::{TargetEntry, TargetId, TargetState};
-pub use vms::{Vm, VmOutcome, VmState};
+pub use vm::{Vm, VmOutcome, VmState};
 pub use wave::Wave;
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -61,6 +61,28 @@
     }
 }
 
+/// One life of a target, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Incarnation {
+    pub(super) id: TargetId,
+    /// As in [`TargetEntry::born`].
+    pub(super) born: u64,
+}
+
+impl Incarnation {
+    pub(super) fn of(entry: &TargetEntry) -> Self {
+        Self {
+            id: entry.id.clone(),
+            born: entry.born,
+        }
+    }
+
+    /// Returns whether the entry is one of this incarnation.
+    pub(super) fn is_of(&self, entry: &TargetEntry) -> bool {
+        self.id == entry.id && self.born == entry.born
+    }
+}
+
 /// State of the hold call to a target, which extends its lease and asks for its running
 /// tasks and ended runs. At most one such call is in flight to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/scheduler/vms.rs
+++ b/src/scheduler/vms.rs
@@ -4,7 +4,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Capacity, Millis, TargetId, Wave};
+use super::target::Incarnation;
+use super::vm::{Vm, VmOutcome, VmState};
+use super::{Millis, TargetEntry, Wave};
 
 /// Time between two listings of the VMs while an order or a wave is open, in ms.
 const BUSY_LIST_INTERVAL_MS: Millis = 500;
@@ -21,53 +23,6 @@
 /// that is listed as up has finished the order, even if the list never showed it as away.
 const LIST_LAG_MS: Millis = 1_500;
 
-/// State of a VM, as the platform lists it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VmState {
-    /// Running in its pool.
-    Up,
-    /// Being moved to another pool.
-    Moving,
-    /// Being maintained.
-    Upkeep,
-    /// Not running.
-    Down,
-}
-
-/// A VM as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Vm {
-    /// Name of the VM.
-    pub name: String,
-    /// Name of the pool that the VM is in.
-    pub pool: Arc<str>,
-    /// Whether the VM is running, being moved, being maintained or down.
-    pub state: VmState,
-    /// Labels of the VM: its kind and its rack.
-    pub labels: Vec<String>,
-    /// Total capacity of the VM.
-    pub capacity: Capacity,
-    /// Id of the target on the VM; `None` in a pool whose VMs are off.
-    pub target: Option<TargetId>,
-}
-
-/// The platform's answer to an order to move or maintain a VM.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VmOutcome {
-    /// The platform has begun to carry it out.
-    Begun,
-    /// Refused: another leader with a higher fencing token has called.
-    Fenced,
-    /// Refused: the VM is not up, or is about to leave.
-    Busy,
-    /// Refused: the VM is not part of the wave.
-    NotInWave,
-    /// Refused: there is no such VM, or it can't be in that pool.
-    Invalid,
-    /// There was no usable answer; the order may have been carried out.
-    Unknown,
-}
-
 /// An order to the platform for a VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum VmOrder {
@@ -81,6 +36,9 @@
 #[derive(Clone, Debug)]
 struct PendingOrder {
     order: VmOrder,
+    /// What was on the VM when the order was sent; `None` if nothing was known to be. The order
+    /// ends nothing else: whatever comes up on the VM until it is finished is not due to leave.
+    subject: Option<Incarnation>,
     /// Whether the platform has confirmed that it carries the order out.
     accepted: bool,
     /// When the order is sent again; the largest value while a call is in flight.
@@ -222,6 +180,13 @@
         self.pending_orders.contains_key(name)
     }
 
+    /// Returns whether the target was on its VM when a pending order for that was sent.
+    pub(super) fn has_order_for(&self, entry: &TargetEntry) -> bool {
+        let pending = self.pending_orders.get(&*entry.vm);
+        let subject = pending.and_then(|pending| pending.subject.as_ref());
+        subject.is_some_and(|subject| subject.is_of(entry))
+    }
+
     /// Returns whether the platform has refused a move of the VM to the pool as invalid.
     pub(super) fn is_impossible_move(&self, name: &str, pool: &Arc<str>) -> bool {
         self.impossible_moves
@@ -252,10 +217,17 @@
         wave.vms.iter().filter(down).count()
     }
 
-    /// Records an order that is sent now.
-    pub(super) fn record_order(&mut self, name: &str, order: VmOrder, now: Millis) {
+    /// Records an order that is sent now; `subject` is on the VM.
+    pub(super) fn record_order(
+        &mut self,
+        name: &str,
+        order: VmOrder,
+        subject: Option<Incarnation>,
+        now: Millis,
+    ) {
         let pending = PendingOrder {
             order,
+            subject,
             accepted: false,
             retry_at: Millis::MAX,
             since: now,
