Settle silent losses once their targets show whether they crashed

A target that is only silent may be cut off, so its loss never counted as a known crash, and a task whose targets returned late crashed more of them than needed. The lost target is now stored with the task's crashes. Another incarnation under its id, another target on its VM or a VM that is down makes the crash known; an answer of the same incarnation takes the count back; an order for the VM, or a notice that the target drains, leaves the loss as it is. A target whose VM has a later one when its lease lapses counts as replaced.

Earlier builds read the new field: crashes with lost targets are written as a map, of which they skip what they don't know, others as before.

--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -7,7 +7,7 @@
 
 use super::Leader;
 use crate::scheduler::demand::{MoveCandidate, PoolDemand, PoolMove, plan_moves};
-use crate::scheduler::vms::VmOrder;
+use crate::scheduler::vm::VmOrder;
 use crate::scheduler::{Capacity, JobTable, Millis, Step, StepKey, VmState};
 
 /// Time between two computations of the demand, in ms.
--- a/src/scheduler/leader/crashes.rs
+++ b/src/scheduler/leader/crashes.rs
@@ -9,18 +9,12 @@
 
 use super::Leader;
 use crate::scheduler::run::{CLEARED_MS, Run, STARTUP_MS};
+use crate::scheduler::target::Incarnation;
 use crate::scheduler::{
-    Crashes, JobKey, JobState, JobTable, Millis, TargetEntry, TargetId, TargetState, TaskKey,
+    Crashes, JobKey, JobState, JobTable, LostTarget, Millis, TargetEntry, TargetId, TargetState,
+    TaskKey,
 };
 
-/// Targets known to have crashed after which a job is given up, if runs of no other job are
-/// suspected of the last crash.
-const SEEN_LIMIT: u32 = 3;
-
-/// Targets that crashed, or may have, after which a job is given up in any case: a task that
-/// crashes its targets must not go on to do so.
-const LIMIT: u32 = 5;
-
 /// How the loss of a target was noticed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Loss {
@@ -43,58 +37,130 @@
     }
 }
 
+/// Whether the end of a target was expected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Leaving {
+    No,
+    /// It had announced that it drains, which takes 2 s or more.
+    Drains,
+    /// Its VM was ordered to be moved or maintained while it was there.
+    Ordered,
+}
+
+impl Leaving {
+    /// Name in the log.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::No => "no",
+            Self::Drains => "drains",
+            Self::Ordered => "ordered",
+        }
+    }
+}
+
+/// A target that was lost, with its runs.
+#[derive(Clone, Copy)]
+pub(super) struct LostRuns<'a> {
+    pub(super) entry: &'a TargetEntry,
+    /// When the target answered last; `None` if it never did.
+    pub(super) answered_at: Option<Millis>,
+    pub(super) runs: &'a IndexMap<TaskKey, Run>,
+    pub(super) loss: Loss,
+    pub(super) leaving: Leaving,
+}
+
+impl LostRuns<'_> {
+    /// Returns whether all runs are of one job.
+    fn of_one_job(&self) -> bool {
+        let mut jobs = self.runs.keys().map(|task| task.step.job);
+        let first = jobs.next();
+        jobs.all(|job| Some(job) == first)
+    }
+
+    /// Runs that may have caused the loss: those that were starting up or, if all were of one job,
+    /// any that had not gone on for long. A drain explains the end of all but those that had just
+    /// been sent, and an order that of all.
+    fn suspects(&self) -> Vec<(TaskKey, u32)> {
+        let window_ms = if self.of_one_job() {
+            CLEARED_MS
+        } else {
+            STARTUP_MS
+        };
+        let unexplained = |run: &Run| match self.leaving {
+            Leaving::No => true,
+            Leaving::Drains => run.sent_just_before(self.answered_at),
+            Leaving::Ordered => false,
+        };
+        self.runs
+            .iter()
+            .filter(|(_, run)| {
+                run.may_have_crashed(self.answered_at, window_ms) && unexplained(run)
+            })
+            .map(|(task, run)| (*task, run.number))
+            .collect()
+    }
+}
+
 /// The loss of a target, as it counts against a run there.
 #[derive(Clone, Copy, Debug)]
 struct Crash<'a> {
-    target: &'a TargetId,
+    target: &'a Incarnation,
+    /// Name of the target's VM; empty if that is not known.
+    vm: &'a str,
     loss: Loss,
+    /// Whether what becomes of the target will show if it crashed.
+    open: bool,
     /// Number of jobs whose runs are suspected; `None` if it is not known.
     suspected_jobs: Option<usize>,
 }
 
 impl Crash<'_> {
+    fn alone(&self) -> bool {
+        self.suspected_jobs == Some(1)
+    }
+
     /// Returns whether it is too much for the job of a task with these crashes, which include it.
     fn exceeds(&self, crashes: &Crashes) -> bool {
-        let alone = self.loss == Loss::Replaced && self.suspected_jobs == Some(1);
-        crashes.count >= LIMIT || (alone && crashes.seen >= SEEN_LIMIT)
+        let known_alone = self.loss == Loss::Replaced && self.alone();
+        crashes.too_many() || (known_alone && crashes.too_many_seen())
+    }
+
+    /// The target, if it is open whether it crashed.
+    fn lost_target(&self) -> Option<LostTarget> {
+        self.open.then(|| LostTarget {
+            target: self.target.id.clone(),
+            born: self.target.born,
+            vm: self.vm.to_owned(),
+            alone: self.alone(),
+        })
     }
 }
 
 impl Leader {
-    /// Returns whether the end of a target is expected: it drains, or its VM was ordered to be moved
-    /// or maintained while it was there.
-    pub(super) fn is_leaving(&self, entry: &TargetEntry) -> bool {
-        entry.state == TargetState::Draining || self.vm_tracker.has_order_for(entry)
+    /// Returns whether the end of a target is expected.
+    pub(super) fn is_leaving(&self, entry: &TargetEntry) -> Leaving {
+        if self.vm_tracker.has_order_for(entry) {
+            Leaving::Ordered
+        } else if entry.state == TargetState::Draining {
+            Leaving::Drains
+        } else {
+            Leaving::No
+        }
     }
 
-    /// Counts the loss of a target, which last answered at `answered_at`, against the runs that
-    /// may have caused it: those that were starting up or, if all were of one job, any that had
-    /// not gone on for long.
-    pub(super) fn suspect_runs(
-        &mut self,
-        table: &mut JobTable,
-        id: &TargetId,
-        runs: &IndexMap<TaskKey, Run>,
-        answered_at: Option<Millis>,
-        loss: Loss,
-    ) {
-        let mut others = runs.keys().skip(1);
-        let first = runs.keys().next();
-        let lone = others.all(|task| first.is_some_and(|first| first.step.job == task.step.job));
-        let window_ms = if lone { CLEARED_MS } else { STARTUP_MS };
-        let suspects: Vec<(TaskKey, u32)> = runs
-            .iter()
-            .filter(|(_, run)| run.may_have_crashed(answered_at, window_ms))
-            .map(|(task, run)| (*task, run.number))
-            .collect();
+    /// Counts the loss of a target against the runs that may have caused it.
+    pub(super) fn suspect_runs(&mut self, table: &mut JobTable, lost: &LostRuns<'_>, now: Millis) {
+        let suspects = lost.suspects();
         let jobs: IndexSet<JobKey> = suspects.iter().map(|(task, _)| task.step.job).collect();
         let crash = Crash {
-            target: id,
-            loss,
+            target: &Incarnation::of(lost.entry),
+            vm: &lost.entry.vm,
+            loss: lost.loss,
+            open: lost.loss != Loss::Replaced && lost.leaving == Leaving::No,
             suspected_jobs: Some(jobs.len()),
         };
         for (task, run) in suspects {
-            self.count_crash(table, task, run, crash);
+            self.count_crash(table, task, run, crash, now);
         }
     }
 
@@ -104,47 +170,65 @@
         table: &mut JobTable,
         task: TaskKey,
         run: u32,
-        id: &TargetId,
+        target: &Incarnation,
         loss: Loss,
+        now: Millis,
     ) {
+        let vm = self.vm_tracker.vm_of(&target.id).unwrap_or_default();
         let crash = Crash {
-            target: id,
+            target,
+            vm: &vm,
             loss,
+            open: loss != Loss::Replaced,
             suspected_jobs: None,
         };
-        self.count_crash(table, task, run, crash);
+        self.count_crash(table, task, run, crash, now);
     }
 
     /// Counts a crash against a run that is the latest one of its task, unless it was counted
     /// before, and gives the job up once there were too many.
-    fn count_crash(&mut self, table: &mut JobTable, task: TaskKey, run: u32, crash: Crash<'_>) {
+    fn count_crash(
+        &mut self,
+        table: &mut JobTable,
+        task: TaskKey,
+        run: u32,
+        crash: Crash<'_>,
+        now: Millis,
+    ) {
         let stored = table.get_mut(task.step.job);
         let stored = stored.and_then(|job| job.progress.task_mut(task));
         let Some(stored) = stored.filter(|task| task.run == run && task.crashes.run != run) else {
             return;
         };
-        stored.crashes = Crashes {
-            count: stored.crashes.count + 1,
-            seen: stored.crashes.seen + u32::from(crash.loss == Loss::Replaced),
-            run,
-        };
+        stored.crashes.count += 1;
+        stored.crashes.seen += u32::from(crash.loss == Loss::Replaced);
+        stored.crashes.run = run;
+        if let Some(lost) = crash.lost_target() {
+            self.lost_targets.add(task, &lost);
+            self.vm_tracker.watch(now);
+            stored.crashes.lost.push(lost);
+        }
         let given_up = crash.exceeds(&stored.crashes);
         let Crashes { count, seen, .. } = stored.crashes;
         let jobs = crash
             .suspected_jobs
             .map_or_else(|| "unknown".to_owned(), |jobs| jobs.to_string());
         spdlog::warn!("run_suspected", kv: {
-            task = task.to_string(), run, target = crash.target.0.as_ref(), loss = crash.loss.name(),
+            task = task.to_string(), run, target = crash.target.id.0.as_ref(), loss = crash.loss.name(),
             suspected_jobs = jobs, crashes = count, seen, given_up
         });
-        let job = task.step.job;
-        self.journal.mark_job_dirty(job);
+        self.journal.mark_job_dirty(task.step.job);
         if given_up {
-            self.end_job(table, job, JobState::Failed, "a task crashes its targets");
-            self.stop_runs_of_ended_job(table, job);
+            self.give_job_up(table, task.step.job);
         }
     }
 
+    /// Ends a job as failed because a task of it crashes its targets.
+    pub(super) fn give_job_up(&mut self, table: &mut JobTable, job: JobKey) {
+        self.end_job(table, job, JobState::Failed, "a task crashes its targets");
+        self.stop_runs_of_ended_job(table, job);
+    }
+
     /// Forgets the crashes of a task, if it has any, because its run has gone on for long.
     pub(super) fn clear_task(&mut self, table: &mut JobTable, id: &TargetId, task: TaskKey) {
         let stored = table.get_mut(task.step.job);
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -114,6 +114,7 @@
             target.token_accepted = true;
             target.lease.take_over(self.settings.lease_ms);
         }
+        self.target_returned(table, id, born);
         self.apply_report(table, id, &report, sent_at, now);
         self.schedule_next_hold(id, now);
     }
@@ -165,35 +166,6 @@
         }
     }
 
-    /// Runs that the target would have reported as running if it had them. Each comes with its
-    /// number, and whether the target had confirmed that it runs.
-    fn missing_runs(
-        &self,
-        id: &TargetId,
-        report: &TargetReport,
-        sent_at: Millis,
-    ) -> Vec<(TaskKey, u32, bool)> {
-        let Some(target) = self.targets.get(id) else {
-            return Vec::new();
-        };
-        let listed = |task: &TaskKey| report.running.iter().any(|running| running.task == *task);
-        target
-            .runs
-            .iter()
-            .filter(|(task, run)| {
-                let settled = match run.phase {
-                    RunPhase::Planned | RunPhase::Sent => false,
-                    RunPhase::Adopted | RunPhase::Running => run.phase_since < sent_at,
-                    RunPhase::Stopping { confirmed_at, .. } => {
-                        confirmed_at.is_some_and(|at| at < sent_at)
-                    }
-                };
-                settled && !listed(task)
-            })
-            .map(|(task, run)| (*task, run.number, run.phase == RunPhase::Running))
-            .collect()
-    }
-
     /// Applies what a target reported of a running task.
     fn apply_running_task(
         &mut self,
@@ -288,6 +260,7 @@
             phase_since: now,
             working_since: None,
             progress: ReportedProgress::default(),
+            sent_at: None,
             running_since: None,
             suspect: false,
             long_running: false,
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -3,9 +3,11 @@
 
 use std::sync::Arc;
 
-use super::Leader;
-use super::crashes::Loss;
-use crate::scheduler::{JobTable, Millis, TargetId, TaskKey, TaskPhase};
+use super::crashes::{Loss, LostRuns};
+use super::{Leader, TargetReport};
+use crate::scheduler::run::RunPhase;
+use crate::scheduler::target::Incarnation;
+use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey, TaskPhase};
 
 impl Leader {
     /// Lets a task start again whose run has ended without being done, or never began. Does
@@ -58,12 +60,15 @@
             };
             let run = stored.run;
             let target = match &stored.phase {
-                TaskPhase::Placed { target, .. } => Some(target.clone()),
+                TaskPhase::Placed { target, born } => Some(Incarnation {
+                    id: target.clone(),
+                    born: *born,
+                }),
                 _ => None,
             };
             spdlog::info!("run_given_up", kv: { task = task.to_string(), run, cause = "its target is not listed" });
             if let Some(target) = target {
-                self.suspect_earlier_run(table, task, run, &target, Loss::Unlisted);
+                self.suspect_earlier_run(table, task, run, &target, Loss::Unlisted, now);
             }
             self.release_task(table, task, run);
         }
@@ -72,6 +77,7 @@
     /// Gives up all runs on a target whose address another incarnation or target has taken: they
     /// have ended.
     pub(super) fn target_replaced(&mut self, table: &mut JobTable, id: &TargetId, now: Millis) {
+        self.target_displaced(table, id);
         if let Some(target) = self.targets.get_mut(id) {
             target.listed = false;
         }
@@ -79,7 +85,7 @@
     }
 
     /// Removes all runs of a target, lets their tasks start again, and forgets the target if it
-    /// is not listed.
+    /// is not listed. A target whose VM has a later one by now is known to have ended.
     fn give_up_runs(&mut self, table: &mut JobTable, id: &TargetId, loss: Loss, now: Millis) {
         let Some(target) = self.targets.get_mut(id) else {
             return;
@@ -87,14 +93,19 @@
         let runs = target.take_runs(now);
         let listed = target.listed;
         let (entry, answered_at) = (Arc::clone(&target.entry), target.last_answer_at);
-        let leaving = self.is_leaving(&entry);
-        let silent_ms = answered_at.map_or(0, |at| now - at);
+        let replaced = self.has_successor(&entry);
+        let ended = LostRuns {
+            entry: &entry,
+            answered_at,
+            runs: &runs,
+            loss: if replaced { Loss::Replaced } else { loss },
+            leaving: self.is_leaving(&entry),
+        };
         spdlog::warn!("runs_given_up", kv: {
-            target = id.0.as_ref(), cause = loss.name(), silent_ms, runs = runs.len(), leaving
+            target = id.0.as_ref(), cause = ended.loss.name(), silent_ms = answered_at.map_or(0, |at| now - at),
+            runs = runs.len(), leaving = ended.leaving.name()
         });
-        if !leaving {
-            self.suspect_runs(table, id, &runs, answered_at, loss);
-        }
+        self.suspect_runs(table, &ended, now);
         for (task, run) in runs {
             self.release_task(table, task, run.number);
         }
@@ -102,4 +113,41 @@
             self.targets.swap_remove(id);
         }
     }
+
+    /// Returns whether another target has come up on the VM of this one since.
+    fn has_successor(&self, entry: &TargetEntry) -> bool {
+        self.targets.values().any(|other| {
+            let other = &other.entry;
+            other.vm == entry.vm && other.id != entry.id && other.born > entry.born
+        })
+    }
+
+    /// Runs that the target would have reported as running if it had them. Each comes with its
+    /// number, and whether the target had confirmed that it runs.
+    pub(super) fn missing_runs(
+        &self,
+        id: &TargetId,
+        report: &TargetReport,
+        sent_at: Millis,
+    ) -> Vec<(TaskKey, u32, bool)> {
+        let Some(target) = self.targets.get(id) else {
+            return Vec::new();
+        };
+        let listed = |task: &TaskKey| report.running.iter().any(|running| running.task == *task);
+        target
+            .runs
+            .iter()
+            .filter(|(task, run)| {
+                let settled = match run.phase {
+                    RunPhase::Planned | RunPhase::Sent => false,
+                    RunPhase::Adopted | RunPhase::Running => run.phase_since < sent_at,
+                    RunPhase::Stopping { confirmed_at, .. } => {
+                        confirmed_at.is_some_and(|at| at < sent_at)
+                    }
+                };
+                settled && !listed(task)
+            })
+            .map(|(task, run)| (*task, run.number, run.phase == RunPhase::Running))
+            .collect()
+    }
 }
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -11,6 +11,7 @@
 mod isolation;
 mod journal;
 mod losses;
+mod lost_targets;
 mod messages;
 mod removed_entries;
 mod schedule;
@@ -35,6 +36,7 @@
 };
 
 use journal::Journal;
+use lost_targets::LostTargets;
 use removed_entries::RemovedEntries;
 
 /// Settings of a leader: its claim of the role, and time limits.
@@ -72,6 +74,7 @@
     /// Tasks placed by an earlier leader on incarnations of targets that are not listed, with
     /// the time until which they may be running.
     orphans: IndexMap<TaskKey, Millis>,
+    lost_targets: LostTargets,
     journal: Journal,
     vm_tracker: VmTracker,
     /// Recent demand of each pool, by the pool's name.
@@ -153,7 +156,10 @@
                 result,
                 sent_at,
             } => self.hold_answered(table, &target, born, result, sent_at, now),
-            Event::VmList(vms) => self.vm_tracker.apply_list(vms, now),
+            Event::VmList(vms) => {
+                self.vm_tracker.apply_list(vms, now);
+                self.vms_listed(table);
+            }
             Event::VmOrderAnswered { vm, outcome } => self.vm_order_answered(&vm, outcome, now),
             Event::WaveReported { wave, stored } => self.vm_tracker.report_finished(wave, stored),
         }
@@ -174,6 +180,7 @@
         self.record_begun_upkeeps(table);
         self.maintain_vms(table, now);
         self.balance_pools(table, now);
+        self.settle_ordered_vms(table);
         self.store_changes(table, now, wall_ms);
         std::mem::take(&mut self.commands)
     }
--- a/src/scheduler/leader/schedule.rs
+++ b/src/scheduler/leader/schedule.rs
@@ -234,6 +234,7 @@
                 phase_since: now,
                 working_since: None,
                 progress: ReportedProgress::default(),
+                sent_at: None,
                 running_since: None,
                 suspect: request.suspect,
                 long_running: step.long_running,
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -50,6 +50,7 @@
         if let Some(run) = target.runs.get_mut(&task) {
             run.phase = RunPhase::Sent;
             run.phase_since = now;
+            run.sent_at = Some(now);
         }
         spdlog::info!("start", kv: {
             task = task.to_string(), run, target = id.0.as_ref(), epoch,
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -5,13 +5,14 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::crashes::Loss;
+use super::crashes::{Loss, LostRuns};
 use super::journal::Journal;
+use super::lost_targets::LostTargets;
 use super::removed_entries::RemovedEntries;
 use super::{Leader, LeaderSettings};
 use crate::scheduler::placement::ReservedTargets;
 use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
-use crate::scheduler::target::Target;
+use crate::scheduler::target::{Incarnation, Target};
 use crate::scheduler::vms::VmTracker;
 use crate::scheduler::{JobTable, Millis, Policy, TargetEntry, TargetId, TaskKey, TaskPhase};
 
@@ -43,6 +44,7 @@
             removed_entries: RemovedEntries::default(),
             active_jobs: IndexSet::new(),
             orphans: IndexMap::new(),
+            lost_targets: LostTargets::default(),
             journal: Journal::new(now),
             demand_trends: IndexMap::new(),
             next_wave_check: 0,
@@ -64,6 +66,7 @@
             leader.targets.insert(target.entry.id.clone(), target);
         }
         leader.adopt_jobs(table, now);
+        leader.adopt_losses(table, now);
         leader
     }
 
@@ -117,7 +120,11 @@
                 let number = run.number;
                 target.add_run(task, run);
                 target.request_stop(task, now);
-                self.suspect_earlier_run(table, task, number, id, Loss::Replaced);
+                let lost = Incarnation {
+                    id: id.clone(),
+                    born,
+                };
+                self.suspect_earlier_run(table, task, number, &lost, Loss::Replaced, now);
             }
             _ => {
                 self.orphans.insert(task, self.unlisted_leases_lapsed_at());
@@ -133,6 +140,7 @@
         now: Millis,
     ) {
         self.needs_scheduling = true;
+        self.target_sighted(table, &entry);
         let id = entry.id.clone();
         self.removed_entries.cancel(&id);
         let Some(target) = self.targets.get_mut(&id) else {
@@ -196,6 +204,7 @@
         entry: TargetEntry,
         now: Millis,
     ) {
+        self.target_sighted(table, &entry);
         let id = entry.id.clone();
         let mut new_target = Target::new(entry, 0, now);
         let Some(old_target) = self
@@ -207,10 +216,14 @@
         spdlog::warn!("target_restarted", kv: {
             target = id.0.as_ref(), born = new_target.entry.born, before = old_target.entry.born, runs = old_target.runs.len()
         });
-        if !self.is_leaving(&old_target.entry) {
-            let answered_at = old_target.last_answer_at;
-            self.suspect_runs(table, &id, &old_target.runs, answered_at, Loss::Replaced);
-        }
+        let lost = LostRuns {
+            entry: &old_target.entry,
+            answered_at: old_target.last_answer_at,
+            runs: &old_target.runs,
+            loss: Loss::Replaced,
+            leaving: self.is_leaving(&old_target.entry),
+        };
+        self.suspect_runs(table, &lost, now);
         for (task, run) in old_target.runs {
             if matches!(run.phase, RunPhase::Planned | RunPhase::Running) {
                 self.release_task(table, task, run.number);
@@ -229,22 +242,13 @@
     key: crate::scheduler::JobKey,
     job: &crate::scheduler::Job,
 ) -> Vec<(TaskKey, TargetId, u64, u32)> {
-    let mut placed = Vec::new();
-    for (occurrence, progress) in (0..).zip(&job.progress.occurrences) {
-        for (step, tasks) in (0..).zip(&progress.steps) {
-            let step = crate::scheduler::StepKey {
-                job: key,
-                occurrence,
-                step,
-            };
-            for (index, task) in (0..).zip(tasks) {
-                if let TaskPhase::Placed { target, born } = &task.phase {
-                    placed.push((step.task(index), target.clone(), *born, task.run));
-                }
-            }
-        }
-    }
-    placed
+    let tasks = job.progress.tasks(key);
+    tasks
+        .filter_map(|(key, task)| match &task.phase {
+            TaskPhase::Placed { target, born } => Some((key, target.clone(), *born, task.run)),
+            _ => None,
+        })
+        .collect()
 }
 
 /// State of a run that an earlier leader decided to start; `None` if the job or step is not
@@ -259,6 +263,7 @@
         phase_since: now,
         working_since: None,
         progress: ReportedProgress::default(),
+        sent_at: None,
         running_since: None,
         suspect: job
             .progress
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -6,7 +6,8 @@
 use crate::scheduler::placement::{self, PlacementRequest, ReservedTargets};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::target::Target;
-use crate::scheduler::vms::{OpenWave, VmOrder};
+use crate::scheduler::vm::VmOrder;
+use crate::scheduler::vms::OpenWave;
 use crate::scheduler::{JobTable, Millis, Step, StepKey, TargetId, TaskKey, VmState};
 
 /// Time between two checks of the waves, in ms.
--- a/src/scheduler/leader/vm_orders.rs
+++ b/src/scheduler/leader/vm_orders.rs
@@ -4,7 +4,7 @@
 
 use super::{Command, Leader};
 use crate::scheduler::target::Incarnation;
-use crate::scheduler::vms::VmOrder;
+use crate::scheduler::vm::VmOrder;
 use crate::scheduler::{JobTable, Millis, VmOutcome};
 
 /// Time for which a stored batch confirms that this process leads, in ms from its sending; other
@@ -44,7 +44,9 @@
         if outcome == VmOutcome::Fenced {
             self.fenced = true;
         }
-        if !matches!(outcome, VmOutcome::Begun | VmOutcome::Unknown) {
+        if matches!(outcome, VmOutcome::Begun | VmOutcome::Unknown) {
+            self.lost_targets.vm_ordered(name);
+        } else {
             self.end_vacating(name);
         }
         let decided = self.vm_tracker.apply_answer(name, outcome, now);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! and returns commands for the process to carry out.
 
 mod capacity;
+mod crash_count;
 mod demand;
 mod election;
 mod health;
@@ -25,6 +26,7 @@
 mod wave;
 
 pub use capacity::Capacity;
+pub use crash_count::{Crashes, LostTarget};
 pub use election::{Election, Role};
 pub use ids::{JobKey, Millis, StepKey, TaskKey};
 pub use leader::{
@@ -32,7 +34,7 @@
     leader_event,
 };
 pub use policy::{Policy, Pool, Queue, Team};
-pub use progress::{Crashes, JobProgress, JobState, Occurrence, TaskPhase, TaskProgress};
+pub use progress::{JobProgress, JobState, Occurrence, TaskPhase, TaskProgress};
 pub use record::{Change, Holder, Member, Record, WaveProgress, decode_records, encode_records};
 pub use run::{EndKind, EndedRun, RunningTask};
 pub use spec::{JobSpec, MAX_TASKS, SpecFault, Step};
--- a/src/scheduler/progress.rs
+++ b/src/scheduler/progress.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{JobSpec, TargetId};
+use super::crash_count::Crashes;
+use super::{JobKey, JobSpec, StepKey, TargetId, TaskKey};
 
 /// State of a job, as its caller sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,25 +63,6 @@
     pub crashes: Crashes,
 }
 
-/// Crashes of targets soon after they had started a task.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crashes {
-    /// Number of targets that crashed or, being silent, may have crashed.
-    pub count: u32,
-    /// Number of these that are known to have crashed.
-    pub seen: u32,
-    /// Number of the latest run that was counted. Several leaders may learn of the same crash.
-    pub run: u32,
-}
-
-impl Crashes {
-    /// Returns whether no crash is counted.
-    #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.count == 0
-    }
-}
-
 /// One occurrence of a job: the progress of its tasks, by step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Occurrence {
@@ -129,16 +111,37 @@
 }
 
 impl JobProgress {
+    /// Progress of all tasks that have any, of the job with this key.
+    pub(super) fn tasks(&self, job: JobKey) -> impl Iterator<Item = (TaskKey, &TaskProgress)> {
+        let steps = (0..)
+            .zip(&self.occurrences)
+            .flat_map(move |(n, occurrence)| {
+                (0..).zip(&occurrence.steps).map(move |(step, tasks)| {
+                    let key = StepKey {
+                        job,
+                        occurrence: n,
+                        step,
+                    };
+                    (key, tasks)
+                })
+            });
+        steps.flat_map(|(step, tasks)| {
+            (0..)
+                .zip(tasks)
+                .map(move |(index, task)| (step.task(index), task))
+        })
+    }
+
     /// Progress of a task; `None` when its occurrence is not due yet, or all tasks of its step
     /// are done.
     #[must_use]
-    pub fn task(&self, key: super::TaskKey) -> Option<&TaskProgress> {
+    pub fn task(&self, key: TaskKey) -> Option<&TaskProgress> {
         let steps = &self.occurrences.get(key.step.occurrence as usize)?.steps;
         steps.get(key.step.step as usize)?.get(key.index as usize)
     }
 
     /// Like [`Self::task`], for changing the progress.
-    pub fn task_mut(&mut self, key: super::TaskKey) -> Option<&mut TaskProgress> {
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut TaskProgress> {
         let occurrence = self.occurrences.get_mut(key.step.occurrence as usize)?;
         let tasks = occurrence.steps.get_mut(key.step.step as usize)?;
         tasks.get_mut(key.index as usize)
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -118,6 +118,8 @@
     /// task does that is starting up or slowed down.
     pub(super) working_since: Option<Millis>,
     pub(super) progress: ReportedProgress,
+    /// When this leader sent its start; `None` before, and for a start of an earlier leader.
+    pub(super) sent_at: Option<Millis>,
     /// When the target first confirmed that it runs; `None` before.
     pub(super) running_since: Option<Millis>,
     /// Whether it is isolated as it starts up, because a target crashed soon after an earlier start
@@ -172,6 +174,14 @@
         self.may_be_executing() && executed && !outlasted
     }
 
+    /// Returns whether its start was sent less than [`STARTUP_MS`] before its target answered last,
+    /// at `answered_at`, or after that. False if it is not known when that was.
+    pub(super) fn sent_just_before(&self, answered_at: Option<Millis>) -> bool {
+        let answered_at = answered_at.unwrap_or_default();
+        self.sent_at
+            .is_some_and(|sent| answered_at < sent + STARTUP_MS)
+    }
+
     /// Returns whether the target may be executing it, or may still begin to.
     pub(super) const fn may_be_executing(&self) -> bool {
         !matches!(self.phase, RunPhase::Planned)
--- a/src/scheduler/vm.rs
+++ b/src/scheduler/vm.rs
@@ -1,4 +1,4 @@
-//! VMs as the platform lists them, and its answers to orders for them.
+//! VMs as the platform lists them, orders for them, and its answers to these.
 
 use std::sync::Arc;
 
@@ -50,3 +50,12 @@
     /// There was no usable answer; the order may have been carried out.
     Unknown,
 }
+
+/// An order to the platform for a VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum VmOrder {
+    /// Maintain the VM in the wave of this number.
+    Upkeep(u64),
+    /// Move the VM to the pool of this name.
+    Move(Arc<str>),
+}
--- a/src/scheduler/vms.rs
+++ b/src/scheduler/vms.rs
@@ -5,8 +5,8 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::target::Incarnation;
-use super::vm::{Vm, VmOutcome, VmState};
-use super::{Millis, TargetEntry, Wave};
+use super::vm::{Vm, VmOrder, VmOutcome, VmState};
+use super::{Millis, TargetEntry, TargetId, Wave};
 
 /// Time between two listings of the VMs while an order or a wave is open, in ms.
 const BUSY_LIST_INTERVAL_MS: Millis = 500;
@@ -14,6 +14,10 @@
 /// Time between two listings of the VMs otherwise, in ms.
 const IDLE_LIST_INTERVAL_MS: Millis = 4_000;
 
+/// Time for which the VMs are listed often after [`VmTracker::watch`], in ms: long enough for a
+/// target that has crashed to be back, or for its VM to be listed as down.
+const WATCH_MS: Millis = 15_000;
+
 /// Time until a listing that failed, or an order whose outcome is unknown, is repeated, in
 /// ms.
 const RETRY_MS: Millis = 400;
@@ -23,15 +27,6 @@
 /// that is listed as up has finished the order, even if the list never showed it as away.
 const LIST_LAG_MS: Millis = 1_500;
 
-/// An order to the platform for a VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum VmOrder {
-    /// Maintain the VM in the wave of this number.
-    Upkeep(u64),
-    /// Move the VM to the pool of this name.
-    Move(Arc<str>),
-}
-
 /// An order for a VM that was sent and has not been seen to be finished.
 #[derive(Clone, Debug)]
 struct PendingOrder {
@@ -72,6 +67,8 @@
     orders_allowed_at: Millis,
     next_list_at: Millis,
     list_in_flight: bool,
+    /// Until when the VMs are listed often without an open order or wave.
+    watched_until: Millis,
     /// VMs of waves that the latest list lacks.
     missing: IndexSet<String>,
     /// Pairs of VM and pool for which the platform refused a move as invalid.
@@ -87,6 +84,7 @@
             orders_allowed_at,
             next_list_at: 0,
             list_in_flight: false,
+            watched_until: 0,
             missing: IndexSet::new(),
             impossible_moves: IndexSet::new(),
         }
@@ -107,6 +105,13 @@
         self.next_list_at = self.next_list_at.min(now);
     }
 
+    /// Makes a listing of the VMs due, and further ones often for a while: it is open what became
+    /// of a target.
+    pub(super) fn watch(&mut self, now: Millis) {
+        self.watched_until = now + WATCH_MS;
+        self.next_list_at = self.next_list_at.min(now);
+    }
+
     /// Returns whether the time before which no order may be sent has passed.
     pub(super) const fn orders_allowed(&self, now: Millis) -> bool {
         now >= self.orders_allowed_at
@@ -144,6 +149,7 @@
             .collect();
         self.vms = vms;
         let busy = !self.pending_orders.is_empty()
+            || now < self.watched_until
             || self.waves.values().any(|w| w.last_report != Some(true));
         let pause = if busy {
             BUSY_LIST_INTERVAL_MS
@@ -158,6 +164,13 @@
         &self.vms
     }
 
+    /// Name of the VM that a target was last listed on; `None` if it was on none.
+    pub(super) fn vm_of(&self, id: &TargetId) -> Option<String> {
+        let mut vms = self.vms.values();
+        let vm = vms.find(|vm| vm.target.as_ref() == Some(id))?;
+        Some(vm.name.clone())
+    }
+
     /// Returns whether a list that is not empty has been read.
     pub(super) fn has_list(&self) -> bool {
         !self.vms.is_empty()
--- a/tests/scheduler/crash_limits.rs
+++ b/tests/scheduler/crash_limits.rs
@@ -168,7 +168,7 @@
     assert_eq!(world.state(deadly), Some(JobState::Failed));
     let certain = match returns {
         Returns::SameId => 3,
-        Returns::NewId => 4,
+        _ => 4,
     };
     assert_eq!(world.crashes.under(task(1, 0)), certain);
 }
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -12,6 +12,7 @@
 mod jobs;
 mod records;
 mod returned_targets;
+mod silent_crashes;
 mod target;
 mod upkeep;
 mod vm_orders;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -2,6 +2,7 @@
 
 mod crash;
 mod gangs;
+mod leave;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 use amaranthwick::scheduler::{
     Capacity, Change, Command, Election, Event, HoldFailure, Holder, JobKey, JobSpec, JobState,
     JobTable, Leader, LeaderSettings, Millis, Policy, Record, StartOutcome, Step, StopOutcome,
-    TargetId, TaskKey, Vm, VmOutcome, VmState, Wave, leader_event,
+    TargetId, TaskKey, VmOutcome, Wave, leader_event,
 };
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
@@ -20,6 +21,7 @@
 use crate::vm_service::{Refusal, VmService};
 use crash::{Contact, CrashStep, Crashes};
 use gangs::Gangs;
+use leave::Departure;
 
 pub(crate) use crash::Returns;
 
@@ -73,6 +75,7 @@
     FinishUpkeep(String),
     Crash(CrashStep),
     Publish(TargetId),
+    Leave(Departure),
 }
 
 /// A process that holds the leader role, or has held it.
@@ -490,19 +493,7 @@
             Command::Stop { .. } => self.schedule(CALL_LATENCY_MS, Action::Stop(leader, command)),
             Command::Hold { .. } => self.schedule(CALL_LATENCY_MS, Action::Hold(leader, command)),
             Command::ListVms => {
-                let vms = self.targets.values().filter(|t| t.alive).map(|target| Vm {
-                    name: target.entry.vm.to_string(),
-                    pool: Arc::clone(&target.entry.pool),
-                    state: if self.vm_service.is_down(&target.entry.vm) {
-                        VmState::Upkeep
-                    } else {
-                        VmState::Up
-                    },
-                    labels: target.entry.labels.clone(),
-                    capacity: target.entry.capacity,
-                    target: Some(target.entry.id.clone()),
-                });
-                let event = Event::VmList(Some(vms.collect()));
+                let event = Event::VmList(Some(self.list_vms()));
                 self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
             }
             Command::BeginUpkeep { vm, .. } => self.order_upkeep(leader, vm),
@@ -607,6 +598,7 @@
             Action::Stop(leader, command) => self.stop(leader, &command),
             Action::Hold(leader, command) => self.hold(leader, &command),
             Action::Crash(step) => self.perform_crash_step(&step),
+            Action::Leave(departure) => self.leave(&departure),
             Action::Upkeep {
                 leader,
                 vm,
--- a/tests/scheduler/world/crash.rs
+++ b/tests/scheduler/world/crash.rs
@@ -26,6 +26,10 @@
     SameId,
     /// As a new target on the same VM and address.
     NewId,
+    /// As a new target on the same VM, at another address: nothing answers at the earlier one.
+    NewAddress,
+    /// As a new target on another VM; the earlier VM is listed as down.
+    NewVm,
 }
 
 /// What a call meets at the address of a target.
@@ -77,6 +81,8 @@
     /// Time from a crash to the target's return, in ms.
     pub(crate) return_ms: Millis,
     pub(crate) returns: Returns,
+    /// Last entries of the targets on VMs that are down for good.
+    pub(super) down_vms: Vec<TargetEntry>,
     /// Targets that crashed, with the time.
     pub(crate) seen: Vec<(Millis, TargetId)>,
     counts: IndexMap<TaskKey, TaskCrashes>,
@@ -94,6 +100,7 @@
             delay_ms: 10,
             return_ms: 3_200,
             returns: Returns::NewId,
+            down_vms: Vec::new(),
             seen: Vec::new(),
             counts: IndexMap::new(),
             losses: IndexMap::new(),
@@ -135,6 +142,9 @@
         let Some(there) = there.filter(|target| target.reachable && target.alive) else {
             return Contact::Silent;
         };
+        if there.entry.address != entry.address {
+            return Contact::Silent;
+        }
         if there.crashed_at.is_some() {
             Contact::Refused
         } else if there.entry.id != entry.id {
@@ -250,8 +260,17 @@
             .unwrap_or((&step.target.0, ""));
         let id = TargetId(format!("{name}-{number}-{}", self.targets.len()).into());
         let target = &mut self.targets[&step.target];
-        let successor = target.successor(id.clone(), now);
+        let mut successor = target.successor(id.clone(), now);
         target.alive = false;
+        let port = u16::try_from(10 + number).unwrap();
+        match self.crashes.returns {
+            Returns::SameId | Returns::NewId => {}
+            Returns::NewAddress => successor.entry.address.set_port(port),
+            Returns::NewVm => {
+                successor.entry.vm = format!("vm-{id}").into();
+                self.crashes.down_vms.push(old_entry.clone());
+            }
+        }
         let entry = successor.entry.clone();
         self.targets.insert(id, successor);
         self.schedule_crash_step(publish_ms, &entry, CrashStepKind::Publish);
