--- a/src/scheduler/leader/evacuation.rs
+++ b/src/scheduler/leader/evacuation.rs
@@ -8,7 +8,7 @@
 use super::Leader;
 use crate::scheduler::run::{Run, RunPhase};
 use crate::scheduler::target::Target;
-use crate::scheduler::vms::{VmOrder, VmOutcome, VmState};
+use crate::scheduler::vm::{VmOrder, VmOutcome, VmState};
 use crate::scheduler::{
     Evacuations, JobTable, Millis, StepKey, TargetEntry, TargetId, TaskKey, Vm,
 };
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 
 use crate::scheduler::run::{EndedRun, RunningTask};
-use crate::scheduler::vms::{Vm, VmOutcome};
 use crate::scheduler::{
     Change, Evacuations, JobKey, JobSpec, Millis, Policy, Record, TargetEntry, TargetId, TaskKey,
-    Wave,
+    Vm, VmOutcome, Wave,
 };
 
 /// Outcome of a start call.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 
 mod balance;
 mod capacity;
+mod crash_count;
 mod demand;
 mod election;
 mod evacuation;
@@ -23,10 +24,12 @@
 mod table;
 mod target;
 mod urgency;
+mod vm;
 mod vms;
 mod wave;
 
 pub use capacity::Capacity;
+pub use crash_count::{Crashes, LostTarget};
 pub use election::{Election, Role};
 pub use evacuation::{EvacuationChange, Evacuations};
 pub use ids::{JobKey, Millis, StepKey, TaskKey};
@@ -35,11 +38,11 @@
     leader_event,
 };
 pub use policy::{Policy, Pool, Queue, Team};
-pub use progress::{Crashes, JobProgress, JobState, Occurrence, TaskPhase, TaskProgress};
+pub use progress::{JobProgress, JobState, Occurrence, TaskPhase, TaskProgress};
 pub use record::{Change, Holder, Member, Record, WaveProgress, decode_records, encode_records};
 pub use run::{EndKind, EndedRun, RunningTask};
 pub use spec::{JobSpec, MAX_TASKS, SpecFault, Step};
 pub use table::{Job, JobTable};
 pub use target::{TargetEntry, TargetId, TargetState};
-pub use vms::{Vm, VmOutcome, VmState};
+pub use vm::{Vm, VmOutcome, VmState};
 pub use wave::Wave;
--- a/src/scheduler/vms.rs
+++ b/src/scheduler/vms.rs
@@ -4,7 +4,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Capacity, Millis, TargetId, Wave};
+use super::target::Incarnation;
+use super::vm::{Vm, VmOrder, VmOutcome, VmState};
+use super::{Millis, TargetEntry, TargetId, Wave};
 
 /// Time between two listings of the VMs while an order or a wave is open, in ms.
 const BUSY_LIST_INTERVAL_MS: Millis = 500;
@@ -12,6 +14,10 @@
 /// Time between two listings of the VMs otherwise, in ms.
 const IDLE_LIST_INTERVAL_MS: Millis = 4_000;
 
+/// Time for which the VMs are listed often after [`VmTracker::watch`], in ms: long enough for a
+/// target that has crashed to be back, or for its VM to be listed as down.
+const WATCH_MS: Millis = 15_000;
+
 /// Time until a listing that failed, or an order whose outcome is unknown, is repeated, in
 /// ms.
 const RETRY_MS: Millis = 400;
@@ -21,68 +27,13 @@
 /// that is listed as up has finished the order, even if the list never showed it as away.
 const LIST_LAG_MS: Millis = 1_500;
 
-/// State of a VM, as the platform lists it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VmState {
-    /// Running in its pool.
-    Up,
-    /// Being moved to another pool.
-    Moving,
-    /// Being maintained.
-    Upkeep,
-    /// Not running.
-    Down,
-}
-
-/// A VM as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Vm {
-    /// Name of the VM.
-    pub name: String,
-    /// Name of the pool that the VM is in.
-    pub pool: Arc<str>,
-    /// Name of the data centre that the VM is in; empty if the list does not tell.
-    pub data_centre: Arc<str>,
-    /// Whether the VM is running, being moved, being maintained or down.
-    pub state: VmState,
-    /// Labels of the VM: its kind and its rack.
-    pub labels: Vec<String>,
-    /// Total capacity of the VM.
-    pub capacity: Capacity,
-    /// Id of the target on the VM; `None` in a pool whose VMs are off.
-    pub target: Option<TargetId>,
-}
-
-/// The platform's answer to an order to move or maintain a VM.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VmOutcome {
-    /// The platform has begun to carry it out.
-    Begun,
-    /// Refused: another leader with a higher fencing token has called.
-    Fenced,
-    /// Refused: the VM is not up, or is about to leave.
-    Busy,
-    /// Refused: the VM is not part of the wave.
-    NotInWave,
-    /// Refused: there is no such VM, or it can't be in that pool.
-    Invalid,
-    /// There was no usable answer; the order may have been carried out.
-    Unknown,
-}
-
-/// An order to the platform for a VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum VmOrder {
-    /// Maintain the VM in the wave of this number.
-    Upkeep(u64),
-    /// Move the VM to the pool of this name.
-    Move(Arc<str>),
-}
-
 /// An order for a VM that was sent and has not been seen to be finished.
 #[derive(Clone, Debug)]
 struct PendingOrder {
     order: VmOrder,
+    /// What was on the VM when the order was sent; `None` if nothing was known to be. The order
+    /// ends nothing else: whatever comes up on the VM until it is finished is not due to leave.
+    subject: Option<Incarnation>,
     /// Whether the platform has confirmed that it carries the order out.
     accepted: bool,
     /// When the order is sent again; the largest value while a call is in flight.
@@ -116,6 +67,8 @@
     orders_allowed_at: Millis,
     next_list_at: Millis,
     list_in_flight: bool,
+    /// Until when the VMs are listed often without an open order or wave.
+    watched_until: Millis,
     /// VMs of waves that the latest list lacks.
     missing: IndexSet<String>,
     /// Pairs of VM and pool for which the platform refused a move as invalid.
@@ -131,6 +84,7 @@
             orders_allowed_at,
             next_list_at: 0,
             list_in_flight: false,
+            watched_until: 0,
             missing: IndexSet::new(),
             impossible_moves: IndexSet::new(),
         }
@@ -151,6 +105,13 @@
         self.next_list_at = self.next_list_at.min(now);
     }
 
+    /// Makes a listing of the VMs due, and further ones often for a while: it is open what became
+    /// of a target.
+    pub(super) fn watch(&mut self, now: Millis) {
+        self.watched_until = now + WATCH_MS;
+        self.next_list_at = self.next_list_at.min(now);
+    }
+
     /// Returns whether the time before which no order may be sent has passed.
     pub(super) const fn orders_allowed(&self, now: Millis) -> bool {
         now >= self.orders_allowed_at
@@ -188,6 +149,7 @@
             .collect();
         self.vms = vms;
         let busy = !self.pending_orders.is_empty()
+            || now < self.watched_until
             || self.waves.values().any(|w| w.last_report != Some(true));
         let pause = if busy {
             BUSY_LIST_INTERVAL_MS
@@ -202,6 +164,13 @@
         &self.vms
     }
 
+    /// Name of the VM that a target was last listed on; `None` if it was on none.
+    pub(super) fn vm_of(&self, id: &TargetId) -> Option<String> {
+        let mut vms = self.vms.values();
+        let vm = vms.find(|vm| vm.target.as_ref() == Some(id))?;
+        Some(vm.name.clone())
+    }
+
     /// Returns whether a list that is not empty has been read.
     pub(super) fn has_list(&self) -> bool {
         !self.vms.is_empty()
@@ -224,6 +193,13 @@
         self.pending_orders.contains_key(name)
     }
 
+    /// Returns whether the target was on its VM when a pending order for that was sent.
+    pub(super) fn has_order_for(&self, entry: &TargetEntry) -> bool {
+        let pending = self.pending_orders.get(&*entry.vm);
+        let subject = pending.and_then(|pending| pending.subject.as_ref());
+        subject.is_some_and(|subject| subject.is_of(entry))
+    }
+
     /// Returns whether the platform has refused a move of the VM to the pool as invalid.
     pub(super) fn is_impossible_move(&self, name: &str, pool: &Arc<str>) -> bool {
         self.impossible_moves
@@ -254,10 +230,17 @@
         wave.vms.iter().filter(down).count()
     }
 
-    /// Records an order that is sent now.
-    pub(super) fn record_order(&mut self, name: &str, order: VmOrder, now: Millis) {
+    /// Records an order that is sent now; `subject` is on the VM.
+    pub(super) fn record_order(
+        &mut self,
+        name: &str,
+        order: VmOrder,
+        subject: Option<Incarnation>,
+        now: Millis,
+    ) {
         let pending = PendingOrder {
             order,
+            subject,
             accepted: false,
             retry_at: Millis::MAX,
             since: now,
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -3,6 +3,8 @@
 mod cancelled_jobs;
 mod capacity;
 mod crash_limits;
+mod crash_troubles;
+mod crashes_beside_orders;
 mod crashing_tasks;
 mod evacuation;
 mod evacuation_orders;
@@ -16,6 +18,7 @@
 mod pools;
 mod records;
 mod returned_targets;
+mod silent_crashes;
 mod target;
 mod upkeep;
 mod vm_orders;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -3,6 +3,7 @@
 mod crash;
 mod evacuation;
 mod gangs;
+mod leave;
 mod moves;
 
 use std::collections::BTreeMap;
@@ -23,6 +24,7 @@
 use crash::{Contact, CrashStep, Crashes};
 use evacuation::Operators;
 use gangs::Gangs;
+use leave::Departure;
 
 pub(crate) use crash::Returns;
 
@@ -84,6 +86,7 @@
     Publish(TargetId),
     /// The processes read what the operators have had evacuated.
     ReadEvacuations,
+    Leave(Departure),
 }
 
 /// A process that holds the leader role, or has held it.
@@ -609,6 +612,7 @@
             Action::Stop(leader, command) => self.stop(leader, &command),
             Action::Hold(leader, command) => self.hold(leader, &command),
             Action::Crash(step) => self.perform_crash_step(&step),
+            Action::Leave(departure) => self.leave(&departure),
             Action::Upkeep {
                 leader,
                 vm,
--- a/tests/scheduler/world/moves.rs
+++ b/tests/scheduler/world/moves.rs
@@ -40,7 +40,7 @@
         Some(target.entry.id.clone())
     }
 
-    /// The list of VMs; `None` while the VM service is unavailable.
+    /// The list of VMs, with those that are down for good; `None` while the VM service is unavailable.
     pub(super) fn list_vms(&self) -> Option<Vec<Vm>> {
         if self.vm_service.away_until > self.now {
             return None;
