Tell the data centre of a VM by the list of VMs, or else by its target

A VM whose data centre the list tells was also looked for by its target, which scans all targets when the list lags. Now one source counts. The new test fails if a target's or VM's data centre is taken from one of the two alone. The tests of evacuations and claims are split into files of one subject each; none changes.

--- a/src/scheduler/leader/evacuation.rs
+++ b/src/scheduler/leader/evacuation.rs
@@ -62,23 +62,22 @@
 
     /// Data centre of a target, or of its VM if its entry does not tell; empty if neither does.
     fn data_centre_of<'a>(&'a self, entry: &'a TargetEntry) -> &'a Arc<str> {
-        let vm = self.vm_tracker.vms().get(entry.vm.as_ref());
-        match vm.filter(|_| entry.data_centre.is_empty()) {
-            Some(vm) => &vm.data_centre,
-            None => &entry.data_centre,
+        if !entry.data_centre.is_empty() {
+            return &entry.data_centre;
         }
+        let vm = self.vm_tracker.vms().get(entry.vm.as_ref());
+        vm.map_or(&entry.data_centre, |vm| &vm.data_centre)
     }
 
-    /// Returns whether a VM is in an evacuated data centre, as the list of VMs or its target tells.
+    /// Returns whether a VM is in an evacuated data centre, as the list of VMs tells, or else its
+    /// target.
     pub(super) fn is_evacuated(&self, vm: &Vm) -> bool {
-        if self.evacuations.is_empty() {
-            return false;
+        if self.evacuations.is_empty() || !vm.data_centre.is_empty() {
+            return self.evacuations.contains(&vm.data_centre);
         }
-        self.evacuations.contains(&vm.data_centre)
-            || self.target_on(&vm.name).is_some_and(|id| {
-                let target = self.targets.get(&id);
-                target.is_some_and(|target| target.evacuated)
-            })
+        let target = self.target_on(&vm.name);
+        let target = target.and_then(|id| self.targets.get(&id));
+        target.is_some_and(|target| target.evacuated)
     }
 
     /// VMs with a pending move, and the pools that they move to, without those that no pool may
--- a/tests/claiming/fake.rs
+++ b/tests/claiming/fake.rs
@@ -12,12 +12,14 @@
 };
 use amaranthwick::runtime::Runtime;
 use amaranthwick::scheduler::{
-    Change, HoldFailure, Holder, JobKey, Policy, Record, RunningTask, StartOutcome, StopOutcome,
-    TargetEntry, TargetReport, TaskKey, Vm, VmOutcome,
+    HoldFailure, Holder, JobKey, Policy, Record, StartOutcome, StopOutcome, TargetReport, Vm,
+    VmOutcome,
 };
 use amaranthwick::telemetry::Metrics;
 use async_io::Timer;
 
+use crate::store::{ClaimFault, HIDDEN_TIME, State, holder};
+
 /// Time of each call to the store, in both directions together.
 const CALL_TIME: Duration = Duration::from_millis(5);
 /// Interval at which a read that waits looks for a record.
@@ -25,99 +27,6 @@
 /// Time for which the answer to a claim is held up.
 const LATE_ANSWER: Duration = Duration::from_millis(1_500);
 
-/// Time for which reads lag behind a claim.
-const HIDDEN_TIME: Duration = Duration::from_millis(300);
-
-/// What happens to a claim.
-#[derive(Clone, Debug, Default)]
-pub(crate) enum ClaimFault {
-    #[default]
-    None,
-    /// These records are appended just before it, and nothing is shown to readers for
-    /// [`HIDDEN_TIME`].
-    Preceded(Vec<Record>),
-    /// Another process's claim with the same fencing token is appended just before the first one.
-    Beaten,
-    /// It is stored, and the stream can't be read from where it was before.
-    Expired,
-    /// It is stored, and from then on the stream can't be read at all.
-    CutOff,
-    /// It is stored, and the answer to its first try is lost.
-    AnswerLost,
-    /// It is stored, and answered late.
-    AnswerLate,
-    /// It is stored, and never answered.
-    NoAnswer,
-}
-
-#[derive(Debug, Default)]
-pub(crate) struct State {
-    pub(crate) log: Vec<Change>,
-    epoch: u64,
-    /// Sequence number of the last append of the epoch, and the end that was answered.
-    last_append: Option<(u64, u64)>,
-    pub(crate) fault: ClaimFault,
-    /// Whether reads that may wait show nothing new.
-    pub(crate) lags: bool,
-    /// Until when all reads show nothing new.
-    hidden_until: Option<Instant>,
-    /// Whether the operators' changes can't be read.
-    pub(crate) operators_away: bool,
-    /// Offset of the first record that can be read one by one.
-    first: u64,
-    /// Whether reads fail.
-    pub(crate) cut_off: bool,
-    /// The producers of all claims, with whether they were admitted.
-    pub(crate) claims: Vec<(Producer, bool)>,
-    /// Tasks that were started at targets.
-    pub(crate) starts: Vec<TaskKey>,
-    pub(crate) targets: Vec<TargetEntry>,
-    /// What the targets report as running.
-    pub(crate) running: Vec<RunningTask>,
-}
-
-impl State {
-    pub(crate) fn push(&mut self, record: Record) {
-        self.log.push(Change::Put(record));
-    }
-
-    /// Appends a record of a leader, as another process does.
-    pub(crate) fn lead_from_outside(&mut self, epoch: u64, batch: u64) {
-        self.epoch = epoch;
-        self.last_append = Some((batch, self.end() + 1));
-        self.push(Record::Holder(holder(epoch, batch, false)));
-    }
-
-    fn end(&self) -> u64 {
-        self.log.len() as u64
-    }
-
-    /// Appends as the store does; `None` for a refusal.
-    fn append(&mut self, records: &[Record], producer: Option<Producer>) -> Option<u64> {
-        if let Some(Producer { epoch, seq }) = producer {
-            if epoch < self.epoch {
-                return None;
-            }
-            if let Some((last, end)) = self.last_append.filter(|_| epoch == self.epoch) {
-                if seq == last {
-                    return Some(end);
-                }
-                if seq != last + 1 {
-                    return None;
-                }
-            }
-            self.epoch = epoch;
-        }
-        for record in records {
-            self.push(record.clone());
-        }
-        if let Some(Producer { seq, .. }) = producer {
-            self.last_append = Some((seq, self.end()));
-        }
-        Some(self.end())
-    }
-}
-
 /// The platform; clones share its state.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Platform(Arc<Mutex<State>>);
@@ -185,17 +94,6 @@
     }
 }
 
-/// A record of another process that leads, or gives the role up.
-pub(crate) fn holder(epoch: u64, batch: u64, released: bool) -> Holder {
-    Holder {
-        member: "other".to_owned(),
-        incarnation: 1,
-        epoch,
-        released,
-        batch,
-    }
-}
-
 impl Services for Platform {
     async fn load_snapshot(&self) -> ReadOutcome<Snapshot> {
         Timer::after(CALL_TIME).await;
--- a/tests/claiming/main.rs
+++ b/tests/claiming/main.rs
@@ -1,29 +1,29 @@
 //! Claims of the leader role beside records of callers, other claims and lost answers, by
 //! processes that share a store in memory.
 
+mod background;
 mod fake;
+mod store;
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use amaranthwick::dispatch::Dispatch;
 use amaranthwick::runtime::Runtime;
 use amaranthwick::scheduler::{
-    Capacity, Change, JobKey, JobProgress, JobSpec, JobState, Occurrence, Record, RunningTask,
-    Step, StepKey, TargetEntry, TargetId, TargetState, TaskPhase,
+    Capacity, Change, JobKey, JobProgress, JobState, Occurrence, Record, RunningTask, StepKey,
+    TargetEntry, TargetId, TargetState, TaskPhase,
 };
 use rstest::rstest;
 
-use fake::{ClaimFault, Platform, holder};
+use background::{job, lead_from_outside, store_jobs};
+use fake::Platform;
+use store::{ClaimFault, holder};
 
 /// Processes that contend for the role.
 const PROCESS_COUNT: u64 = 32;
 /// Ranks among which they are spread.
 const RANK_COUNT: u64 = 8;
-/// Interval at which a caller's record is stored, less than the time of a call to the store.
-const RECORD_INTERVAL: Duration = Duration::from_millis(2);
 /// Time in which the processes have read the stream and found that there is a leader.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 /// Time in which a process leads after the role has become free, on a busy machine.
@@ -31,73 +31,6 @@
 /// Time in which something that must not happen would show.
 const QUIET_PERIOD: Duration = Duration::from_millis(1_500);
 
-fn job() -> JobSpec {
-    JobSpec {
-        queue: "q".to_owned(),
-        pool: "p".to_owned(),
-        team: None,
-        payload: String::new(),
-        steps: vec![Step {
-            count: 1,
-            estimate_ms: 60_000,
-            ..Step::default()
-        }],
-        occurrence_count: 0,
-        first_due_ms: 0,
-        interval_ms: 0,
-        accepted_ms: 0,
-    }
-}
-
-/// A thread that acts for as long as this is kept.
-struct Background {
-    stop: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Background {
-    fn start(interval: Duration, mut act: impl FnMut(u64) + Send + 'static) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let stopped = Arc::clone(&stop);
-        let thread = thread::spawn(move || {
-            for i in 0.. {
-                if stopped.load(Ordering::Relaxed) {
-                    return;
-                }
-                act(i);
-                thread::sleep(interval);
-            }
-        });
-        Self {
-            stop,
-            thread: Some(thread),
-        }
-    }
-}
-
-impl Drop for Background {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        let _ = self.thread.take().map(JoinHandle::join);
-    }
-}
-
-/// Stores a caller's record every [`RECORD_INTERVAL`].
-fn store_jobs(platform: &Platform) -> Background {
-    let platform = platform.clone();
-    Background::start(RECORD_INTERVAL, move |i| {
-        platform.lock().push(Record::Job(JobKey(1_000 + i), job()));
-    })
-}
-
-/// Another process that leads and stores a batch every 200 ms.
-fn lead_from_outside(platform: &Platform, epoch: u64) -> Background {
-    let platform = platform.clone();
-    Background::start(Duration::from_millis(200), move |batch| {
-        platform.lock().lead_from_outside(epoch, batch);
-    })
-}
-
 fn spawn_all(platform: &Platform, count: u64, runtime: &Runtime) -> Vec<Dispatch<Platform>> {
     let numbers = 0..count;
     numbers
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -5,6 +5,7 @@
 mod crash_limits;
 mod crashing_tasks;
 mod evacuation;
+mod evacuation_moves;
 mod evacuation_orders;
 mod evacuation_set;
 mod expired_entries;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -499,10 +499,11 @@
             Command::Stop { .. } => self.schedule(CALL_LATENCY_MS, Action::Stop(leader, command)),
             Command::Hold { .. } => self.schedule(CALL_LATENCY_MS, Action::Hold(leader, command)),
             Command::ListVms => {
-                let vms = self.targets.values().filter(|t| t.alive).map(|target| Vm {
+                let targets = self.targets.values().enumerate();
+                let vms = targets.filter(|(_, t)| t.alive).map(|(i, target)| Vm {
                     name: target.entry.vm.to_string(),
                     pool: Arc::clone(&target.entry.pool),
-                    data_centre: Arc::clone(&target.entry.data_centre),
+                    data_centre: self.listed_data_centre(i, &target.entry),
                     state: if self.vm_service.is_down(&target.entry.vm) {
                         VmState::Upkeep
                     } else {
--- a/tests/scheduler/world/evacuation.rs
+++ b/tests/scheduler/world/evacuation.rs
@@ -14,7 +14,6 @@
 const RETRY_MS: Millis = 100;
 
 /// What the operators have requested, and what the processes have read of it.
-#[derive(Default)]
 pub(crate) struct Operators {
     /// The evacuations in the store.
     stored: Evacuations,
@@ -24,6 +23,20 @@
     known_at: Millis,
     /// VMs of the standby pool.
     pub(crate) standby_vms: Vec<Vm>,
+    /// Whether the list of VMs tells their data centres.
+    pub(crate) vms_tell_data_centres: bool,
+}
+
+impl Default for Operators {
+    fn default() -> Self {
+        Self {
+            stored: Evacuations::default(),
+            known: Evacuations::default(),
+            known_at: 0,
+            standby_vms: Vec::new(),
+            vms_tell_data_centres: true,
+        }
+    }
 }
 
 impl Operators {
@@ -71,6 +84,18 @@
         }
     }
 
+    /// Data centre of a target's VM in the list of VMs. The targets of a world are in turns in three
+    /// data centres, whatever their entries tell.
+    pub(super) fn listed_data_centre(&self, index: usize, entry: &TargetEntry) -> Arc<str> {
+        if !self.operators.vms_tell_data_centres {
+            Arc::from("")
+        } else if entry.data_centre.is_empty() {
+            Arc::from(format!("z{}", index % 3))
+        } else {
+            Arc::clone(&entry.data_centre)
+        }
+    }
+
     /// Adds a VM of 16 cores to the standby pool.
     pub(crate) fn add_standby_vm(&mut self, name: &str, data_centre: &str) {
         self.operators.standby_vms.push(Vm {
