--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -7,6 +7,7 @@
 mod crashes_beside_orders;
 mod crashing_tasks;
 mod evacuation;
+mod evacuation_moves;
 mod evacuation_orders;
 mod evacuation_set;
 mod expired_entries;
--- a/tests/scheduler/world/moves.rs
+++ b/tests/scheduler/world/moves.rs
@@ -45,15 +45,16 @@
         if self.vm_service.away_until > self.now {
             return None;
         }
-        let targets = self.targets.values().filter(|target| target.alive);
-        let vms = targets.map(|target| {
+        let targets = self.targets.values().enumerate();
+        let alive = targets.filter(|(_, target)| target.alive);
+        let vms = alive.map(|(i, target)| {
             let vm = &target.entry.vm;
             let moving = self.vm_service.is_moving(vm);
             let off = self.vm_service.moves_end && !target.listed;
             Vm {
                 name: vm.to_string(),
                 pool: Arc::clone(&target.entry.pool),
-                data_centre: Arc::clone(&target.entry.data_centre),
+                data_centre: self.listed_data_centre(i, &target.entry),
                 state: if self.vm_service.is_down(vm) {
                     VmState::Upkeep
                 } else if moving {
