Add fair shares of teams

Weighted max-min over the dominant resource, for all pools together: what a team does not request goes to the others in proportion to their weights. Nothing uses the shares yet; admission and the order of placement will.

Twelve tests: a team at seven times its usual load gets 0.40 of the fleet, the four others the 0.15 each that they request; weights 0 and missing, a removed team, a limit below what runs.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -16,9 +16,13 @@
 mod progress;
 mod record;
 mod run;
+#[cfg_attr(not(test), allow(dead_code))] // The next change makes the leader use it.
+mod shares;
 mod spec;
 mod table;
 mod target;
+#[cfg(test)]
+mod tests;
 mod urgency;
 mod vms;
 mod wave;
