Add admission by the waiting work and the shares of teams

The leader keeps a summary of the waiting work and the capacity of each pool, computed at most every 100 ms, and decides by it on a job before it is stored. A refusal says when the same job is expected to be accepted. Unit tests for each cause and exception; nothing calls it yet.

--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -4,6 +4,7 @@
 //! ended run only after its effect on the job is stored. A process that takes over the role
 //! therefore knows of every task that may be running, and on which target.
 
+mod admission;
 mod balance;
 mod crashes;
 mod ends;
@@ -16,6 +17,7 @@
 mod schedule;
 mod starts;
 mod stops;
+mod sums;
 mod takeover;
 mod upkeep;
 
@@ -33,6 +35,7 @@
     Command, Event, HoldFailure, StartOutcome, StopOutcome, TargetReport, leader_event,
 };
 
+use admission::Admission;
 use journal::Journal;
 use removed_entries::RemovedEntries;
 
@@ -72,6 +75,7 @@
     /// the time until which they may be running.
     orphans: IndexMap<TaskKey, Millis>,
     journal: Journal,
+    admission: Admission,
     vm_tracker: VmTracker,
     /// Recent demand of each pool, by the pool's name.
     demand_trends: IndexMap<Arc<str>, DemandTrend>,
@@ -164,6 +168,7 @@
         self.apply_final_removals(now);
         self.expire_leases(table, now);
         self.advance_occurrences(table, now, wall_ms);
+        self.refresh_summary(table, now);
         let reschedule = self.reschedule_at.is_some_and(|at| at <= now);
         if std::mem::take(&mut self.needs_scheduling) || reschedule {
             self.schedule(table, now);
--- /dev/null
+++ b/src/scheduler/leader/sums.rs
@@ -0,0 +1,168 @@
+//! Sums up the capacity of each pool and the work that waits for it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::Leader;
+use super::schedule::pending_tasks;
+use crate::scheduler::backlog::PoolBacklog;
+use crate::scheduler::shares::TeamLoad;
+use crate::scheduler::urgency::LATE_FACTOR;
+use crate::scheduler::work::{JobClaim, Work, multiply, to_float};
+use crate::scheduler::{
+    Capacity, Job, JobKey, JobState, JobTable, Policy, StepKey, TargetState, VmState,
+};
+
+/// Work and capacity of a pool while the summary is computed.
+#[derive(Debug, Default)]
+pub(super) struct PoolSums {
+    pub(super) backlog: PoolBacklog,
+    /// Capacity of its VMs that are up or on their way to it, as the list of VMs says.
+    pub(super) vms: Capacity,
+    /// Capacity of its targets.
+    pub(super) targets: Capacity,
+    /// What runs of long-running tasks reserve.
+    pub(super) kept: Capacity,
+    /// What other runs reserve, and the tasks that could start now.
+    pub(super) demand: Capacity,
+    /// Highest priority of its waiting jobs; `None` without any.
+    pub(super) priority: Option<u32>,
+    /// Sum of the times that its jobs can wait and be in time, in ms, and their number.
+    pub(super) slack: (f64, f64),
+}
+
+/// Sums over all pools while the summary is computed.
+#[derive(Debug, Default)]
+pub(super) struct FleetSums<'a> {
+    pub(super) pools: IndexMap<Arc<str>, PoolSums>,
+    pub(super) standby: Capacity,
+    /// What runs of jobs without a team reserve.
+    pub(super) public: Capacity,
+    pub(super) loads: IndexMap<&'a str, TeamLoad>,
+}
+
+impl Leader {
+    /// Capacity of each pool, and what runs reserve there.
+    pub(super) fn sum_capacity(&self, policy: &Policy) -> FleetSums<'_> {
+        let mut sums = FleetSums::default();
+        for (name, pool) in &policy.pools {
+            if !pool.standby {
+                sums.pools.insert(Arc::clone(name), PoolSums::default());
+            }
+        }
+        let moves = self.vm_tracker.pending_moves();
+        for (name, vm) in self.vm_tracker.vms() {
+            let pool = moves.get(name.as_str()).copied().unwrap_or(&vm.pool);
+            match sums.pools.get_mut(pool) {
+                Some(pool) if vm.state != VmState::Down => pool.vms.add(&vm.capacity),
+                Some(_) => {}
+                None => sums.standby.add(&vm.capacity),
+            }
+        }
+        for target in self.targets.values() {
+            let mut unused = PoolSums::default();
+            let pool = sums
+                .pools
+                .get_mut(&target.entry.pool)
+                .unwrap_or(&mut unused);
+            if target.listed && target.entry.state == TargetState::Ready {
+                pool.targets.add(&target.entry.capacity);
+            }
+            for run in target.runs.values() {
+                let kind = if run.long_running {
+                    &mut pool.kept
+                } else {
+                    &mut pool.demand
+                };
+                kind.add(&run.reserved);
+                match &run.team {
+                    Some(team) => sums
+                        .loads
+                        .entry(team)
+                        .or_default()
+                        .running
+                        .add(&run.reserved),
+                    None => sums.public.add(&run.reserved),
+                }
+            }
+        }
+        sums
+    }
+
+    /// Adds the work of the jobs that have not ended and are not past use.
+    pub(super) fn sum_work<'a>(
+        &self,
+        table: &'a JobTable,
+        policy: &Policy,
+        claims: &mut HashMap<JobKey, JobClaim>,
+        sums: &mut FleetSums<'a>,
+    ) {
+        for key in &self.active_jobs {
+            let Some(job) = table.get(*key) else { continue };
+            if job.cancelled {
+                continue;
+            }
+            let queue = policy.queues.get(job.spec.queue.as_str());
+            let claim = claims
+                .entry(*key)
+                .or_insert_with(|| JobClaim::of(&job.spec, queue));
+            if claim.long_running || is_past_use(job, claim, self.wall_ms) {
+                continue;
+            }
+            let (work, ready) = if job.progress.state == JobState::Queued && claim.runs_at_once {
+                (claim.work, claim.ready)
+            } else {
+                remaining(*key, job)
+            };
+            let name = policy.pool_of(&job.spec.queue, &job.spec.pool);
+            let Some(pool) = sums.pools.get_mut(name) else {
+                continue;
+            };
+            let team = job.spec.team.as_deref();
+            pool.demand.add(&ready);
+            pool.backlog.add(claim.priority, &work, team, false);
+            if work != Work::default() {
+                pool.priority = pool.priority.into_iter().chain([claim.priority]).min();
+                pool.slack.0 += to_float(claim.objective_ms.saturating_sub(claim.chain_ms));
+                pool.slack.1 += 1.0;
+            }
+            if let Some(team) = team {
+                sums.loads.entry(team).or_default().waiting.add(&ready);
+            }
+        }
+    }
+}
+
+/// Returns whether a job would end so late that it is of no use to its caller.
+fn is_past_use(job: &Job, claim: &JobClaim, wall_ms: u64) -> bool {
+    let latest = job.progress.occurrences.len().saturating_sub(1);
+    let latest = u32::try_from(latest).unwrap_or(u32::MAX);
+    let start_ms = job.spec.due_ms(latest).unwrap_or(job.spec.accepted_ms);
+    let useful_ms = claim.objective_ms.saturating_mul(LATE_FACTOR);
+    claim.objective_ms > 0 && wall_ms > start_ms.saturating_add(useful_ms)
+}
+
+/// Work of the tasks of a job that are neither placed nor done, and what those of them reserve that
+/// could start now.
+fn remaining(key: JobKey, job: &Job) -> (Work, Capacity) {
+    let (mut work, mut ready) = (Work::default(), Capacity::default());
+    for (occurrence, progress) in (0..).zip(&job.progress.occurrences) {
+        for (step, spec) in (0..).zip(&job.spec.steps) {
+            let step = StepKey {
+                job: key,
+                occurrence,
+                step,
+            };
+            let pending = pending_tasks(job, step).len() as u64;
+            let amount = spec.reservation();
+            work.add(&Work::of(&amount, pending, spec.estimate_ms));
+            let mut needed = spec.depends_on.iter();
+            if needed.all(|needed| progress.step_done(*needed)) {
+                ready.add(&multiply(&amount, pending));
+            }
+        }
+    }
+    (work, ready)
+}
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -5,6 +5,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::admission::Admission;
 use super::crashes::Loss;
 use super::journal::Journal;
 use super::removed_entries::RemovedEntries;
@@ -44,6 +45,7 @@
             active_jobs: IndexSet::new(),
             orphans: IndexMap::new(),
             journal: Journal::new(now),
+            admission: Admission::default(),
             demand_trends: IndexMap::new(),
             next_wave_check: 0,
             next_balance: 0,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,6 +4,8 @@
 //! holds the leader role also runs a [`Leader`], which takes events and the current time
 //! and returns commands for the process to carry out.
 
+mod admission;
+mod backlog;
 mod capacity;
 mod demand;
 mod election;
@@ -13,10 +15,11 @@
 mod lease;
 mod placement;
 mod policy;
+mod pool_history;
 mod progress;
 mod record;
+mod room;
 mod run;
-#[cfg_attr(not(test), allow(dead_code))] // The next change makes the leader use it.
 mod shares;
 mod spec;
 mod table;
@@ -26,7 +29,10 @@
 mod urgency;
 mod vms;
 mod wave;
+mod work;
 
+pub use admission::{Refusal, RefusalCause};
+pub use backlog::Backlog;
 pub use capacity::Capacity;
 pub use election::{Election, Role};
 pub use ids::{JobKey, Millis, StepKey, TaskKey};
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of decisions that the module keeps to itself.
 
+mod admission;
 mod shares;
--- a/src/scheduler/urgency.rs
+++ b/src/scheduler/urgency.rs
@@ -3,7 +3,7 @@
 use super::{Job, JobKey, Queue, TaskPhase};
 
 /// A late job is still of use to its caller within this many times its latency objective.
-const LATE_FACTOR: u64 = 3;
+pub(super) const LATE_FACTOR: u64 = 3;
 
 /// Whether a job can still meet its latency objective; jobs of earlier variants come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
