--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -181,7 +181,12 @@
     Err(Refused {
         refusal: Refusal {
             cause,
-            retry_s: retry_s(pool, excess_ms, key),
+            retry_s: retry_s(
+                pool,
+                excess_ms,
+                drain_after_burst(pool, claim, team, cause),
+                key,
+            ),
         },
         ahead_ms: to_millis(wait_ms),
         cpu: pool.now.cpu,
@@ -208,17 +213,35 @@
     }
 }
 
+/// Fraction of the pool's capacity that is expected to be free for the job after the burst. A team
+/// over its share gets only its part of that.
+fn drain_after_burst(
+    pool: &PoolBacklog,
+    claim: &JobClaim,
+    team: Option<&str>,
+    cause: RefusalCause,
+) -> f64 {
+    let part = match (cause, team) {
+        (RefusalCause::OverShare, Some(team)) => pool
+            .own_ahead(claim.priority, team)
+            .map_or(1.0, |(_, part)| part),
+        _ => 1.0,
+    };
+    DRAIN_AFTER_BURST * part
+}
+
 /// Time after which a refused job is expected to be accepted, in whole seconds: once the waiting
-/// time has fallen by `excess_ms` and the jobs refused before it have come back.
+/// time has fallen by `excess_ms` and the jobs refused before it have come back. While it does not
+/// fall, `later_drain` is the fraction of the capacity that is expected to be free after the burst.
 ///
 /// It is stretched by up to a half, by the job's id, so that callers do not come back together.
-fn retry_s(pool: &PoolBacklog, excess_ms: f64, key: JobKey) -> u32 {
+fn retry_s(pool: &PoolBacklog, excess_ms: f64, later_drain: f64, key: JobKey) -> u32 {
     let returning_ms = pool.wait_ms(&pool.returning, 1.0).unwrap_or(0.0);
     let to_drain_ms = excess_ms + returning_ms;
     let wait_ms = if pool.drain >= MIN_DRAIN {
         to_drain_ms * 1_000.0 / f64::from(pool.drain)
     } else {
-        to_float(pool.scarce_ms.min(MAX_BURST_LEFT_MS)) + to_drain_ms / DRAIN_AFTER_BURST
+        to_float(pool.scarce_ms.min(MAX_BURST_LEFT_MS)) + to_drain_ms / later_drain
     };
     let jitter = f64::from(jitter(key)) / f64::from(u32::MAX);
     let wait_ms = (wait_ms * (1.0 + jitter / 2.0)).min(MAX_RETRY_MS);
--- a/src/scheduler/shares.rs
+++ b/src/scheduler/shares.rs
@@ -13,9 +13,9 @@
 /// Number of resources in a [`Capacity`].
 const RESOURCES: usize = 3;
 
-/// Part of its entitlement by which a team may exceed it before it counts as over its share, as a
-/// factor: runs end one at a time, so a team that gives capacity back is above it for a while.
-const OVER_FACTOR: f64 = 1.05;
+/// Factor on its entitlement from which a team counts as over its share. What a team at its usual
+/// load runs changes by single jobs, and runs end one at a time when it has to give capacity back.
+const OVER_FACTOR: f64 = 1.2;
 
 /// Fraction of a resource or of a demand that counts as nothing, because sums of floating-point
 /// fractions are not exact.
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -9,8 +9,8 @@
 use amaranthwick::http::UNACKNOWLEDGED_LIMIT_MS;
 use amaranthwick::scheduler::{
     Capacity, Change, Command, Election, Event, HoldFailure, Holder, JobKey, JobSpec, JobState,
-    JobTable, Leader, LeaderSettings, Millis, Policy, Record, StartOutcome, Step, StopOutcome,
-    TargetId, TaskKey, Vm, VmOutcome, VmState, Wave, leader_event,
+    JobTable, Leader, LeaderSettings, Millis, Policy, Record, Refusal as JobRefusal, StartOutcome,
+    Step, StopOutcome, TargetId, TaskKey, Vm, VmOutcome, VmState, Wave, leader_event,
 };
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
@@ -271,6 +271,22 @@
         self.processes.last_mut().unwrap().frozen_until = self.now + for_ms;
     }
 
+    /// Replaces the policy of the processes that claim the role from now on.
+    pub(crate) fn set_policy(&mut self, policy: Policy) {
+        self.policy = Arc::new(policy);
+    }
+
+    /// Offers a caller's job to the process that claimed the role last, and stores it unless that
+    /// refuses it.
+    pub(crate) fn offer(&mut self, job: u64, spec: JobSpec) -> Result<JobKey, JobRefusal> {
+        let now = self.now;
+        let process = self.processes.last_mut().unwrap();
+        process
+            .leader
+            .admit(&process.table, JobKey(job), &spec, now)?;
+        Ok(self.submit(job, spec))
+    }
+
     /// Stores a caller's job.
     pub(crate) fn submit(&mut self, job: u64, spec: JobSpec) -> JobKey {
         let key = JobKey(job);
