Refuse jobs that can't be served before they are stored

The leader decides on each job of a message before anything is stored; an entry without the leader decides by the last summary that it received. Messages between processes carry the age of the sender's summary; those without it come from an earlier build, of which nothing is refused.

Tests with fake services: the leader's refusal reaches the caller within 100 ms, a job that may be stored is not reported as not run, a lost leader, an old summary, an earlier build on either side, messages with jobs of several callers.

--- /dev/null
+++ b/src/dispatch/admitting.rs
@@ -0,0 +1,141 @@
+//! Decides on jobs of callers before they are stored: the leader by its own figures, another
+//! process that stores them itself by the last summary that it received.
+
+use indexmap::IndexMap;
+
+use super::forwarding::RefusedJob;
+use super::state::{Shared, State};
+use crate::scheduler::{Backlog, JobKey, JobSpec, Millis, Record, Refusal};
+use crate::telemetry::metrics;
+
+/// Time for which a job that was accepted, or may have been stored, is not refused, in ms: its
+/// record can still be stored after that many of the store's and the connections' timeouts.
+const UNSETTLED_MS: Millis = 10_000;
+
+/// What decisions on jobs are based on, besides the leader's state.
+#[derive(Debug, Default)]
+pub(super) struct Admissions {
+    /// Last summary of a leader, and when it was received.
+    summary: Option<(Backlog, Millis)>,
+    /// Jobs that were accepted or sent to be stored, the earliest first. They are in no table before
+    /// their records have been read, but may be stored.
+    unsettled: IndexMap<JobKey, UnsettledJob>,
+    /// Records are stored without the leader before this time, because it did not store some.
+    pub(super) bypass_until: Millis,
+}
+
+/// A job whose record has not been read yet.
+#[derive(Clone, Copy, Debug)]
+struct UnsettledJob {
+    accepted_at: Millis,
+    /// Whether an append of its record had no usable answer.
+    maybe_stored: bool,
+}
+
+impl Admissions {
+    /// Takes over a summary that was received at `now`.
+    pub(super) fn set_summary(&mut self, summary: Backlog, now: Millis) {
+        self.summary = Some((summary, now));
+    }
+
+    /// Age of the summary at `now`, in ms; `None` without one.
+    pub(super) fn summary_age(&self, now: Millis) -> Option<Millis> {
+        let (summary, received_at) = self.summary.as_ref()?;
+        Some(summary.age(now.saturating_sub(*received_at)))
+    }
+
+    /// Notes that a job was accepted, or sent to be stored: `maybe_stored` if that had no usable
+    /// answer.
+    fn mark_unsettled(&mut self, key: JobKey, maybe_stored: bool, now: Millis) {
+        while let Some((_, job)) = self.unsettled.first()
+            && !job.is_current(now)
+        {
+            self.unsettled.shift_remove_index(0);
+        }
+        let job = self.unsettled.entry(key).or_insert(UnsettledJob {
+            accepted_at: now,
+            maybe_stored,
+        });
+        job.maybe_stored |= maybe_stored;
+    }
+
+    fn unsettled(&self, key: JobKey, now: Millis) -> Option<&UnsettledJob> {
+        let job = self.unsettled.get(&key);
+        job.filter(|job| job.is_current(now))
+    }
+
+    /// Returns whether an earlier append of the job's record had no usable answer.
+    pub(super) fn maybe_stored(&self, key: JobKey, now: Millis) -> bool {
+        let job = self.unsettled(key, now);
+        job.is_some_and(|job| job.maybe_stored)
+    }
+}
+
+impl UnsettledJob {
+    const fn is_current(self, now: Millis) -> bool {
+        now <= self.accepted_at + UNSETTLED_MS
+    }
+}
+
+impl State {
+    /// Returns whether this process stores callers' records itself, and so decides on their jobs.
+    pub(super) fn stores_itself(&self, member: &str, now: Millis) -> bool {
+        self.leader.is_some()
+            || self.leader_address(member).is_none()
+            || now < self.admissions.bypass_until
+    }
+
+    /// Decides on a job. One that is known, or may be stored, is accepted again.
+    fn decide(&mut self, key: JobKey, spec: &JobSpec, now: Millis) -> Result<(), Refusal> {
+        if self.table.get(key).is_some() || self.admissions.unsettled(key, now).is_some() {
+            return Ok(());
+        }
+        if let Some(leader) = &mut self.leader {
+            return leader.admit(&self.table, key, spec, now);
+        }
+        let Some(age_ms) = self.admissions.summary_age(now) else {
+            return Ok(());
+        };
+        match &mut self.admissions.summary {
+            Some((summary, _)) => summary.admit(&self.policy, key, spec, age_ms),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Splits records into those to be stored and the jobs that are refused.
+pub(super) fn admit<S>(shared: &Shared<S>, records: Vec<Record>) -> (Vec<Record>, Vec<RefusedJob>) {
+    let now = shared.clock.now();
+    let (mut admitted, mut refused) = (Vec::with_capacity(records.len()), Vec::new());
+    let mut state = shared.lock();
+    for record in records {
+        if let Record::Job(key, spec) = &record {
+            if let Err(refusal) = state.decide(*key, spec, now) {
+                refused.push(RefusedJob { key: *key, refusal });
+                continue;
+            }
+            state.admissions.mark_unsettled(*key, false, now);
+        }
+        admitted.push(record);
+    }
+    drop(state);
+    for RefusedJob { refusal, .. } in &refused {
+        let tags = [("cause", refusal.cause.name())];
+        shared.metrics.count(metrics::REFUSED_JOBS, 1, &tags);
+        let wait_s = u64::from(refusal.retry_s);
+        shared.metrics.record(metrics::RETRY_AFTER_S, wait_s, &[]);
+    }
+    (admitted, refused)
+}
+
+/// Notes that the jobs among `records` are accepted, or `maybe_stored`, so that they are not refused
+/// later.
+pub(super) fn mark_unsettled<S>(shared: &Shared<S>, records: &[Record], maybe_stored: bool) {
+    let now = shared.clock.now();
+    let mut state = shared.lock();
+    for record in records {
+        if let Record::Job(key, _) = record {
+            state.admissions.mark_unsettled(*key, maybe_stored, now);
+        }
+    }
+}
--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -5,11 +5,11 @@
 
 use async_io::Timer;
 
-use super::append_queue;
 use super::clock::wall_ms;
+use super::forwarding::{Appended, ForwardAnswer, PeerBuild};
 use super::services::{AppendOutcome, Services};
-use super::{Dispatch, state::Shared};
-use crate::scheduler::{Change, Event, JobKey, JobSpec, JobState, Millis, Policy, Record};
+use super::{Dispatch, admitting, append_queue, state::Shared};
+use crate::scheduler::{Change, Event, JobKey, JobSpec, JobState, Millis, Policy, Record, Refusal};
 
 /// Time without a read to the end of the stream after which this process's table counts as
 /// outdated, in ms: about one and a half times the longest time between two reads in a process that
@@ -32,7 +32,7 @@
     /// The job is stored and will run.
     Accepted,
     /// The job is not stored and will not run.
-    Refused,
+    Refused(Refusal),
     /// The job may have been stored, or may still be.
     Unknown,
 }
@@ -87,14 +87,24 @@
         let deadline = shared.clock.now() + limit_ms;
         match self.local_lookup(key) {
             Lookup::Found(_) => return Submission::Accepted,
-            Lookup::Unavailable => return Submission::Refused,
+            Lookup::Unavailable => return Submission::Refused(Refusal::STORE_UNAVAILABLE),
             Lookup::NotFound => {}
         }
         let record = Record::Job(key, spec);
         let mut sent = false;
         let mut refused = 0;
         loop {
-            match append_queue::append(&shared.append_queue, vec![record.clone()]).await {
+            let appended = append_queue::append(shared, vec![record.clone()]).await;
+            if let Some(refusal) = appended.refusal(key) {
+                // An earlier try may have been stored, or may still be.
+                let now = shared.clock.now();
+                return if sent || shared.lock().admissions.maybe_stored(key, now) {
+                    Submission::Unknown
+                } else {
+                    Submission::Refused(refusal)
+                };
+            }
+            match appended.outcome {
                 AppendOutcome::Stored { .. } => break,
                 AppendOutcome::Unknown => sent = true,
                 _ => refused += 1,
@@ -107,13 +117,13 @@
                 return Submission::Accepted;
             }
             if !sent && refused >= MAX_REFUSED_TRIES {
-                return Submission::Refused;
+                return Submission::Refused(Refusal::STORE_UNAVAILABLE);
             }
             if shared.clock.now() >= deadline {
                 return if sent {
                     Submission::Unknown
                 } else {
-                    Submission::Refused
+                    Submission::Refused(Refusal::STORE_UNAVAILABLE)
                 };
             }
             Timer::after(Duration::from_millis(RETRY_MS)).await;
@@ -132,21 +142,42 @@
         self.shared.wake();
     }
 
-    /// Stores records that another process forwarded, if this process leads; else it returns
-    /// [`AppendOutcome::Busy`].
-    pub async fn store_forwarded(&self, records: Vec<Record>) -> AppendOutcome {
-        if self.shared.lock().leader.is_none() {
-            return AppendOutcome::Busy;
+    /// Stores records that another process forwarded, if this process leads; else the outcome is
+    /// [`AppendOutcome::Busy`]. Decides on each job by itself: those that are refused are not
+    /// stored.
+    pub async fn store_forwarded(&self, records: Vec<Record>, peer: PeerBuild) -> ForwardAnswer {
+        let shared = &self.shared;
+        if shared.lock().leader.is_none() {
+            return ForwardAnswer::plain(AppendOutcome::Busy);
         }
-        let appended = append_queue::append(&self.shared.append_queue, records.clone()).await;
-        if matches!(appended, AppendOutcome::Stored { .. }) {
-            for record in records {
-                if let Record::Job(key, _) | Record::Cancel(key) = &record {
-                    self.apply_stored(*key, record);
-                }
+        if peer == PeerBuild::WithoutAdmission {
+            admitting::mark_unsettled(shared, &records, false);
+        }
+        let appended = append_queue::append(shared, records.clone()).await;
+        if matches!(appended.outcome, AppendOutcome::Stored { .. }) {
+            self.apply_all(records, &appended);
+        }
+        let summary = peer.needs_summary().then(|| {
+            let now = shared.clock.now();
+            let state = &mut *shared.lock();
+            let leader = state.leader.as_mut()?;
+            Some(leader.backlog_for_peers(&state.table, now))
+        });
+        ForwardAnswer {
+            appended,
+            summary: summary.flatten(),
+        }
+    }
+
+    /// Applies the stored records of callers, but not those of refused jobs.
+    fn apply_all(&self, records: Vec<Record>, appended: &Appended) {
+        for record in records {
+            if let Record::Job(key, _) | Record::Cancel(key) = &record
+                && appended.refusal(*key).is_none()
+            {
+                self.apply_stored(*key, record);
             }
         }
-        appended
     }
 
     /// Looks up a job. If it is not known, has the stream read once more before the answer.
@@ -182,8 +213,8 @@
         let deadline = shared.clock.now() + limit_ms;
         let record = Record::Cancel(key);
         loop {
-            let appended = append_queue::append(&shared.append_queue, vec![record.clone()]).await;
-            if matches!(appended, AppendOutcome::Stored { .. }) {
+            let appended = append_queue::append(shared, vec![record.clone()]).await;
+            if matches!(appended.outcome, AppendOutcome::Stored { .. }) {
                 break;
             }
             if shared.clock.now() >= deadline {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,12 +1,14 @@
 //! Runs the scheduler in a process: reads the stream of records, claims the leader role when it
 //! is free, carries out the leader's commands and serves callers.
 
+mod admitting;
 mod append_queue;
 mod callers;
 mod calls;
 mod claiming;
 mod clock;
 mod follow;
+mod forwarding;
 mod lead;
 mod services;
 mod state;
@@ -24,6 +26,7 @@
 use crate::telemetry::Metrics;
 
 pub use callers::{CancelOutcome, Lookup, Submission};
+pub use forwarding::{Appended, ForwardAnswer, PeerBuild, RefusedJob};
 pub use services::{
     AppendOutcome, HoldRequest, OperatorChange, OrderClaim, Page, Producer, ReadOutcome, Services,
     Snapshot, StartAnswer, StartRequest, StopRequest, TargetChange,
--- a/src/dispatch/services.rs
+++ b/src/dispatch/services.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::clock::Clock;
+use super::forwarding::ForwardAnswer;
 use crate::scheduler::{
     Change, HoldFailure, JobKey, JobSpec, Millis, Policy, Record, StartOutcome, StopOutcome,
     TargetEntry, TargetId, TargetReport, TaskKey, Vm, VmOutcome, Wave,
@@ -208,12 +209,15 @@
         expected: Option<u64>,
     ) -> impl Future<Output = AppendOutcome> + Send;
 
-    /// Forwards callers' records to the process at `peer`, which stores them if it leads.
+    /// Forwards callers' records to the process at `peer`, which stores them if it leads, but may
+    /// refuse jobs among them. `summary_age_ms` is the age of the last summary that it sent; `None`
+    /// without one.
     fn forward(
         &self,
         peer: SocketAddr,
         records: &[Record],
-    ) -> impl Future<Output = AppendOutcome> + Send;
+        summary_age_ms: Option<Millis>,
+    ) -> impl Future<Output = ForwardAnswer> + Send;
 
     /// Reads the changes of the operators since `cursor`, or everything without one; waits for a
     /// change for up to `wait_ms`. Returns the changes and the next cursor.
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use super::DispatchSettings;
+use super::admitting::Admissions;
 use super::append_queue::PendingAppend;
 use super::clock::Clock;
 use super::services::OrderClaim;
@@ -31,6 +32,8 @@
     pub(super) election: Election,
     /// State of the leader while this process leads.
     pub(super) leader: Option<Leader>,
+    /// What decisions on callers' jobs are based on besides the leader's state.
+    pub(super) admissions: Admissions,
     /// Number of the last batch of this leader that was read back from the stream; 0 before the
     /// first.
     pub(super) read_back_batch: u64,
@@ -72,6 +75,7 @@
             waves: IndexMap::new(),
             election,
             leader: None,
+            admissions: Admissions::default(),
             read_back_batch: 0,
             stopping: false,
         };
--- a/src/scheduler/tests/admission.rs
+++ b/src/scheduler/tests/admission.rs
@@ -298,3 +298,44 @@
 
     assert!((part - expected).abs() < 1e-9, "{part}");
 }
+
+/// A summary of four pools in which 140 teams have work, ten of them `heavy` ms and the others
+/// `light` ms on the tenth of the pool that each can expect.
+fn fleet_summary(heavy: u64, light: u64) -> Backlog {
+    let mut summary = Backlog::default();
+    for pool in 0..4 {
+        let mut backlog = PoolBacklog {
+            now: cpu(POOL_CPU),
+            later: cpu(POOL_CPU),
+            ..PoolBacklog::default()
+        };
+        for team in 0..140 {
+            let wait_ms = if team % 14 == 0 { heavy } else { light };
+            let team = format!("team-{team}");
+            backlog.add(pool % 2, &work(wait_ms / 10), Some(&team), false);
+        }
+        backlog.apply_shares(&indexmap::IndexSet::new(), 1.0, |_| 0.1);
+        summary.pools.insert(format!("pool-{pool}"), backlog);
+    }
+    summary
+}
+
+/// Guards against summaries that cost more than the 2 KB/s which the control plane may use for each
+/// node: each process gets one a second at most, and only teams with much work are named.
+#[test]
+fn a_summary_for_peers_is_small() {
+    let busy = fleet_summary(8_000, 400).for_peers(50);
+    let calm = Backlog::default().for_peers(50);
+
+    let bytes = |summary: &Backlog| rmp_serde::to_vec_named(summary).unwrap().len();
+    println!("busy: {}, calm: {} bytes", bytes(&busy), bytes(&calm));
+    assert!(bytes(&busy) < 2_000);
+    assert!(bytes(&calm) < 50);
+    assert_eq!(busy.pools["pool-0"].levels[0].teams.len(), 10);
+    assert_eq!(busy.pools["pool-0"].levels[0].work, {
+        let mut sum = Work::default();
+        (0..10).for_each(|_| sum.add(&work(800)));
+        (0..130).for_each(|_| sum.add(&work(40)));
+        sum
+    });
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -42,6 +42,10 @@
 pub const LEADER_CALLS: &str = "leader_calls_total";
 /// Time from a call that starts a task to its response, in µs.
 pub const START_US: &str = "start_us";
+/// Jobs that were refused for lack of capacity; tag `cause`.
+pub const REFUSED_JOBS: &str = "refused_jobs_total";
+/// Time after which callers of refused jobs were told to come back, in s.
+pub const RETRY_AFTER_S: &str = "retry_after_s";
 
 /// Handle to the metrics of a process; clones share the same series.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/tests/dispatch/process.rs
@@ -0,0 +1,364 @@
+//! A process whose store, targets and leader are fakes.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use amaranthwick::dispatch::{
+    AppendOutcome, Appended, Dispatch, DispatchSettings, ForwardAnswer, HoldRequest,
+    OperatorChange, OrderClaim, Page, Producer, ReadOutcome, RefusedJob, Services, Snapshot,
+    StartAnswer, StartRequest, StopRequest, Submission, TargetChange,
+};
+use amaranthwick::runtime::Runtime;
+use amaranthwick::scheduler::{
+    Backlog, Capacity, Change, HoldFailure, Holder, JobKey, JobSpec, JobTable, Leader,
+    LeaderSettings, Member, Millis, Policy, Pool, Queue, Record, Refusal, RefusalCause,
+    StartOutcome, Step, StopOutcome, TargetEntry, TargetId, TargetReport, TargetState, Team, Vm,
+    VmOutcome,
+};
+use amaranthwick::telemetry::Metrics;
+use async_io::{Timer, block_on};
+
+const LEADER: &str = "leader";
+const ENTRY: &str = "entry";
+
+/// Time for a call of a caller, in ms.
+const LIMIT_MS: u64 = 300;
+
+/// Number of stored jobs, each of 1 s on all targets: the next one can't be served.
+const STORED_JOBS: u64 = 30;
+
+/// What the services answer, and what they were asked to store.
+#[derive(Debug)]
+pub(crate) struct Script {
+    /// Records that the process loads when it starts.
+    loaded: Vec<Change>,
+    /// The leader's answer to forwarded records.
+    pub(crate) forward: ForwardAnswer,
+    /// The store's answer to records of callers.
+    pub(crate) append: AppendOutcome,
+    pub(crate) appended: Vec<Record>,
+    /// Ages of the summary that the entry told the leader.
+    pub(crate) summary_ages: Vec<Option<Millis>>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct FakeServices(Arc<Mutex<Script>>);
+
+impl FakeServices {
+    pub(crate) fn script(&self) -> MutexGuard<'_, Script> {
+        self.0.lock().unwrap()
+    }
+}
+
+async fn pause(ms: u64) {
+    Timer::after(Duration::from_millis(ms)).await;
+}
+
+impl Services for FakeServices {
+    async fn load_snapshot(&self) -> ReadOutcome<Snapshot> {
+        let changes = self.script().loaded.clone();
+        ReadOutcome::Read(Snapshot { changes, next: 1 })
+    }
+
+    async fn read_records(&self, from: u64, _wait_ms: u64) -> ReadOutcome<Page> {
+        pause(20).await;
+        ReadOutcome::Read(Page {
+            changes: Vec::new(),
+            next: from,
+            end: from,
+        })
+    }
+
+    async fn append(
+        &self,
+        records: &[Record],
+        _forget: &[JobKey],
+        producer: Option<Producer>,
+        _expected: Option<u64>,
+    ) -> AppendOutcome {
+        if producer.is_some() {
+            return AppendOutcome::Stored { end: 1 };
+        }
+        let mut script = self.script();
+        script.appended.extend_from_slice(records);
+        script.append
+    }
+
+    async fn forward(
+        &self,
+        _peer: SocketAddr,
+        _records: &[Record],
+        summary_age_ms: Option<Millis>,
+    ) -> ForwardAnswer {
+        let mut script = self.script();
+        script.summary_ages.push(summary_age_ms);
+        script.forward.clone()
+    }
+
+    async fn operator_changes(
+        &self,
+        cursor: Option<u64>,
+        _wait_ms: u64,
+    ) -> ReadOutcome<(Vec<OperatorChange>, u64)> {
+        if cursor.is_some() {
+            pause(50).await;
+            return ReadOutcome::Read((Vec::new(), 1));
+        }
+        let change = OperatorChange::Policy(Arc::new(policy()));
+        ReadOutcome::Read((vec![change], 1))
+    }
+
+    async fn target_changes(
+        &self,
+        cursor: Option<u64>,
+        _wait_ms: u64,
+    ) -> ReadOutcome<(Vec<TargetChange>, u64)> {
+        if cursor.is_some() {
+            pause(50).await;
+            return ReadOutcome::Read((Vec::new(), 1));
+        }
+        ReadOutcome::Read((vec![TargetChange::Entry(target())], 1))
+    }
+
+    async fn start_run(&self, _start: StartRequest<'_>) -> StartAnswer {
+        StartAnswer {
+            outcome: StartOutcome::Unknown,
+            clock_ms: None,
+        }
+    }
+
+    async fn stop_run(&self, _stop: StopRequest<'_>) -> StopOutcome {
+        StopOutcome::Unknown
+    }
+
+    async fn hold(&self, _hold: HoldRequest<'_>) -> Result<TargetReport, HoldFailure> {
+        pause(50).await;
+        Err(HoldFailure::NoAnswer)
+    }
+
+    async fn list_vms(&self) -> Option<Vec<Vm>> {
+        Some(Vec::new())
+    }
+
+    async fn begin_upkeep(&self, _vm: &str, _wave: u64, _claim: OrderClaim) -> VmOutcome {
+        VmOutcome::Invalid
+    }
+
+    async fn move_vm(&self, _vm: &str, _pool: &str, _claim: OrderClaim) -> VmOutcome {
+        VmOutcome::Invalid
+    }
+
+    fn set_peers(&self, _peers: Vec<SocketAddr>) {}
+
+    async fn report_wave(&self, _wave: u64, _complete: bool) -> bool {
+        true
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// A target of 16 cores, the only one.
+fn target() -> TargetEntry {
+    TargetEntry {
+        id: TargetId(Arc::from("t")),
+        born: 1,
+        address: address(1),
+        pool: Arc::from("pool"),
+        vm: Arc::from("vm"),
+        labels: vec!["rack".to_owned()],
+        capacity: Capacity {
+            cpu: 16_000,
+            mem_mb: 64_000,
+            gpu: 0,
+        },
+        state: TargetState::Ready,
+    }
+}
+
+/// A policy with one queue with an objective of 600 ms and 1.6 times the run time, and one team.
+fn policy() -> Policy {
+    let queue = Queue {
+        name: Arc::from("queue"),
+        host: String::new(),
+        prefix: String::new(),
+        pool: Arc::from("pool"),
+        priority: 0,
+        attempts: 2,
+        objective_ms: 600,
+        slack_factor: 1.6,
+        public: true,
+    };
+    let pool = Pool {
+        name: Arc::from("pool"),
+        admission_check: true,
+        standby: false,
+    };
+    let team = Team {
+        name: Arc::from("team"),
+        weight: 1,
+        limit: Capacity::default(),
+    };
+    Policy {
+        version: 1,
+        queues: [(Arc::from("queue"), queue)].into_iter().collect(),
+        pools: [(Arc::from("pool"), pool)].into_iter().collect(),
+        teams: [(Arc::from("team"), team)].into_iter().collect(),
+        ..Policy::default()
+    }
+}
+
+/// A job of one task that takes all of the target for 1 s.
+pub(crate) fn job() -> JobSpec {
+    let step = Step {
+        count: 1,
+        needs: target().capacity,
+        estimate_ms: 1_000,
+        ..Step::default()
+    };
+    JobSpec {
+        queue: "queue".to_owned(),
+        pool: "pool".to_owned(),
+        team: Some("team".to_owned()),
+        payload: String::new(),
+        steps: vec![step],
+        occurrence_count: 0,
+        first_due_ms: 0,
+        interval_ms: 0,
+        // Jobs of the future are never past use.
+        accepted_ms: u64::MAX / 2,
+    }
+}
+
+fn stored_jobs() -> Vec<Change> {
+    let job = |key| Change::Put(Record::Job(JobKey(key), job()));
+    (0..STORED_JOBS).map(job).collect()
+}
+
+fn holder(member: &str) -> Holder {
+    Holder {
+        member: member.to_owned(),
+        incarnation: 1,
+        epoch: 1,
+        released: false,
+        batch: 0,
+    }
+}
+
+/// The summary of a leader that has [`STORED_JOBS`].
+pub(crate) fn overloaded_summary() -> Backlog {
+    let mut table = JobTable::default();
+    for change in stored_jobs() {
+        table.apply(change);
+    }
+    let settings = LeaderSettings {
+        holder: holder(LEADER),
+        lease_ms: 4_000,
+        earlier_extend_ms: 0,
+        step_down_after_ms: 7_000,
+        vm_order_delay_ms: 0,
+        stop_timeout_ms: 400,
+        job_retention_ms: 120_000,
+    };
+    let entries = vec![target()];
+    let mut leader = Leader::new(settings, &mut table, Arc::new(policy()), entries, 0, 0);
+    leader.backlog_for_peers(&table, 0)
+}
+
+pub(crate) const fn stored() -> AppendOutcome {
+    AppendOutcome::Stored { end: 0 }
+}
+
+pub(crate) const REFUSAL: Refusal = Refusal {
+    cause: RefusalCause::OverShare,
+    retry_s: 7,
+};
+
+/// The answer of a leader that refuses the job with this id.
+pub(crate) fn refusing(key: u64) -> ForwardAnswer {
+    ForwardAnswer {
+        appended: Appended {
+            outcome: stored(),
+            refused: vec![RefusedJob {
+                key: JobKey(key),
+                refusal: REFUSAL,
+            }],
+        },
+        summary: None,
+    }
+}
+
+/// A process with fake services. Another process leads, unless `leads`.
+pub(crate) struct Process {
+    pub(crate) dispatch: Dispatch<FakeServices>,
+    pub(crate) services: FakeServices,
+    _runtime: Runtime,
+}
+
+impl Process {
+    pub(crate) fn start(leads: bool) -> Self {
+        let member = |name: &str, port| {
+            let member = Member {
+                name: name.to_owned(),
+                address: address(port),
+            };
+            Change::Put(Record::Member(member))
+        };
+        let mut loaded = vec![member(ENTRY, 2), member(LEADER, 3)];
+        if leads {
+            loaded.extend(stored_jobs());
+        } else {
+            loaded.push(Change::Put(Record::Holder(holder(LEADER))));
+        }
+        let services = FakeServices(Arc::new(Mutex::new(Script {
+            loaded,
+            forward: ForwardAnswer::plain(stored()),
+            append: stored(),
+            appended: Vec::new(),
+            summary_ages: Vec::new(),
+        })));
+        let settings = DispatchSettings {
+            member: ENTRY.to_owned(),
+            incarnation: 1,
+            peer: address(2),
+            // One that does not lead must not claim the role during a test.
+            rank: if leads { 0 } else { 1_000 },
+            vm_order_delay_ms: 0,
+            max_lease_ms: 6_000,
+            stop_timeout_ms: 400,
+            job_retention_ms: 120_000,
+        };
+        let runtime = Runtime::start(1).unwrap();
+        let dispatch =
+            Dispatch::start(settings, services.clone(), Metrics::new(), &runtime).unwrap();
+        let process = Self {
+            dispatch,
+            services,
+            _runtime: runtime,
+        };
+        let begun = Instant::now();
+        while !process.ready(leads) {
+            assert!(begun.elapsed() < Duration::from_secs(10));
+            thread::sleep(Duration::from_millis(20));
+        }
+        process
+    }
+
+    fn ready(&self, leads: bool) -> bool {
+        let summary = self.dispatch.summary();
+        let is_leader = summary.iter().any(|(name, _)| *name == "busy_targets");
+        self.dispatch.ready() && is_leader == leads
+    }
+
+    pub(crate) fn submit(&self, key: u64) -> Submission {
+        block_on(self.dispatch.submit(JobKey(key), job(), LIMIT_MS))
+    }
+
+    pub(crate) fn stored_keys(&self) -> Vec<String> {
+        let script = self.services.script();
+        script.appended.iter().map(Record::key).collect()
+    }
+}
