Leave out of the work ahead what can't start

The waiting work of a team at its limit and of jobs that no VM can hold was counted as ahead of others, so that a job without a team was refused while targets were idle; both cases of the new test failed without the change.

--- a/src/scheduler/backlog.rs
+++ b/src/scheduler/backlog.rs
@@ -40,8 +40,9 @@
     pub(super) priority: u32,
     /// Work of all jobs.
     pub(super) work: Work,
-    /// Work of the jobs of teams over their share.
-    pub(super) over: Work,
+    /// Work that does not delay other teams, because its teams are over their shares or at their
+    /// limits.
+    pub(super) yielding: Work,
     pub(super) teams: IndexMap<String, TeamWork>,
 }
 
@@ -64,13 +65,14 @@
 }
 
 impl PoolBacklog {
-    /// Work that goes before a job of `priority`; that of teams over their share only if `over`.
+    /// Work that goes before a job of `priority`; if that is not of a team `over` its share, without
+    /// what yields to it.
     pub(super) fn ahead(&self, priority: u32, over: bool) -> Work {
         let mut ahead = Work::default();
         for level in self.levels_before(priority) {
             ahead.add(&level.work);
             if !over {
-                ahead.subtract(&level.over);
+                ahead.subtract(&level.yielding);
             }
         }
         ahead
@@ -139,7 +141,7 @@
         let level = &mut self.levels[at];
         level.work.add(work);
         if over {
-            level.over.add(work);
+            level.yielding.add(work);
         }
         if let Some(name) = team {
             if let Some(team) = level.teams.get_mut(name) {
@@ -155,20 +157,20 @@
     }
 
     /// Sets which part of the pool's capacity each team can expect, and sums up the work of the
-    /// teams that are `over` their share. `part` tells the part of the whole fleet, which has
+    /// teams for which `yields` holds. `part` tells the part of the whole fleet, which has
     /// `fleet_factor` times the capacity of the pool.
     pub(super) fn apply_shares(
         &mut self,
-        over: &IndexSet<String>,
+        yields: impl Fn(&str) -> bool,
         fleet_factor: f64,
         part: impl Fn(&str) -> f64,
     ) {
         for level in &mut self.levels {
-            level.over = Work::default();
+            level.yielding = Work::default();
             for (name, team) in &mut level.teams {
                 team.part = in_thousandths(part(name) * fleet_factor);
-                if over.contains(name) {
-                    level.over.add(&team.work);
+                if yields(name) {
+                    level.yielding.add(&team.work);
                 }
             }
         }
--- a/src/scheduler/leader/admission.rs
+++ b/src/scheduler/leader/admission.rs
@@ -130,6 +130,23 @@
     /// Returns whether no VM can hold a task of the job, and logs it. Such a job is accepted, because
     /// the list of VMs may be incomplete.
     fn is_unplaceable(&mut self, spec: &JobSpec, now: Millis) -> bool {
+        let Some(step) = self.unplaceable_step(spec) else {
+            return false;
+        };
+        let logged_at = &mut self.admission.logged_at;
+        let last = logged_at.get(&spec.queue);
+        if last.is_none_or(|at| now >= at + UNPLACEABLE_LOG_INTERVAL_MS) {
+            logged_at.insert(spec.queue.clone(), now);
+            spdlog::warn!("job_unplaceable", kv: {
+                queue = spec.queue, cpu = step.needs.cpu, mem_mb = step.needs.mem_mb,
+                gpu = step.needs.gpu, label = step.required_label
+            });
+        }
+        true
+    }
+
+    /// The first step with tasks that no known VM or target can hold; `None` while none is known.
+    pub(super) fn unplaceable_step<'a>(&self, spec: &'a JobSpec) -> Option<&'a Step> {
         let vms = self.vm_tracker.vms().values();
         let vms = vms.map(|vm| (&vm.labels, vm.capacity));
         let targets = self.targets.values().map(|target| &target.entry);
@@ -140,22 +157,9 @@
             (label.is_empty() || labels.contains(label))
                 && Capacity::default().fits(&step.reservation(), capacity)
         };
-        let unplaceable = |step: &&Step| !hosts().any(|(l, capacity)| holds(step, l, &capacity));
-        let Some(step) = spec.steps.iter().find(unplaceable) else {
-            return false;
-        };
-        let logged_at = &mut self.admission.logged_at;
-        let last = logged_at.get(&spec.queue);
-        if hosts().next().is_none() || last.is_some_and(|at| now < at + UNPLACEABLE_LOG_INTERVAL_MS)
-        {
-            return true;
-        }
-        logged_at.insert(spec.queue.clone(), now);
-        spdlog::warn!("job_unplaceable", kv: {
-            queue = spec.queue, cpu = step.needs.cpu, mem_mb = step.needs.mem_mb,
-            gpu = step.needs.gpu, label = step.required_label
-        });
-        true
+        hosts().next()?;
+        let mut steps = spec.steps.iter();
+        steps.find(|step| !hosts().any(|(labels, capacity)| holds(step, labels, &capacity)))
     }
 }
 
@@ -213,7 +217,8 @@
         for (name, pool) in pools {
             let mut backlog = pool.backlog;
             let fleet_factor = 1.0 / largest_fraction(&backlog.later, &free).max(f64::EPSILON);
-            backlog.apply_shares(&self.backlog.over, fleet_factor, |team| {
+            let yields = |team: &str| self.shares.yields(team);
+            backlog.apply_shares(yields, fleet_factor, |team| {
                 self.shares.expected_part(team, &policy.teams)
             });
             self.backlog.pools.insert(name.to_string(), backlog);
--- a/src/scheduler/leader/sums.rs
+++ b/src/scheduler/leader/sums.rs
@@ -105,10 +105,11 @@
                 continue;
             }
             let queue = policy.queues.get(job.spec.queue.as_str());
-            let claim = claims
-                .entry(*key)
-                .or_insert_with(|| JobClaim::of(&job.spec, queue));
-            if claim.long_running || is_past_use(job, claim, self.wall_ms) {
+            let claim = claims.entry(*key).or_insert_with(|| JobClaim {
+                unplaceable: self.unplaceable_step(&job.spec).is_some(),
+                ..JobClaim::of(&job.spec, queue)
+            });
+            if claim.long_running || claim.unplaceable || is_past_use(job, claim, self.wall_ms) {
                 continue;
             }
             let (work, ready) = if job.progress.state == JobState::Queued && claim.runs_at_once {
--- a/src/scheduler/shares.rs
+++ b/src/scheduler/shares.rs
@@ -41,6 +41,8 @@
     /// Fraction that weighted max-min gives it; at most its demand.
     entitled: f64,
     over: bool,
+    /// Whether its limit keeps it from running all that it requests.
+    limited: bool,
 }
 
 /// Shares of the teams that run or wait for something.
@@ -76,6 +78,7 @@
                 guaranteed: claim.weight / weights,
                 entitled,
                 over: decides && waits && running > entitled * OVER_FACTOR + EPSILON,
+                limited: claim.limited,
             };
             ((*name).to_owned(), share)
         });
@@ -92,6 +95,13 @@
             .is_some_and(|share| share.over)
     }
 
+    /// Returns whether the team's waiting work does not delay that of others, because the team is
+    /// over its share or its limit keeps the work from starting.
+    pub(super) fn yields(&self, team: &str) -> bool {
+        let share = self.shares.get(team);
+        share.is_some_and(|share| share.over || share.limited)
+    }
+
     /// Names of the teams over their share.
     pub(super) fn teams_over(&self) -> impl Iterator<Item = &str> {
         let over = self.shares.iter().filter(|(_, share)| share.over);
@@ -139,6 +149,8 @@
     granted: f64,
     /// Whether it can be granted more.
     open: bool,
+    /// Whether it requests more than its limit.
+    limited: bool,
 }
 
 impl Claim {
@@ -154,6 +166,7 @@
             dominant,
             granted: 0.0,
             open: dominant > 0.0,
+            limited: scale < 1.0,
         }
     }
 
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -1,4 +1,5 @@
 //! Tests of decisions that the module keeps to itself.
 
 mod admission;
+mod backlog;
 mod shares;
--- a/src/scheduler/tests/shares.rs
+++ b/src/scheduler/tests/shares.rs
@@ -165,6 +165,8 @@
     near(shares.entitled("limited"), 0.10);
     near(shares.entitled("other"), 0.90);
     assert_eq!(shares.teams_over().collect::<Vec<_>>(), ["limited"]);
+    assert!(shares.yields("limited"));
+    assert!(!shares.yields("other"));
 }
 
 /// Guards against refusals that nothing justifies: without scarcity, without configured weights,
--- a/src/scheduler/work.rs
+++ b/src/scheduler/work.rs
@@ -51,6 +51,8 @@
     pub(super) long_running: bool,
     /// Whether it runs once, as soon as possible.
     pub(super) runs_at_once: bool,
+    /// Whether no known VM could hold one of its tasks, so that it occupies nothing.
+    pub(super) unplaceable: bool,
 }
 
 impl JobClaim {
@@ -77,6 +79,7 @@
             ready,
             long_running: spec.is_long_running(),
             runs_at_once: spec.occurrence_count == 0,
+            unplaceable: false,
         }
     }
 }
--- /dev/null
+++ b/tests/dispatch/fakes.rs
@@ -0,0 +1,145 @@
+//! Services whose answers a test sets.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use amaranthwick::dispatch::{
+    AppendOutcome, ForwardAnswer, HoldRequest, OperatorChange, OrderClaim, Page, Producer,
+    ReadOutcome, Services, Snapshot, StartAnswer, StartRequest, StopRequest, TargetChange,
+};
+use amaranthwick::scheduler::{
+    Change, HoldFailure, JobKey, Millis, Record, StartOutcome, StopOutcome, TargetReport, Vm,
+    VmOutcome,
+};
+use async_io::Timer;
+
+use crate::process::{policy, target};
+
+/// What the services answer, and what they were asked to store.
+#[derive(Debug)]
+pub(crate) struct Script {
+    /// Records that the process loads when it starts.
+    pub(crate) loaded: Vec<Change>,
+    /// The leader's answer to forwarded records.
+    pub(crate) forward: ForwardAnswer,
+    /// The store's answer to records of callers.
+    pub(crate) append: AppendOutcome,
+    pub(crate) appended: Vec<Record>,
+    /// Ages of the summary that the entry told the leader.
+    pub(crate) summary_ages: Vec<Option<Millis>>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct FakeServices(pub(crate) Arc<Mutex<Script>>);
+
+impl FakeServices {
+    pub(crate) fn script(&self) -> MutexGuard<'_, Script> {
+        self.0.lock().unwrap()
+    }
+}
+
+async fn pause(ms: u64) {
+    Timer::after(Duration::from_millis(ms)).await;
+}
+
+impl Services for FakeServices {
+    async fn load_snapshot(&self) -> ReadOutcome<Snapshot> {
+        let changes = self.script().loaded.clone();
+        ReadOutcome::Read(Snapshot { changes, next: 1 })
+    }
+
+    async fn read_records(&self, from: u64, _wait_ms: u64) -> ReadOutcome<Page> {
+        pause(20).await;
+        ReadOutcome::Read(Page {
+            changes: Vec::new(),
+            next: from,
+            end: from,
+        })
+    }
+
+    async fn append(
+        &self,
+        records: &[Record],
+        _forget: &[JobKey],
+        producer: Option<Producer>,
+        _expected: Option<u64>,
+    ) -> AppendOutcome {
+        if producer.is_some() {
+            return AppendOutcome::Stored { end: 1 };
+        }
+        let mut script = self.script();
+        script.appended.extend_from_slice(records);
+        script.append
+    }
+
+    async fn forward(
+        &self,
+        _peer: SocketAddr,
+        _records: &[Record],
+        summary_age_ms: Option<Millis>,
+    ) -> ForwardAnswer {
+        let mut script = self.script();
+        script.summary_ages.push(summary_age_ms);
+        script.forward.clone()
+    }
+
+    async fn operator_changes(
+        &self,
+        cursor: Option<u64>,
+        _wait_ms: u64,
+    ) -> ReadOutcome<(Vec<OperatorChange>, u64)> {
+        if cursor.is_some() {
+            pause(50).await;
+            return ReadOutcome::Read((Vec::new(), 1));
+        }
+        let change = OperatorChange::Policy(Arc::new(policy()));
+        ReadOutcome::Read((vec![change], 1))
+    }
+
+    async fn target_changes(
+        &self,
+        cursor: Option<u64>,
+        _wait_ms: u64,
+    ) -> ReadOutcome<(Vec<TargetChange>, u64)> {
+        if cursor.is_some() {
+            pause(50).await;
+            return ReadOutcome::Read((Vec::new(), 1));
+        }
+        ReadOutcome::Read((vec![TargetChange::Entry(target())], 1))
+    }
+
+    async fn start_run(&self, _start: StartRequest<'_>) -> StartAnswer {
+        StartAnswer {
+            outcome: StartOutcome::Unknown,
+            clock_ms: None,
+        }
+    }
+
+    async fn stop_run(&self, _stop: StopRequest<'_>) -> StopOutcome {
+        StopOutcome::Unknown
+    }
+
+    async fn hold(&self, _hold: HoldRequest<'_>) -> Result<TargetReport, HoldFailure> {
+        pause(50).await;
+        Err(HoldFailure::NoAnswer)
+    }
+
+    async fn list_vms(&self) -> Option<Vec<Vm>> {
+        Some(Vec::new())
+    }
+
+    async fn begin_upkeep(&self, _vm: &str, _wave: u64, _claim: OrderClaim) -> VmOutcome {
+        VmOutcome::Invalid
+    }
+
+    async fn move_vm(&self, _vm: &str, _pool: &str, _claim: OrderClaim) -> VmOutcome {
+        VmOutcome::Invalid
+    }
+
+    fn set_peers(&self, _peers: Vec<SocketAddr>) {}
+
+    async fn report_wave(&self, _wave: u64, _complete: bool) -> bool {
+        true
+    }
+}
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of what becomes of callers' jobs while the leader refuses some, does not answer, or runs an
 //! earlier build.
 
+mod fakes;
 mod process;
 
 use std::thread;
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler against a simulated platform in virtual time.
 
 mod admission;
+mod bursts;
 mod cancelled_jobs;
 mod capacity;
 mod crash_limits;
