--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -4,6 +4,7 @@
 //! ended run only after its effect on the job is stored. A process that takes over the role
 //! therefore knows of every task that may be running, and on which target.
 
+mod admission;
 mod balance;
 mod crashes;
 mod drains;
@@ -21,6 +22,7 @@
 mod schedule;
 mod starts;
 mod stops;
+mod sums;
 mod takeover;
 mod upkeep;
 mod vm_orders;
@@ -40,6 +42,7 @@
     Command, Event, HoldFailure, StartOutcome, StopOutcome, TargetReport, leader_event,
 };
 
+use admission::Admission;
 use journal::Journal;
 use lost_targets::LostTargets;
 use removed_entries::RemovedEntries;
@@ -88,6 +91,7 @@
     orphans: IndexMap<TaskKey, Millis>,
     lost_targets: LostTargets,
     journal: Journal,
+    admission: Admission,
     vm_tracker: VmTracker,
     /// Recent demand of each pool, by the pool's name.
     demand_trends: IndexMap<Arc<str>, DemandTrend>,
@@ -192,6 +196,7 @@
         self.mark_evacuated_targets();
         self.expire_leases(table, now);
         self.advance_occurrences(table, now, wall_ms);
+        self.refresh_summary(table, now);
         self.schedule_if_due(table, now);
         self.move_evacuated_tasks(table, now);
         self.send_stops(now);
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -5,6 +5,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::admission::Admission;
 use super::crashes::{Loss, LostRuns};
 use super::journal::Journal;
 use super::lost_targets::LostTargets;
@@ -53,6 +54,7 @@
             orphans: IndexMap::new(),
             lost_targets: LostTargets::default(),
             journal: Journal::new(now),
+            admission: Admission::default(),
             demand_trends: IndexMap::new(),
             next_wave_check: 0,
             next_balance: 0,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,6 +4,8 @@
 //! holds the leader role also runs a [`Leader`], which takes events and the current time
 //! and returns commands for the process to carry out.
 
+mod admission;
+mod backlog;
 mod balance;
 mod capacity;
 mod crash_count;
@@ -17,17 +19,25 @@
 mod order;
 mod placement;
 mod policy;
+mod pool_history;
 mod progress;
 mod record;
+mod room;
 mod run;
+mod shares;
 mod spec;
 mod table;
 mod target;
+#[cfg(test)]
+mod tests;
 mod urgency;
 mod vm;
 mod vms;
 mod wave;
+mod work;
 
+pub use admission::{Refusal, RefusalCause};
+pub use backlog::Backlog;
 pub use capacity::Capacity;
 pub use crash_count::{Crashes, LostTarget};
 pub use election::{Election, Role};
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -44,6 +44,10 @@
 pub const START_US: &str = "start_us";
 /// Data centres that the operators have had evacuated, as this process knows them.
 pub const EVACUATED_DATA_CENTRES: &str = "evacuated_data_centres";
+/// Jobs that were refused for lack of capacity; tag `cause`.
+pub const REFUSED_JOBS: &str = "refused_jobs_total";
+/// Time after which callers of refused jobs were told to come back, in s.
+pub const RETRY_AFTER_S: &str = "retry_after_s";
 
 /// Handle to the metrics of a process; clones share the same series.
 #[derive(Clone, Debug)]
