--- a/tests/scenarios/outcome.rs
+++ b/tests/scenarios/outcome.rs
@@ -19,7 +19,10 @@
 }
 
 /// Returns what a command printed, without offsets and record ids, and its exit code.
+///
+/// What it wrote to stderr goes to the log of the test: scripts don't show it, as it has addresses.
 pub fn describe_command(output: &CommandOutput) -> String {
+    eprint!("{}", output.stderr);
     let lines = output.stdout.lines().map(without_offset);
     let mut words: Vec<String> = lines.collect();
     if words.is_empty() {
