--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use super::Leader;
+use crate::scheduler::balance::{PoolRequest, grant_vms};
 use crate::scheduler::demand::{MoveCandidate, PoolDemand, PoolMove, plan_moves};
 use crate::scheduler::vm::VmOrder;
 use crate::scheduler::{Capacity, JobTable, Millis, Step, StepKey, VmState};
@@ -31,26 +32,35 @@
         else {
             return self.end_drains();
         };
-        let mut pools = self.pool_demands(table, &standby);
+        self.note_arrivals(table, now);
+        let mut pools = self.pool_demands(table, &standby, now);
         for (name, pool) in &mut pools {
-            let trend = self.demand_trends.entry(Arc::clone(name)).or_default();
-            pool.expected_rise = trend.add_sample(pool.demand, now);
+            let arrivals = self.arrivals.entry(Arc::clone(name)).or_default();
+            pool.expected_rise = arrivals.capacity(now);
+            pool.expected_rise.subtract(&pool.demand);
         }
+        let candidates = self.move_candidates(now);
+        grant(&mut pools, &candidates, &standby);
         self.update_drains(table, &pools, &standby, now);
         if now >= self.next_demand_log {
             self.next_demand_log = now + DEMAND_LOG_INTERVAL_MS;
             for (name, pool) in &pools {
                 spdlog::info!("demand", kv: {
-                    pool = name.as_ref(), vms = pool.vms, wanted = pool.wanted_vms(), floor = pool.min_vms,
+                    pool = name.as_ref(), vms = pool.vms, wanted = pool.wanted_vms(), granted = pool.granted, floor = pool.min_vms,
                     cpu = pool.demand.cpu, mem_mb = pool.demand.mem_mb, drained = self.drained_vms(name)
                 });
+                if pool.short() {
+                    spdlog::warn!("pool_short", kv: {
+                        pool = name.as_ref(), vms = pool.vms, wanted = pool.wanted_vms(),
+                        granted = pool.granted, floor = pool.min_vms, priority = pool.priority
+                    });
+                }
             }
         }
         if !self.may_order_vms(now) {
             return;
         }
         self.retire_evacuated_vms(&standby, now);
-        let candidates = self.move_candidates(now);
         let possible = |vm: &str, pool: &Arc<str>| !self.vm_tracker.is_impossible_move(vm, pool);
         for PoolMove { vm, pool } in plan_moves(&pools, &candidates, &standby, possible) {
             self.send_vm_order(&vm, VmOrder::Move(pool), now);
@@ -58,7 +68,12 @@
     }
 
     /// VMs and demand of each pool but the standby pool, by name.
-    fn pool_demands(&self, table: &JobTable, standby: &str) -> IndexMap<Arc<str>, PoolDemand> {
+    fn pool_demands(
+        &self,
+        table: &JobTable,
+        standby: &str,
+        now: Millis,
+    ) -> IndexMap<Arc<str>, PoolDemand> {
         let names = self.policy.pools.keys().filter(|name| ***name != *standby);
         let mut pools: IndexMap<Arc<str>, PoolDemand> = names
             .map(|name| {
@@ -82,7 +97,6 @@
                 continue;
             };
             incoming.swap_remove(entry.vm.as_ref());
-            pool.demand.add(&target.used);
             // A VM that is about to be moved or maintained, or is evacuated, has to be replaced.
             if target.stays() {
                 pool.vms += 1;
@@ -109,22 +123,16 @@
             let Some(pool) = pools.get_mut(name) else {
                 continue;
             };
-            for (occurrence, progress) in (0..).zip(&job.progress.occurrences) {
+            for occurrence in (0..).take(job.progress.occurrences.len()) {
                 for (step, spec) in (0..).zip(&job.spec.steps) {
                     let step = StepKey {
                         job: *key,
                         occurrence,
                         step,
                     };
-                    let open = spec
-                        .depends_on
-                        .iter()
-                        .all(|needed| progress.step_done(*needed));
                     let pending = super::schedule::pending_tasks(job, step).len() as u64;
-                    if open && pending > 0 {
-                        pool.demand.add(&multiply(&spec.reservation(), pending));
-                    }
-                    if spec.long_running && spec.max_per_target > 0 {
+                    let together = spec.long_running || (spec.gang && pending > 0);
+                    if together && spec.max_per_target > 0 {
                         let mut targets = spec.count.div_ceil(spec.max_per_target) as usize;
                         if pending > 0 {
                             targets += self.targets_too_small(name, step, spec, &pool.vm_capacity);
@@ -134,6 +142,11 @@
                 }
             }
         }
+        for (name, work) in self.pool_works(table, pools.keys(), now) {
+            let pool = &mut pools[&name];
+            pool.priority = work.priority.unwrap_or(u32::MAX);
+            pool.demand = work.needed();
+        }
         pools
     }
 
@@ -193,7 +206,7 @@
                         let target = self.targets.get(&id)?;
                         let idle =
                             target.removable() && target.listed && target.vacating_since.is_none();
-                        idle.then(|| target.draining_since.map_or(0, |since| now - since))
+                        idle.then(|| target.drain.map_or(0, |drain| now - drain.since))
                     }
                 };
                 Some(MoveCandidate {
@@ -206,10 +219,17 @@
     }
 }
 
-const fn multiply(amount: &Capacity, count: u64) -> Capacity {
-    Capacity {
-        cpu: amount.cpu.saturating_mul(count),
-        mem_mb: amount.mem_mb.saturating_mul(count),
-        gpu: amount.gpu.saturating_mul(count),
+/// Grants the pools what they ask for, or their parts of the VMs in them and the standby pool.
+fn grant(
+    pools: &mut IndexMap<Arc<str>, PoolDemand>,
+    candidates: &[MoveCandidate],
+    standby: &Arc<str>,
+) {
+    let requests: Vec<PoolRequest> = pools.values().map(PoolDemand::request).collect();
+    let off = candidates.iter().filter(|vm| vm.pool == *standby).count();
+    let held: usize = pools.values().map(|pool| pool.vms).sum();
+    let granted = grant_vms(&requests, held + off);
+    for (pool, granted) in pools.values_mut().zip(granted) {
+        pool.granted = granted;
     }
 }
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -18,6 +18,7 @@
 mod messages;
 mod movable_tasks;
 mod place;
+mod pool_work;
 mod removed_entries;
 mod schedule;
 mod starts;
@@ -31,7 +32,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::demand::DemandTrend;
+use super::balance::Arrivals;
 use super::order::FactsCache;
 use super::placement::ReservedTargets;
 use super::target::{HoldState, Target};
@@ -93,8 +94,10 @@
     journal: Journal,
     admission: Admission,
     vm_tracker: VmTracker,
-    /// Recent demand of each pool, by the pool's name.
-    demand_trends: IndexMap<Arc<str>, DemandTrend>,
+    /// Work that has recently arrived in each pool, by the pool's name.
+    arrivals: IndexMap<Arc<str>, Arrivals>,
+    /// Jobs that had not ended when the demand was last computed.
+    known_jobs: IndexSet<JobKey>,
     /// When the maintenance waves are next advanced.
     next_wave_check: Millis,
     /// When the demand of the pools is next computed.
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -67,10 +67,9 @@
         .max_by_key(|(id, target)| {
             let near = !step.data_rack.is_empty() && target.entry.labels.contains(&step.data_rack);
             let warm = now >= target.cold_until;
-            let stays = target.draining_since.is_none();
             (
                 warm,
-                stays,
+                target.drain.is_none(),
                 near,
                 placement_rank(runs, target, request),
                 *id,
--- a/tests/claiming/fake.rs
+++ b/tests/claiming/fake.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use amaranthwick::dispatch::{
-    AppendOutcome, Dispatch, DispatchSettings, HoldRequest, OperatorChange, OrderClaim, Page,
-    Producer, ReadOutcome, Services, Snapshot, StartAnswer, StartRequest, StopRequest,
-    TargetChange,
+    AppendOutcome, Dispatch, DispatchSettings, ForwardAnswer, HoldRequest, OperatorChange,
+    OrderClaim, Page, Producer, ReadOutcome, Services, Snapshot, StartAnswer, StartRequest,
+    StopRequest, TargetChange,
 };
 use amaranthwick::runtime::Runtime;
 use amaranthwick::scheduler::{
@@ -165,8 +165,13 @@
         end.map_or(AppendOutcome::Fenced, |end| AppendOutcome::Stored { end })
     }
 
-    async fn forward(&self, _peer: SocketAddr, _records: &[Record]) -> AppendOutcome {
-        AppendOutcome::Busy
+    async fn forward(
+        &self,
+        _peer: SocketAddr,
+        _records: &[Record],
+        _summary_age_ms: Option<u64>,
+    ) -> ForwardAnswer {
+        ForwardAnswer::plain(AppendOutcome::Busy)
     }
 
     async fn operator_changes(
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -203,11 +203,6 @@
         }
     }
 
-    /// The operators' configuration changes; to be called before the first claim.
-    pub(crate) fn set_policy(&mut self, policy: Policy) {
-        self.policy = Arc::new(policy);
-    }
-
     /// The capacity of a target changes, and a while later its entry.
     pub(crate) fn set_capacity(&mut self, id: &TargetId, capacity: Capacity) {
         let target = self.targets.get_mut(id).unwrap();
@@ -311,9 +306,12 @@
         Ok(self.submit(job, spec))
     }
 
-    /// Stores a caller's job.
-    pub(crate) fn submit(&mut self, job: u64, spec: JobSpec) -> JobKey {
+    /// Stores a caller's job, accepted now unless it says otherwise.
+    pub(crate) fn submit(&mut self, job: u64, mut spec: JobSpec) -> JobKey {
         let key = JobKey(job);
+        if spec.accepted_ms == 0 {
+            spec.accepted_ms = MIDNIGHT_MS + self.now;
+        }
         self.store(&Change::Put(Record::Job(key, spec)));
         key
     }
