--- a/tests/scheduler/pools.rs
+++ b/tests/scheduler/pools.rs
@@ -1,6 +1,6 @@
 //! VMs that are moved between pools, as the pools' demand changes.
 
-use amaranthwick::scheduler::{JobKey, JobSpec, JobState, Millis};
+use amaranthwick::scheduler::{JobKey, JobSpec, JobState, Millis, Wave};
 use rstest::rstest;
 
 use crate::fixtures::{job, step};
@@ -204,3 +204,32 @@
     assert!(figures.useless <= figures.in_time / 20);
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Guards against maintenance and draining that undo each other: a wave takes VMs of a pool while the
+/// pool drains them, and others while it needs them.
+#[rstest]
+fn a_wave_is_completed_while_vms_are_drained(#[values(1, 2)] seed: u64) {
+    let mut day = Day::new(12, &[1], &[NO_LOAD], pool_policy(&[0]), seed);
+    day.run(SETTLE_MS, false);
+    day.submit(0, job(vec![step(120, 4_000, &[])]));
+    day.run(4_000, false);
+    let targets = day.world.targets.values().filter(|target| target.listed);
+    let vms: Vec<String> = targets.map(|target| target.entry.vm.to_string()).collect();
+
+    day.world.request_wave(Wave {
+        number: 1,
+        vms: vms.clone(),
+        limit_ms: 26_000,
+        max_down: 2,
+    });
+    day.run(26_000, false);
+    let held = day.world.vms_in(&pool_name(0));
+    let key = day.submit(0, job(vec![step(60, 500, &[])]));
+    day.run(4_000, false);
+
+    assert!(vms.len() > 2);
+    assert_eq!(day.world.upkeeps.len(), vms.len());
+    assert_eq!(held, 1);
+    assert_eq!(day.world.state(key), Some(JobState::Complete));
+    assert_eq!(day.world.violations, Vec::<String>::new());
+}
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -622,6 +622,10 @@
                 let target = found.rfind(|target| *target.entry.vm == *vm).unwrap();
                 target.restart(now);
                 let id = target.entry.id.clone();
+                let pool = target.entry.pool.clone();
+                if self.vm_service.moves_end && self.is_standby(&pool) {
+                    return self.switch_off(&id);
+                }
                 self.publish_entry(&id);
             }
         }
--- a/tests/scheduler/world/moves.rs
+++ b/tests/scheduler/world/moves.rs
@@ -23,12 +23,12 @@
         }
     }
 
-    fn is_standby(&self, pool: &Arc<str>) -> bool {
+    pub(super) fn is_standby(&self, pool: &Arc<str>) -> bool {
         let standby = self.policy.standby_pool();
         standby.is_some_and(|standby| standby.name == *pool)
     }
 
-    fn switch_off(&mut self, id: &TargetId) {
+    pub(super) fn switch_off(&mut self, id: &TargetId) {
         let target = &mut self.targets[id];
         target.reachable = false;
         target.listed = false;
