Select the jobs that can be in time, and defer those that would make others late

Jobs that could be in time went by due time, so that under load each began when it had no slack left, and large jobs held small ones up. Now each pool walks its jobs by the time at which they must begin, and defers the job with the most work left when one would begin too late. A margin for the error of estimates is learned for each queue from its runs. Of the largest three tenths of a queue's jobs, a share drawn by id counts among deferred jobs like smaller ones. The order line is logged once a second for each pool. With fewer than 12 waiting jobs in a pool the order is as before.

The run times in the replays are drawn by task, not in the order of starts.

--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -28,7 +28,14 @@
             .get(&end.task)
             .is_some_and(|run| run.number == end.run);
         if is_current_run {
-            target.remove_run(end.task, now);
+            let run = target.remove_run(end.task, now);
+            let since = run.and_then(|run| run.running_since);
+            if let Some(since) = since.filter(|_| end.kind == EndKind::Done)
+                && let Some(job) = table.get(end.task.step.job)
+                && let Some(step) = job.spec.steps.get(end.task.step.step as usize)
+            {
+                self.facts.note_run(&job.spec, step, now - since);
+            }
         }
         match end.kind {
             EndKind::Done => target.health.run_done(),
@@ -178,7 +185,9 @@
         if job.progress.state.ended() {
             self.active_jobs.swap_remove(&key);
         } else {
-            self.active_jobs.insert(key);
+            if self.active_jobs.insert(key) {
+                self.facts.note_job(&job.spec);
+            }
             self.next_occurrence_ms = 0;
         }
         self.update_job_state(table, key);
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -95,6 +95,8 @@
     /// Whether something has changed since the last scheduling that may let a task start.
     needs_scheduling: bool,
     last_pass: LastPass,
+    /// When the order of the jobs is next logged.
+    next_order_log: Millis,
     /// Targets that are kept free of other tasks until suspect ones can start there.
     isolation_targets: ReservedTargets,
     /// When to schedule again although nothing has changed, because a suspect task is isolated for
--- a/src/scheduler/leader/schedule.rs
+++ b/src/scheduler/leader/schedule.rs
@@ -4,10 +4,9 @@
 
 use super::Leader;
 use super::isolation::IsolationPass;
-use crate::scheduler::order::{PoolRoom, SmallestTask};
+use crate::scheduler::order::{self, Plan, PoolLoad, PoolRoom, SmallestTask};
 use crate::scheduler::placement::ReservedTargets;
 use crate::scheduler::target::Target;
-use crate::scheduler::urgency::Urgency;
 use crate::scheduler::{Capacity, Job, JobTable, Millis, Occurrence, StepKey, TaskPhase};
 
 /// Least time between two passes over the jobs while many jobs wait for room, in ms: short beside
@@ -18,6 +17,9 @@
 /// costs little.
 const MANY_WAITING_JOBS: usize = 50;
 
+/// Time between two log lines on the order of the jobs of each pool, in ms.
+const ORDER_LOG_INTERVAL_MS: Millis = 1_000;
+
 /// State of one pass over the jobs.
 pub(super) struct SchedulingPass {
     /// Capacity that the runs of each team reserve, by the team's name.
@@ -98,33 +100,24 @@
             self.facts.note_change(job);
         }
         self.facts.refresh(table, &self.policy, &self.active_jobs);
-        let mut order: Vec<Urgency> = Vec::with_capacity(self.active_jobs.len());
-        let mut smallest = vec![SmallestTask::default(); self.facts.pools().len()];
-        for (key, facts) in self.facts.waiting() {
-            order.push(facts.deadlines.urgency(key, self.wall_ms));
-            for step in &facts.ready {
-                smallest[facts.pool].include(&step.reservation);
-            }
-        }
-        order.sort_unstable();
+        let rooms = self.rooms(now);
+        let plan = self.plan(&rooms);
+        self.log_order(&plan, now);
         let mut pass = SchedulingPass {
             used_by_team: self.used_by_team(),
             reserved_targets: self.isolation_targets.clone(),
             isolation: IsolationPass::new(std::mem::take(&mut self.isolation_targets)),
-            rooms: self.rooms(&smallest, now),
+            rooms,
             now,
         };
         let mut waiting = 0;
-        for Urgency { job, .. } in order {
-            let Some(facts) = self.facts.get(job) else {
+        for position in plan.positions {
+            let Some(facts) = self.facts.get(position.job) else {
                 continue;
             };
             let room = &pass.rooms[facts.pool];
-            if facts
-                .ready
-                .iter()
-                .all(|step| !step.special && room.lacks(&step.reservation))
-            {
+            let mut ready = facts.ready.iter();
+            if ready.all(|step| !step.special && room.lacks(&step.reservation)) {
                 waiting += 1;
                 continue;
             }
@@ -137,11 +130,48 @@
         self.last_pass = LastPass { at: now, waiting };
     }
 
+    /// Orders the jobs. No team counts as over its share.
+    fn plan(&self, rooms: &[PoolRoom]) -> Plan {
+        let capacities: Vec<u64> = rooms.iter().map(|room| room.capacity).collect();
+        let histories = self.facts.histories();
+        let jobs = self.facts.iter();
+        order::plan(jobs, &capacities, &histories, self.wall_ms, |_| false)
+    }
+
+    /// Logs the jobs of each pool by class, when that is due.
+    fn log_order(&mut self, plan: &Plan, now: Millis) {
+        if now < self.next_order_log {
+            return;
+        }
+        self.next_order_log = now + ORDER_LOG_INTERVAL_MS;
+        for (pool, load) in self.facts.pools().iter().zip(&plan.pools) {
+            let PoolLoad {
+                begun,
+                selected,
+                deferred,
+                past_use,
+                work,
+                capacity,
+            } = *load;
+            if begun + selected + deferred + past_use > 0 {
+                spdlog::info!("order", kv: {
+                    pool = pool.as_ref(), begun, selected, deferred, past_use, work, capacity
+                });
+            }
+        }
+    }
+
     /// Room of the pools of jobs, in the order of the pools in the cache of facts.
-    fn rooms(&self, smallest: &[SmallestTask], now: Millis) -> Vec<PoolRoom> {
+    fn rooms(&self, now: Millis) -> Vec<PoolRoom> {
         let pools = self.facts.pools();
+        let mut smallest = vec![SmallestTask::default(); pools.len()];
+        for (_, facts) in self.facts.iter() {
+            for step in &facts.ready {
+                smallest[facts.pool].include(&step.reservation);
+            }
+        }
         let pool_of = |target: &Target| pools.get_index_of(&target.entry.pool);
-        PoolRoom::of_pools(&self.targets, smallest, pool_of, now)
+        PoolRoom::of_pools(&self.targets, &smallest, pool_of, now)
     }
 
     /// Capacity that the runs of each team reserve on all targets, by the team's name.
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -56,6 +56,7 @@
             fenced: false,
             needs_scheduling: true,
             last_pass: LastPass::default(),
+            next_order_log: 0,
             isolation_targets: ReservedTargets::new(),
             reschedule_at: None,
             next_occurrence_ms: 0,
@@ -90,6 +91,7 @@
         let jobs: Vec<_> = table.iter().map(|(key, _)| key).collect();
         for key in jobs {
             let Some(job) = table.get(key) else { continue };
+            self.facts.note_job(&job.spec);
             if !job.progress.state.ended() {
                 self.active_jobs.insert(key);
             }
--- a/src/scheduler/order/facts.rs
+++ b/src/scheduler/order/facts.rs
@@ -5,8 +5,11 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::history::QueueHistory;
 use crate::scheduler::urgency::Deadlines;
-use crate::scheduler::{Capacity, Job, JobKey, JobTable, Policy, StepKey, TaskPhase};
+use crate::scheduler::{
+    Capacity, Job, JobKey, JobSpec, JobTable, Millis, Policy, Step, StepKey, TaskPhase,
+};
 
 /// Number of jobs whose facts are computed anew in each refresh although no change was noted. A
 /// change that was not noted must not keep a job from being placed for good.
@@ -28,16 +31,57 @@
 pub(crate) struct JobFacts {
     /// Index of the job's pool among [`FactsCache::pools`].
     pub(crate) pool: usize,
+    /// Index of the job's queue among [`FactsCache::histories`].
+    pub(crate) queue: usize,
+    spec: Arc<JobSpec>,
     pub(crate) deadlines: Deadlines,
+    /// Whether a task of it has been placed.
+    pub(crate) begun: bool,
+    /// Work of its tasks that are not placed, in thousandths of a core times ms.
+    pub(crate) pending_work: u64,
+    /// Number of its steps that are not done.
+    pub(crate) open_steps: u64,
     /// Steps with pending tasks whose `depends_on` steps are all done.
     pub(crate) ready: Vec<ReadyStep>,
 }
 
-/// Facts on all jobs that have not ended, and the names of their pools.
+impl JobFacts {
+    /// Name of the job's team.
+    pub(crate) fn team(&self) -> Option<&str> {
+        self.spec.team.as_deref()
+    }
+
+    /// Adds up the work of the tasks that are not done.
+    fn add_work(&mut self, job: &Job) {
+        for occurrence in &job.progress.occurrences {
+            for (step, tasks) in job.spec.steps.iter().zip(&occurrence.steps) {
+                let mut pending: u64 = 0;
+                let mut placed: u64 = 0;
+                for task in tasks {
+                    match task.phase {
+                        TaskPhase::Pending => pending += 1,
+                        TaskPhase::Placed { .. } => placed += 1,
+                        TaskPhase::Done => self.begun = true,
+                    }
+                }
+                // A step that is done has no tasks.
+                self.begun |= placed > 0 || tasks.is_empty();
+                self.open_steps += u64::from(pending + placed > 0);
+                let pending = work_of(step, pending);
+                self.pending_work = self.pending_work.saturating_add(pending);
+            }
+        }
+    }
+}
+
+/// Facts on all jobs that have not ended, the names of their pools, and what is known of their
+/// queues.
 #[derive(Debug, Default)]
 pub(crate) struct FactsCache {
     jobs: IndexMap<JobKey, JobFacts>,
     pools: IndexSet<Arc<str>>,
+    /// Histories of queues by name.
+    queues: IndexMap<Arc<str>, QueueHistory>,
     /// Jobs that have changed since the last refresh.
     changed: IndexSet<JobKey>,
     /// Version of the policy that the facts were computed with.
@@ -57,10 +101,44 @@
         &self.pools
     }
 
-    /// Facts on the jobs with tasks that may be placed.
-    pub(crate) fn waiting(&self) -> impl Iterator<Item = (JobKey, &JobFacts)> {
-        let jobs = self.jobs.iter().map(|(key, facts)| (*key, facts));
-        jobs.filter(|(_, facts)| !facts.ready.is_empty())
+    /// Facts on all jobs that have not ended.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (JobKey, &JobFacts)> {
+        self.jobs.iter().map(|(key, facts)| (*key, facts))
+    }
+
+    /// What is known of the queues.
+    pub(crate) fn histories(&self) -> Vec<&QueueHistory> {
+        self.queues.values().collect()
+    }
+
+    /// Takes in the size of a job that has become known.
+    pub(crate) fn note_job(&mut self, spec: &JobSpec) {
+        let size = spec
+            .steps
+            .iter()
+            .map(|step| work_of(step, step.count.into()));
+        let size = size.fold(0, u64::saturating_add);
+        if !spec.is_long_running() {
+            self.history_of(&spec.queue).1.note_job(size);
+        }
+    }
+
+    /// Takes in how long a task of the step ran that is done.
+    pub(crate) fn note_run(&mut self, spec: &JobSpec, step: &Step, ran_ms: Millis) {
+        let history = self.history_of(&spec.queue).1;
+        history.note_run(ran_ms, step.estimate_ms);
+    }
+
+    fn history_of(&mut self, queue: &str) -> (usize, &mut QueueHistory) {
+        let index = match self.queues.get_index_of(queue) {
+            Some(index) => index,
+            None => {
+                self.queues
+                    .insert_full(Arc::from(queue), QueueHistory::default())
+                    .0
+            }
+        };
+        (index, &mut self.queues[index])
     }
 
     /// Facts on a job that has not ended.
@@ -108,15 +186,27 @@
             .pools
             .get_index_of(pool)
             .unwrap_or_else(|| self.pools.insert_full(Arc::from(pool)).0);
-        let facts = JobFacts {
+        let mut facts = JobFacts {
             pool,
+            queue: self.history_of(&job.spec.queue).0,
+            spec: Arc::clone(&job.spec),
             deadlines: Deadlines::of(job, policy.queues.get(job.spec.queue.as_str())),
+            begun: false,
+            pending_work: 0,
+            open_steps: 0,
             ready: ready_steps(key, job),
         };
+        facts.add_work(job);
         self.jobs.insert(key, facts);
     }
 }
 
+/// Work of a number of tasks of a step by their estimate, in thousandths of a core times ms.
+const fn work_of(step: &Step, tasks: u64) -> u64 {
+    let task = step.reservation().cpu.saturating_mul(step.estimate_ms);
+    task.saturating_mul(tasks)
+}
+
 /// Steps of begun occurrences that have pending tasks and whose `depends_on` steps are all done.
 fn ready_steps(key: JobKey, job: &Job) -> Vec<ReadyStep> {
     let mut ready = Vec::new();
--- a/src/scheduler/order/mod.rs
+++ b/src/scheduler/order/mod.rs
@@ -2,7 +2,10 @@
 //! changes.
 
 mod facts;
+mod history;
+mod plan;
 mod rooms;
 
 pub(super) use facts::{FactsCache, ReadyStep};
+pub(super) use plan::{Plan, PoolLoad, plan};
 pub(super) use rooms::{PoolRoom, SmallestTask};
--- a/src/scheduler/order/rooms.rs
+++ b/src/scheduler/order/rooms.rs
@@ -34,6 +34,9 @@
 pub(crate) struct PoolRoom {
     /// Indices of the targets.
     pub(crate) targets: Vec<usize>,
+    /// CPU of all targets of the pool that accept work, without what long-running tasks reserve,
+    /// in thousandths of a core.
+    pub(crate) capacity: u64,
     /// Most that one of the targets had free when the pass began, by resource.
     largest: Capacity,
     /// Reservations for which no target has room; none of them fits into another one.
@@ -56,12 +59,17 @@
             let Some(pool) = pool_of(target) else {
                 continue;
             };
-            if !target.used.fits(&smallest[pool].0, capacity) || !target.accepts_work(now) {
+            if !target.accepts_work(now) {
+                continue;
+            }
+            let room = &mut rooms[pool];
+            let long_running = target.long_running_used().cpu;
+            room.capacity += capacity.cpu.saturating_sub(long_running);
+            if !target.used.fits(&smallest[pool].0, capacity) {
                 continue;
             }
             let mut free = *capacity;
             free.subtract(&target.used);
-            let room = &mut rooms[pool];
             room.largest = room.largest.max_each(&free);
             room.targets.push(index);
         }
--- a/src/scheduler/urgency.rs
+++ b/src/scheduler/urgency.rs
@@ -22,13 +22,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Deadlines {
     long_running: bool,
-    priority: u32,
+    pub(super) priority: u32,
     /// When the job should end by its latency objective, in ms since 1970.
-    due_ms: u64,
+    pub(super) due_ms: u64,
     /// Until when the end of the job is of use to its caller, in ms since 1970.
     useful_until_ms: u64,
     /// Length of the critical path over steps with tasks that are not placed yet, in ms.
-    left_ms: u64,
+    pub(super) left_ms: u64,
 }
 
 impl Deadlines {
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler against a simulated platform in virtual time.
 
+mod burst;
 mod cancelled_jobs;
 mod capacity;
 mod crash_limits;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -119,6 +119,8 @@
     pub(crate) reports: Vec<(u64, bool)>,
     /// Run time of a job's tasks in ms, where it is not the step's estimate.
     pub(crate) run_times: IndexMap<JobKey, Millis>,
+    /// Run time of a job's tasks in percent of their estimate; that of each task varies by a fifth.
+    pub(crate) estimate_errors: IndexMap<JobKey, u64>,
     policy: Arc<Policy>,
     processes: Vec<Process>,
     /// Pending actions by their time and number.
@@ -161,6 +163,7 @@
             moves: Vec::new(),
             reports: Vec::new(),
             run_times: IndexMap::new(),
+            estimate_errors: IndexMap::new(),
             policy: Arc::new(policy()),
             processes: Vec::new(),
             actions: BTreeMap::new(),
@@ -371,11 +374,17 @@
 
     /// State of a job, as stored.
     pub(crate) fn state(&self, key: JobKey) -> Option<JobState> {
+        let table = self.stored();
+        table.get(key).map(amaranthwick::scheduler::Job::state)
+    }
+
+    /// All that is stored.
+    pub(crate) fn stored(&self) -> JobTable {
         let mut table = JobTable::default();
         for change in &self.log {
             table.apply(change.clone());
         }
-        table.get(key).map(amaranthwick::scheduler::Job::state)
+        table
     }
 
     /// Running tasks of the job, with their targets.
@@ -793,7 +802,12 @@
 
     fn work(&mut self, step: &Step, task: TaskKey) -> Work {
         let length = self.run_times.get(&task.step.job);
-        let length = length.copied().unwrap_or(step.estimate_ms);
+        let mut length = length.copied().unwrap_or(step.estimate_ms);
+        if let Some(percent) = self.estimate_errors.get(&task.step.job) {
+            // The same in each replay, in whatever order tasks start.
+            let seed = task.step.job.0 ^ (u64::from(task.step.step) << 32) ^ u64::from(task.index);
+            length = length * percent / 100 * Rng::with_seed(seed).u64(80..=120) / 100;
+        }
         let fails = self.rng.u32(..1_000) < self.faults.failed_runs;
         if fails {
             self.crashes.allow_failure(task.step.job);
