--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -1,7 +1,8 @@
 //! Tests of the scheduler against a simulated platform in virtual time.
 
 mod admission;
-mod bursts;
+mod admission_replays;
+mod job_order;
 mod cancelled_jobs;
 mod capacity;
 mod crash_limits;
