Size pools by what could start and its trend again

A pool asked for too little at the start of a turn, so that jobs became late, and for steps that could not start yet. Jobs past use still ask for progress only, and grants, reclaiming and draining stay. Also mended, found in review: starts that were planned are no longer dropped when their target is reclaimed; evacuated targets use up no surplus; time without work counts for the release of a VM.

--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -8,8 +8,8 @@
 use super::balance::PoolRequest;
 use super::{Capacity, Millis};
 
-/// A VM without work is moved to the standby pool once its pool has not needed it for this long to the standby pool, in ms: a move
-/// costs as much as a second in a pool, and demand next changes several seconds later.
+/// A VM without work is moved to the standby pool once its pool has not needed it for this long, in
+/// ms: a move costs as much as a second in a pool, and demand next changes several seconds later.
 const STANDBY_AFTER_IDLE_MS: Millis = 500;
 
 /// Capacity that is lost because tasks do not fill a VM exactly, in percent of the demand.
@@ -25,9 +25,9 @@
     pub(super) lacking: Capacity,
     /// Number of VMs in the pool or on their way to it, without those that are to leave.
     pub(super) vms: usize,
-    /// Capacity that its jobs need to end within their objectives.
+    /// Capacity that its runs reserve, and the tasks that could start now of jobs that are of use.
     pub(super) demand: Capacity,
-    /// Further demand expected by the time that a VM moved now is ready, from recent arrivals.
+    /// Further demand expected by the time that a VM moved now is ready.
     pub(super) expected_rise: Capacity,
     /// Whether a job for the pool is known. Before the first one the pool's demand is
     /// unknown, and it gives no VMs away.
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -8,6 +8,7 @@
 use super::Leader;
 use crate::scheduler::balance::{PoolRequest, grant_vms};
 use crate::scheduler::demand::{MoveCandidate, PoolDemand, PoolMove, plan_moves};
+use crate::scheduler::target::Drain;
 use crate::scheduler::vm::VmOrder;
 use crate::scheduler::{Capacity, JobTable, Millis, Step, StepKey, VmState};
 
@@ -32,12 +33,10 @@
         else {
             return self.end_drains();
         };
-        self.note_arrivals(table, now);
-        let mut pools = self.pool_demands(table, &standby, now);
+        let mut pools = self.pool_demands(table, &standby);
         for (name, pool) in &mut pools {
-            let arrivals = self.arrivals.entry(Arc::clone(name)).or_default();
-            pool.expected_rise = arrivals.capacity(now);
-            pool.expected_rise.subtract(&pool.demand);
+            let trend = self.demand_trends.entry(Arc::clone(name)).or_default();
+            pool.expected_rise = trend.add_sample(pool.demand, now);
         }
         let candidates = self.move_candidates(now);
         grant(&mut pools, &candidates, &standby);
@@ -68,12 +67,7 @@
     }
 
     /// VMs and demand of each pool but the standby pool, by name.
-    fn pool_demands(
-        &self,
-        table: &JobTable,
-        standby: &str,
-        now: Millis,
-    ) -> IndexMap<Arc<str>, PoolDemand> {
+    fn pool_demands(&self, table: &JobTable, standby: &str) -> IndexMap<Arc<str>, PoolDemand> {
         let names = self.policy.pools.keys().filter(|name| ***name != *standby);
         let mut pools: IndexMap<Arc<str>, PoolDemand> = names
             .map(|name| {
@@ -142,10 +136,10 @@
                 }
             }
         }
-        for (name, work) in self.pool_works(table, pools.keys(), now) {
+        for (name, work) in self.pool_works(table, pools.keys()) {
             let pool = &mut pools[&name];
             pool.priority = work.priority.unwrap_or(u32::MAX);
-            pool.demand = work.needed();
+            pool.demand = work.demand.max_each(&work.least);
         }
         pools
     }
@@ -206,7 +200,8 @@
                         let target = self.targets.get(&id)?;
                         let idle =
                             target.removable() && target.listed && target.vacating_since.is_none();
-                        idle.then(|| target.drain.map_or(0, |drain| now - drain.since))
+                        let since = |drain: Drain| drain.since.min(target.idle_since);
+                        idle.then(|| target.drain.map_or(0, |drain| now - since(drain)))
                     }
                 };
                 Some(MoveCandidate {
--- a/src/scheduler/leader/drains.rs
+++ b/src/scheduler/leader/drains.rs
@@ -90,7 +90,7 @@
             .filter(|(_, target)| {
                 target.listed
                     && *target.entry.pool == *pool
-                    && target.vacating_since.is_none()
+                    && target.stays()
                     && target.long_running_runs() == 0
                     && may_leave(target)
             })
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -32,7 +32,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::balance::Arrivals;
+use super::balance::DemandTrend;
 use super::order::FactsCache;
 use super::placement::ReservedTargets;
 use super::target::{HoldState, Target};
@@ -94,10 +94,8 @@
     journal: Journal,
     admission: Admission,
     vm_tracker: VmTracker,
-    /// Work that has recently arrived in each pool, by the pool's name.
-    arrivals: IndexMap<Arc<str>, Arrivals>,
-    /// Jobs that had not ended when the demand was last computed.
-    known_jobs: IndexSet<JobKey>,
+    /// Recent demand of each pool, by the pool's name.
+    demand_trends: IndexMap<Arc<str>, DemandTrend>,
     /// When the maintenance waves are next advanced.
     next_wave_check: Millis,
     /// When the demand of the pools is next computed.
--- a/src/scheduler/leader/pool_work.rs
+++ b/src/scheduler/leader/pool_work.rs
@@ -1,35 +1,41 @@
-//! Collects what is left to do of the jobs of each pool, and the work that new jobs bring.
+//! Collects what the runs of each pool reserve, and what its waiting tasks need.
 
 use std::sync::Arc;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use super::Leader;
-use crate::scheduler::balance::{PoolWork, RunningTask, WaitingTasks, work_of};
+use super::schedule::pending_tasks;
 use crate::scheduler::urgency::Urgency;
-use crate::scheduler::{Job, JobKey, JobTable, Millis, StepKey};
+use crate::scheduler::{Capacity, Job, JobKey, JobTable, StepKey};
 
-/// A job that is first seen longer than this after it was accepted does not count as arriving, in
-/// ms: a new leader sees all jobs for the first time.
-const ARRIVAL_LAG_MS: u64 = 1_000;
-
-/// Least part of its estimate that a run is taken to go on, in percent: a run that has outlasted
-/// its estimate ends at an unknown time.
-const LEAST_REMAINING_PERCENT: u64 = 20;
+/// Demand of a pool's jobs.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PoolWork {
+    /// What runs reserve, and the tasks that could start now of jobs that are of use.
+    pub(super) demand: Capacity,
+    /// The most that a waiting step of a job past its use needs to make progress.
+    pub(super) least: Capacity,
+    /// Highest priority of the jobs that are of use and run to an end; `None` without one.
+    pub(super) priority: Option<u32>,
+}
 
 impl Leader {
     /// Work of each of the named pools. Jobs that would end too late to be of use ask for no more
-    /// than progress; what runs of them still delays the others.
+    /// than progress.
     pub(super) fn pool_works<'a>(
         &self,
         table: &JobTable,
         names: impl Iterator<Item = &'a Arc<str>>,
-        now: Millis,
     ) -> IndexMap<Arc<str>, PoolWork> {
         let mut works: IndexMap<Arc<str>, PoolWork> = names
             .map(|name| (Arc::clone(name), PoolWork::default()))
             .collect();
-        let mut useless: IndexSet<JobKey> = IndexSet::new();
+        for target in self.targets.values().filter(|target| target.listed) {
+            if let Some(work) = works.get_mut(&target.entry.pool) {
+                work.demand.add(&target.used);
+            }
+        }
         for key in &self.active_jobs {
             let Some(job) = table.get(*key) else { continue };
             let pool = self.policy.pool_of(&job.spec.queue, &job.spec.pool);
@@ -37,91 +43,60 @@
                 continue;
             };
             let queue = self.policy.queues.get(job.spec.queue.as_str());
-            let urgency = Urgency::of(*key, job, queue, self.wall_ms);
-            if urgency.past_use() {
-                useless.insert(*key);
-                for step in waiting_tasks(*key, job, 0) {
-                    work.least = work.least.max_each(&step.least());
-                }
-            } else {
-                if !job.spec.is_long_running() {
-                    let priority = queue.map_or(u32::MAX, |queue| queue.priority);
-                    let highest = work.priority.map_or(priority, |other| other.min(priority));
-                    work.priority = Some(highest);
-                }
-                let left_ms = urgency.last_useful_ms(job).saturating_sub(self.wall_ms);
-                work.waiting.extend(waiting_tasks(*key, job, left_ms));
+            let useless = Urgency::of(*key, job, queue, self.wall_ms).past_use();
+            if !useless && !job.spec.is_long_running() {
+                let priority = queue.map_or(u32::MAX, |queue| queue.priority);
+                work.priority = work.priority.into_iter().chain([priority]).min();
             }
-        }
-        for target in self.targets.values().filter(|target| target.listed) {
-            let Some(work) = works.get_mut(&target.entry.pool) else {
-                continue;
-            };
-            for (task, run) in &target.runs {
-                let job = table.get(task.step.job);
-                let step = job.and_then(|job| job.spec.steps.get(task.step.step as usize));
-                let estimate_ms = step.map_or(0, |step| step.estimate_ms);
-                let passed = run.running_since.map_or(0, |since| now - since);
-                let least_ms = estimate_ms.saturating_mul(LEAST_REMAINING_PERCENT) / 100;
-                let remaining_ms = if run.long_running {
-                    u64::MAX
+            for waiting in waiting_steps(*key, job) {
+                if useless {
+                    let least = multiply(&waiting.reservation, waiting.least);
+                    work.least = work.least.max_each(&least);
                 } else {
-                    estimate_ms.saturating_sub(passed).max(least_ms)
-                };
-                work.running.push(RunningTask {
-                    reserved: run.reserved,
-                    remaining_ms,
-                });
-                if !useless.contains(&task.step.job) {
-                    work.used.add(&run.reserved);
+                    let all = multiply(&waiting.reservation, waiting.count);
+                    work.demand.add(&all);
                 }
             }
         }
         works
     }
+}
 
-    /// Adds the jobs that have arrived since the last call to the arrivals of their pools.
-    pub(super) fn note_arrivals(&mut self, table: &JobTable, now: Millis) {
-        for key in self.active_jobs.difference(&self.known_jobs) {
-            let Some(job) = table.get(*key) else { continue };
-            if self.wall_ms.saturating_sub(job.spec.accepted_ms) < ARRIVAL_LAG_MS {
-                let pool = self.policy.pool_of(&job.spec.queue, &job.spec.pool);
-                let arrivals = self.arrivals.entry(Arc::from(pool)).or_default();
-                arrivals.add(work_of(&job.spec.steps), now);
-            }
-        }
-        self.known_jobs.clone_from(&self.active_jobs);
-    }
+/// Tasks of a step that could start now.
+struct WaitingStep {
+    reservation: Capacity,
+    count: u64,
+    /// Number of tasks that make progress: all of a gang.
+    least: u64,
 }
 
-/// The waiting tasks of a job that has `left_ms` to end, by step.
-fn waiting_tasks(key: JobKey, job: &Job, left_ms: u64) -> Vec<WaitingTasks> {
-    let mut waiting = Vec::new();
-    for occurrence in (0..).take(job.progress.occurrences.len()) {
-        // Time that the steps after each step take, in ms.
-        let mut after_ms = vec![0; job.spec.steps.len()];
-        for (i, spec) in job.spec.steps.iter().enumerate().rev() {
-            let key = StepKey {
-                job: key,
-                occurrence,
-                step: u32::try_from(i).unwrap_or(u32::MAX),
-            };
-            let after = after_ms[i];
-            for needed in &spec.depends_on {
-                let before = &mut after_ms[*needed as usize];
-                *before = (after + spec.estimate_ms).max(*before);
-            }
-            let count = super::schedule::pending_tasks(job, key).len() as u64;
-            if count > 0 {
-                waiting.push(WaitingTasks {
-                    count,
+/// Steps of a job with tasks that could start now.
+fn waiting_steps(key: JobKey, job: &Job) -> impl Iterator<Item = WaitingStep> {
+    (0..)
+        .zip(&job.progress.occurrences)
+        .flat_map(move |(occurrence, progress)| {
+            (0..).zip(&job.spec.steps).filter_map(move |(step, spec)| {
+                let step = StepKey {
+                    job: key,
+                    occurrence,
+                    step,
+                };
+                let mut needed = spec.depends_on.iter();
+                let count = pending_tasks(job, step).len() as u64;
+                let ready = count > 0 && needed.all(|needed| progress.step_done(*needed));
+                ready.then(|| WaitingStep {
                     reservation: spec.reservation(),
-                    estimate_ms: spec.estimate_ms,
-                    left_ms: left_ms.saturating_sub(after),
-                    gang: spec.gang,
-                });
-            }
-        }
+                    count,
+                    least: if spec.gang { count } else { 1 },
+                })
+            })
+        })
+}
+
+const fn multiply(amount: &Capacity, count: u64) -> Capacity {
+    Capacity {
+        cpu: amount.cpu.saturating_mul(count),
+        mem_mb: amount.mem_mb.saturating_mul(count),
+        gpu: amount.gpu.saturating_mul(count),
     }
-    waiting
 }
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -36,7 +36,7 @@
         };
         let job = table.get(task.step.job);
         let job = job.filter(|job| !job.state().ended());
-        let may_start = target.accepts_work(now) && target.fits_planned_run(task);
+        let may_start = target.may_start(now) && target.fits_planned_run(task);
         let deadline = target.lease.extend(now, lease_ms).filter(|_| may_start);
         let (Some(job), Some(deadline_ms)) = (job, deadline) else {
             target.remove_run(task, now);
@@ -82,7 +82,7 @@
             })
             .filter(|(id, task)| {
                 let target = self.targets.get(id);
-                !target.is_some_and(|t| t.accepts_work(now) && t.fits_planned_step(task.step))
+                !target.is_some_and(|t| t.may_start(now) && t.fits_planned_step(task.step))
             })
             .map(|(_, task)| task.step)
             .collect();
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -189,10 +189,14 @@
 
     /// Returns whether new runs may be placed on it at `now`.
     pub(super) fn accepts_work(&self, now: Millis) -> bool {
+        !self.drain.is_some_and(|drain| drain.reclaimed) && self.may_start(now)
+    }
+
+    /// Returns whether runs that were placed on it may start at `now`.
+    pub(super) fn may_start(&self, now: Millis) -> bool {
         self.listed
             && self.token_accepted
             && self.stays()
-            && !self.drain.is_some_and(|drain| drain.reclaimed)
             && self.missed_calls == 0
             && self.entry.state == TargetState::Ready
             && self.health.usable(now)
--- a/src/scheduler/urgency.rs
+++ b/src/scheduler/urgency.rs
@@ -95,7 +95,6 @@
 
 impl Urgency {
     /// Position of a job at `wall_ms`, for callers without [`Deadlines`] of it.
-    #[allow(dead_code)] // For the demand of pools, which is to leave jobs past use out.
     pub(super) fn of(key: JobKey, job: &Job, queue: Option<&Queue>, wall_ms: u64) -> Self {
         Deadlines::of(job, queue).urgency(key, wall_ms)
     }
@@ -106,18 +105,6 @@
     pub(super) fn past_use(&self) -> bool {
         self.timeliness == Timeliness::TooLate
     }
-
-    /// Time of day at which the job should end at the latest, in ms since 1970: by its objective,
-    /// or for a job that can only end late, while it is of use.
-    pub(super) fn last_useful_ms(&self, job: &Job) -> u64 {
-        if self.timeliness != Timeliness::Late {
-            return self.due_ms;
-        }
-        let latest = job.progress.occurrences.len().saturating_sub(1);
-        let latest = u32::try_from(latest).unwrap_or(u32::MAX);
-        let start_ms = job.spec.due_ms(latest).unwrap_or(job.spec.accepted_ms);
-        start_ms + self.due_ms.saturating_sub(start_ms) * LATE_FACTOR
-    }
 }
 
 /// Length in ms of the critical path over steps with tasks that are not placed yet.
--- a/tests/scheduler/admission.rs
+++ b/tests/scheduler/admission.rs
@@ -6,7 +6,7 @@
 use amaranthwick::scheduler::{JobSpec, Policy, RefusalCause};
 use rstest::rstest;
 
-use crate::bursts::{Arrivals, ESTIMATE_MS, Outcomes, Replay, TARGETS, TASKS};
+use crate::admission_replays::{Arrivals, ESTIMATE_MS, Outcomes, Replay, TARGETS, TASKS};
 use crate::fixtures::{TEAM, job, long_running_step, policy, step};
 use crate::world::{MIDNIGHT_MS, World};
 
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -2,7 +2,6 @@
 
 mod admission;
 mod admission_replays;
-mod job_order;
 mod cancelled_jobs;
 mod capacity;
 mod crash_limits;
@@ -17,6 +16,7 @@
 mod faults;
 mod fixtures;
 mod gangs;
+mod job_order;
 mod jobs;
 mod pool_day;
 mod pools;
