--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -8,7 +8,6 @@
 use super::Leader;
 use crate::scheduler::balance::{PoolRequest, grant_vms};
 use crate::scheduler::demand::{MoveCandidate, PoolDemand, PoolMove, plan_moves};
-use crate::scheduler::target::Drain;
 use crate::scheduler::vm::VmOrder;
 use crate::scheduler::{Capacity, JobTable, Millis, Step, StepKey, VmState};
 
@@ -200,8 +199,7 @@
                         let target = self.targets.get(&id)?;
                         let idle =
                             target.removable() && target.listed && target.vacating_since.is_none();
-                        let since = |drain: Drain| drain.since.min(target.idle_since);
-                        idle.then(|| target.drain.map_or(0, |drain| now - since(drain)))
+                        idle.then(|| target.drain.map_or(0, |drain| now - drain.since))
                     }
                 };
                 Some(MoveCandidate {
--- a/src/scheduler/leader/pool_work.rs
+++ b/src/scheduler/leader/pool_work.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::Leader;
 use super::schedule::pending_tasks;
@@ -12,7 +12,7 @@
 /// Demand of a pool's jobs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PoolWork {
-    /// What runs reserve, and the tasks that could start now of jobs that are of use.
+    /// What the runs and the tasks that could start now of jobs that are of use reserve.
     pub(super) demand: Capacity,
     /// The most that a waiting step of a job past its use needs to make progress.
     pub(super) least: Capacity,
@@ -31,11 +31,7 @@
         let mut works: IndexMap<Arc<str>, PoolWork> = names
             .map(|name| (Arc::clone(name), PoolWork::default()))
             .collect();
-        for target in self.targets.values().filter(|target| target.listed) {
-            if let Some(work) = works.get_mut(&target.entry.pool) {
-                work.demand.add(&target.used);
-            }
-        }
+        let mut useless_jobs: IndexSet<JobKey> = IndexSet::new();
         for key in &self.active_jobs {
             let Some(job) = table.get(*key) else { continue };
             let pool = self.policy.pool_of(&job.spec.queue, &job.spec.pool);
@@ -44,7 +40,9 @@
             };
             let queue = self.policy.queues.get(job.spec.queue.as_str());
             let useless = Urgency::of(*key, job, queue, self.wall_ms).past_use();
-            if !useless && !job.spec.is_long_running() {
+            if useless {
+                useless_jobs.insert(*key);
+            } else if !job.spec.is_long_running() {
                 let priority = queue.map_or(u32::MAX, |queue| queue.priority);
                 work.priority = work.priority.into_iter().chain([priority]).min();
             }
@@ -58,6 +56,15 @@
                 }
             }
         }
+        for target in self.targets.values().filter(|target| target.listed) {
+            let Some(work) = works.get_mut(&target.entry.pool) else {
+                continue;
+            };
+            let runs = target.runs.iter();
+            for (_, run) in runs.filter(|(task, _)| !useless_jobs.contains(&task.step.job)) {
+                work.demand.add(&run.reserved);
+            }
+        }
         works
     }
 }
