Let the fake store of the dispatch tests return what the leader stores

A claimer now waits until it has read its claim back from the stream, which the fake never returned, so no process of these tests came to lead: two tests failed to start. The fake can also fail reads, for a test of outdated tables.

--- a/tests/dispatch/fakes.rs
+++ b/tests/dispatch/fakes.rs
@@ -26,6 +26,10 @@
     /// The store's answer to records of callers.
     pub(crate) append: AppendOutcome,
     pub(crate) appended: Vec<Record>,
+    /// Records of the leader that the stream holds after the loaded ones.
+    pub(crate) stream: Vec<Change>,
+    /// Whether the stream can be read.
+    pub(crate) readable: bool,
     /// Ages of the summary that the entry told the leader.
     pub(crate) summary_ages: Vec<Option<Millis>>,
 }
@@ -51,10 +55,19 @@
 
     async fn read_records(&self, from: u64, _wait_ms: u64) -> ReadOutcome<Page> {
         pause(20).await;
+        let script = self.script();
+        if !script.readable {
+            return ReadOutcome::Failed("unavailable".to_owned());
+        }
+        let unread = script
+            .stream
+            .get(usize::try_from(from).unwrap() - 1..)
+            .unwrap_or_default();
+        let end = from + unread.len() as u64;
         ReadOutcome::Read(Page {
-            changes: Vec::new(),
-            next: from,
-            end: from,
+            changes: unread.to_vec(),
+            next: end,
+            end,
         })
     }
 
@@ -65,10 +78,13 @@
         producer: Option<Producer>,
         _expected: Option<u64>,
     ) -> AppendOutcome {
+        let mut script = self.script();
         if producer.is_some() {
-            return AppendOutcome::Stored { end: 1 };
+            let changes = records.iter().cloned().map(Change::Put);
+            script.stream.extend(changes);
+            let end = 1 + script.stream.len() as u64;
+            return AppendOutcome::Stored { end };
         }
-        let mut script = self.script();
         script.appended.extend_from_slice(records);
         script.append
     }
--- a/tests/dispatch/process.rs
+++ b/tests/dispatch/process.rs
@@ -191,6 +191,8 @@
             forward: ForwardAnswer::plain(stored()),
             append: stored(),
             appended: Vec::new(),
+            stream: Vec::new(),
+            readable: true,
             summary_ages: Vec::new(),
         })));
         let settings = DispatchSettings {
