Answer unknown for a job that an earlier call may have stored

Refusals because the store is unavailable looked only at the tries of the same call, so a repeat within 10 s of an unanswered append was told "not run". The new test failed before with StoreUnavailable for the repeat.

--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -84,25 +84,23 @@
     /// Stores a job; gives up after `limit_ms`. A job whose key is known counts as accepted.
     pub async fn submit(&self, key: JobKey, spec: JobSpec, limit_ms: u64) -> Submission {
         let shared = &self.shared;
-        let deadline = shared.clock.now() + limit_ms;
+        let begun_at = shared.clock.now();
+        let deadline = begun_at + limit_ms;
+        // An earlier call may have left the record stored, or on its way to the store.
+        let mut sent = shared.lock().admissions.maybe_stored(key, begun_at);
         match self.local_lookup(key) {
             Lookup::Found(_) => return Submission::Accepted,
-            Lookup::Unavailable => return Submission::Refused(Refusal::STORE_UNAVAILABLE),
+            Lookup::Unavailable => {
+                return self.refuse(key, sent, Refusal::STORE_UNAVAILABLE);
+            }
             Lookup::NotFound => {}
         }
         let record = Record::Job(key, spec);
-        let mut sent = false;
         let mut refused = 0;
         loop {
             let appended = append_queue::append(shared, vec![record.clone()]).await;
             if let Some(refusal) = appended.refusal(key) {
-                // An earlier try may have been stored, or may still be.
-                let now = shared.clock.now();
-                return if sent || shared.lock().admissions.maybe_stored(key, now) {
-                    Submission::Unknown
-                } else {
-                    Submission::Refused(refusal)
-                };
+                return self.refuse(key, sent, refusal);
             }
             match appended.outcome {
                 AppendOutcome::Stored { .. } => break,
@@ -116,15 +114,9 @@
             if shared.lock().table.get(key).is_some() {
                 return Submission::Accepted;
             }
-            if !sent && refused >= MAX_REFUSED_TRIES {
-                return Submission::Refused(Refusal::STORE_UNAVAILABLE);
-            }
-            if shared.clock.now() >= deadline {
-                return if sent {
-                    Submission::Unknown
-                } else {
-                    Submission::Refused(Refusal::STORE_UNAVAILABLE)
-                };
+            let gives_up = !sent && refused >= MAX_REFUSED_TRIES;
+            if gives_up || shared.clock.now() >= deadline {
+                return self.refuse(key, sent, Refusal::STORE_UNAVAILABLE);
             }
             Timer::after(Duration::from_millis(RETRY_MS)).await;
         }
@@ -132,6 +124,17 @@
         Submission::Accepted
     }
 
+    /// Outcome of a submission that is refused: unknown if a try of this call was `sent` without a
+    /// usable answer, or one of another call was, because that may be stored.
+    fn refuse(&self, key: JobKey, sent: bool, refusal: Refusal) -> Submission {
+        let now = self.shared.clock.now();
+        if sent || self.shared.lock().admissions.maybe_stored(key, now) {
+            Submission::Unknown
+        } else {
+            Submission::Refused(refusal)
+        }
+    }
+
     /// Applies a stored record at once, before it is read from the stream.
     fn apply_stored(&self, key: JobKey, record: Record) {
         let now = self.shared.clock.now();
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -47,6 +47,35 @@
     assert_eq!(second, Submission::Unknown);
 }
 
+/// Guards against "not run" for a job that an earlier, unanswered append may still store, while the
+/// store refuses appends or the stream can't be read.
+#[test]
+fn a_job_that_may_be_stored_is_not_reported_as_not_run_by_an_unavailable_store() {
+    let process = Process::start(false);
+    process.services.script().forward = ForwardAnswer::plain(AppendOutcome::Unknown);
+    process.services.script().append = AppendOutcome::Unknown;
+    let first = process.submit(100);
+
+    process.services.script().forward = ForwardAnswer::plain(AppendOutcome::Busy);
+    process.services.script().append = AppendOutcome::Busy;
+    let busy = process.submit(100);
+    let other = process.submit(101);
+    process.services.script().readable = false;
+    thread::sleep(Duration::from_millis(1_300));
+    let outdated = process.submit(100);
+    let other_outdated = process.submit(101);
+
+    assert_eq!(first, Submission::Unknown);
+    assert_eq!(busy, Submission::Unknown);
+    assert_eq!(outdated, Submission::Unknown);
+    for other in [other, other_outdated] {
+        let Submission::Refused(refusal) = other else {
+            panic!("{other:?}");
+        };
+        assert_eq!(refusal.cause, RefusalCause::StoreUnavailable);
+    }
+}
+
 /// Guards against overload by an entry that has lost its leader, and against refusals by old
 /// figures: it decides by the last summary while that is fresh.
 #[test]
