Count the time for which a job may be stored from its last try

It counted from the first, so a repeat more than 10 s later was told "not run" although the append of a try in between might still be stored. Jobs are kept in a map, with their tries in order of time beside it, so that dropping the expired ones takes constant time each: shift_remove_index(0) moved all others under the state's lock.

--- a/src/dispatch/admitting.rs
+++ b/src/dispatch/admitting.rs
@@ -1,7 +1,7 @@
 //! Decides on jobs of callers before they are stored: the leader by its own figures, another
 //! process that stores them itself by the last summary that it received.
 
-use indexmap::IndexMap;
+use std::collections::{HashMap, VecDeque};
 
 use super::forwarding::RefusedJob;
 use super::state::{Shared, State};
@@ -17,9 +17,12 @@
 pub(super) struct Admissions {
     /// Last summary of a leader, and when it was received.
     summary: Option<(Backlog, Millis)>,
-    /// Jobs that were accepted or sent to be stored, the earliest first. They are in no table before
-    /// their records have been read, but may be stored.
-    unsettled: IndexMap<JobKey, UnsettledJob>,
+    /// Jobs that were accepted or sent to be stored. They are in no table before their records have
+    /// been read, but may be stored.
+    unsettled: HashMap<JobKey, UnsettledJob>,
+    /// When jobs became unsettled or were renewed, the earliest first, so that those that expire
+    /// are found without a search.
+    tries: VecDeque<(Millis, JobKey)>,
     /// Records are stored without the leader before this time, because it did not store some.
     pub(super) bypass_until: Millis,
 }
@@ -27,7 +30,8 @@
 /// A job whose record has not been read yet.
 #[derive(Clone, Copy, Debug)]
 struct UnsettledJob {
-    accepted_at: Millis,
+    /// When it was last accepted, or its record last sent.
+    tried_at: Millis,
     /// Whether an append of its record had no usable answer.
     maybe_stored: bool,
 }
@@ -46,22 +50,32 @@
 
     /// Notes that a job was accepted, or sent to be stored: `maybe_stored` if that had no usable
     /// answer.
-    fn mark_unsettled(&mut self, key: JobKey, maybe_stored: bool, now: Millis) {
-        while let Some((_, job)) = self.unsettled.first()
-            && !job.is_current(now)
+    pub(super) fn mark_unsettled(&mut self, key: JobKey, maybe_stored: bool, now: Millis) {
+        while let Some(&(at, tried)) = self.tries.front()
+            && !is_current(at, now)
         {
-            self.unsettled.shift_remove_index(0);
+            self.tries.pop_front();
+            // A job that was renewed has a later entry.
+            if self
+                .unsettled
+                .get(&tried)
+                .is_some_and(|job| job.tried_at == at)
+            {
+                self.unsettled.remove(&tried);
+            }
         }
         let job = self.unsettled.entry(key).or_insert(UnsettledJob {
-            accepted_at: now,
+            tried_at: now,
             maybe_stored,
         });
+        job.tried_at = now;
         job.maybe_stored |= maybe_stored;
+        self.tries.push_back((now, key));
     }
 
     fn unsettled(&self, key: JobKey, now: Millis) -> Option<&UnsettledJob> {
         let job = self.unsettled.get(&key);
-        job.filter(|job| job.is_current(now))
+        job.filter(|job| is_current(job.tried_at, now))
     }
 
     /// Returns whether an earlier append of the job's record had no usable answer.
@@ -71,12 +85,19 @@
     }
 }
 
-impl UnsettledJob {
-    const fn is_current(self, now: Millis) -> bool {
-        now <= self.accepted_at + UNSETTLED_MS
+#[cfg(test)]
+impl Admissions {
+    /// Number of unsettled jobs that are kept.
+    pub(super) fn unsettled_jobs(&self) -> usize {
+        self.unsettled.len()
     }
 }
 
+/// Returns whether a job that was last tried at `tried_at` is still unsettled.
+const fn is_current(tried_at: Millis, now: Millis) -> bool {
+    now <= tried_at + UNSETTLED_MS
+}
+
 impl State {
     /// Returns whether this process stores callers' records itself, and so decides on their jobs.
     pub(super) fn stores_itself(&self, member: &str, now: Millis) -> bool {
@@ -105,9 +126,9 @@
 
 /// Splits records into those to be stored and the jobs that are refused.
 pub(super) fn admit<S>(shared: &Shared<S>, records: Vec<Record>) -> (Vec<Record>, Vec<RefusedJob>) {
-    let now = shared.clock.now();
     let (mut admitted, mut refused) = (Vec::with_capacity(records.len()), Vec::new());
     let mut state = shared.lock();
+    let now = shared.clock.now();
     for record in records {
         if let Record::Job(key, spec) = &record {
             if let Err(refusal) = state.decide(*key, spec, now) {
@@ -131,8 +152,8 @@
 /// Notes that the jobs among `records` are accepted, or `maybe_stored`, so that they are not refused
 /// later.
 pub(super) fn mark_unsettled<S>(shared: &Shared<S>, records: &[Record], maybe_stored: bool) {
-    let now = shared.clock.now();
     let mut state = shared.lock();
+    let now = shared.clock.now();
     for record in records {
         if let Record::Job(key, _) = record {
             state.admissions.mark_unsettled(*key, maybe_stored, now);
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -16,6 +16,8 @@
 mod services;
 mod state;
 mod store_router;
+#[cfg(test)]
+mod tests;
 mod writer;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/src/dispatch/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of decisions that the module keeps to itself.
+
+mod admitting;
