Treat records with one id in a message alike

If one was refused and a later one accepted, the answer named the id as refused although a record of it was stored. The new test failed before: the record of the refused job was stored.

--- a/src/dispatch/admitting.rs
+++ b/src/dispatch/admitting.rs
@@ -131,6 +131,10 @@
     let now = shared.clock.now();
     for record in records {
         if let Record::Job(key, spec) = &record {
+            // The answer names refused jobs by id, so records with one id are treated alike.
+            if refused.iter().any(|job: &RefusedJob| job.key == *key) {
+                continue;
+            }
             if let Err(refusal) = state.decide(*key, spec, now) {
                 refused.push(RefusedJob { key: *key, refusal });
                 continue;
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -153,6 +153,30 @@
     assert!(matches!(own, Submission::Refused(_)), "{own:?}");
 }
 
+/// Guards against "not run" for a job that is stored, because a message has two records with its id
+/// of which only one would be refused.
+#[test]
+fn records_with_one_id_in_a_message_are_all_refused_or_all_stored() {
+    let process = Process::start(true);
+    let mut long_running = job();
+    long_running.steps[0].long_running = true;
+    let records = vec![
+        Record::Job(JobKey(100), job()),
+        Record::Job(JobKey(100), long_running.clone()),
+        Record::Job(JobKey(101), long_running),
+        Record::Job(JobKey(101), job()),
+    ];
+    let peer = PeerBuild::WithAdmission {
+        summary_age_ms: Some(0),
+    };
+
+    let answer = block_on(process.dispatch.store_forwarded(records, peer));
+
+    let refused: Vec<JobKey> = answer.appended.refused.iter().map(|r| r.key).collect();
+    assert_eq!(refused, [JobKey(100)]);
+    assert_eq!(process.stored_keys(), ["j/0000000000000065"; 2]);
+}
+
 /// Guards against refusals that an entry of an earlier build would read as stored, or store itself.
 #[test]
 fn the_leader_refuses_nothing_of_an_earlier_build() {
