Count only resources that a job needs in its expected wait

Queued work for accelerators refused jobs that need only CPU, and work for a resource that the pool has none of let all jobs pass. The three cases of the new test failed before.

--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -183,7 +183,7 @@
             cause,
             retry_s: retry_s(
                 pool,
-                excess_ms,
+                excess_ms + returning_ms(pool, claim),
                 drain_after_burst(pool, claim, team, cause),
                 key,
             ),
@@ -198,17 +198,22 @@
 
 /// Time until the work that goes before a job is done, in ms: that of all teams on the whole pool,
 /// or if that is sooner, that of the job's own team on the part which the team can expect, because
-/// what others have queued up does not delay a team within its share. `None` if it is not known.
+/// what others have queued up does not delay a team within its share. Only resources that the job
+/// needs count. `None` if it is not known.
 fn expected_wait_ms(
     pool: &PoolBacklog,
     claim: &JobClaim,
     team: Option<&str>,
     over: bool,
 ) -> Option<f64> {
-    let all = pool.wait_ms(&pool.ahead(claim.priority, over), 1.0)?;
+    let ahead = pool.ahead(claim.priority, over);
+    let all = pool.wait_ms(&ahead.of_resources(&claim.needs), 1.0)?;
     let Some(team) = team else { return Some(all) };
     match pool.own_ahead(claim.priority, team) {
-        Some((own, part)) => Some(all.min(pool.wait_ms(&own, part)?)),
+        Some((own, part)) => {
+            let own = own.of_resources(&claim.needs);
+            Some(all.min(pool.wait_ms(&own, part)?))
+        }
         None => Some(0.0),
     }
 }
@@ -230,14 +235,18 @@
     DRAIN_AFTER_BURST * part
 }
 
+/// Time that the work of jobs takes which were refused before this one, in ms.
+fn returning_ms(pool: &PoolBacklog, claim: &JobClaim) -> f64 {
+    let returning = pool.returning.of_resources(&claim.needs);
+    pool.wait_ms(&returning, 1.0).unwrap_or(0.0)
+}
+
 /// Time after which a refused job is expected to be accepted, in whole seconds: once the waiting
-/// time has fallen by `excess_ms` and the jobs refused before it have come back. While it does not
-/// fall, `later_drain` is the fraction of the capacity that is expected to be free after the burst.
+/// time has fallen by `to_drain_ms`. While it does not fall, `later_drain` is the fraction of the
+/// capacity that is expected to be free after the burst.
 ///
 /// It is stretched by up to a half, by the job's id, so that callers do not come back together.
-fn retry_s(pool: &PoolBacklog, excess_ms: f64, later_drain: f64, key: JobKey) -> u32 {
-    let returning_ms = pool.wait_ms(&pool.returning, 1.0).unwrap_or(0.0);
-    let to_drain_ms = excess_ms + returning_ms;
+fn retry_s(pool: &PoolBacklog, to_drain_ms: f64, later_drain: f64, key: JobKey) -> u32 {
     let wait_ms = if pool.drain >= MIN_DRAIN {
         to_drain_ms * 1_000.0 / f64::from(pool.drain)
     } else {
--- a/src/scheduler/tests/admission.rs
+++ b/src/scheduler/tests/admission.rs
@@ -178,6 +178,38 @@
     assert_eq!(decision(&backlog, &job(None), 0), Ok(()));
 }
 
+/// Guards against a job that is refused, or accepted without a look at the figures, because of
+/// work for a resource that it does not need: here accelerators, of which the pool has `gpus`.
+#[rstest]
+#[case::queued_up(1, 500, None)]
+#[case::queued_up_behind_cpu(1, 9_000, Some(RefusalCause::NoCapacity))]
+#[case::pool_without(0, 9_000, Some(RefusalCause::NoCapacity))]
+fn only_resources_that_a_job_needs_count(
+    #[case] gpus: u64,
+    #[case] wait_ms: u64,
+    #[case] expected: Option<RefusalCause>,
+) {
+    let gpu = |gpu| Capacity {
+        gpu,
+        ..Capacity::default()
+    };
+    let mut backlog = backlog(wait_ms, None);
+    let pool = &mut backlog.pools[POOL];
+    (pool.now.gpu, pool.later.gpu) = (gpus, gpus);
+    let accelerated = Work::of(&gpu(1), 1, 60_000);
+    pool.add(1, &accelerated, None, false);
+    pool.drain = 1_000;
+    pool.returning = accelerated;
+
+    let decision = decision(&backlog, &job(None), 0);
+
+    if let Err(refused) = decision {
+        // 9,700 ms must fall to 6,000 / 0.8 ms.
+        assert!(refused.refusal.retry_s <= 4, "{refused:?}");
+    }
+    assert_eq!(cause(decision), expected);
+}
+
 /// Guards against a job that would be refused however often its caller comes back: alone it takes
 /// longer than three times its objective.
 #[test]
--- a/src/scheduler/work.rs
+++ b/src/scheduler/work.rs
@@ -31,6 +31,17 @@
         self.0.add(&more.0);
     }
 
+    /// The part of the work for resources of which `needs` has some.
+    pub(super) fn of_resources(&self, needs: &Capacity) -> Self {
+        let [cpu, mem_mb, gpu] = amounts(*needs).map(|need| need > 0);
+        let part = |needed, amount| if needed { amount } else { 0 };
+        Self(Capacity {
+            cpu: part(cpu, self.0.cpu),
+            mem_mb: part(mem_mb, self.0.mem_mb),
+            gpu: part(gpu, self.0.gpu),
+        })
+    }
+
     pub(super) const fn subtract(&mut self, less: &Self) {
         self.0.subtract(&less.0);
     }
@@ -46,6 +57,8 @@
     pub(super) chain_ms: Millis,
     /// Work of all its tasks.
     pub(super) work: Work,
+    /// The most that one of its tasks reserves, of each resource.
+    pub(super) needs: Capacity,
     /// What the tasks reserve that can start at once.
     pub(super) ready: Capacity,
     pub(super) long_running: bool,
@@ -60,8 +73,10 @@
     pub(super) fn of(spec: &JobSpec, queue: Option<&Queue>) -> Self {
         let chain_ms = spec.critical_path_ms();
         let (mut work, mut ready) = (Work::default(), Capacity::default());
+        let mut needs = Capacity::default();
         for step in &spec.steps {
             let (amount, count) = (step.reservation(), u64::from(step.count));
+            needs = needs.max_each(&amount);
             work.add(&Work::of(&amount, count, step.estimate_ms));
             if step.depends_on.is_empty() {
                 ready.add(&multiply(&amount, count));
@@ -76,6 +91,7 @@
             objective_ms,
             chain_ms,
             work,
+            needs,
             ready,
             long_running: spec.is_long_running(),
             runs_at_once: spec.occurrence_count == 0,
