Leave out work of jobs that can only end past use from what is ahead

It was left out only from the end of a job's use on, while the scheduler starts jobs last as soon as their remaining path no longer fits. In the new test a job was refused before because of such work.

--- a/src/scheduler/leader/sums.rs
+++ b/src/scheduler/leader/sums.rs
@@ -9,7 +9,7 @@
 use super::schedule::pending_tasks;
 use crate::scheduler::backlog::PoolBacklog;
 use crate::scheduler::shares::TeamLoad;
-use crate::scheduler::urgency::LATE_FACTOR;
+use crate::scheduler::urgency::Urgency;
 use crate::scheduler::work::{JobClaim, Work, multiply, to_float};
 use crate::scheduler::{
     Capacity, Job, JobKey, JobState, JobTable, Policy, StepKey, TargetState, VmState,
@@ -97,7 +97,7 @@
         sums
     }
 
-    /// Adds the work of the jobs that have not ended and are not past use.
+    /// Adds the work of the jobs that have not ended and can still end while they are of use.
     pub(super) fn sum_work<'a>(
         &self,
         table: &'a JobTable,
@@ -115,7 +115,11 @@
                 unplaceable: self.unplaceable_step(&job.spec).is_some(),
                 ..JobClaim::of(&job.spec, queue)
             });
-            if claim.long_running || claim.unplaceable || is_past_use(job, claim, self.wall_ms) {
+            // Jobs that can only end past use start after all others.
+            if claim.long_running
+                || claim.unplaceable
+                || Urgency::of(*key, job, queue, self.wall_ms).past_use()
+            {
                 continue;
             }
             let (work, ready) = if job.progress.state == JobState::Queued && claim.runs_at_once {
@@ -142,15 +146,6 @@
     }
 }
 
-/// Returns whether a job would end so late that it is of no use to its caller.
-fn is_past_use(job: &Job, claim: &JobClaim, wall_ms: u64) -> bool {
-    let latest = job.progress.occurrences.len().saturating_sub(1);
-    let latest = u32::try_from(latest).unwrap_or(u32::MAX);
-    let start_ms = job.spec.due_ms(latest).unwrap_or(job.spec.accepted_ms);
-    let useful_ms = claim.objective_ms.saturating_mul(LATE_FACTOR);
-    claim.objective_ms > 0 && wall_ms > start_ms.saturating_add(useful_ms)
-}
-
 /// Work of the tasks of a job that are neither placed nor done, and what those of them reserve that
 /// could start now.
 fn remaining(key: JobKey, job: &Job) -> (Work, Capacity) {
--- a/tests/scheduler/admission.rs
+++ b/tests/scheduler/admission.rs
@@ -206,3 +206,18 @@
 
     assert_eq!(accepted.count(), 17);
 }
+
+/// Guards against jobs that pay for work which no longer goes before theirs: jobs that can only end
+/// past use, because what is left of them takes too long, start last.
+#[test]
+fn work_of_jobs_that_can_only_end_past_use_is_not_ahead() {
+    let (mut world, id) = overloaded_world(policy());
+    let before = world.offer(id, new_job(&world));
+
+    // Jobs are of use for 6,600 ms and take 1,000 ms, so from 5,600 ms on they end too late.
+    world.run_for(5_300);
+    let after = world.offer(id + 1, new_job(&world));
+
+    assert!(before.is_err());
+    assert!(after.is_ok(), "{after:?}");
+}
