--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -47,6 +47,35 @@
     assert_eq!(second, Submission::Unknown);
 }
 
+/// Guards against "not run" for a job that an earlier, unanswered append may still store, while the
+/// store refuses appends or the stream can't be read.
+#[test]
+fn a_job_that_may_be_stored_is_not_reported_as_not_run_by_an_unavailable_store() {
+    let process = Process::start(false);
+    process.services.script().forward = ForwardAnswer::plain(AppendOutcome::Unknown);
+    process.services.script().append = AppendOutcome::Unknown;
+    let first = process.submit(100);
+
+    process.services.script().forward = ForwardAnswer::plain(AppendOutcome::Busy);
+    process.services.script().append = AppendOutcome::Busy;
+    let busy = process.submit(100);
+    let other = process.submit(101);
+    process.services.script().readable = false;
+    thread::sleep(Duration::from_millis(1_300));
+    let outdated = process.submit(100);
+    let other_outdated = process.submit(101);
+
+    assert_eq!(first, Submission::Unknown);
+    assert_eq!(busy, Submission::Unknown);
+    assert_eq!(outdated, Submission::Unknown);
+    for other in [other, other_outdated] {
+        let Submission::Refused(refusal) = other else {
+            panic!("{other:?}");
+        };
+        assert_eq!(refusal.cause, RefusalCause::StoreUnavailable);
+    }
+}
+
 /// Guards against overload by an entry that has lost its leader, and against refusals by old
 /// figures: it decides by the last summary while that is fresh.
 #[test]
@@ -124,6 +153,30 @@
     assert!(matches!(own, Submission::Refused(_)), "{own:?}");
 }
 
+/// Guards against "not run" for a job that is stored, because a message has two records with its id
+/// of which only one would be refused.
+#[test]
+fn records_with_one_id_in_a_message_are_all_refused_or_all_stored() {
+    let process = Process::start(true);
+    let mut long_running = job();
+    long_running.steps[0].long_running = true;
+    let records = vec![
+        Record::Job(JobKey(100), job()),
+        Record::Job(JobKey(100), long_running.clone()),
+        Record::Job(JobKey(101), long_running),
+        Record::Job(JobKey(101), job()),
+    ];
+    let peer = PeerBuild::WithAdmission {
+        summary_age_ms: Some(0),
+    };
+
+    let answer = block_on(process.dispatch.store_forwarded(records, peer));
+
+    let refused: Vec<JobKey> = answer.appended.refused.iter().map(|r| r.key).collect();
+    assert_eq!(refused, [JobKey(100)]);
+    assert_eq!(process.stored_keys(), ["j/0000000000000065"; 2]);
+}
+
 /// Guards against refusals that an entry of an earlier build would read as stored, or store itself.
 #[test]
 fn the_leader_refuses_nothing_of_an_earlier_build() {
