--- a/src/scheduler/leader/crashes.rs
+++ b/src/scheduler/leader/crashes.rs
@@ -9,7 +9,7 @@
 
 use super::Leader;
 use crate::scheduler::run::{CLEARED_MS, Run, STARTUP_MS};
-use crate::scheduler::target::Incarnation;
+use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::{
     Crashes, JobKey, JobState, JobTable, LostTarget, Millis, TargetEntry, TargetId, TargetState,
     TaskKey,
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -6,7 +6,7 @@
 use super::crashes::{Loss, LostRuns};
 use super::{Leader, TargetReport};
 use crate::scheduler::run::RunPhase;
-use crate::scheduler::target::Incarnation;
+use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey, TaskPhase};
 
 impl Leader {
--- a/src/scheduler/leader/lost_targets.rs
+++ b/src/scheduler/leader/lost_targets.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 
 use super::Leader;
-use crate::scheduler::target::Incarnation;
+use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::{
     Crashes, JobTable, LostTarget, Millis, TargetEntry, TargetId, TargetState, TaskKey, VmState,
 };
--- a/src/scheduler/leader/pool_work.rs
+++ b/src/scheduler/leader/pool_work.rs
@@ -7,6 +7,7 @@
 use super::Leader;
 use super::schedule::pending_tasks;
 use crate::scheduler::urgency::Urgency;
+use crate::scheduler::work::multiply;
 use crate::scheduler::{Capacity, Job, JobKey, JobTable, StepKey};
 
 /// Demand of a pool's jobs.
@@ -99,11 +100,3 @@
             })
         })
 }
-
-const fn multiply(amount: &Capacity, count: u64) -> Capacity {
-    Capacity {
-        cpu: amount.cpu.saturating_mul(count),
-        mem_mb: amount.mem_mb.saturating_mul(count),
-        gpu: amount.gpu.saturating_mul(count),
-    }
-}
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -15,7 +15,8 @@
 use crate::scheduler::order::FactsCache;
 use crate::scheduler::placement::ReservedTargets;
 use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
-use crate::scheduler::target::{Incarnation, Target};
+use crate::scheduler::target::Target;
+use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::vms::VmTracker;
 use crate::scheduler::{
     Evacuations, JobTable, Millis, Policy, TargetEntry, TargetId, TaskKey, TaskPhase,
--- a/src/scheduler/leader/vm_orders.rs
+++ b/src/scheduler/leader/vm_orders.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{Command, Leader};
-use crate::scheduler::target::Incarnation;
+use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::vm::VmOrder;
 use crate::scheduler::{JobTable, Millis, VmOutcome};
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -28,6 +28,7 @@
 mod spec;
 mod table;
 mod target;
+mod target_entry;
 #[cfg(test)]
 mod tests;
 mod urgency;
@@ -53,6 +54,6 @@
 pub use run::{EndKind, EndedRun, RunningTask};
 pub use spec::{JobSpec, MAX_TASKS, SpecFault, Step};
 pub use table::{Job, JobTable};
-pub use target::{TargetEntry, TargetId, TargetState};
+pub use target_entry::{TargetEntry, TargetId, TargetState};
 pub use vm::{Vm, VmOutcome, VmState};
 pub use wave::Wave;
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -5,7 +5,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::target::{Target, TargetId};
+use super::TargetId;
+use super::target::Target;
 use super::{Millis, Step, StepKey};
 
 /// A request to place one task of a step.
--- a/src/scheduler/vms.rs
+++ b/src/scheduler/vms.rs
@@ -4,7 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::target::Incarnation;
+use super::target_entry::Incarnation;
 use super::vm::{Vm, VmOrder, VmOutcome, VmState};
 use super::{Millis, TargetEntry, TargetId, Wave};
 
