--- a/src/dispatch/forwarding.rs
+++ b/src/dispatch/forwarding.rs
@@ -8,7 +8,7 @@
 use crate::scheduler::{Backlog, JobKey, Millis, Refusal, RefusalCause};
 
 /// Age of the summary of another process from which the leader sends a new one, in ms: the process
-/// stops to refuse jobs by it at twice this age.
+/// stops refusing jobs by it at twice this age.
 const SUMMARY_RESEND_MS: Millis = 1_000;
 
 /// Whether a process that forwards records understands that jobs are refused.
