--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -99,9 +99,10 @@
     }
 }
 
-/// Plans the moves to make now. Pools that lack VMs that they are granted, first those without VMs
-/// for their long-running tasks, then by priority, then those that lack most, get the candidates that have been idle longest, beginning with VMs that are off. VMs that no pool
-/// needs move to the `standby` pool, whose VMs are off. The platform has refused moves for which
+/// Plans the moves to make now. Pools that hold fewer VMs than they are granted get the candidates
+/// that have been idle longest, beginning with VMs that are off: first the pools that lack VMs for
+/// their long-running tasks, then by priority, then those that lack most. VMs that no pool needs
+/// move to the `standby` pool, whose VMs are off. The platform has refused moves for which
 /// `possible` is false.
 pub(super) fn plan_moves(
     pools: &IndexMap<Arc<str>, PoolDemand>,
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -47,8 +47,8 @@
 }
 
 /// Chooses among the `targets` that have room one that is not slow after its start, then one that
-/// is not being drained, then one in the rack of the step's data, and then the fullest. Filling one target after the
-/// other leaves others empty, whose VMs can be moved to the standby pool.
+/// is not being drained, then one in the rack of the step's data, and then the fullest. Filling one
+/// target after the other leaves others empty, whose VMs can be moved to the standby pool.
 pub(super) fn choose_target<'a>(
     targets: impl Iterator<Item = (&'a TargetId, &'a Target)>,
     runs: &RackRuns<'_>,
