--- a/src/scheduler/balance/grants.rs
+++ b/src/scheduler/balance/grants.rs
@@ -9,29 +9,23 @@
     pub(crate) floor: usize,
     /// VMs that it asks for in all.
     pub(crate) wanted: usize,
-    /// Highest priority of its jobs; 0 is the highest.
-    pub(crate) priority: u32,
 }
 
 /// Number of the `available` VMs that each pool gets: first what the long-running tasks need, then
-/// pools by priority, and those of equal priority in equal steps, so that a pool that asks for many
-/// leaves those that ask for few what they need.
+/// the pools in equal steps, so that one that asks for many leaves those that ask for few what they
+/// need. The priority of jobs does not count: pools of lower priority would get nothing while one of
+/// a higher priority asks for more VMs than there are.
 pub(crate) fn grant_vms(requests: &[PoolRequest], available: usize) -> Vec<usize> {
     let mut granted = vec![0; requests.len()];
     let mut left = available;
     let floors: Vec<(usize, usize)> = requests.iter().map(|pool| pool.floor).enumerate().collect();
     left -= fill(&mut granted, &floors, left);
-    let mut priorities: Vec<u32> = requests.iter().map(|pool| pool.priority).collect();
-    priorities.sort_unstable();
-    priorities.dedup();
-    for priority in priorities {
-        let of_priority = requests.iter().enumerate();
-        let wanted: Vec<(usize, usize)> = of_priority
-            .filter(|(_, pool)| pool.priority == priority)
-            .map(|(i, pool)| (i, pool.wanted))
-            .collect();
-        left -= fill(&mut granted, &wanted, left);
-    }
+    let wanted: Vec<(usize, usize)> = requests
+        .iter()
+        .map(|pool| pool.wanted)
+        .enumerate()
+        .collect();
+    fill(&mut granted, &wanted, left);
     granted
 }
 
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -84,7 +84,6 @@
         PoolRequest {
             floor: self.min_vms.max(1).max(kept),
             wanted: self.wanted_vms().max(kept),
-            priority: self.priority,
         }
     }
 
