Log why the loss of a target counts against its runs or not

A run lost with its target was left out of the crash counts without a line that said why: its target was draining, it was to be stopped, or it had gone on for long. `loss_judged` gives the number of runs of each verdict.

--- a/src/scheduler/leader/crashes.rs
+++ b/src/scheduler/leader/crashes.rs
@@ -58,6 +58,34 @@
     }
 }
 
+/// What the loss of a target says of a run there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Verdict {
+    /// It may have caused the loss.
+    Suspected,
+    /// It may have begun, but the target was about to end in any case.
+    Explained,
+    /// It was to be stopped, and nothing had shown that it had begun.
+    Stopped,
+    /// It had gone on for too long to be the cause.
+    Outlasted,
+    /// Its start had not been sent.
+    NotSent,
+}
+
+impl Verdict {
+    /// Name in the log.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Suspected => "suspected",
+            Self::Explained => "explained",
+            Self::Stopped => "stopped",
+            Self::Outlasted => "outlasted",
+            Self::NotSent => "not sent",
+        }
+    }
+}
+
 /// A target that was lost, with its runs.
 #[derive(Clone, Copy)]
 pub(super) struct LostRuns<'a> {
@@ -77,27 +105,37 @@
         jobs.all(|job| Some(job) == first)
     }
 
-    /// Runs that may have caused the loss: those that were starting up or, if all were of one job,
-    /// any that had not gone on for long. A drain explains the end of all but those that had just
-    /// been sent, and an order that of all.
-    fn suspects(&self) -> Vec<(TaskKey, u32)> {
+    /// What the loss says of each run. Suspected are those that were starting up or, if all were
+    /// of one job, any that had not gone on for long. A drain explains the end of all but those
+    /// that had just been sent, and an order that of all.
+    fn verdicts(&self) -> impl Iterator<Item = (TaskKey, u32, Verdict)> {
         let window_ms = if self.of_one_job() {
             CLEARED_MS
         } else {
             STARTUP_MS
         };
-        let unexplained = |run: &Run| match self.leaving {
-            Leaving::No => true,
-            Leaving::Drains => run.sent_just_before(self.answered_at),
-            Leaving::Ordered => false,
-        };
         self.runs
             .iter()
-            .filter(|(_, run)| {
-                run.may_have_crashed(self.answered_at, window_ms) && unexplained(run)
-            })
-            .map(|(task, run)| (*task, run.number))
-            .collect()
+            .map(move |(task, run)| (*task, run.number, self.verdict(run, window_ms)))
+    }
+
+    fn verdict(&self, run: &Run, window_ms: Millis) -> Verdict {
+        let explained = match self.leaving {
+            Leaving::No => false,
+            Leaving::Drains => !run.sent_just_before(self.answered_at),
+            Leaving::Ordered => true,
+        };
+        if !run.may_be_executing() {
+            Verdict::NotSent
+        } else if run.outlasted(self.answered_at, window_ms) {
+            Verdict::Outlasted
+        } else if run.stopped_unconfirmed() {
+            Verdict::Stopped
+        } else if explained {
+            Verdict::Explained
+        } else {
+            Verdict::Suspected
+        }
     }
 }
 
@@ -136,6 +174,25 @@
     }
 }
 
+/// Logs why the loss of a target counts against its runs or not: how many there are of each verdict.
+fn log_verdicts(lost: &LostRuns<'_>, verdicts: &[(TaskKey, u32, Verdict)]) {
+    if verdicts.is_empty() {
+        return;
+    }
+    let mut counts: IndexMap<&str, usize> = IndexMap::new();
+    for (.., verdict) in verdicts {
+        *counts.entry(verdict.name()).or_default() += 1;
+    }
+    let counts: Vec<String> = counts
+        .iter()
+        .map(|(name, count)| format!("{name}:{count}"))
+        .collect();
+    spdlog::info!("loss_judged", kv: {
+        target = lost.entry.id.0.as_ref(), loss = lost.loss.name(), leaving = lost.leaving.name(),
+        verdicts = counts.join(",")
+    });
+}
+
 impl Leader {
     /// Returns whether the end of a target is expected.
     pub(super) fn is_leaving(&self, entry: &TargetEntry) -> Leaving {
@@ -150,7 +207,10 @@
 
     /// Counts the loss of a target against the runs that may have caused it.
     pub(super) fn suspect_runs(&mut self, table: &mut JobTable, lost: &LostRuns<'_>, now: Millis) {
-        let suspects = lost.suspects();
+        let verdicts: Vec<_> = lost.verdicts().collect();
+        log_verdicts(lost, &verdicts);
+        let suspected = verdicts.iter().filter(|(.., v)| *v == Verdict::Suspected);
+        let suspects: Vec<(TaskKey, u32)> = suspected.map(|(task, run, _)| (*task, *run)).collect();
         let jobs: IndexSet<JobKey> = suspects.iter().map(|(task, _)| task.step.job).collect();
         let crash = Crash {
             target: &Incarnation::of(lost.entry),
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -159,19 +159,21 @@
             .is_some_and(|since| at >= since + span_ms)
     }
 
-    /// Returns whether it may have crashed its target, which last answered at `answered_at`, within
-    /// `window_ms` of its start.
-    pub(super) fn may_have_crashed(&self, answered_at: Option<Millis>, window_ms: Millis) -> bool {
-        let refused = matches!(
+    /// Returns whether it had gone on for `span_ms` when its target answered last, at `answered_at`.
+    pub(super) fn outlasted(&self, answered_at: Option<Millis>, span_ms: Millis) -> bool {
+        answered_at.is_some_and(|at| self.has_run_for(span_ms, at))
+    }
+
+    /// Returns whether its target has confirmed a stop, but never that it runs.
+    pub(super) const fn stopped_unconfirmed(&self) -> bool {
+        let confirmed = matches!(
             self.phase,
             RunPhase::Stopping {
                 confirmed_at: Some(_),
                 ..
             }
         );
-        let executed = self.running_since.is_some() || !refused;
-        let outlasted = answered_at.is_some_and(|at| self.has_run_for(window_ms, at));
-        self.may_be_executing() && executed && !outlasted
+        confirmed && self.running_since.is_none()
     }
 
     /// Returns whether its start was sent less than [`STARTUP_MS`] before its target answered last,
