Add failing tests of starts that no crash limit counts

Each shows a sixth start, the third after a task has crashed three targets: after a crash on a target that the next leader finds draining, after one of a run that was being stopped, after runs that failed or stalled, and after a run that made no progress and cleared its task.

--- a/tests/scheduler/evacuation.rs
+++ b/tests/scheduler/evacuation.rs
@@ -230,6 +230,7 @@
             late_starts: 10,
             failed_runs: 0,
             held_up_orders: 100,
+            lost_starts: 0,
         };
         world.claim();
         for round in 0..12 {
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -24,6 +24,7 @@
 mod returned_targets;
 mod silent_crashes;
 mod target;
+mod unfinished_runs;
 mod upkeep;
 mod vm_orders;
 mod vm_service;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -102,6 +102,8 @@
 pub(crate) struct Faults {
     /// Answers of targets that are lost, of all answers.
     pub(crate) lost_answers: u32,
+    /// Answers to starts that are lost, of all answers to starts.
+    pub(crate) lost_starts: u32,
     /// Starts that are carried out 2 to 12 s late and not answered in time, of all starts.
     pub(crate) late_starts: u32,
     /// Runs that end as failed, of all runs.
@@ -704,7 +706,11 @@
     }
 
     fn answer(&mut self, leader: usize, event: Event) {
-        if self.rng.u32(..1_000) >= self.faults.lost_answers {
+        let lost = match event {
+            Event::StartAnswered { .. } => self.faults.lost_answers.max(self.faults.lost_starts),
+            _ => self.faults.lost_answers,
+        };
+        if self.rng.u32(..1_000) >= lost {
             self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
             return;
         }
--- a/tests/scheduler/world/crash.rs
+++ b/tests/scheduler/world/crash.rs
@@ -76,6 +76,8 @@
 pub(crate) struct Crashes {
     /// Tasks that crash each target that starts them.
     pub(crate) deadly: IndexSet<TaskKey>,
+    /// Whether they crash nothing for now, as a task does that makes no progress or fails at once.
+    pub(crate) suspended: bool,
     /// Time from the start of such a task to the crash, in ms; 0 for a crash before the answer.
     pub(crate) delay_ms: Millis,
     /// Time from a crash to the target's return, in ms.
@@ -97,6 +99,7 @@
     fn default() -> Self {
         Self {
             deadly: IndexSet::new(),
+            suspended: false,
             delay_ms: 10,
             return_ms: 3_200,
             returns: Returns::NewId,
@@ -178,6 +181,9 @@
                 "{now}: {task} starts again after crashing three targets"
             ));
         }
+        if self.crashes.suspended {
+            return false;
+        }
         if self.crashes.delay_ms == 0 {
             self.crash(&on.id);
             return true;
