Count runs lost with a target whose end had another explanation

Callers saw a task that crashes its targets start a sixth time. Its crash was left out of the counts if the target was draining and an earlier leader had started the run, or if the answer to the start was lost and the target had confirmed a stop. Five further crashes were allowed after it.

The known explanation of a loss now keeps it out of the crashes that make a task suspect, but not out of the limit: `others` counts such runs with the stored progress, and a job is given up after five unfinished runs in all. A run that had outlasted its start-up is not counted, and neither is one of a long-running task. Records with `others` are maps, which earlier builds read without it.

--- a/src/scheduler/crash_count.rs
+++ b/src/scheduler/crash_count.rs
@@ -9,8 +9,8 @@
 /// suspected of the last crash.
 const SEEN_LIMIT: u32 = 3;
 
-/// Targets that crashed, or may have, after which a job is given up in any case: a task that
-/// crashes its targets must not go on to do so.
+/// Unfinished runs after which a job is given up in any case: a task that crashes its targets must
+/// not go on to do so. The platform allows two starts after the third crash.
 const LIMIT: u32 = 5;
 
 /// Crashes of targets soon after they had started a task.
@@ -22,6 +22,10 @@
     pub seen: u32,
     /// Number of the latest run that was counted. Several leaders may learn of the same crash.
     pub run: u32,
+    /// Number of further runs that began, or may have, and were not done, although another reason
+    /// is known for that. Such a run may have crashed its target all the same.
+    #[serde(default)]
+    pub others: u32,
     /// Counted targets of which it is open whether they crashed.
     #[serde(default)]
     pub lost: Vec<LostTarget>,
@@ -42,10 +46,16 @@
 }
 
 impl Crashes {
-    /// Returns whether no crash is counted.
+    /// Returns whether no run is counted.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
-        self.count == 0
+        self.count == 0 && self.others == 0
+    }
+
+    /// Returns whether the task may have crashed a target, without another reason known.
+    #[must_use]
+    pub const fn is_suspect(&self) -> bool {
+        self.count > 0
     }
 
     /// Returns whether there are too many that are known, if runs of no other job are suspected of
@@ -54,23 +64,24 @@
         self.seen >= SEEN_LIMIT
     }
 
-    /// Returns whether there are too many, whatever is known of them.
+    /// Returns whether there are too many unfinished runs, whatever is known of them.
     pub(super) const fn too_many(&self) -> bool {
-        self.count >= LIMIT
+        self.count + self.others >= LIMIT
     }
 }
 
-/// Earlier builds read records without `lost` only as an array of three fields or as a map, of
-/// which they skip the fields that they don't know. It is written as a map only with `lost`.
+/// Earlier builds read records only as an array of the first three fields or as a map, of which
+/// they skip the fields that they don't know. It is written as a map only with further fields.
 impl Serialize for Crashes {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        if self.lost.is_empty() {
+        if self.lost.is_empty() && self.others == 0 {
             return (self.count, self.seen, self.run).serialize(serializer);
         }
-        let mut map = serializer.serialize_map(Some(4))?;
+        let mut map = serializer.serialize_map(Some(5))?;
         map.serialize_entry("count", &self.count)?;
         map.serialize_entry("seen", &self.seen)?;
         map.serialize_entry("run", &self.run)?;
+        map.serialize_entry("others", &self.others)?;
         map.serialize_entry("lost", &self.lost)?;
         map.end()
     }
--- a/src/scheduler/leader/crashes.rs
+++ b/src/scheduler/leader/crashes.rs
@@ -65,7 +65,7 @@
     Suspected,
     /// It may have begun, but the target was about to end in any case.
     Explained,
-    /// It was to be stopped, and nothing had shown that it had begun.
+    /// It may have begun, but its stop was confirmed, and nothing had shown that it had begun.
     Stopped,
     /// It had gone on for too long to be the cause.
     Outlasted,
@@ -107,7 +107,8 @@
 
     /// What the loss says of each run. Suspected are those that were starting up or, if all were
     /// of one job, any that had not gone on for long. A drain explains the end of all but those
-    /// that had just been sent, and an order that of all.
+    /// that had just been sent, and an order that of all; only those that were starting up may then
+    /// have ended otherwise.
     fn verdicts(&self) -> impl Iterator<Item = (TaskKey, u32, Verdict)> {
         let window_ms = if self.of_one_job() {
             CLEARED_MS
@@ -127,7 +128,10 @@
         };
         if !run.may_be_executing() {
             Verdict::NotSent
-        } else if run.outlasted(self.answered_at, window_ms) {
+        } else if run.outlasted(
+            self.answered_at,
+            if explained { STARTUP_MS } else { window_ms },
+        ) {
             Verdict::Outlasted
         } else if run.stopped_unconfirmed() {
             Verdict::Stopped
@@ -222,6 +226,38 @@
         for (task, run) in suspects {
             self.count_crash(table, task, run, crash, now);
         }
+        for (task, run, verdict) in verdicts {
+            let counts = matches!(verdict, Verdict::Explained | Verdict::Stopped);
+            if counts {
+                self.count_unfinished(table, task, run, verdict.name());
+            }
+        }
+    }
+
+    /// Counts a run that was not done, without suspecting it of a crash, unless it was counted
+    /// before, and gives the job up once there were too many. The platform does not limit the
+    /// starts of long-running tasks.
+    fn count_unfinished(&mut self, table: &mut JobTable, task: TaskKey, run: u32, cause: &str) {
+        let Some(job) = table.get_mut(task.step.job) else {
+            return;
+        };
+        let step = job.spec.steps.get(task.step.step as usize);
+        let limited = step.is_some_and(|step| !step.long_running) && !job.progress.state.ended();
+        let stored = job.progress.task_mut(task).filter(|_| limited);
+        let Some(stored) = stored.filter(|task| task.run == run && task.crashes.run != run) else {
+            return;
+        };
+        stored.crashes.others += 1;
+        stored.crashes.run = run;
+        let Crashes { count, others, .. } = stored.crashes;
+        let given_up = stored.crashes.too_many();
+        spdlog::info!("run_unfinished", kv: {
+            task = task.to_string(), run, cause, crashes = count, others, given_up
+        });
+        self.journal.mark_job_dirty(task.step.job);
+        if given_up {
+            self.give_job_up(table, task.step.job);
+        }
     }
 
     /// Counts the loss of a target against a run that an earlier leader had placed on it.
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -279,7 +279,7 @@
         suspect: job
             .progress
             .task(task)
-            .is_some_and(|task| !task.crashes.is_empty()),
+            .is_some_and(|task| task.crashes.is_suspect()),
         long_running: step.long_running,
         team: job.spec.team.clone(),
     })
--- a/src/scheduler/order/facts.rs
+++ b/src/scheduler/order/facts.rs
@@ -227,7 +227,7 @@
                     step,
                 },
                 reservation: spec.reservation(),
-                special: spec.long_running || pending.any(|task| !task.crashes.is_empty()),
+                special: spec.long_running || pending.any(|task| task.crashes.is_suspect()),
             });
         }
     }
--- a/tests/scheduler/records.rs
+++ b/tests/scheduler/records.rs
@@ -36,14 +36,15 @@
     }
 }
 
-#[test]
-fn a_record_keeps_the_crashes_of_a_task() {
+#[rstest]
+fn a_record_keeps_the_crashes_of_a_task(#[values(0, 3)] others: u32) {
     let record = Record::Progress(
         JobKey(1),
         progress(Crashes {
             count: 2,
             seen: 1,
             run: 2,
+            others,
             lost: Vec::new(),
         }),
     );
@@ -90,11 +91,12 @@
     crashes: EarlierCrashes,
 }
 
-fn crashed_task(lost: Vec<LostTarget>) -> TaskProgress {
+fn crashed_task(others: u32, lost: Vec<LostTarget>) -> TaskProgress {
     let crashes = Crashes {
         count: 2,
         seen: 1,
         run: 2,
+        others,
         lost,
     };
     progress(crashes).occurrences[0].steps[0][0].clone()
@@ -109,12 +111,14 @@
     }
 }
 
-/// Guards against an earlier build that can't read a job with lost targets, and so forgets it.
+/// Guards against an earlier build that can't read a job with lost targets or other unfinished runs,
+/// and so forgets it.
 #[rstest]
 fn an_earlier_build_reads_crashes_with_lost_targets(
+    #[values(0, 1)] others: u32,
     #[values(Vec::new(), vec![lost_target()])] lost: Vec<LostTarget>,
 ) {
-    let task = crashed_task(lost);
+    let task = crashed_task(others, lost);
 
     let read: EarlierCrashedTask =
         rmp_serde::from_slice(&rmp_serde::to_vec(&task).unwrap()).unwrap();
@@ -128,7 +132,7 @@
 /// records that an earlier build reads anyway.
 #[test]
 fn crashes_without_lost_targets_are_stored_as_before() {
-    let task = crashed_task(Vec::new());
+    let task = crashed_task(0, Vec::new());
     let (count, seen, run) = (2, 1, 2);
     let earlier = EarlierCrashedTask {
         phase: task.phase.clone(),
@@ -148,7 +152,7 @@
 /// Guards against losses that the next leader does not learn of.
 #[test]
 fn a_record_keeps_the_lost_targets_of_a_task() {
-    let crashes = crashed_task(vec![lost_target()]).crashes;
+    let crashes = crashed_task(0, vec![lost_target()]).crashes;
     let record = Record::Progress(JobKey(1), progress(crashes));
 
     let read = Change::decode(&record.key(), &record.encode().unwrap()).unwrap();
