Count runs that end otherwise after the third crash of their task

A task that had crashed three targets was started without limit as long as its runs failed or were stopped because they made no progress: the limit counted only losses of targets. Each end without the work being done now counts once a task may have crashed three targets, since the platform allows two starts after that.

--- a/src/scheduler/crash_count.rs
+++ b/src/scheduler/crash_count.rs
@@ -64,6 +64,12 @@
         self.seen >= SEEN_LIMIT
     }
 
+    /// Returns whether the task may have crashed as many targets as the platform allows before it
+    /// limits the starts.
+    pub(super) const fn limits_starts(&self) -> bool {
+        self.count + self.others >= SEEN_LIMIT
+    }
+
     /// Returns whether there are too many unfinished runs, whatever is known of them.
     pub(super) const fn too_many(&self) -> bool {
         self.count + self.others >= LIMIT
--- a/src/scheduler/leader/crashes.rs
+++ b/src/scheduler/leader/crashes.rs
@@ -227,13 +227,31 @@
             self.count_crash(table, task, run, crash, now);
         }
         for (task, run, verdict) in verdicts {
-            let counts = matches!(verdict, Verdict::Explained | Verdict::Stopped);
-            if counts {
-                self.count_unfinished(table, task, run, verdict.name());
+            match verdict {
+                Verdict::Explained | Verdict::Stopped => {
+                    self.count_unfinished(table, task, run, verdict.name());
+                }
+                Verdict::Suspected | Verdict::Outlasted | Verdict::NotSent => {}
             }
         }
     }
 
+    /// Counts a run that its target has ended without being done if its task may have crashed three
+    /// targets before: however its later runs end, the platform allows only two.
+    pub(super) fn count_late_end(
+        &mut self,
+        table: &mut JobTable,
+        task: TaskKey,
+        run: u32,
+        cause: &str,
+    ) {
+        let stored = table.get(task.step.job);
+        let stored = stored.and_then(|job| job.progress.task(task));
+        if stored.is_some_and(|task| task.crashes.limits_starts()) {
+            self.count_unfinished(table, task, run, cause);
+        }
+    }
+
     /// Counts a run that was not done, without suspecting it of a crash, unless it was counted
     /// before, and gives the job up once there were too many. The platform does not limit the
     /// starts of long-running tasks.
--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -122,6 +122,7 @@
             task.phase = TaskPhase::Pending;
         }
         self.journal.mark_job_dirty(end.task.step.job);
+        self.count_late_end(table, end.task, end.run, end.kind.name());
     }
 
     /// Ends a job that was cancelled, has failed or is complete.
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -162,6 +162,9 @@
             }
             let cause = if confirmed { "vanished" } else { "never_began" };
             spdlog::info!("run_missing", kv: { task = task.to_string(), run, target = id.0.as_ref(), cause });
+            if confirmed {
+                self.count_late_end(table, task, run, cause);
+            }
             self.release_task(table, task, run);
         }
     }
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -36,6 +36,20 @@
     Alone,
 }
 
+impl EndKind {
+    /// Name in the log.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 /// An ended run, as its target reports it until it may forget it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedRun {
--- a/tests/scheduler/unfinished_runs.rs
+++ b/tests/scheduler/unfinished_runs.rs
@@ -1,6 +1,6 @@
 //! Tasks that crash their targets, of which some runs are lost or end so that no crash shows.
 
-use amaranthwick::scheduler::{JobKey, JobState, Millis, Step, TargetId, Wave};
+use amaranthwick::scheduler::{JobKey, JobState, Millis, TargetId, Wave};
 use rstest::rstest;
 
 use crate::fixtures::{job, step, task};
@@ -9,6 +9,10 @@
 
 /// Time from a crash to the target's return, in ms: so long that no loss proves to be a crash.
 const NEVER_MS: Millis = 600_000;
+/// Estimate of a task that counts as stalled after 880 ms without progress, in ms.
+const SHORT_MS: Millis = 800;
+/// Estimate of a task that counts as stalled only after 10,800 ms without progress, in ms.
+const LONG_MS: Millis = 100_000;
 /// Time for which the task and its targets are watched, in ms.
 const WATCHED_MS: Millis = 60_000;
 /// Longest time until a task starts again, in ms: the lease of a silent target has to expire.
@@ -16,18 +20,14 @@
 
 /// A platform with a task that crashes each target 450 ms after it has started there. The targets
 /// stay silent.
-fn crashing_world(gang: bool) -> (World, JobKey) {
+fn crashing_world(estimate_ms: Millis) -> (World, JobKey) {
     let mut world = World::new(16, 1);
     world.crashes.returns = Returns::SameId;
     world.crashes.return_ms = NEVER_MS;
     world.crashes.delay_ms = 450;
     world.claim();
     world.crashes.deadly.insert(task(1, 0));
-    let step = Step {
-        gang,
-        ..step(1, 800, &[])
-    };
-    let key = world.submit(1, job(vec![step]));
+    let key = world.submit(1, job(vec![step(1, estimate_ms, &[])]));
     (world, key)
 }
 
@@ -65,7 +65,7 @@
 fn a_crash_while_the_target_drains_counts_after_a_change_of_the_leader(
     #[values(0, 1, 3)] earlier_crashes: usize,
 ) {
-    let (mut world, key) = crashing_world(false);
+    let (mut world, key) = crashing_world(SHORT_MS);
     world.run_until_crashes(earlier_crashes, 60_000);
     let id = run_until_started(&mut world, key);
 
@@ -80,7 +80,7 @@
 /// was being stopped when it crashed its target, as if it had never begun.
 #[rstest]
 fn a_crash_while_an_unconfirmed_run_is_stopped_counts(#[values(0, 1, 3)] earlier_crashes: usize) {
-    let (mut world, key) = crashing_world(false);
+    let (mut world, key) = crashing_world(SHORT_MS);
     world.run_until_crashes(earlier_crashes, 60_000);
     world.faults.lost_starts = 1_000;
     run_until_started(&mut world, key);
@@ -93,7 +93,7 @@
 /// end by a failure, or are stopped because they make no progress.
 #[rstest]
 fn runs_that_end_otherwise_after_the_third_crash_count(#[values(false, true)] stalled: bool) {
-    let (mut world, key) = crashing_world(false);
+    let (mut world, key) = crashing_world(SHORT_MS);
     world.run_until_crashes(3, 60_000);
     world.crashes.suspended = true;
     if stalled {
@@ -116,7 +116,7 @@
 /// all the while.
 #[test]
 fn a_run_without_progress_does_not_clear_its_task() {
-    let (mut world, key) = crashing_world(true);
+    let (mut world, key) = crashing_world(LONG_MS);
     world.run_until_crashes(3, 60_000);
     world.crashes.suspended = true;
     set_pace(&mut world, Pace::Stalled);
