Clear a task of its crashes only by a run that made progress

A task was cleared after its run had taken 5 s, even if the target stood still all the while, so that the task could crash five further targets. A run now clears its task, and a run of a suspect task outlasts its start-up, only if it has reported progress.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -191,8 +191,8 @@
                 } else {
                     run.working_since = None;
                 }
-                let cleared = run.clears_task(now);
                 let unchanged_ms = run.progress.observe(running.percent, now);
+                let cleared = run.clears_task(now);
                 if run.phase == RunPhase::Running
                     && stall_ms(table, task).is_some_and(|limit| unchanged_ms > limit)
                 {
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -96,6 +96,11 @@
 }
 
 impl ReportedProgress {
+    /// Returns whether any progress was reported.
+    const fn begun(self) -> bool {
+        self.percent > 0
+    }
+
     /// Takes in a report; returns how long `percent` has been unchanged, in ms.
     pub(super) fn observe(&mut self, percent: u32, now: Millis) -> Millis {
         match self.since {
@@ -163,9 +168,10 @@
         self.has_run_for(STARTUP_MS, at)
     }
 
-    /// Returns whether it has gone on for so long that its task is no longer suspect.
+    /// Returns whether it has gone on for so long that its task is no longer suspect. Without progress
+    /// it may not have reached what crashes its target.
     pub(super) fn clears_task(&self, now: Millis) -> bool {
-        self.has_run_for(CLEARED_MS, now)
+        self.has_run_for(CLEARED_MS, now) && self.progress.begun()
     }
 
     fn has_run_for(&self, span_ms: Millis, at: Millis) -> bool {
@@ -173,9 +179,11 @@
             .is_some_and(|since| at >= since + span_ms)
     }
 
-    /// Returns whether it had gone on for `span_ms` when its target answered last, at `answered_at`.
+    /// Returns whether it had gone on for `span_ms` when its target answered last, at `answered_at`,
+    /// and, if its task is suspect, with progress.
     pub(super) fn outlasted(&self, answered_at: Option<Millis>, span_ms: Millis) -> bool {
-        answered_at.is_some_and(|at| self.has_run_for(span_ms, at))
+        let lasted = answered_at.is_some_and(|at| self.has_run_for(span_ms, at));
+        lasted && (!self.suspect || self.progress.begun())
     }
 
     /// Returns whether its target has confirmed a stop, but never that it runs.
