--- a/src/dispatch/clock.rs
+++ b/src/dispatch/clock.rs
@@ -36,7 +36,8 @@
 
 /// Time of day, in ms since 1970. It may jump, so it is used only for times that are given as
 /// times of day.
-pub(super) fn wall_ms() -> u64 {
+#[must_use]
+pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| {
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -31,6 +31,7 @@
 use crate::telemetry::Metrics;
 
 pub use callers::{CancelOutcome, Lookup, Submission};
+pub use clock::wall_ms;
 pub use forwarding::{Appended, ForwardAnswer, PeerBuild, RefusedJob};
 pub use services::{
     AppendOutcome, HoldRequest, OperatorChange, OrderClaim, Page, Producer, ReadOutcome, Services,
