Judge by the target's clock whether a run outlasted its start-up

A leader that is suspended handles answers of its targets late. An answer from before a crash then seemed to show that the run had gone on for 500 ms, so that the crash counted for nobody and the task started a sixth time. A run now has outlasted its start-up if the target's own clock had passed it in the last answer.

--- a/src/scheduler/leader/crashes.rs
+++ b/src/scheduler/leader/crashes.rs
@@ -92,6 +92,8 @@
     pub(super) entry: &'a TargetEntry,
     /// When the target answered last; `None` if it never did.
     pub(super) answered_at: Option<Millis>,
+    /// The target's clock in that answer, in ms.
+    pub(super) clock_ms: Option<u64>,
     pub(super) runs: &'a IndexMap<TaskKey, Run>,
     pub(super) loss: Loss,
     pub(super) leaving: Leaving,
@@ -110,28 +112,26 @@
     /// that had just been sent, and an order that of all; only those that were starting up may then
     /// have ended otherwise.
     fn verdicts(&self) -> impl Iterator<Item = (TaskKey, u32, Verdict)> {
-        let window_ms = if self.of_one_job() {
-            CLEARED_MS
-        } else {
-            STARTUP_MS
-        };
+        let one_job = self.of_one_job();
         self.runs
             .iter()
-            .map(move |(task, run)| (*task, run.number, self.verdict(run, window_ms)))
+            .map(move |(task, run)| (*task, run.number, self.verdict(run, one_job)))
     }
 
-    fn verdict(&self, run: &Run, window_ms: Millis) -> Verdict {
+    fn verdict(&self, run: &Run, one_job: bool) -> Verdict {
         let explained = match self.leaving {
             Leaving::No => false,
             Leaving::Drains => !run.sent_just_before(self.answered_at),
             Leaving::Ordered => true,
         };
+        let window_ms = if one_job && !explained {
+            CLEARED_MS
+        } else {
+            STARTUP_MS
+        };
         if !run.may_be_executing() {
             Verdict::NotSent
-        } else if run.outlasted(
-            self.answered_at,
-            if explained { STARTUP_MS } else { window_ms },
-        ) {
+        } else if run.outlasted(self.clock_ms, window_ms) {
             Verdict::Outlasted
         } else if run.stopped_unconfirmed() {
             Verdict::Stopped
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -181,11 +181,13 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
+        let clock_ms = target.lease.clock_ms();
         match target.runs.get_mut(&task) {
             Some(run) if run.number == running.run => {
                 if matches!(run.phase, RunPhase::Sent | RunPhase::Adopted) {
                     run.confirm(now);
                 }
+                run.reported_clock = run.reported_clock.or(clock_ms);
                 if running.percent >= 100 {
                     run.working_since.get_or_insert(now);
                 } else {
@@ -265,6 +267,7 @@
             progress: ReportedProgress::default(),
             sent_at: None,
             running_since: None,
+            reported_clock: None,
             suspect: false,
             long_running: false,
             team: None,
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -93,10 +93,12 @@
         let runs = target.take_runs(now);
         let listed = target.listed;
         let (entry, answered_at) = (Arc::clone(&target.entry), target.last_answer_at);
+        let clock_ms = target.lease.clock_ms();
         let replaced = self.has_successor(&entry);
         let ended = LostRuns {
             entry: &entry,
             answered_at,
+            clock_ms,
             runs: &runs,
             loss: if replaced { Loss::Replaced } else { loss },
             leaving: self.is_leaving(&entry),
--- a/src/scheduler/leader/place.rs
+++ b/src/scheduler/leader/place.rs
@@ -157,6 +157,7 @@
                 progress: ReportedProgress::default(),
                 sent_at: None,
                 running_since: None,
+                reported_clock: None,
                 suspect: request.suspect,
                 long_running: step.long_running,
                 team: team.cloned(),
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -230,6 +230,7 @@
         let lost = LostRuns {
             entry: &old_target.entry,
             answered_at: old_target.last_answer_at,
+            clock_ms: old_target.lease.clock_ms(),
             runs: &old_target.runs,
             loss: Loss::Replaced,
             leaving: self.is_leaving(&old_target.entry),
@@ -276,6 +277,7 @@
         progress: ReportedProgress::default(),
         sent_at: None,
         running_since: None,
+        reported_clock: None,
         suspect: job
             .progress
             .task(task)
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Latest reading of the target's clock, in ms; `None` before its first answer.
+    pub(super) fn clock_ms(&self) -> Option<u64> {
+        self.reading.map(|reading| reading.clock_ms)
+    }
+
     /// Called once the target has answered a call with this leader's fencing token: it has
     /// refused earlier leaders since, so none of them can extend the lease any more. Before
     /// that, one may have extended it by up to `length_ms`.
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -141,6 +141,8 @@
     pub(super) sent_at: Option<Millis>,
     /// When the target first confirmed that it runs; `None` before.
     pub(super) running_since: Option<Millis>,
+    /// The target's clock in the first report that it runs, in ms; `None` before.
+    pub(super) reported_clock: Option<u64>,
     /// Whether it is isolated as it starts up, because a target crashed soon after an earlier start
     /// of the task.
     pub(super) suspect: bool,
@@ -179,10 +181,12 @@
             .is_some_and(|since| at >= since + span_ms)
     }
 
-    /// Returns whether it had gone on for `span_ms` when its target answered last, at `answered_at`,
-    /// and, if its task is suspect, with progress.
-    pub(super) fn outlasted(&self, answered_at: Option<Millis>, span_ms: Millis) -> bool {
-        let lasted = answered_at.is_some_and(|at| self.has_run_for(span_ms, at));
+    /// Returns whether it had gone on for `span_ms` when its target answered last, at `clock_ms` of
+    /// the target's clock, and, if its task is suspect, with progress. By the local clock an answer
+    /// may be handled long after the target gave it.
+    pub(super) fn outlasted(&self, clock_ms: Option<u64>, span_ms: Millis) -> bool {
+        let reported = self.reported_clock;
+        let lasted = reported.is_some_and(|since| clock_ms >= Some(since + span_ms));
         lasted && (!self.suspect || self.progress.begun())
     }
 
--- a/tests/scheduler/unfinished_runs.rs
+++ b/tests/scheduler/unfinished_runs.rs
@@ -129,6 +129,24 @@
     assert_given_up(&mut world, key);
 }
 
+/// Guards against a crash that counts for nobody because an answer from before it was handled late, by
+/// a leader that was suspended meanwhile: the run seemed to have outlasted its start-up.
+#[rstest]
+fn a_crash_while_the_leader_is_suspended_counts(
+    #[values(5, 10, 15, 20)] suspended_after_ms: Millis,
+    #[values(0, 1)] earlier_crashes: usize,
+) {
+    let (mut world, key) = crashing_world(SHORT_MS);
+    world.submit(2, job(vec![step(60, 2_000, &[])]));
+    world.run_until_crashes(earlier_crashes, 60_000);
+    run_until_started(&mut world, key);
+    world.run_for(suspended_after_ms);
+
+    world.freeze(3_000);
+
+    assert_given_up(&mut world, key);
+}
+
 /// Guards against jobs that fail because their targets were to leave: a task that loses target after
 /// target to drains and waves has crashed none.
 #[rstest]
