--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use super::crashes::{Loss, LostRuns};
+use super::verdicts::{Loss, LostRuns};
 use super::{Leader, TargetReport};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::target_entry::Incarnation;
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -26,6 +26,7 @@
 mod sums;
 mod takeover;
 mod upkeep;
+mod verdicts;
 mod vm_orders;
 
 use std::sync::Arc;
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -6,11 +6,11 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::admission::Admission;
-use super::crashes::{Loss, LostRuns};
 use super::journal::Journal;
 use super::lost_targets::LostTargets;
 use super::removed_entries::RemovedEntries;
 use super::schedule::LastPass;
+use super::verdicts::{Loss, LostRuns};
 use super::{Leader, LeaderSettings};
 use crate::scheduler::order::FactsCache;
 use crate::scheduler::placement::ReservedTargets;
