--- a/tests/scheduler/crash_troubles.rs
+++ b/tests/scheduler/crash_troubles.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use amaranthwick::scheduler::{JobKey, JobState, TargetId, Wave};
+use amaranthwick::scheduler::{JobKey, JobState, Millis, TargetId, Wave};
 use rstest::rstest;
 
 use crate::fixtures::{further_seeds, job, step, task};
@@ -13,6 +13,17 @@
 /// Rounds of 500 ms with faults.
 const ROUNDS: u64 = 40;
 
+/// Disturbances beside the crashes.
+#[derive(Clone)]
+struct Troubles {
+    /// Time from a crash to the target's return, in ms.
+    away_ms: Range<Millis>,
+    /// Runs that fail, of a thousand.
+    failed_runs: u32,
+    /// Whether leaders are suspended for up to 4 s.
+    suspensions: bool,
+}
+
 /// Guards against tasks that crash targets beside other faults and are never given up, and against
 /// jobs that are given up for the losses of others; [`World`] checks both.
 #[rstest]
@@ -20,22 +31,51 @@
     #[values(Returns::SameId, Returns::NewId, Returns::NewAddress, Returns::NewVm)]
     returns: Returns,
 ) {
-    let seeds = further_seeds(SEEDS);
+    let troubles = Troubles {
+        away_ms: 1_000..7_000,
+        failed_runs: 0,
+        suspensions: false,
+    };
 
-    let wrong: Vec<_> = seeds
-        .map(|seed| (seed, run_among_troubles(seed, returns)))
-        .filter(|(_, faults)| !faults.is_empty())
-        .collect();
+    let wrong = wrong_runs(returns, &troubles);
+
+    assert_eq!(wrong, Vec::new());
+}
+
+/// Guards against starts beyond the limit of tasks whose runs also fail, whose targets stay away for
+/// longer than their leases, and whose leaders are suspended.
+#[rstest]
+fn tasks_that_crash_targets_are_given_up_beside_failures_and_suspended_leaders(
+    #[values(Returns::SameId, Returns::NewId, Returns::NewAddress, Returns::NewVm)]
+    returns: Returns,
+) {
+    let troubles = Troubles {
+        away_ms: 3_000..14_000,
+        failed_runs: 100,
+        suspensions: true,
+    };
+
+    let wrong = wrong_runs(returns, &troubles);
 
     assert_eq!(wrong, Vec::new());
 }
 
+/// Seeds with rules that were violated or jobs that did not end as they should.
+fn wrong_runs(returns: Returns, troubles: &Troubles) -> Vec<(u64, Vec<String>)> {
+    let seeds = further_seeds(SEEDS);
+    seeds
+        .map(|seed| (seed, run_among_troubles(seed, returns, troubles)))
+        .filter(|(_, faults)| !faults.is_empty())
+        .collect()
+}
+
 /// Simulates 20 s or more with random faults and then 60 s without. Returns the rules that were
 /// violated and the jobs that did not end as they should.
-fn run_among_troubles(seed: u64, returns: Returns) -> Vec<String> {
+fn run_among_troubles(seed: u64, returns: Returns, troubles: &Troubles) -> Vec<String> {
     let mut world = World::new(12, seed);
+    world.faults.failed_runs = troubles.failed_runs;
     world.crashes.returns = returns;
-    world.crashes.return_ms = 1_000 + world.rng().u64(..6_000);
+    world.crashes.return_ms = world.rng().u64(troubles.away_ms.clone());
     world.crashes.delay_ms = world.rng().u64(..450);
     world.faults.lost_answers = 20;
     world.claim();
@@ -50,6 +90,10 @@
         }
         jobs.push((world.submit(round, spec), deadly));
         disturb(&mut world, round);
+        if troubles.suspensions && world.rng().u32(..10) == 0 {
+            let for_ms = world.rng().u64(500..4_000);
+            world.freeze(for_ms);
+        }
         world.run_for(500);
     }
     world.store_up = true;
