--- a/src/scheduler/crash_count.rs
+++ b/src/scheduler/crash_count.rs
@@ -22,8 +22,9 @@
     pub seen: u32,
     /// Number of the latest run that was counted. Several leaders may learn of the same crash.
     pub run: u32,
-    /// Number of further runs that began, or may have, and were not done, although another reason
-    /// is known for that. Such a run may have crashed its target all the same.
+    /// Number of further runs that began, or may have, and ended without being done for another known
+    /// reason. They count toward the limit, since such a run may have crashed its target all the same,
+    /// but do not make the task suspect.
     #[serde(default)]
     pub others: u32,
     /// Counted targets of which it is open whether they crashed.
