--- a/review/lab.py
+++ b/review/lab.py
@@ -303,6 +303,7 @@
         self.epoch = time.monotonic()
         self.token = 0
         self.deadline = 0.0
+        self.lapsed_at = 0.0  # When the lease was last seen to have lapsed.
         self.running = {}
         self.used_cpu = self.used_mem = 0
         self.ended = []
@@ -339,7 +340,8 @@
                     self.lab.store.put("keyed.servers", self.eid, b"")
                     self.lab.record.line("platform", f"the entry of executor {self.eid} is removed")
                 continue
-            if self.running and self.clock() > self.deadline:
+            if self.clock() > self.deadline:
+                self.lapsed_at = now()
                 for run in list(self.running.values()):
                     self.end(run, "lapsed")
             if time.monotonic() >= beat:
@@ -688,7 +690,7 @@
     def end_acknowledged(self, executor, ended):
         with self.lock:
             entry = self.by_end.get((executor.eid, executor.life, ended[0]))
-            if entry is not None:
+            if entry is not None and executor.lapsed_at < entry[1]:
                 entry[6] = True
 
     def started(self, prefix):
