--- a/review/lab.py
+++ b/review/lab.py
@@ -283,15 +283,22 @@
         self.began = time.monotonic()
         self.stopping = False
 
+    def percent(self, at):
+        """Progress, or for a task that lasts whether it is at work, which it is after 0.5 s."""
+        if "lasts" in self.spec:
+            return 100 if at - self.began >= 0.5 else 0
+        return min(100, int((at - self.began) * 100_000 / self.spec.get("ms", 400)))
+
 
 class Executor:
     """An executor. A job's spec tells its tasks' run time and what they need, as the platform would
-    know it: `ms=400 cpu=1000 mem=100`, and `fail=N` for tasks whose first N runs fail."""
+    know it: `ms=400 cpu=1000 mem=100`, `lasts=1` for tasks that last, and `fail=N` for tasks whose
+    first N runs fail."""
 
-    def __init__(self, lab, eid, service, zone="z1", rack="r1-1", cpu=64_000, mem=131_072):
+    def __init__(self, lab, eid, service, zone="z1", rack="r1-1", cpu=64_000, mem=131_072, machine=None):
         self.lab, self.eid, self.service = lab, eid, service
         self.zone, self.rack, self.cpu, self.mem = zone, rack, cpu, mem
-        self.machine = "m-" + eid[:8]
+        self.machine = machine or "m-" + eid[:8]
         self.life = 0
         self.cut = False
         self.down = False
@@ -418,7 +425,8 @@
         self.used_mem += new.mem
         self.lab.run_started(self, new)
         how = "failed" if run <= spec.get("fail", 0) else "done"
-        asyncio.get_running_loop().call_later(spec.get("ms", 400) / 1000, self.finish, new, self.life, how)
+        if "lasts" not in spec:
+            asyncio.get_running_loop().call_later(spec.get("ms", 400) / 1000, self.finish, new, self.life, how)
         return reply(200, clock)
 
     def stop(self, call, clock):
@@ -448,7 +456,7 @@
                 break
         at = time.monotonic()
         running = [
-            [r.task, r.run, "", min(100, int((at - r.began) * 100_000 / r.spec.get("ms", 400))), r.cpu]
+            [r.task, r.run, "", r.percent(at), r.cpu]
             for r in self.running.values()
         ]
         return reply(200, {
