Credit an answer to the incarnation of the target that gave it

Callers saw tasks that ran twice at the same time, for some 0.3 s, after an executor had crashed and come back under its id within a second.

Cause: calls name only the id of a target, so a later incarnation answers them, too. The leader counted its answer as one of the earlier one, and released the run as ended with that when it learned of the restart.

Change: only runs that a report of the earlier incarnation has listed have ended with it. Others that were answered go on if the first report of the later one lists them; unanswered starts are stopped there, as before. A clock that is lower than before proves a later incarnation: its answer extends no lease, confirms no stop and does not count as a crash. The lease that a call for the earlier one gives the later one is the longest (6 s). The stored incarnation follows the reports, and a new leader whose list lags behind takes the runs over with the first report.

The model could not bring it about: it refused calls for an earlier incarnation. It names only ids now, gives clocks, shortens leases, and has holds that wait and entries that are published late.

--- a/benches/leader/fixtures.rs
+++ b/benches/leader/fixtures.rs
@@ -99,6 +99,7 @@
             batch: 0,
         },
         lease_ms: 4_000,
+        max_lease_ms: 6_000,
         earlier_extend_ms: 0,
         step_down_after_ms: 7_000,
         vm_order_delay_ms: 0,
--- a/benches/leader/fleet.rs
+++ b/benches/leader/fleet.rs
@@ -141,6 +141,8 @@
                 born: target.born,
                 task,
                 outcome: StopOutcome::Confirmed,
+                clock_ms: None,
+                sent_at: now,
             }),
             Command::Hold {
                 target,
--- a/src/dispatch/calls.rs
+++ b/src/dispatch/calls.rs
@@ -64,12 +64,14 @@
                 run,
                 epoch,
             };
-            let outcome = services.stop_run(stop).await;
+            let answer = services.stop_run(stop).await;
             Event::StopAnswered {
                 target: target.id.clone(),
                 born: target.born,
                 task,
-                outcome,
+                outcome: answer.outcome,
+                clock_ms: answer.clock_ms,
+                sent_at,
             }
         }
         Command::Hold {
--- a/src/dispatch/claiming.rs
+++ b/src/dispatch/claiming.rs
@@ -122,6 +122,7 @@
         earlier_extend_ms: election.earlier_extend_ms(before, now, STEP_DOWN_AFTER_MS),
         holder: claim.holder,
         lease_ms: LEASE_MS.min(settings.max_lease_ms),
+        max_lease_ms: settings.max_lease_ms,
         step_down_after_ms: STEP_DOWN_AFTER_MS,
         // The earlier leader has sent no orders for VMs since its last record was read.
         vm_order_delay_ms: settings
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -35,7 +35,7 @@
 pub use forwarding::{Appended, ForwardAnswer, PeerBuild, RefusedJob};
 pub use services::{
     AppendOutcome, HoldRequest, OperatorChange, OrderClaim, Page, Producer, ReadOutcome, Services,
-    Snapshot, StartAnswer, StartRequest, StopRequest, TargetChange,
+    Snapshot, StartAnswer, StartRequest, StopAnswer, StopRequest, TargetChange,
 };
 pub use store_router::{StoreRoute, StoreRouter};
 
--- a/src/dispatch/services.rs
+++ b/src/dispatch/services.rs
@@ -141,6 +141,15 @@
     pub clock_ms: Option<u64>,
 }
 
+/// A target's answer to a stop call.
+#[derive(Clone, Copy, Debug)]
+pub struct StopAnswer {
+    /// Whether the target ends the run, or why not.
+    pub outcome: StopOutcome,
+    /// Time on the target's clock, in ms; `None` if the answer did not tell it.
+    pub clock_ms: Option<u64>,
+}
+
 /// A call to a target to stop a run.
 #[derive(Debug)]
 pub struct StopRequest<'a> {
@@ -241,7 +250,7 @@
     fn start_run(&self, start: StartRequest<'_>) -> impl Future<Output = StartAnswer> + Send;
 
     /// Stops a run on a target.
-    fn stop_run(&self, stop: StopRequest<'_>) -> impl Future<Output = StopOutcome> + Send;
+    fn stop_run(&self, stop: StopRequest<'_>) -> impl Future<Output = StopAnswer> + Send;
 
     /// Extends a target's lease and returns its running tasks and ended runs.
     fn hold(
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -4,7 +4,7 @@
 use super::{Command, HoldFailure, Leader, TargetReport};
 use crate::scheduler::run::{ReportedProgress, RunPhase};
 use crate::scheduler::target::{HoldState, Target};
-use crate::scheduler::{JobTable, Millis, TargetId, TaskKey};
+use crate::scheduler::{JobTable, Millis, TargetId, TaskKey, TaskPhase};
 
 /// Time that a target with work may wait for a run to end before it answers, in ms; at most a
 /// third of a lease, so that the lease does not expire when one answer is lost.
@@ -112,7 +112,7 @@
         target.lease.observe_clock(report.clock_ms, sent_at, now);
         if !target.token_accepted {
             target.token_accepted = true;
-            target.lease.take_over(self.settings.lease_ms);
+            target.lease.take_over();
         }
         self.target_returned(table, id, born);
         self.apply_report(table, id, &report, sent_at, now);
@@ -182,11 +182,13 @@
             return;
         };
         let clock_ms = target.lease.clock_ms();
+        let born = target.entry.born;
         match target.runs.get_mut(&task) {
             Some(run) if run.number == running.run => {
                 if matches!(run.phase, RunPhase::Sent | RunPhase::Adopted) {
                     run.confirm(now);
                 }
+                let first = run.reported_clock.is_none();
                 run.reported_clock = run.reported_clock.or(clock_ms);
                 if running.percent >= 100 {
                     run.working_since.get_or_insert(now);
@@ -204,6 +206,9 @@
                 if cleared {
                     self.clear_task(table, id, task);
                 }
+                if first {
+                    self.note_incarnation(table, task, running.run, born);
+                }
             }
             Some(_) => return self.stop_renumbered_run(table, id, running, now),
             None => return self.stop_unknown_run(table, id, running, now),
@@ -219,6 +224,20 @@
         }
     }
 
+    /// Stores on which incarnation of its target a run goes on, unless that is known: its start may
+    /// have been meant for an earlier one.
+    fn note_incarnation(&mut self, table: &mut JobTable, task: TaskKey, run: u32, reported: u64) {
+        let stored = table.get_mut(task.step.job);
+        let stored = stored.and_then(|job| job.progress.task_mut(task));
+        if let Some(stored) = stored.filter(|stored| stored.run == run)
+            && let TaskPhase::Placed { born, .. } = &mut stored.phase
+            && *born < reported
+        {
+            *born = reported;
+            self.journal.mark_job_dirty(task.step.job);
+        }
+    }
+
     /// Stops a run that has stalled. All runs on a faulty target may stall, so it also gets no
     /// new work for a while.
     fn stop_stalled_run(
@@ -268,6 +287,7 @@
             sent_at: None,
             running_since: None,
             reported_clock: None,
+            began_later: false,
             suspect: false,
             long_running: false,
             team: None,
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -128,6 +128,10 @@
         task: TaskKey,
         /// The target's answer, or [`StopOutcome::Unknown`] without one.
         outcome: StopOutcome,
+        /// Time on the target's clock, in ms; `None` if the answer did not tell it.
+        clock_ms: Option<u64>,
+        /// When the call was sent, on the local clock.
+        sent_at: Millis,
     },
     /// A hold call was answered or timed out.
     HoldAnswered {
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -57,6 +57,9 @@
     pub holder: Holder,
     /// Length of the lease that a start or hold call gives a target, in ms.
     pub lease_ms: u64,
+    /// Longest lease that a target accepts, in ms: what a call gives it whose deadline is meant for
+    /// the clock of an earlier incarnation.
+    pub max_lease_ms: u64,
     /// Time after the start of the leader in which earlier leaders may still extend leases of
     /// targets that do not know of this one, in ms.
     pub earlier_extend_ms: u64,
@@ -166,15 +169,33 @@
                 clock_ms,
                 sent_at,
             } => {
-                self.observe_target_clock(&target, born, clock_ms, sent_at, now);
+                let later = self.is_from_later(&target, born, clock_ms, sent_at, now);
+                if !later {
+                    self.observe_target_clock(&target, born, clock_ms, sent_at, now);
+                }
                 self.start_answered(table, &target, born, task, run, outcome, now);
+                if later {
+                    self.run_began_later(&target, task, run);
+                }
             }
             Event::StopAnswered {
                 target,
                 born,
                 task,
                 outcome,
-            } => self.stop_answered(&target, born, task, outcome, now),
+                clock_ms,
+                sent_at,
+            } => {
+                let later = self.is_from_later(&target, born, clock_ms, sent_at, now);
+                let outcome = match outcome {
+                    StopOutcome::Confirmed if later => StopOutcome::OtherIncarnation,
+                    StopOutcome::Confirmed if self.may_have_restarted(&target, now) => {
+                        StopOutcome::Unknown
+                    }
+                    other => other,
+                };
+                self.stop_answered(&target, born, task, outcome, now);
+            }
             Event::HoldAnswered {
                 target,
                 born,
@@ -220,6 +241,42 @@
         }
     }
 
+    /// Returns whether the answer to a call certainly came from a later incarnation of the target
+    /// than `born`, which the call was meant for.
+    fn is_from_later(
+        &mut self,
+        id: &TargetId,
+        born: u64,
+        clock: Option<u64>,
+        sent_at: Millis,
+        now: Millis,
+    ) -> bool {
+        let later_lease = self.restarted_lease(now);
+        let target = self.targets.get_mut(id);
+        let target = target.filter(|target| target.entry.born == born);
+        let (Some(target), Some(clock_ms)) = (target, clock) else {
+            return false;
+        };
+        let later = target.lease.clock_restarted(clock_ms, sent_at);
+        if later {
+            spdlog::warn!("target_clock_restarted", kv: {
+                target = id.0.as_ref(), born, clock_ms, before_ms = target.lease.clock_ms().unwrap_or_default()
+            });
+            target.lease.extend_inherited(&later_lease);
+        }
+        later
+    }
+
+    /// Returns whether a target has missed calls, so that the incarnation that answers now may be
+    /// another one, and has it asked for a report, which tells.
+    fn may_have_restarted(&mut self, id: &TargetId, now: Millis) -> bool {
+        let silent = self.targets.get(id).is_some_and(|t| t.missed_calls > 0);
+        if silent {
+            self.expedite_hold(id, now);
+        }
+        silent
+    }
+
     /// Notes the time on a target's clock from the answer to a call.
     fn observe_target_clock(
         &mut self,
--- a/src/scheduler/leader/place.rs
+++ b/src/scheduler/leader/place.rs
@@ -158,6 +158,7 @@
                 sent_at: None,
                 running_since: None,
                 reported_clock: None,
+                began_later: false,
                 suspect: request.suspect,
                 long_running: step.long_running,
                 team: team.cloned(),
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -12,9 +12,10 @@
 use super::schedule::LastPass;
 use super::verdicts::{Loss, LostRuns};
 use super::{Leader, LeaderSettings};
+use crate::scheduler::lease::Lease;
 use crate::scheduler::order::FactsCache;
 use crate::scheduler::placement::ReservedTargets;
-use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
+use crate::scheduler::run::{AfterRestart, ReportedProgress, Run, RunPhase};
 use crate::scheduler::target::Target;
 use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::vms::VmTracker;
@@ -73,8 +74,7 @@
             wall_ms,
         };
         for entry in entries {
-            let inherited_until = leader.inherited_leases_until();
-            let target = Target::new(entry, inherited_until, now);
+            let target = Target::new(entry, leader.inherited_lease(), now);
             leader.targets.insert(target.entry.id.clone(), target);
         }
         leader.adopt_jobs(table, now);
@@ -85,15 +85,26 @@
     /// Until when leases that earlier leaders gave may hold.
     const fn inherited_leases_until(&self) -> Millis {
         let length = self.settings.earlier_extend_ms + self.settings.lease_ms;
-        self.started_at + length + length * LEASE_MARGIN_PERCENT / 100
+        self.started_at + with_lease_margin(length)
+    }
+
+    /// Lease that an earlier leader may have given a target.
+    fn inherited_lease(&self) -> Lease {
+        Lease::inherited(self.inherited_leases_until(), self.settings.lease_ms)
+    }
+
+    /// Lease that a new incarnation of a target may have from calls that were meant for the earlier
+    /// one.
+    pub(super) fn restarted_lease(&self, now: Millis) -> Lease {
+        let length_ms = self.settings.max_lease_ms;
+        Lease::inherited(now + with_lease_margin(length_ms), length_ms)
     }
 
     /// When the leases of unlisted targets have certainly expired. That is earlier than for
     /// listed ones: a target that reaches the store would be listed, and the earlier leader
     /// has been fenced off.
     pub(super) const fn unlisted_leases_lapsed_at(&self) -> Millis {
-        let length = self.settings.lease_ms;
-        self.started_at + length + length * LEASE_MARGIN_PERCENT / 100 + UNLISTED_SLACK_MS
+        self.started_at + with_lease_margin(self.settings.lease_ms) + UNLISTED_SLACK_MS
     }
 
     /// Takes over the jobs in the table, and the runs of their placed tasks.
@@ -126,6 +137,7 @@
         let Some(run) = adopted_run(table, task, run, now) else {
             return;
         };
+        let restarted_lease = self.restarted_lease(now);
         match self.targets.get_mut(id) {
             Some(target) if target.entry.born == born => target.add_run(task, run),
             Some(target) if target.entry.born > born => {
@@ -133,13 +145,18 @@
                 let number = run.number;
                 target.add_run(task, run);
                 target.request_stop(task, now);
+                target.lease.extend_inherited(&restarted_lease);
                 let lost = Incarnation {
                     id: id.clone(),
                     born,
                 };
                 self.suspect_earlier_run(table, task, number, &lost, Loss::Replaced, now);
             }
-            _ => {
+            // The list lags behind: the earlier leader had learned of a later incarnation.
+            Some(_) => {
+                self.orphans.insert(task, self.inherited_leases_until());
+            }
+            None => {
                 self.orphans.insert(task, self.unlisted_leases_lapsed_at());
             }
         }
@@ -172,21 +189,30 @@
     /// Adds a target that was not known, with the tasks that an earlier leader had placed
     /// there.
     fn insert_target(&mut self, table: &mut JobTable, entry: TargetEntry, now: Millis) {
-        let (id, born) = (entry.id.clone(), entry.born);
-        let inherited_until = if now < self.unlisted_leases_lapsed_at() {
-            self.inherited_leases_until()
+        let id = entry.id.clone();
+        let lease = if now < self.unlisted_leases_lapsed_at() {
+            self.inherited_lease()
         } else {
-            0
+            Lease::default()
         };
         self.targets
-            .insert(id.clone(), Target::new(entry, inherited_until, now));
+            .insert(id.clone(), Target::new(entry, lease, now));
+        self.adopt_orphans(table, &id, now);
+    }
+
+    /// Takes over the tasks that an earlier leader had placed on this incarnation of a target, or on
+    /// an earlier one.
+    fn adopt_orphans(&mut self, table: &mut JobTable, id: &TargetId, now: Millis) {
+        let Some(born) = self.targets.get(id).map(|target| target.entry.born) else {
+            return;
+        };
         let orphans: Vec<(TaskKey, u64, u32)> = self
             .orphans
             .keys()
             .filter_map(|task| {
                 let stored = table.get(task.step.job)?.progress.task(*task)?;
                 match &stored.phase {
-                    TaskPhase::Placed { target, born } if *target == id => {
+                    TaskPhase::Placed { target, born } if target == id => {
                         Some((*task, *born, stored.run))
                     }
                     _ => None,
@@ -201,13 +227,14 @@
                     task = task.to_string(), run, target = id.0.as_ref(), cause = "its target is listed late",
                     job = state.map_or_else(|| "unknown".to_owned(), |state| format!("{state:?}"))
                 });
-                self.adopt_task(table, task, &id, placed, run, now);
             }
+            self.adopt_task(table, task, id, placed, run, now);
         }
     }
 
-    /// Replaces a target by its new incarnation; the earlier one has ended with all its runs.
-    /// Starts that were not answered may still reach the new incarnation, so they are stopped
+    /// Replaces a target by its new incarnation. Runs that the earlier one had reported have ended
+    /// with it. The others may be on the new one, because calls name only the id: those whose starts
+    /// were answered go on there if it reports them, and those whose starts were not are stopped
     /// there before their tasks start again.
     pub(super) fn target_restarted(
         &mut self,
@@ -217,16 +244,13 @@
     ) {
         self.target_sighted(table, &entry);
         let id = entry.id.clone();
-        let mut new_target = Target::new(entry, 0, now);
-        let Some(old_target) = self
-            .targets
-            .insert(id.clone(), Target::new((*new_target.entry).clone(), 0, now))
-        else {
+        let lease = self.restarted_lease(now);
+        let new_target = Target::new(entry, lease, now);
+        let new_born = new_target.entry.born;
+        let Some(mut old_target) = self.targets.insert(id.clone(), new_target) else {
             return;
         };
-        spdlog::warn!("target_restarted", kv: {
-            target = id.0.as_ref(), born = new_target.entry.born, before = old_target.entry.born, runs = old_target.runs.len()
-        });
+        let began_later = old_target.take_runs_that_began_later(now);
         let lost = LostRuns {
             entry: &old_target.entry,
             answered_at: old_target.last_answer_at,
@@ -236,18 +260,32 @@
             leaving: self.is_leaving(&old_target.entry),
         };
         self.suspect_runs(table, &lost, now);
-        for (task, run) in old_target.runs {
-            if matches!(run.phase, RunPhase::Planned | RunPhase::Running) {
+        let mut counts = [0; 3];
+        for (task, run) in began_later.into_iter().chain(old_target.runs) {
+            let fate = run.after_restart();
+            counts[fate as usize] += 1;
+            if fate == AfterRestart::Ended {
                 self.release_task(table, task, run.number);
-            } else {
-                new_target.add_run(task, run);
-                new_target.request_stop(task, now);
+            } else if let Some(target) = self.targets.get_mut(&id) {
+                target.add_run(task, run.on_next_incarnation(now));
+                if fate == AfterRestart::MayBegin {
+                    target.request_stop(task, now);
+                }
             }
         }
-        self.targets.insert(id, new_target);
+        let [ended, may_run, may_begin] = counts;
+        spdlog::warn!("target_restarted", kv: {
+            target = id.0.as_ref(), born = new_born, before = old_target.entry.born, ended, may_run, may_begin
+        });
+        self.adopt_orphans(table, &id, now);
     }
 }
 
+/// Adds to the length of a lease what the slow clock of a target and the time of a call may add.
+const fn with_lease_margin(length_ms: u64) -> u64 {
+    length_ms + length_ms * LEASE_MARGIN_PERCENT / 100
+}
+
 /// Placed tasks of a job: each with its target, `born` of the target's incarnation and the
 /// number of the run.
 fn placed_tasks(
@@ -278,6 +316,7 @@
         sent_at: None,
         running_since: None,
         reported_clock: None,
+        began_later: false,
         suspect: job
             .progress
             .task(task)
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -22,21 +22,41 @@
     reading: Option<ClockReading>,
     /// Latest deadline that a call to the target carried, in ms of the target's clock.
     deadline: u64,
-    /// Until this time on the local clock, leases that an earlier leader gave may still
-    /// hold; 0 once the target refuses earlier leaders.
+    /// Until this time on the local clock, a lease may hold that no reading of the clock tells of:
+    /// one that an earlier leader gave, or a call that was meant for an earlier incarnation. 0 once
+    /// the target has answered and refuses earlier leaders.
     inherited_until: Millis,
+    /// Longest time for which such a lease holds after that answer, in ms.
+    inherited_ms: u64,
 }
 
 impl Lease {
-    /// A lease that an earlier leader may have extended up to `inherited_until` on the
-    /// local clock.
-    pub(super) fn inherited(inherited_until: Millis) -> Self {
+    /// A lease of up to `length_ms` that may hold until `inherited_until` on the local clock.
+    pub(super) fn inherited(inherited_until: Millis, length_ms: u64) -> Self {
         Self {
             inherited_until,
+            inherited_ms: length_ms,
             ..Self::default()
         }
     }
 
+    /// Notes that the target may have the inherited lease `other`, too.
+    pub(super) fn extend_inherited(&mut self, other: &Self) {
+        self.inherited_until = self.inherited_until.max(other.inherited_until);
+        self.inherited_ms = self.inherited_ms.max(other.inherited_ms);
+    }
+
+    /// Returns whether the answer to a call sent at `sent_at`, with this time on the target's clock,
+    /// certainly came from a later incarnation: the clock never goes back, and starts anew with each
+    /// incarnation. Answers may overtake each other, so this one may have been given before the
+    /// latest reading, but not before the call was sent.
+    pub(super) fn clock_restarted(&self, clock_ms: u64, sent_at: Millis) -> bool {
+        self.reading.is_some_and(|last| {
+            let lead = last.received_at.saturating_sub(sent_at);
+            clock_ms.saturating_add(lead) < last.clock_ms
+        })
+    }
+
     /// Takes in a reading of the target's clock from the answer to a call sent at `sent_at`.
     /// Readings that are older than the latest one are ignored.
     pub(super) fn observe_clock(&mut self, clock_ms: u64, sent_at: Millis, received_at: Millis) {
@@ -58,12 +78,11 @@
     }
 
     /// Called once the target has answered a call with this leader's fencing token: it has
-    /// refused earlier leaders since, so none of them can extend the lease any more. Before
-    /// that, one may have extended it by up to `length_ms`.
-    pub(super) fn take_over(&mut self, length_ms: u64) {
+    /// refused earlier leaders since, so none of them can extend the lease any more.
+    pub(super) fn take_over(&mut self) {
         if let Some(ClockReading { clock_ms, .. }) = self.reading {
             self.inherited_until = 0;
-            self.deadline = self.deadline.max(clock_ms + length_ms);
+            self.deadline = self.deadline.max(clock_ms + self.inherited_ms);
         }
     }
 
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -87,6 +87,17 @@
     },
 }
 
+/// What has become of a run whose target has restarted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AfterRestart {
+    /// It ended with the earlier incarnation, which had reported it, or its start was not sent.
+    Ended,
+    /// One of the two incarnations has accepted its start. If it was the later one, it runs there.
+    MayRun,
+    /// Its start is not answered. It may still reach the later incarnation.
+    MayBegin,
+}
+
 /// Progress of a run as its target reported it, to detect a run that has stalled.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ReportedProgress {
@@ -141,8 +152,12 @@
     pub(super) sent_at: Option<Millis>,
     /// When the target first confirmed that it runs; `None` before.
     pub(super) running_since: Option<Millis>,
-    /// The target's clock in the first report that it runs, in ms; `None` before.
+    /// The target's clock in the first report that it runs, in ms; `None` before. Reports name the
+    /// incarnation, which the answers to starts and stops do not.
     pub(super) reported_clock: Option<u64>,
+    /// Whether the clock in the answer to its start shows that a later incarnation of the target than
+    /// the one that was called accepted it.
+    pub(super) began_later: bool,
     /// Whether it is isolated as it starts up, because a target crashed soon after an earlier start
     /// of the task.
     pub(super) suspect: bool,
@@ -165,6 +180,30 @@
         self.running_since.get_or_insert(now);
     }
 
+    /// What has become of it, now that its target has restarted.
+    pub(super) const fn after_restart(&self) -> AfterRestart {
+        match self.phase {
+            RunPhase::Planned => AfterRestart::Ended,
+            _ if self.reported_clock.is_some() => AfterRestart::Ended,
+            RunPhase::Running => AfterRestart::MayRun,
+            _ => AfterRestart::MayBegin,
+        }
+    }
+
+    /// The same run on the next incarnation of its target, of which nothing is known yet.
+    pub(super) fn on_next_incarnation(self, now: Millis) -> Self {
+        Self {
+            phase: RunPhase::Adopted,
+            phase_since: now,
+            working_since: None,
+            progress: ReportedProgress::default(),
+            running_since: None,
+            reported_clock: None,
+            began_later: false,
+            ..self
+        }
+    }
+
     /// Returns whether it had gone on for longer than [`STARTUP_MS`] at the time `at`.
     pub(super) fn past_startup(&self, at: Millis) -> bool {
         self.has_run_for(STARTUP_MS, at)
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -80,13 +80,14 @@
 }
 
 impl Target {
-    pub(super) fn new(entry: TargetEntry, inherited_until: Millis, now: Millis) -> Self {
+    /// A target that may have the lease `lease` from before.
+    pub(super) fn new(entry: TargetEntry, lease: Lease, now: Millis) -> Self {
         Self {
             cold_until: now + entry.cold_left_ms,
             entry: Arc::new(entry),
             listed: true,
             token_accepted: false,
-            lease: Lease::inherited(inherited_until),
+            lease,
             hold: HoldState::Due(now),
             last_answer_at: None,
             missed_calls: 0,
@@ -214,6 +215,16 @@
         std::mem::take(&mut self.runs)
     }
 
+    /// Removes and returns the runs that a later incarnation has accepted.
+    pub(super) fn take_runs_that_began_later(&mut self, now: Millis) -> IndexMap<TaskKey, Run> {
+        let later = self.runs.iter().filter(|(_, run)| run.began_later);
+        let later: Vec<TaskKey> = later.map(|(task, _)| *task).collect();
+        let taken = later.into_iter();
+        taken
+            .filter_map(|task| Some((task, self.remove_run(task, now)?)))
+            .collect()
+    }
+
     /// Number of its runs of tasks of `step`.
     pub(super) fn runs_of_step(&self, step: StepKey) -> usize {
         self.runs.keys().filter(|task| task.step == step).count()
--- a/tests/claiming/fake.rs
+++ b/tests/claiming/fake.rs
@@ -8,7 +8,7 @@
 use amaranthwick::dispatch::{
     AppendOutcome, Dispatch, DispatchSettings, ForwardAnswer, HoldRequest, OperatorChange,
     OrderClaim, Page, Producer, ReadOutcome, Services, Snapshot, StartAnswer, StartRequest,
-    StopRequest, TargetChange,
+    StopAnswer, StopRequest, TargetChange,
 };
 use amaranthwick::runtime::Runtime;
 use amaranthwick::scheduler::{
@@ -215,8 +215,11 @@
         }
     }
 
-    async fn stop_run(&self, _stop: StopRequest<'_>) -> StopOutcome {
-        StopOutcome::Confirmed
+    async fn stop_run(&self, _stop: StopRequest<'_>) -> StopAnswer {
+        StopAnswer {
+            outcome: StopOutcome::Confirmed,
+            clock_ms: None,
+        }
     }
 
     async fn hold(&self, hold: HoldRequest<'_>) -> Result<TargetReport, HoldFailure> {
--- a/tests/dispatch/fakes.rs
+++ b/tests/dispatch/fakes.rs
@@ -6,7 +6,8 @@
 
 use amaranthwick::dispatch::{
     AppendOutcome, ForwardAnswer, HoldRequest, OperatorChange, OrderClaim, Page, Producer,
-    ReadOutcome, Services, Snapshot, StartAnswer, StartRequest, StopRequest, TargetChange,
+    ReadOutcome, Services, Snapshot, StartAnswer, StartRequest, StopAnswer, StopRequest,
+    TargetChange,
 };
 use amaranthwick::scheduler::{
     Change, HoldFailure, JobKey, Millis, Record, StartOutcome, StopOutcome, TargetReport, Vm,
@@ -132,8 +133,11 @@
         }
     }
 
-    async fn stop_run(&self, _stop: StopRequest<'_>) -> StopOutcome {
-        StopOutcome::Unknown
+    async fn stop_run(&self, _stop: StopRequest<'_>) -> StopAnswer {
+        StopAnswer {
+            outcome: StopOutcome::Unknown,
+            clock_ms: None,
+        }
     }
 
     async fn hold(&self, _hold: HoldRequest<'_>) -> Result<TargetReport, HoldFailure> {
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -20,6 +20,7 @@
 mod jobs;
 mod pool_day;
 mod pools;
+mod reborn_targets;
 mod records;
 mod returned_targets;
 mod silent_crashes;
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -15,6 +15,9 @@
 /// Time from a stop to the end of the run, in ms.
 const STOP_MS: Millis = 200;
 
+/// Longest lease that a target accepts, in ms.
+pub(crate) const MAX_LEASE_MS: Millis = 6_000;
+
 /// What a fake task reserves, how long it runs and how it ends.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Work {
@@ -83,6 +86,8 @@
     pub(crate) pace: Pace,
     /// Whether its entry is in the platform's list.
     pub(crate) listed: bool,
+    /// Its entry in that list, if that is still the one of a former incarnation.
+    pub(crate) listed_as: Option<TargetEntry>,
     /// False once it is lost for good.
     pub(crate) alive: bool,
     /// When its process crashed; its VM is up and refuses connections. `None` while it runs.
@@ -131,6 +136,7 @@
             pace: Pace::Normal,
             advanced_at: 0,
             listed: true,
+            listed_as: None,
             alive: true,
             crashed_at: None,
             room: Room::new(capacity),
@@ -145,10 +151,16 @@
         }
     }
 
-    fn clock(&self, now: Millis) -> u64 {
+    pub(crate) fn clock(&self, now: Millis) -> u64 {
         now - self.started_at
     }
 
+    /// Extends the lease, which a call can't do by more than [`MAX_LEASE_MS`].
+    fn extend_lease(&mut self, deadline_ms: u64, now: Millis) {
+        let latest = self.clock(now) + MAX_LEASE_MS;
+        self.lease_deadline = self.lease_deadline.max(deadline_ms.min(latest));
+    }
+
     /// Restarts as a new incarnation without any state.
     pub(crate) fn restart(&mut self, now: Millis) {
         let mut entry = self.entry.clone();
@@ -278,7 +290,7 @@
         if deadline_ms < self.clock(now) {
             return StartOutcome::Late;
         }
-        self.lease_deadline = self.lease_deadline.max(deadline_ms);
+        self.extend_lease(deadline_ms, now);
         if self
             .runs
             .get(&task)
@@ -335,7 +347,7 @@
             return Err(HoldFailure::Fenced);
         }
         self.highest_epoch = epoch;
-        self.lease_deadline = self.lease_deadline.max(deadline_ms.unwrap_or(0));
+        self.extend_lease(deadline_ms.unwrap_or(0), now);
         let forgotten = self.ended.iter().filter(|end| end.position <= cursor);
         let done = forgotten.filter(|end| end.kind == EndKind::Done);
         self.forgotten_done.extend(done.map(|end| end.task));
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -13,13 +13,13 @@
 use amaranthwick::scheduler::{
     Capacity, Change, Command, Election, Event, HoldFailure, Holder, JobKey, JobSpec, JobState,
     JobTable, Leader, LeaderSettings, Millis, Policy, Record, Refusal as JobRefusal, StartOutcome,
-    Step, StopOutcome, TargetId, TaskKey, VmOutcome, Wave, leader_event,
+    Step, StopOutcome, TargetEntry, TargetId, TaskKey, VmOutcome, Wave, leader_event,
 };
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
 
 use crate::fixtures::{POOL, policy, policy_without_admission_check};
-use crate::target::{FakeTarget, Work};
+use crate::target::{FakeTarget, MAX_LEASE_MS, Work};
 use crate::vm_service::{Refusal, VmService};
 use crash::{Contact, CrashStep, Crashes};
 use evacuation::Operators;
@@ -61,9 +61,12 @@
         leader: usize,
         command: Command,
         sent_at: Millis,
+        /// `born` of the incarnation that has received it and carries it out late; `None` for a
+        /// start that is carried out as it arrives.
+        received_by: Option<u64>,
     },
     Stop(usize, Command),
-    Hold(usize, Command),
+    Hold(HoldCall),
     Store {
         leader: usize,
         batch: u64,
@@ -89,6 +92,15 @@
     Leave(Departure),
 }
 
+/// A hold call on its way to a target, or waiting there for the end of a run.
+struct HoldCall {
+    leader: usize,
+    command: Command,
+    sent_at: Millis,
+    /// `born` of the incarnation that it waits at; `None` before it arrives.
+    waits_at: Option<u64>,
+}
+
 /// A process that holds the leader role, or has held it.
 struct Process {
     leader: Leader,
@@ -121,6 +133,9 @@
     pub(crate) crashes: Crashes,
     gangs: Gangs,
     pub(crate) operators: Operators,
+    /// Whether targets let hold calls wait for the end of a run, for as long as these allow. Such a
+    /// call gets no answer from an incarnation that has started meanwhile.
+    pub(crate) holds_wait: bool,
     /// Whether leaders can append to the store.
     pub(crate) store_up: bool,
     /// All changes in the store.
@@ -176,6 +191,7 @@
             crashes: Crashes::default(),
             gangs: Gangs::new(),
             operators: Operators::default(),
+            holds_wait: false,
             store_up: true,
             log: Vec::new(),
             violations: Vec::new(),
@@ -244,14 +260,14 @@
         let settings = LeaderSettings {
             holder,
             lease_ms: 4_000,
+            max_lease_ms: MAX_LEASE_MS,
             earlier_extend_ms,
             step_down_after_ms: STEP_DOWN_AFTER_MS,
             vm_order_delay_ms: VM_ORDER_DELAY_MS.saturating_sub(self.now - self.last_stored),
             stop_timeout_ms: 400,
             job_retention_ms: 120_000,
         };
-        let listed = self.targets.values().filter(|target| target.listed);
-        let entries = listed.map(|target| target.entry.clone()).collect();
+        let entries = self.listed_entries();
         let policy = Arc::clone(&self.policy);
         let now = self.now;
         let wall_ms = MIDNIGHT_MS + now;
@@ -338,6 +354,7 @@
         let now = self.now;
         let target = self.targets.get_mut(id).unwrap();
         target.listed = true;
+        target.listed_as = None;
         target.entry.capacity = target.room.show(now);
         let entry = target.entry.clone();
         self.notify_leaders(&Event::TargetEntry(entry));
@@ -365,22 +382,34 @@
 
     /// The whole list of targets is read again.
     pub(crate) fn relist_targets(&mut self) {
-        let listed = self.targets.values().filter(|target| target.listed);
-        let entries = listed.map(|target| target.entry.clone()).collect();
+        let entries = self.listed_entries();
         self.notify_leaders(&Event::TargetList(entries));
     }
 
+    fn listed_entries(&self) -> Vec<TargetEntry> {
+        let listed = self.targets.values().filter(|target| target.listed);
+        let entries = listed.map(|target| target.listed_as.as_ref().unwrap_or(&target.entry));
+        entries.cloned().collect()
+    }
+
     fn ids(&self) -> Vec<TargetId> {
         self.targets.keys().cloned().collect()
     }
 
-    /// The target restarts under its id.
+    /// The target restarts under its id, and publishes its entry.
     pub(crate) fn restart(&mut self, id: &TargetId) {
+        self.restart_unpublished(id);
+        self.publish_entry(id);
+    }
+
+    /// The target restarts under its id; its entry remains that of the former incarnation.
+    pub(crate) fn restart_unpublished(&mut self, id: &TargetId) {
         self.note_losses(id);
         let now = self.now;
         let target = self.targets.get_mut(id).unwrap();
+        let former = target.entry.clone();
         target.restart(now);
-        self.publish_entry(id);
+        target.listed_as = Some(former);
     }
 
     /// The target is lost for good, and its entry is deleted.
@@ -531,13 +560,22 @@
                 }
                 let start = Action::Start {
                     leader,
+                    received_by: late.then(|| self.targets[&target.id].entry.born),
                     command,
                     sent_at: self.now,
                 };
                 self.schedule(delay, start);
             }
             Command::Stop { .. } => self.schedule(CALL_LATENCY_MS, Action::Stop(leader, command)),
-            Command::Hold { .. } => self.schedule(CALL_LATENCY_MS, Action::Hold(leader, command)),
+            Command::Hold { .. } => {
+                let call = HoldCall {
+                    leader,
+                    command,
+                    sent_at: self.now,
+                    waits_at: None,
+                };
+                self.schedule(CALL_LATENCY_MS, Action::Hold(call));
+            }
             Command::ListVms => {
                 let event = Event::VmList(self.list_vms());
                 self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
@@ -633,9 +671,14 @@
                 leader,
                 command,
                 sent_at,
-            } => self.start(leader, command, sent_at),
+                received_by,
+            } => {
+                if self.has_received(&command, received_by) {
+                    self.start(leader, command, sent_at);
+                }
+            }
             Action::Stop(leader, command) => self.stop(leader, &command),
-            Action::Hold(leader, command) => self.hold(leader, &command),
+            Action::Hold(call) => self.hold(call),
             Action::Crash(step) => self.perform_crash_step(&step),
             Action::Leave(departure) => self.leave(&departure),
             Action::Upkeep {
@@ -732,12 +775,18 @@
                 sent_at,
             },
             Event::StopAnswered {
-                target, born, task, ..
+                target,
+                born,
+                task,
+                sent_at,
+                ..
             } => Event::StopAnswered {
                 target,
                 born,
                 task,
                 outcome: StopOutcome::Unknown,
+                clock_ms: None,
+                sent_at,
             },
             Event::HoldAnswered {
                 target,
@@ -759,6 +808,16 @@
         self.processes[leader].leader.epoch()
     }
 
+    /// Returns whether the incarnation that has received a call is still there.
+    fn has_received(&self, command: &Command, received_by: Option<u64>) -> bool {
+        match command {
+            Command::Start { target, .. } => {
+                received_by.is_none_or(|born| self.targets[&target.id].entry.born == born)
+            }
+            _ => true,
+        }
+    }
+
     fn start(&mut self, leader: usize, command: Command, ordered_at: Millis) {
         let Command::Start {
             target,
@@ -776,28 +835,32 @@
         let work = self.work(&spec.steps[task.step.step as usize], task);
         let running = self.running(task.step.job);
         let mut crashed = false;
+        let mut clock_ms = None;
         let contact = self.contact(&target);
         let mut outcome = match contact {
             Contact::Silent => StartOutcome::Unknown,
             Contact::Refused => StartOutcome::Unhealthy,
-            Contact::Restarted | Contact::Replaced => StartOutcome::OtherIncarnation,
+            Contact::Replaced => StartOutcome::OtherIncarnation,
             Contact::Reached => {
                 let fake = self.targets.get_mut(&target.id).unwrap();
-                let before = fake.running().any(|other| other == task);
+                let before = fake.run(task, run).is_some();
+                clock_ms = Some(fake.clock(self.now));
+                let met = fake.entry.clone();
                 let outcome = fake.start(task, run, work, deadline_ms, epoch, self.now);
                 if outcome == StartOutcome::Running && !before {
-                    self.check_start(task, &target.id, &running);
+                    self.check_start(task, &running);
                     self.check_evacuations(task, &target, ordered_at);
                     self.check_room(task, &target.id, ordered_at);
                     let step = &spec.steps[task.step.step as usize];
                     self.join_gang(step, task, run, &target.id);
-                    crashed = self.started(task, &target);
+                    crashed = self.started(task, &met);
                 }
                 outcome
             }
         };
         if crashed {
             outcome = StartOutcome::Unknown;
+            clock_ms = None;
         }
         let event = Event::StartAnswered {
             target: target.id.clone(),
@@ -805,7 +868,7 @@
             task,
             run,
             outcome,
-            clock_ms: None,
+            clock_ms,
             sent_at,
         };
         if crashed || contact == Contact::Refused {
@@ -817,9 +880,9 @@
         }
     }
 
-    fn check_start(&mut self, task: TaskKey, on: &TargetId, running: &[(TargetId, TaskKey)]) {
+    fn check_start(&mut self, task: TaskKey, running: &[(TargetId, TaskKey)]) {
         let now = self.now;
-        if running.iter().any(|(id, other)| *other == task && id != on) {
+        if running.iter().any(|(_, other)| *other == task) {
             self.violations.push(format!("{now}: {task} runs twice"));
         }
         if self.done.contains(&task) {
@@ -864,25 +927,24 @@
         let outcome = match contact {
             Contact::Reached => fake.stop(*task, *run, epoch, now),
             Contact::Replaced => StopOutcome::OtherIncarnation,
-            Contact::Restarted | Contact::Refused | Contact::Silent => StopOutcome::Unknown,
+            Contact::Refused | Contact::Silent => StopOutcome::Unknown,
         };
+        let clock_ms = (contact == Contact::Reached).then(|| fake.clock(now));
         let event = Event::StopAnswered {
             target: target.id.clone(),
             born: target.born,
             task: *task,
             outcome,
+            clock_ms,
+            sent_at: now - CALL_LATENCY_MS,
         };
-        let met = match contact {
-            Contact::Restarted => Contact::Silent,
-            other => other,
-        };
-        self.answer_contact(met, leader, event);
+        self.answer_contact(contact, leader, event);
     }
 
     /// Delivers the result of a stop or hold call that met `contact`.
     fn answer_contact(&mut self, contact: Contact, leader: usize, event: Event) {
         match contact {
-            Contact::Reached | Contact::Restarted | Contact::Replaced => {
+            Contact::Reached | Contact::Replaced => {
                 self.answer(leader, event);
             }
             Contact::Refused => {
@@ -894,33 +956,51 @@
         }
     }
 
-    /// Answers a hold call at once, whatever time it lets the target wait.
-    fn hold(&mut self, leader: usize, command: &Command) {
+    /// Answers a hold call, at once unless holds wait.
+    fn hold(&mut self, mut call: HoldCall) {
         let Command::Hold {
             target,
             deadline_ms,
             forget_up_to,
-            ..
-        } = command
+            wait_ms,
+        } = &call.command
         else {
             return;
         };
-        let epoch = self.epoch_of(leader);
+        let epoch = self.epoch_of(call.leader);
         let now = self.now;
-        let contact = self.contact(target);
+        let wait_ms = if self.holds_wait { *wait_ms } else { 0 };
+        let wait_until = call.sent_at + CALL_LATENCY_MS + wait_ms;
+        let mut contact = self.contact(target);
         let fake = self.targets.get_mut(&target.id).unwrap();
+        let reached = fake.entry.born;
+        if call.waits_at.is_some_and(|born| born != reached) && contact == Contact::Reached {
+            contact = Contact::Silent;
+        }
+        // It lets the target forget ends as it arrives, not those of its wait.
+        let cursor = call.waits_at.map_or(*forget_up_to, |_| 0);
         let result = match contact {
-            Contact::Reached => fake.hold(*deadline_ms, *forget_up_to, epoch, now),
-            Contact::Restarted | Contact::Replaced => Err(HoldFailure::OtherIncarnation),
+            Contact::Reached => fake.hold(*deadline_ms, cursor, epoch, now),
+            Contact::Replaced => Err(HoldFailure::OtherIncarnation),
             Contact::Refused | Contact::Silent => Err(HoldFailure::NoAnswer),
         };
         self.done.extend(fake.forgotten_done.drain(..));
+        let waits = result.as_ref().is_ok_and(|report| report.ended.is_empty());
+        if waits && now < wait_until {
+            call.waits_at = Some(reached);
+            return self.schedule(TICK_MS, Action::Hold(call));
+        }
         let event = Event::HoldAnswered {
             target: target.id.clone(),
             born: target.born,
             result,
-            sent_at: now - CALL_LATENCY_MS,
+            sent_at: call.sent_at,
         };
-        self.answer_contact(contact, leader, event);
+        if contact == Contact::Silent {
+            let left = wait_until.saturating_sub(now) + CALL_TIMEOUT_MS;
+            let leader = call.leader;
+            return self.schedule(left, Action::Deliver { leader, event });
+        }
+        self.answer_contact(contact, call.leader, event);
     }
 }
--- a/tests/scheduler/world/crash.rs
+++ b/tests/scheduler/world/crash.rs
@@ -35,10 +35,8 @@
 /// What a call meets at the address of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Contact {
-    /// The incarnation that is called.
+    /// The target, in whatever incarnation: calls name only its id.
     Reached,
-    /// Another incarnation of the target.
-    Restarted,
     /// Another target, which has taken over the VM.
     Replaced,
     /// No process; the VM refuses the connection.
@@ -158,8 +156,6 @@
             Contact::Refused
         } else if there.entry.id != entry.id {
             Contact::Replaced
-        } else if there.entry.born != entry.born {
-            Contact::Restarted
         } else {
             Contact::Reached
         }
@@ -260,7 +256,10 @@
         let old_entry = target.entry.clone();
         let publish_ms = self.rng.u64(..MAX_PUBLISH_MS);
         if self.crashes.returns == Returns::SameId {
+            let listed = target.listed;
             target.restart(now);
+            target.listed = listed;
+            target.listed_as = Some(old_entry);
             let entry = target.entry.clone();
             self.schedule_crash_step(publish_ms, &entry, CrashStepKind::Publish);
             return;
