Let targets forget ended runs only soon after a report

Cause: a hold call names only the id of the target, and repeated the position up to which ended runs may be forgotten. An incarnation that had started since forgot its own ends under these positions before anybody had read them; the leader saw neither runs nor ends and started tasks again that were done.

Found by the drawn plays of the model once its calls name only ids.

Change: a position is sent only while it is not acknowledged, and only within 500 ms of a report of the same incarnation without a missed call since. The drawn plays of faults.rs list restarts late and let holds wait.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -10,6 +10,15 @@
 /// third of a lease, so that the lease does not expire when one answer is lost.
 const MAX_HOLD_WAIT_MS: u64 = 1_000;
 
+/// Longest time since a report in which a hold call may let the target forget ended runs, in ms. The
+/// call does not name the incarnation, so a later one would forget its own ends under these numbers,
+/// before anybody has read them.
+const MAX_REPORT_AGE_MS: Millis = 500;
+
+/// Time after the sending of a hold call in which an answer counts as recent when it is handled, in
+/// ms. The process may have been suspended since the target gave a later one.
+const RECENT_ANSWER_MS: Millis = MAX_HOLD_WAIT_MS + 500;
+
 /// Time between two hold calls to a target without work, in ms. They keep the reading of its
 /// clock recent and show whether it answers.
 const IDLE_HOLD_INTERVAL_MS: Millis = 2_500;
@@ -51,18 +60,20 @@
             } else {
                 None
             };
-            let settled = target.applied_end == target.stored_end && target.missed_calls == 0;
+            let forget_up_to = target.forgettable_end(now);
+            let settled = target.applied_end == target.forgotten_end.max(forget_up_to)
+                && target.missed_calls == 0;
             let wait_ms = if target.token_accepted && settled && target.may_be_executing() {
                 MAX_HOLD_WAIT_MS
             } else {
                 0
             };
             target.hold = HoldState::InFlight(now);
-            target.sent_cursor = target.stored_end;
+            target.sent_cursor = forget_up_to;
             self.commands.push(Command::Hold {
                 target: target.entry.clone(),
                 deadline_ms,
-                forget_up_to: target.stored_end,
+                forget_up_to,
                 wait_ms,
             });
         }
@@ -108,7 +119,8 @@
         }
         target.missed_calls = 0;
         target.last_answer_at = Some(now);
-        target.forgotten_end = target.sent_cursor;
+        target.reported_at = Some(now).filter(|at| at - sent_at <= RECENT_ANSWER_MS);
+        target.forgotten_end = target.forgotten_end.max(target.sent_cursor);
         target.lease.observe_clock(report.clock_ms, sent_at, now);
         if !target.token_accepted {
             target.token_accepted = true;
@@ -126,6 +138,8 @@
         };
         let pause = if target.applied_end > target.stored_end {
             UNSTORED_HOLD_INTERVAL_MS
+        } else if target.stored_end > target.forgotten_end {
+            0
         } else if target.runs.is_empty() {
             IDLE_HOLD_INTERVAL_MS
         } else {
@@ -297,6 +311,17 @@
     }
 }
 
+impl Target {
+    /// Position of the last ended run that a hold call sent now may let the target forget; 0 for none.
+    fn forgettable_end(&self, now: Millis) -> u64 {
+        let recent = self
+            .reported_at
+            .is_some_and(|at| now - at <= MAX_REPORT_AGE_MS);
+        let forgettable = recent && self.missed_calls == 0 && self.stored_end > self.forgotten_end;
+        if forgettable { self.stored_end } else { 0 }
+    }
+}
+
 /// Time without progress after which a run of the task counts as stalled, in ms: the time that
 /// one percent takes on a slow target, and [`MIN_STALL_MS`]. `None` for a task whose progress
 /// may stand still: it is long-running, or may be waiting for the rest of its gang.
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -49,8 +49,10 @@
     pub(super) applied_end: u64,
     /// Position of the last ended run whose effect on its job is stored.
     pub(super) stored_end: u64,
+    /// When it last reported its runs, by an answer that is known to be recent; `None` before.
+    pub(super) reported_at: Option<Millis>,
     /// Position of the last ended run that the hold in flight, or else the latest one, allows
-    /// the target to forget.
+    /// the target to forget; 0 for none.
     pub(super) sent_cursor: u64,
     /// Position of the last ended run that an answered hold allowed the target to forget.
     pub(super) forgotten_end: u64,
@@ -93,6 +95,7 @@
             missed_calls: 0,
             applied_end: 0,
             stored_end: 0,
+            reported_at: None,
             sent_cursor: 0,
             forgotten_end: 0,
             runs: IndexMap::new(),
--- a/tests/scheduler/faults.rs
+++ b/tests/scheduler/faults.rs
@@ -6,7 +6,7 @@
 use crate::capacity::cores;
 use crate::fixtures::{further_seeds, job, long_running_step, step};
 use crate::target::Pace;
-use crate::world::{Faults, World};
+use crate::world::{ENTRY_LAG_MS, Faults, World};
 
 /// Guards against tasks that are never given up: hold calls to a target that did not answer went
 /// on extending its lease, so that its tasks never ran elsewhere.
@@ -156,6 +156,7 @@
     world.faults.lost_answers = 30;
     world.faults.late_starts = 20;
     world.faults.failed_runs = 10;
+    world.holds_wait = seed % 3 != 0;
     if seed % 2 == 1 {
         world.remove_admission_check();
     }
@@ -194,7 +195,8 @@
             10 => {
                 let i = world.rng().usize(..8);
                 let id = world.targets.get_index(i).unwrap().0.clone();
-                world.restart(&id);
+                let lag_ms = world.rng().u64(..ENTRY_LAG_MS);
+                world.restart_with_lag(&id, lag_ms);
             }
             11 => {
                 let i = world.rng().usize(..keys.len());
--- a/tests/scheduler/reborn_targets.rs
+++ b/tests/scheduler/reborn_targets.rs
@@ -1,10 +1,17 @@
 //! Targets that start again under their id, and take calls before the leader knows of it.
 
-use amaranthwick::scheduler::{Change, JobKey, JobState, Record, TargetId, TaskPhase};
+use std::ops::Range;
+
+use amaranthwick::scheduler::{Change, JobKey, JobState, Millis, Record, TargetId, TaskPhase};
 use rstest::rstest;
 
-use crate::fixtures::{job, long_running_step, step, task};
-use crate::world::World;
+use crate::fixtures::{further_seeds, job, long_running_step, step, task};
+use crate::world::{Faults, World};
+
+/// Seeds that run without `AMARANTHWICK_SEEDS`.
+const SEEDS: Range<u64> = 0..40;
+/// Rounds of 400 ms with faults.
+const ROUNDS: u64 = 40;
 
 /// From what the leader learns of a restart.
 #[derive(Clone, Copy, Debug)]
@@ -201,3 +208,98 @@
     assert_eq!(world.state(key), Some(JobState::Complete));
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Guards against a start of a task that is done: a hold call that was meant for the earlier
+/// incarnation let the new one forget its ends before anybody had read them.
+#[test]
+fn ends_of_the_new_incarnation_are_not_forgotten_unread() {
+    let mut world = World::new(1, 1);
+    world.holds_wait = true;
+    world.claim();
+    world.submit(1, job(vec![long_running_step(1, 0)]));
+    let first = world.submit(2, job(vec![step(8, 300, &[])]));
+    world.run_for(1_500);
+    assert_eq!(world.state(first), Some(JobState::Complete));
+
+    world.restart_unpublished(&only_target());
+    let second = world.submit(3, job(vec![step(2, 300, &[])]));
+    world.run_for(5_000);
+
+    assert_eq!(world.state(second), Some(JobState::Complete));
+    assert_eq!(highest_run(&world, second), 1);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Simulates 16 s or more in which targets restart under their ids beside cuts, lost answers and
+/// changes of the leader, and then 40 s without. Returns the rules that were violated.
+fn run_with_restarts(seed: u64) -> Vec<String> {
+    let mut world = World::new(4, seed);
+    world.holds_wait = seed % 4 != 0;
+    world.faults.lost_answers = if seed % 2 == 0 { 30 } else { 0 };
+    world.claim();
+    let mut keys = Vec::new();
+    for round in 0..ROUNDS {
+        let length = 200 + world.rng().u64(..2_500);
+        let count = 1 + world.rng().u32(..8);
+        keys.push(world.submit(round, job(vec![step(count, length, &[])])));
+        disturb(&mut world);
+        world.run_for(400);
+    }
+    world.store_up = true;
+    world.faults = Faults::default();
+    for target in world.targets.values_mut() {
+        target.reachable = true;
+    }
+    world.publish_all_entries();
+    world.kill();
+    world.claim();
+    world.run_for(40_000);
+    let unended = keys.iter().filter_map(|key| {
+        let state = world.state(*key);
+        (!state.is_some_and(JobState::ended)).then(|| format!("{key} is {state:?}"))
+    });
+    let unended: Vec<String> = unended.collect();
+    world.violations.into_iter().chain(unended).collect()
+}
+
+/// Lets a random fault begin or end, or none.
+fn disturb(world: &mut World) {
+    let i = world.rng().usize(..4);
+    let id = world.targets[i].entry.id.clone();
+    match world.rng().u32(..16) {
+        0..=3 => {
+            let lag_ms: Millis = world.rng().u64(..1_700);
+            world.restart_with_lag(&id, lag_ms);
+        }
+        4 | 5 => world.targets[&id].reachable = false,
+        6..=8 => {
+            for target in world.targets.values_mut() {
+                target.reachable = true;
+            }
+        }
+        9 => {
+            world.kill();
+            world.run_for(1_300);
+            world.claim();
+        }
+        10 => {
+            world.hand_over();
+            world.run_for(200);
+            world.claim();
+        }
+        11 => world.store_up = false,
+        12 | 13 => world.store_up = true,
+        _ => {}
+    }
+}
+
+/// Guards against what the tests above do not think of; [`World`] checks that nothing runs twice.
+#[test]
+fn nothing_runs_twice_among_restarts_that_are_listed_late() {
+    let violations: Vec<_> = further_seeds(SEEDS)
+        .map(|seed| (seed, run_with_restarts(seed)))
+        .filter(|(_, violations)| !violations.is_empty())
+        .collect();
+
+    assert_eq!(violations, Vec::new());
+}
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -402,6 +402,12 @@
         self.publish_entry(id);
     }
 
+    /// The target restarts under its id, and publishes its entry `lag_ms` later.
+    pub(crate) fn restart_with_lag(&mut self, id: &TargetId, lag_ms: Millis) {
+        self.restart_unpublished(id);
+        self.schedule(lag_ms, Action::Publish(id.clone()));
+    }
+
     /// The target restarts under its id; its entry remains that of the former incarnation.
     pub(crate) fn restart_unpublished(&mut self, id: &TargetId) {
         self.note_losses(id);
