Take a VM for gone only when two lists in a row lack it

Found by reading, with the question of the incomplete reports: what is concluded from an absence? Nobody has reported it.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -16,6 +16,7 @@
 mod ids;
 mod leader;
 mod lease;
+mod missing_vms;
 mod order;
 mod placement;
 mod policy;
--- a/src/scheduler/vms.rs
+++ b/src/scheduler/vms.rs
@@ -4,6 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::missing_vms::MissingVms;
 use super::target_entry::Incarnation;
 use super::vm::{Vm, VmOrder, VmOutcome, VmState};
 use super::{Millis, TargetEntry, TargetId, Wave};
@@ -69,8 +70,8 @@
     list_in_flight: bool,
     /// Until when the VMs are listed often without an open order or wave.
     watched_until: Millis,
-    /// VMs of waves that the latest list lacks.
-    missing: IndexSet<String>,
+    /// VMs of waves and of pending orders that are not listed.
+    missing: MissingVms,
     /// Pairs of VM and pool for which the platform refused a move as invalid.
     impossible_moves: IndexSet<(String, Arc<str>)>,
 }
@@ -85,7 +86,7 @@
             next_list_at: 0,
             list_in_flight: false,
             watched_until: 0,
-            missing: IndexSet::new(),
+            missing: MissingVms::default(),
             impossible_moves: IndexSet::new(),
         }
     }
@@ -128,7 +129,7 @@
     }
 
     /// Takes in a list of the VMs; `None` when it could not be read. Orders that were accepted
-    /// are taken as finished for VMs that are up again or no longer listed.
+    /// are taken as finished for VMs that are up again or missing.
     pub(super) fn apply_list(&mut self, vms: Option<Vec<Vm>>, now: Millis) {
         self.list_in_flight = false;
         let Some(vms) = vms else {
@@ -136,17 +137,16 @@
             return;
         };
         let vms: IndexMap<String, Vm> = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
+        let of_waves = self.waves.values().flat_map(|open| &open.wave.vms);
+        let names = of_waves.chain(self.pending_orders.keys());
+        self.missing.update(names, &vms);
+        let missing = &self.missing;
         self.pending_orders.retain(|name, pending| {
-            let up = vms.get(name).is_none_or(|vm| vm.state == VmState::Up);
-            !(pending.accepted && up && now - pending.since > LIST_LAG_MS)
+            let finished = vms
+                .get(name)
+                .map_or_else(|| missing.contains(name), |vm| vm.state == VmState::Up);
+            !(pending.accepted && finished && now - pending.since > LIST_LAG_MS)
         });
-        self.missing = self
-            .waves
-            .values()
-            .flat_map(|open| &open.wave.vms)
-            .filter(|name| !vms.contains_key(*name))
-            .cloned()
-            .collect();
         self.vms = vms;
         let busy = !self.pending_orders.is_empty()
             || now < self.watched_until
@@ -182,7 +182,7 @@
         open.cloned().collect()
     }
 
-    /// Returns whether the VM is part of a wave, but not in the latest list: it is gone and
+    /// Returns whether the VM is part of a wave, but not in the latest two lists: it is gone and
     /// need not be maintained.
     pub(super) fn is_missing(&self, name: &str) -> bool {
         self.missing.contains(name)
--- a/tests/scheduler/upkeep.rs
+++ b/tests/scheduler/upkeep.rs
@@ -133,3 +133,42 @@
     assert_eq!(fewest, 5);
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Guards against VMs that are never maintained: a list that lacked them, because it comes in pages
+/// and these are no snapshot, made the wave complete.
+#[test]
+fn a_vm_that_one_list_lacks_is_maintained() {
+    let mut world = World::new(2, 1);
+    world.claim();
+    world.run_for(4_000);
+    let until = world.now + 200;
+    world.vm_service.unlisted.insert("vm-t0".to_owned(), until);
+
+    world.request_wave(wave(&["vm-t0"], 1));
+    world.run_for(26_000);
+
+    assert_eq!(world.upkeeps.len(), 1);
+    assert!(world.reports.contains(&(1, true)));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against more VMs down than the wave allows: one that a list lacked while it was maintained
+/// counted as up.
+#[test]
+fn a_vm_that_one_list_lacks_while_it_is_maintained_counts_as_down() {
+    let mut world = World::new(6, 1);
+    world.claim();
+    world.run_for(4_000);
+    world.request_wave(wave(&["vm-t0", "vm-t1", "vm-t2"], 1));
+    while world.upkeeps.is_empty() {
+        world.run_for(5);
+    }
+
+    let (began, vm) = world.upkeeps[0].clone();
+    world.run_for(1_500);
+    world.vm_service.unlisted.insert(vm, began + 1_995);
+    world.run_for(26_000);
+
+    assert_eq!(world.upkeeps.len(), 3);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
--- a/tests/scheduler/vm_service.rs
+++ b/tests/scheduler/vm_service.rs
@@ -38,6 +38,8 @@
     moving: IndexMap<String, Arc<str>>,
     /// VMs that can't be moved.
     pub(crate) immovable: IndexSet<String>,
+    /// VMs that lists lack until then: they changed places between two pages.
+    pub(crate) unlisted: IndexMap<String, Millis>,
     /// Until when the service does not answer lists and orders to move.
     pub(crate) away_until: Millis,
 }
@@ -52,6 +54,7 @@
             moves_end: false,
             moving: IndexMap::new(),
             immovable: IndexSet::new(),
+            unlisted: IndexMap::new(),
             away_until: 0,
         }
     }
--- a/tests/scheduler/world/moves.rs
+++ b/tests/scheduler/world/moves.rs
@@ -77,7 +77,14 @@
             target: None,
         });
         let standby = self.operators.standby_vms.iter().cloned();
-        Some(vms.chain(down).chain(standby).collect())
+        let unlisted = &self.vm_service.unlisted;
+        let listed = vms.chain(down).chain(standby);
+        let listed = listed.filter(|vm| {
+            unlisted
+                .get(&vm.name)
+                .is_none_or(|until| *until <= self.now)
+        });
+        Some(listed.collect())
     }
 
     /// An order to move a VM is sent.
