Store the cancel of a job that is not known before it is answered

Cause: an entry that had read the stream less than 1.2 s ago took a job that its table lacks for one that does not exist, answered 410 and stored nothing. The job had been accepted elsewhere since, or its record was still on its way to the store.

Change: a cancel is stored before any answer; the order in the log decides, and a job that follows its cancel is cancelled as it is read. The leader has cancels of jobs that never come forgotten after the usual retention.

--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -42,10 +42,10 @@
 pub enum CancelOutcome {
     /// The cancellation is stored.
     Accepted,
-    /// There is no such job.
+    /// There is no such job. The cancellation is stored all the same: a record of the job may be on
+    /// its way to the store, or may not have been read here, and then it does not run.
     NotFound,
-    /// The job could not be looked up, or the cancellation could not be stored in time; it may
-    /// still be stored.
+    /// The cancellation could not be stored in time; it may still be stored.
     Unavailable,
 }
 
@@ -207,11 +207,8 @@
     /// Cancels a job; gives up after `limit_ms`.
     pub async fn cancel(&self, key: JobKey, limit_ms: u64) -> CancelOutcome {
         let shared = &self.shared;
-        match self.look_up(key).await {
-            Lookup::Found(JobState::Canceled) => return CancelOutcome::Accepted,
-            Lookup::Found(_) => {}
-            Lookup::NotFound => return CancelOutcome::NotFound,
-            Lookup::Unavailable => return CancelOutcome::Unavailable,
+        if self.look_up(key).await == Lookup::Found(JobState::Canceled) {
+            return CancelOutcome::Accepted;
         }
         let deadline = shared.clock.now() + limit_ms;
         let record = Record::Cancel(key);
@@ -226,7 +223,12 @@
             Timer::after(Duration::from_millis(RETRY_MS)).await;
         }
         self.apply_stored(key, record);
-        CancelOutcome::Accepted
+        if shared.lock().table.get(key).is_some() {
+            CancelOutcome::Accepted
+        } else {
+            spdlog::info!("unknown_job_cancelled", kv: { job = key.to_string() });
+            CancelOutcome::NotFound
+        }
     }
 
     /// Number of accepted jobs of a queue of which no task has started.
--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -1,7 +1,7 @@
 //! Stores progress in batches, and releases what waits for a batch to be stored: starts, and
 //! permissions to forget ended runs.
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 use super::{Command, Leader};
 use crate::scheduler::run::RunPhase;
@@ -54,6 +54,8 @@
     sent_at: Millis,
     /// When ended jobs that may be forgotten are next searched for.
     next_forget_at: Millis,
+    /// Jobs that were cancelled and are not known, with the time when they were first seen.
+    early_cancels: IndexMap<JobKey, Millis>,
 }
 
 impl Journal {
@@ -69,6 +71,7 @@
             confirmed_at: now,
             sent_at: now,
             next_forget_at: now + FORGET_INTERVAL_MS,
+            early_cancels: IndexMap::new(),
         }
     }
 
@@ -209,22 +212,27 @@
         }
     }
 
-    /// Ended jobs that have been kept long enough, at most as many as fit a batch.
+    /// Ended jobs, and cancels of jobs that never came, that have been kept long enough, at most as many
+    /// as fit a batch.
     fn expired_jobs(&mut self, table: &JobTable, now: Millis, wall_ms: u64) -> Vec<JobKey> {
         if now < self.journal.next_forget_at {
             return Vec::new();
         }
         self.journal.next_forget_at = now + FORGET_INTERVAL_MS;
         let job_retention_ms = self.settings.job_retention_ms;
-        table
-            .iter()
-            .filter(|(_, job)| {
-                let progress = &job.progress;
-                progress.state.ended()
-                    && wall_ms.saturating_sub(progress.ended_ms) > job_retention_ms
-            })
-            .map(|(key, _)| key)
-            .take(MAX_BATCH_JOBS)
-            .collect()
+        let ended = table.iter().filter(|(_, job)| {
+            let progress = &job.progress;
+            progress.state.ended() && wall_ms.saturating_sub(progress.ended_ms) > job_retention_ms
+        });
+        let ended = ended.map(|(key, _)| key);
+        let before = std::mem::take(&mut self.journal.early_cancels);
+        let cancels = table.early_cancels();
+        let cancels = cancels.map(|key| (key, before.get(&key).copied().unwrap_or(now)));
+        self.journal.early_cancels = cancels.collect();
+        let cancels = self.journal.early_cancels.iter();
+        let old_cancels = cancels
+            .filter(|(_, seen_at)| now - **seen_at > job_retention_ms)
+            .map(|(key, _)| *key);
+        ended.chain(old_cancels).take(MAX_BATCH_JOBS).collect()
     }
 }
--- a/src/scheduler/table.rs
+++ b/src/scheduler/table.rs
@@ -35,8 +35,8 @@
 #[derive(Debug, Default)]
 pub struct JobTable {
     jobs: IndexMap<JobKey, Job>,
-    /// Cancels and progress that were read before their job, because pages of the first load
-    /// may overlap.
+    /// Cancels and progress that were read before their job: pages of the first load may overlap,
+    /// and a job may be cancelled before its record is stored.
     early_updates: IndexMap<JobKey, (bool, Option<JobProgress>)>,
     holder: Option<Holder>,
     waves: IndexMap<u64, WaveProgress>,
@@ -112,11 +112,20 @@
     pub fn has_applied(&self, record: &Record) -> bool {
         match record {
             Record::Job(key, _) => self.jobs.contains_key(key),
-            Record::Cancel(key) => self.jobs.get(key).is_some_and(|job| job.cancelled),
+            Record::Cancel(key) => match self.jobs.get(key) {
+                Some(job) => job.cancelled,
+                None => self.early_updates.get(key).is_some_and(|early| early.0),
+            },
             _ => false,
         }
     }
 
+    /// Keys of the jobs that were cancelled and are not known.
+    pub(super) fn early_cancels(&self) -> impl Iterator<Item = JobKey> {
+        let cancelled = self.early_updates.iter().filter(|(_, early)| early.0);
+        cancelled.map(|(key, _)| *key)
+    }
+
     pub(super) fn get_mut(&mut self, key: JobKey) -> Option<&mut Job> {
         self.jobs.get_mut(&key)
     }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -7,7 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use amaranthwick::dispatch::{AppendOutcome, ForwardAnswer, Lookup, PeerBuild, Submission};
+use amaranthwick::dispatch::{
+    AppendOutcome, CancelOutcome, ForwardAnswer, Lookup, PeerBuild, Submission,
+};
 use amaranthwick::scheduler::{JobKey, Record, RefusalCause};
 use async_io::block_on;
 
@@ -212,3 +214,19 @@
     assert_eq!(empty.unwrap(), ForwardAnswer::plain(AppendOutcome::Busy));
     assert!(malformed.is_err());
 }
+
+/// Guards against a job that runs although its cancel was answered: the process knew no such job, and
+/// stored nothing.
+#[test]
+fn the_cancel_of_an_unknown_job_is_stored() {
+    let process = Process::start(false);
+    process.services.script().forward = ForwardAnswer::plain(AppendOutcome::Busy);
+
+    let unknown = block_on(process.dispatch.cancel(JobKey(100), 500));
+    process.services.script().append = AppendOutcome::Unknown;
+    let unstored = block_on(process.dispatch.cancel(JobKey(101), 500));
+
+    assert_eq!(unknown, CancelOutcome::NotFound);
+    assert_eq!(unstored, CancelOutcome::Unavailable);
+    assert_eq!(process.stored_keys()[0], "c/0000000000000064");
+}
--- a/tests/scheduler/cancelled_jobs.rs
+++ b/tests/scheduler/cancelled_jobs.rs
@@ -1,6 +1,6 @@
 //! Runs of cancelled jobs that the leader learns of only after the cancel.
 
-use amaranthwick::scheduler::{JobKey, JobState, Millis};
+use amaranthwick::scheduler::{Change, JobKey, JobState, Millis};
 use rstest::rstest;
 
 use crate::fixtures::{job, long_running_step, step};
@@ -167,3 +167,40 @@
     world.run_for(CANCEL_LIMIT_MS);
     (world, cancelled)
 }
+
+/// Guards against a job that runs after its cancel was acknowledged: its own record was stored later
+/// than that.
+#[test]
+fn a_job_that_is_stored_after_its_cancel_does_not_run() {
+    let mut world = World::new(2, 1);
+    world.claim();
+    let key = JobKey(1);
+
+    world.cancel(key);
+    world.run_for(2_000);
+    world.kill();
+    world.claim();
+    world.submit(1, job(vec![step(2, 500, &[])]));
+    world.run_for(1_000);
+
+    assert_eq!(world.state(key), Some(JobState::Canceled));
+    assert_eq!(
+        world.stored().get(key).unwrap().progress.occurrences.len(),
+        0
+    );
+}
+
+/// Guards against records of cancels that stay in the store for good.
+#[test]
+fn the_cancel_of_a_job_that_never_comes_is_forgotten() {
+    let mut world = World::new(1, 1);
+    world.claim();
+
+    world.cancel(JobKey(1));
+    world.run_for(100_000);
+    let early = world.log.contains(&Change::Forget(JobKey(1)));
+    world.run_for(40_000);
+
+    assert!(!early);
+    assert!(world.log.contains(&Change::Forget(JobKey(1))));
+}
