Move the handling of restarted targets into a module of its own

Moved without a change of behaviour: what concerns later incarnations to restarts.rs, the stop of unknown runs to stops.rs, the rule for forgettable ends to Target. Two differences of times saturate now: an event may have been sent after the time that the pass handles it at was taken.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -2,19 +2,14 @@
 //! asks for its running tasks and ended runs.
 
 use super::{Command, HoldFailure, Leader, TargetReport};
-use crate::scheduler::run::{ReportedProgress, RunPhase};
+use crate::scheduler::run::RunPhase;
 use crate::scheduler::target::{HoldState, Target};
-use crate::scheduler::{JobTable, Millis, TargetId, TaskKey, TaskPhase};
+use crate::scheduler::{JobTable, Millis, TargetId, TaskKey};
 
 /// Time that a target with work may wait for a run to end before it answers, in ms; at most a
 /// third of a lease, so that the lease does not expire when one answer is lost.
 const MAX_HOLD_WAIT_MS: u64 = 1_000;
 
-/// Longest time since a report in which a hold call may let the target forget ended runs, in ms. The
-/// call does not name the incarnation, so a later one would forget its own ends under these numbers,
-/// before anybody has read them.
-const MAX_REPORT_AGE_MS: Millis = 500;
-
 /// Time after the sending of a hold call in which an answer counts as recent when it is handled, in
 /// ms. The process may have been suspended since the target gave a later one.
 const RECENT_ANSWER_MS: Millis = MAX_HOLD_WAIT_MS + 500;
@@ -119,7 +114,7 @@
         }
         target.missed_calls = 0;
         target.last_answer_at = Some(now);
-        target.reported_at = Some(now).filter(|at| at - sent_at <= RECENT_ANSWER_MS);
+        target.reported_at = Some(now).filter(|at| at.saturating_sub(sent_at) <= RECENT_ANSWER_MS);
         target.forgotten_end = target.forgotten_end.max(target.sent_cursor);
         target.lease.observe_clock(report.clock_ms, sent_at, now);
         if !target.token_accepted {
@@ -247,20 +242,6 @@
         }
     }
 
-    /// Stores on which incarnation of its target a run goes on, unless that is known: its start may
-    /// have been meant for an earlier one.
-    fn note_incarnation(&mut self, table: &mut JobTable, task: TaskKey, run: u32, reported: u64) {
-        let stored = table.get_mut(task.step.job);
-        let stored = stored.and_then(|job| job.progress.task_mut(task));
-        if let Some(stored) = stored.filter(|stored| stored.run == run)
-            && let TaskPhase::Placed { born, .. } = &mut stored.phase
-            && *born < reported
-        {
-            *born = reported;
-            self.journal.mark_job_dirty(task.step.job);
-        }
-    }
-
     /// Stops a run that has stalled. All runs on a faulty target may stall, so it also gets no
     /// new work for a while.
     fn stop_stalled_run(
@@ -280,55 +261,6 @@
         target.request_stop(running.task, now);
         target.health.run_stalled(now);
     }
-
-    /// Stops a run that the leader does not know. The decision to start a run is stored before
-    /// its start is sent, so this is one that was given up.
-    fn stop_unknown_run(
-        &mut self,
-        table: &JobTable,
-        id: &TargetId,
-        running: &crate::scheduler::RunningTask,
-        now: Millis,
-    ) {
-        let Some(target) = self.targets.get_mut(id) else {
-            return;
-        };
-        let step = table
-            .get(running.task.step.job)
-            .and_then(|job| job.spec.steps.get(running.task.step.step as usize));
-        let reservation = step
-            .map(crate::scheduler::Step::reservation)
-            .unwrap_or_default();
-        spdlog::warn!("unknown_run", kv: { task = running.task.to_string(), run = running.run, target = id.0.as_ref() });
-        let run = crate::scheduler::run::Run {
-            number: running.run,
-            phase: RunPhase::Adopted,
-            reserved: reservation,
-            phase_since: now,
-            working_since: None,
-            progress: ReportedProgress::default(),
-            sent_at: None,
-            running_since: None,
-            reported_clock: None,
-            began_later: false,
-            suspect: false,
-            long_running: false,
-            team: None,
-        };
-        target.add_run(running.task, run);
-        target.request_stop(running.task, now);
-    }
-}
-
-impl Target {
-    /// Position of the last ended run that a hold call sent now may let the target forget; 0 for none.
-    fn forgettable_end(&self, now: Millis) -> u64 {
-        let recent = self
-            .reported_at
-            .is_some_and(|at| now - at <= MAX_REPORT_AGE_MS);
-        let forgettable = recent && self.missed_calls == 0 && self.stored_end > self.forgotten_end;
-        if forgettable { self.stored_end } else { 0 }
-    }
 }
 
 /// Time without progress after which a run of the task counts as stalled, in ms: the time that
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -20,6 +20,7 @@
 mod place;
 mod pool_work;
 mod removed_entries;
+mod restarts;
 mod schedule;
 mod starts;
 mod stops;
@@ -241,42 +242,6 @@
         }
     }
 
-    /// Returns whether the answer to a call certainly came from a later incarnation of the target
-    /// than `born`, which the call was meant for.
-    fn is_from_later(
-        &mut self,
-        id: &TargetId,
-        born: u64,
-        clock: Option<u64>,
-        sent_at: Millis,
-        now: Millis,
-    ) -> bool {
-        let later_lease = self.restarted_lease(now);
-        let target = self.targets.get_mut(id);
-        let target = target.filter(|target| target.entry.born == born);
-        let (Some(target), Some(clock_ms)) = (target, clock) else {
-            return false;
-        };
-        let later = target.lease.clock_restarted(clock_ms, sent_at);
-        if later {
-            spdlog::warn!("target_clock_restarted", kv: {
-                target = id.0.as_ref(), born, clock_ms, before_ms = target.lease.clock_ms().unwrap_or_default()
-            });
-            target.lease.extend_inherited(&later_lease);
-        }
-        later
-    }
-
-    /// Returns whether a target has missed calls, so that the incarnation that answers now may be
-    /// another one, and has it asked for a report, which tells.
-    fn may_have_restarted(&mut self, id: &TargetId, now: Millis) -> bool {
-        let silent = self.targets.get(id).is_some_and(|t| t.missed_calls > 0);
-        if silent {
-            self.expedite_hold(id, now);
-        }
-        silent
-    }
-
     /// Notes the time on a target's clock from the answer to a call.
     fn observe_target_clock(
         &mut self,
--- /dev/null
+++ b/src/scheduler/leader/restarts.rs
@@ -0,0 +1,136 @@
+//! Targets that start again under their ids. Calls name only the id, so a later incarnation answers
+//! those that were meant for an earlier one, and only its reports and its entry tell which it is.
+
+use super::Leader;
+use super::takeover::with_lease_margin;
+use super::verdicts::{Loss, LostRuns};
+use crate::scheduler::lease::Lease;
+use crate::scheduler::run::{AfterRestart, RunPhase};
+use crate::scheduler::target::Target;
+use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey, TaskPhase};
+
+impl Leader {
+    /// Lease that a new incarnation of a target may have from calls that were meant for the earlier
+    /// one.
+    pub(super) fn restarted_lease(&self, now: Millis) -> Lease {
+        let length_ms = self.settings.max_lease_ms;
+        Lease::inherited(now + with_lease_margin(length_ms), length_ms)
+    }
+
+    /// Returns whether the answer to a call certainly came from a later incarnation of the target
+    /// than `born`, which the call was meant for.
+    pub(super) fn is_from_later(
+        &mut self,
+        id: &TargetId,
+        born: u64,
+        clock: Option<u64>,
+        sent_at: Millis,
+        now: Millis,
+    ) -> bool {
+        let later_lease = self.restarted_lease(now);
+        let target = self.targets.get_mut(id);
+        let target = target.filter(|target| target.entry.born == born);
+        let (Some(target), Some(clock_ms)) = (target, clock) else {
+            return false;
+        };
+        let later = target.lease.clock_restarted(clock_ms, sent_at);
+        if later {
+            spdlog::warn!("target_clock_restarted", kv: {
+                target = id.0.as_ref(), born, clock_ms, before_ms = target.lease.clock_ms().unwrap_or_default()
+            });
+            target.lease.extend_inherited(&later_lease);
+        }
+        later
+    }
+
+    /// Returns whether a target has missed calls, so that the incarnation that answers now may be
+    /// another one, and has it asked for a report, which tells.
+    pub(super) fn may_have_restarted(&mut self, id: &TargetId, now: Millis) -> bool {
+        let silent = self.targets.get(id).is_some_and(|t| t.missed_calls > 0);
+        if silent {
+            self.expedite_hold(id, now);
+        }
+        silent
+    }
+
+    /// Notes that a later incarnation of the target has answered the start of a run, so that the
+    /// end of the earlier one says nothing of it.
+    pub(super) fn run_began_later(&mut self, id: &TargetId, task: TaskKey, run: u32) {
+        let target = self.targets.get_mut(id);
+        if let Some(known) = target.and_then(|target| target.runs.get_mut(&task))
+            && known.number == run
+            && known.phase == RunPhase::Running
+            && known.reported_clock.is_none()
+        {
+            known.began_later = true;
+        }
+    }
+
+    /// Replaces a target by its new incarnation. Runs that the earlier one had reported have ended
+    /// with it. The others may be on the new one, because calls name only the id: those whose starts
+    /// were answered go on there if it reports them, and those whose starts were not are stopped
+    /// there before their tasks start again.
+    pub(super) fn target_restarted(
+        &mut self,
+        table: &mut JobTable,
+        entry: TargetEntry,
+        now: Millis,
+    ) {
+        self.target_sighted(table, &entry);
+        let id = entry.id.clone();
+        let lease = self.restarted_lease(now);
+        let new_target = Target::new(entry, lease, now);
+        let new_born = new_target.entry.born;
+        let Some(mut old_target) = self.targets.insert(id.clone(), new_target) else {
+            return;
+        };
+        let began_later = old_target.take_runs_that_began_later(now);
+        let lost = LostRuns {
+            entry: &old_target.entry,
+            answered_at: old_target.last_answer_at,
+            clock_ms: old_target.lease.clock_ms(),
+            runs: &old_target.runs,
+            loss: Loss::Replaced,
+            leaving: self.is_leaving(&old_target.entry),
+        };
+        self.suspect_runs(table, &lost, now);
+        let mut counts = [0; 3];
+        for (task, run) in began_later.into_iter().chain(old_target.runs) {
+            let fate = run.after_restart();
+            counts[fate as usize] += 1;
+            if fate == AfterRestart::Ended {
+                self.release_task(table, task, run.number);
+            } else if let Some(target) = self.targets.get_mut(&id) {
+                target.add_run(task, run.on_next_incarnation(now));
+                if fate == AfterRestart::MayBegin {
+                    target.request_stop(task, now);
+                }
+            }
+        }
+        let [ended, may_run, may_begin] = counts;
+        spdlog::warn!("target_restarted", kv: {
+            target = id.0.as_ref(), born = new_born, before = old_target.entry.born, ended, may_run, may_begin
+        });
+        self.adopt_orphans(table, &id, now);
+    }
+
+    /// Stores on which incarnation of its target a run goes on, unless that is known: its start may
+    /// have been meant for an earlier one.
+    pub(super) fn note_incarnation(
+        &mut self,
+        table: &mut JobTable,
+        task: TaskKey,
+        run: u32,
+        reported: u64,
+    ) {
+        let stored = table.get_mut(task.step.job);
+        let stored = stored.and_then(|job| job.progress.task_mut(task));
+        if let Some(stored) = stored.filter(|stored| stored.run == run)
+            && let TaskPhase::Placed { born, .. } = &mut stored.phase
+            && *born < reported
+        {
+            *born = reported;
+            self.journal.mark_job_dirty(task.step.job);
+        }
+    }
+}
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -115,19 +115,6 @@
         }
     }
 
-    /// Notes that a later incarnation of the target has answered the start of a run, so that the
-    /// end of the earlier one says nothing of it.
-    pub(super) fn run_began_later(&mut self, id: &TargetId, task: TaskKey, run: u32) {
-        let target = self.targets.get_mut(id);
-        if let Some(known) = target.and_then(|target| target.runs.get_mut(&task))
-            && known.number == run
-            && known.phase == RunPhase::Running
-            && known.reported_clock.is_none()
-        {
-            known.began_later = true;
-        }
-    }
-
     /// Applies the answer to a start call; ignores one that does not match a run that was sent
     /// to this incarnation.
     #[allow(clippy::too_many_arguments)] // One for each field of the event.
--- a/src/scheduler/leader/stops.rs
+++ b/src/scheduler/leader/stops.rs
@@ -2,7 +2,7 @@
 //! refuse a start of it that is still on its way.
 
 use super::{Command, Leader, StopOutcome};
-use crate::scheduler::run::RunPhase;
+use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
 use crate::scheduler::{Job, JobKey, JobState, JobTable, Millis, RunningTask, TargetId, TaskKey};
 
 /// Pause before a stop call is repeated that was not confirmed, in ms.
@@ -66,6 +66,44 @@
         true
     }
 
+    /// Stops a run that the leader does not know. The decision to start a run is stored before
+    /// its start is sent, so this is one that was given up.
+    pub(super) fn stop_unknown_run(
+        &mut self,
+        table: &JobTable,
+        id: &TargetId,
+        running: &RunningTask,
+        now: Millis,
+    ) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let step = table
+            .get(running.task.step.job)
+            .and_then(|job| job.spec.steps.get(running.task.step.step as usize));
+        let reservation = step
+            .map(crate::scheduler::Step::reservation)
+            .unwrap_or_default();
+        spdlog::warn!("unknown_run", kv: { task = running.task.to_string(), run = running.run, target = id.0.as_ref() });
+        let run = Run {
+            number: running.run,
+            phase: RunPhase::Adopted,
+            reserved: reservation,
+            phase_since: now,
+            working_since: None,
+            progress: ReportedProgress::default(),
+            sent_at: None,
+            running_since: None,
+            reported_clock: None,
+            began_later: false,
+            suspect: false,
+            long_running: false,
+            team: None,
+        };
+        target.add_run(running.task, run);
+        target.request_stop(running.task, now);
+    }
+
     /// Stops a run that a target reports under another number than the leader's, as a start that
     /// was carried out late may leave it. The task starts anew once its target no longer reports
     /// it: with a number that is higher than both, because a target refuses any other.
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -10,12 +10,12 @@
 use super::lost_targets::LostTargets;
 use super::removed_entries::RemovedEntries;
 use super::schedule::LastPass;
-use super::verdicts::{Loss, LostRuns};
+use super::verdicts::Loss;
 use super::{Leader, LeaderSettings};
 use crate::scheduler::lease::Lease;
 use crate::scheduler::order::FactsCache;
 use crate::scheduler::placement::ReservedTargets;
-use crate::scheduler::run::{AfterRestart, ReportedProgress, Run, RunPhase};
+use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
 use crate::scheduler::target::Target;
 use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::vms::VmTracker;
@@ -93,13 +93,6 @@
         Lease::inherited(self.inherited_leases_until(), self.settings.lease_ms)
     }
 
-    /// Lease that a new incarnation of a target may have from calls that were meant for the earlier
-    /// one.
-    pub(super) fn restarted_lease(&self, now: Millis) -> Lease {
-        let length_ms = self.settings.max_lease_ms;
-        Lease::inherited(now + with_lease_margin(length_ms), length_ms)
-    }
-
     /// When the leases of unlisted targets have certainly expired. That is earlier than for
     /// listed ones: a target that reaches the store would be listed, and the earlier leader
     /// has been fenced off.
@@ -202,7 +195,7 @@
 
     /// Takes over the tasks that an earlier leader had placed on this incarnation of a target, or on
     /// an earlier one.
-    fn adopt_orphans(&mut self, table: &mut JobTable, id: &TargetId, now: Millis) {
+    pub(super) fn adopt_orphans(&mut self, table: &mut JobTable, id: &TargetId, now: Millis) {
         let Some(born) = self.targets.get(id).map(|target| target.entry.born) else {
             return;
         };
@@ -231,58 +224,10 @@
             self.adopt_task(table, task, id, placed, run, now);
         }
     }
-
-    /// Replaces a target by its new incarnation. Runs that the earlier one had reported have ended
-    /// with it. The others may be on the new one, because calls name only the id: those whose starts
-    /// were answered go on there if it reports them, and those whose starts were not are stopped
-    /// there before their tasks start again.
-    pub(super) fn target_restarted(
-        &mut self,
-        table: &mut JobTable,
-        entry: TargetEntry,
-        now: Millis,
-    ) {
-        self.target_sighted(table, &entry);
-        let id = entry.id.clone();
-        let lease = self.restarted_lease(now);
-        let new_target = Target::new(entry, lease, now);
-        let new_born = new_target.entry.born;
-        let Some(mut old_target) = self.targets.insert(id.clone(), new_target) else {
-            return;
-        };
-        let began_later = old_target.take_runs_that_began_later(now);
-        let lost = LostRuns {
-            entry: &old_target.entry,
-            answered_at: old_target.last_answer_at,
-            clock_ms: old_target.lease.clock_ms(),
-            runs: &old_target.runs,
-            loss: Loss::Replaced,
-            leaving: self.is_leaving(&old_target.entry),
-        };
-        self.suspect_runs(table, &lost, now);
-        let mut counts = [0; 3];
-        for (task, run) in began_later.into_iter().chain(old_target.runs) {
-            let fate = run.after_restart();
-            counts[fate as usize] += 1;
-            if fate == AfterRestart::Ended {
-                self.release_task(table, task, run.number);
-            } else if let Some(target) = self.targets.get_mut(&id) {
-                target.add_run(task, run.on_next_incarnation(now));
-                if fate == AfterRestart::MayBegin {
-                    target.request_stop(task, now);
-                }
-            }
-        }
-        let [ended, may_run, may_begin] = counts;
-        spdlog::warn!("target_restarted", kv: {
-            target = id.0.as_ref(), born = new_born, before = old_target.entry.born, ended, may_run, may_begin
-        });
-        self.adopt_orphans(table, &id, now);
-    }
 }
 
 /// Adds to the length of a lease what the slow clock of a target and the time of a call may add.
-const fn with_lease_margin(length_ms: u64) -> u64 {
+pub(super) const fn with_lease_margin(length_ms: u64) -> u64 {
     length_ms + length_ms * LEASE_MARGIN_PERCENT / 100
 }
 
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -9,6 +9,11 @@
 use super::run::{Run, RunPhase};
 use super::{Capacity, JobKey, Millis, StepKey, TargetEntry, TargetState, TaskKey};
 
+/// Longest time since a report in which a hold call may let the target forget ended runs, in ms. The
+/// call does not name the incarnation, so a later one would forget its own ends under these numbers,
+/// before anybody has read them.
+const MAX_REPORT_AGE_MS: Millis = 500;
+
 /// State of the hold call to a target, which extends its lease and asks for its running
 /// tasks and ended runs. At most one such call is in flight to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -231,6 +236,15 @@
             .collect()
     }
 
+    /// Position of the last ended run that a hold call sent now may let the target forget; 0 for none.
+    pub(super) fn forgettable_end(&self, now: Millis) -> u64 {
+        let recent = self
+            .reported_at
+            .is_some_and(|at| now.saturating_sub(at) <= MAX_REPORT_AGE_MS);
+        let forgettable = recent && self.missed_calls == 0 && self.stored_end > self.forgotten_end;
+        if forgettable { self.stored_end } else { 0 }
+    }
+
     /// Number of its runs of tasks of `step`.
     pub(super) fn runs_of_step(&self, step: StepKey) -> usize {
         self.runs.keys().filter(|task| task.step == step).count()
