Log on what evidence a task is released, and what its run before was

Callers saw two runs of a task at once, and the record of their processes doesn't tell why the first was given up: most paths that release a task wrote no line, and the line of a start says nothing of the run before it.

Change: each release goes through one function, which logs task, run, target, incarnation, epoch, age of the target's last answer and the evidence (task_released).

--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -1,6 +1,7 @@
 //! Applies ended runs to the states of their tasks and jobs.
 
 use super::Leader;
+use super::releases::{Evidence, Release};
 use crate::scheduler::run::{EndKind, EndedRun};
 use crate::scheduler::{
     Job, JobKey, JobState, JobTable, Millis, Occurrence, TargetId, TaskKey, TaskPhase, TaskProgress,
@@ -48,7 +49,7 @@
         if end.kind == EndKind::Done {
             self.mark_task_done(table, id, end, now);
         } else if is_current_run {
-            self.apply_unfinished_run(table, end);
+            self.apply_unfinished_run(table, id, end, now);
         }
         self.update_job_state(table, end.task.step.job);
     }
@@ -93,7 +94,13 @@
 
     /// Applies the end of a run that was not done: keeps its checkpoint, counts a failure and
     /// lets the task start again.
-    fn apply_unfinished_run(&mut self, table: &mut JobTable, end: &EndedRun) {
+    fn apply_unfinished_run(
+        &mut self,
+        table: &mut JobTable,
+        id: &TargetId,
+        end: &EndedRun,
+        now: Millis,
+    ) {
         let Some(job) = table.get_mut(end.task.step.job) else {
             return;
         };
@@ -114,10 +121,16 @@
         if end.kind == EndKind::Failed {
             task.failures += 1;
         }
-        if task.run == end.run && task.phase != TaskPhase::Done {
-            task.phase = TaskPhase::Pending;
-        }
         self.journal.mark_job_dirty(end.task.step.job);
+        let release = Release {
+            task: end.task,
+            run: end.run,
+            target: id,
+            born: self.targets.get(id).map_or(0, |target| target.entry.born),
+            evidence: Evidence::Ended(end.kind),
+            answered_at: Some(now),
+        };
+        self.release_task(table, &release, now);
         self.count_late_end(table, end.task, end.run, end.kind.name());
     }
 
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -1,6 +1,7 @@
 //! Sends hold calls and applies the answers to them. A hold call extends a target's lease and
 //! asks for its running tasks and ended runs.
 
+use super::releases::{Evidence, Release};
 use super::{Command, HoldFailure, Leader, TargetReport};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::target::{HoldState, Target};
@@ -103,7 +104,7 @@
         if report.born != born {
             let mut entry = (*target.entry).clone();
             entry.born = report.born;
-            self.target_restarted(table, entry, now);
+            self.target_restarted(table, entry, "report", now);
             return;
         }
         if target.missed_calls > 0 || !target.token_accepted {
@@ -183,7 +184,19 @@
             if confirmed {
                 self.count_late_end(table, task, run, cause);
             }
-            self.release_task(table, task, run);
+            let release = Release {
+                task,
+                run,
+                target: id,
+                born: report.born,
+                evidence: if confirmed {
+                    Evidence::Vanished
+                } else {
+                    Evidence::NeverBegan
+                },
+                answered_at: Some(now),
+            };
+            self.release_task(table, &release, now);
         }
     }
 
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use super::releases::{Evidence, Release};
 use super::verdicts::{Loss, LostRuns};
 use super::{Leader, TargetReport};
 use crate::scheduler::run::RunPhase;
@@ -10,22 +11,6 @@
 use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey, TaskPhase};
 
 impl Leader {
-    /// Lets a task start again whose run has ended without being done, or never began. Does
-    /// nothing if the task has a later run.
-    pub(super) fn release_task(&mut self, table: &mut JobTable, task: TaskKey, run: u32) {
-        self.needs_scheduling = true;
-        let Some(job) = table.get_mut(task.step.job) else {
-            return;
-        };
-        let Some(stored) = job.progress.task_mut(task) else {
-            return;
-        };
-        if stored.run == run && matches!(stored.phase, TaskPhase::Placed { .. }) {
-            stored.phase = TaskPhase::Pending;
-            self.journal.mark_job_dirty(task.step.job);
-        }
-    }
-
     /// Gives up the runs on targets that do not answer and whose leases have certainly expired,
     /// and the tasks that may have run on unlisted targets until now.
     pub(super) fn expire_leases(&mut self, table: &mut JobTable, now: Millis) {
@@ -67,10 +52,17 @@
                 _ => None,
             };
             spdlog::info!("run_given_up", kv: { task = task.to_string(), run, cause = "its target is not listed" });
-            if let Some(target) = target {
-                self.suspect_earlier_run(table, task, run, &target, Loss::Unlisted, now);
-            }
-            self.release_task(table, task, run);
+            let Some(target) = target else { continue };
+            self.suspect_earlier_run(table, task, run, &target, Loss::Unlisted, now);
+            let release = Release {
+                task,
+                run,
+                target: &target.id,
+                born: target.born,
+                evidence: Evidence::Lost(Loss::Unlisted),
+                answered_at: None,
+            };
+            self.release_task(table, &release, now);
         }
     }
 
@@ -108,8 +100,17 @@
             runs = runs.len(), leaving = ended.leaving.name()
         });
         self.suspect_runs(table, &ended, now);
-        for (task, run) in runs {
-            self.release_task(table, task, run.number);
+        let evidence = Evidence::Lost(ended.loss);
+        for (task, run) in &runs {
+            let release = Release {
+                task: *task,
+                run: run.number,
+                target: id,
+                born: entry.born,
+                evidence,
+                answered_at,
+            };
+            self.release_task(table, &release, now);
         }
         if !listed {
             self.targets.swap_remove(id);
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -32,6 +32,23 @@
     Unknown,
 }
 
+impl StartOutcome {
+    /// Name in the log.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::NoRoom => "no room",
+            Self::Late => "late",
+            Self::OldRun => "old run",
+            Self::Fenced => "fenced",
+            Self::Invalid => "invalid",
+            Self::OtherIncarnation => "other incarnation",
+            Self::Unhealthy => "unhealthy",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Outcome of a stop call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopOutcome {
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -19,6 +19,7 @@
 mod movable_tasks;
 mod place;
 mod pool_work;
+mod releases;
 mod removed_entries;
 mod restarts;
 mod schedule;
@@ -48,6 +49,7 @@
 use admission::Admission;
 use journal::Journal;
 use lost_targets::LostTargets;
+use releases::PastRuns;
 use removed_entries::RemovedEntries;
 use schedule::LastPass;
 
@@ -96,6 +98,7 @@
     /// the time until which they may be running.
     orphans: IndexMap<TaskKey, Millis>,
     lost_targets: LostTargets,
+    past_runs: PastRuns,
     journal: Journal,
     admission: Admission,
     vm_tracker: VmTracker,
--- a/src/scheduler/leader/restarts.rs
+++ b/src/scheduler/leader/restarts.rs
@@ -2,6 +2,7 @@
 //! those that were meant for an earlier one, and only its reports and its entry tell which it is.
 
 use super::Leader;
+use super::releases::{Evidence, Release};
 use super::takeover::with_lease_margin;
 use super::verdicts::{Loss, LostRuns};
 use crate::scheduler::lease::Lease;
@@ -69,11 +70,12 @@
     /// Replaces a target by its new incarnation. Runs that the earlier one had reported have ended
     /// with it. The others may be on the new one, because calls name only the id: those whose starts
     /// were answered go on there if it reports them, and those whose starts were not are stopped
-    /// there before their tasks start again.
+    /// there before their tasks start again. `source` is what tells of the restart, for the log.
     pub(super) fn target_restarted(
         &mut self,
         table: &mut JobTable,
         entry: TargetEntry,
+        source: &'static str,
         now: Millis,
     ) {
         self.target_sighted(table, &entry);
@@ -99,7 +101,19 @@
             let fate = run.after_restart();
             counts[fate as usize] += 1;
             if fate == AfterRestart::Ended {
-                self.release_task(table, task, run.number);
+                let release = Release {
+                    task,
+                    run: run.number,
+                    target: &id,
+                    born: old_target.entry.born,
+                    evidence: if run.may_be_executing() {
+                        Evidence::Restarted
+                    } else {
+                        Evidence::NotSent
+                    },
+                    answered_at: old_target.last_answer_at,
+                };
+                self.release_task(table, &release, now);
             } else if let Some(target) = self.targets.get_mut(&id) {
                 target.add_run(task, run.on_next_incarnation(now));
                 if fate == AfterRestart::MayBegin {
@@ -109,7 +123,7 @@
         }
         let [ended, may_run, may_begin] = counts;
         spdlog::warn!("target_restarted", kv: {
-            target = id.0.as_ref(), born = new_born, before = old_target.entry.born, ended, may_run, may_begin
+            target = id.0.as_ref(), born = new_born, before = old_target.entry.born, source, ended, may_run, may_begin
         });
         self.adopt_orphans(table, &id, now);
     }
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexSet;
 
 use super::ends::is_gang;
+use super::releases::{Evidence, Release};
 use super::{Command, Leader, StartOutcome};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::{JobTable, Millis, StepKey, TargetId, TaskKey};
@@ -39,8 +40,7 @@
         let may_start = target.may_start(now) && target.fits_planned_run(task);
         let deadline = target.lease.extend(now, lease_ms).filter(|_| may_start);
         let (Some(job), Some(deadline_ms)) = (job, deadline) else {
-            target.remove_run(task, now);
-            self.release_task(table, task, run);
+            self.release_planned_run(table, id, task, now);
             return;
         };
         let checkpoint = job
@@ -53,8 +53,9 @@
             run.sent_at = Some(now);
         }
         spdlog::info!("start", kv: {
-            task = task.to_string(), run, target = id.0.as_ref(), epoch,
-            used_cpu = target.used.cpu, answered_ms = target.last_answer_at.map_or(0, |at| now - at)
+            task = task.to_string(), run, target = id.0.as_ref(), born = target.entry.born, epoch,
+            used_cpu = target.used.cpu, answered_ms = target.last_answer_at.map_or(0, |at| now - at),
+            before = self.past_runs.take_description(task, run, now)
         });
         self.commands.push(Command::Start {
             target: target.entry.clone(),
@@ -110,8 +111,17 @@
         }) else {
             return;
         };
+        let (born, answered_at) = (target.entry.born, target.last_answer_at);
         if let Some(run) = target.remove_run(task, now) {
-            self.release_task(table, task, run.number);
+            let release = Release {
+                task,
+                run: run.number,
+                target: id,
+                born,
+                evidence: Evidence::NotSent,
+                answered_at,
+            };
+            self.release_task(table, &release, now);
         }
     }
 
@@ -150,25 +160,29 @@
         });
         match outcome {
             StartOutcome::Running => {}
-            StartOutcome::Unknown => target.request_stop(task, now),
-            StartOutcome::Fenced => self.fenced = true,
-            StartOutcome::NoRoom | StartOutcome::Unhealthy => {
-                if outcome == StartOutcome::NoRoom {
-                    target.starts_paused_until = now + START_PAUSE_MS;
-                } else {
-                    target.health.start_refused(now);
-                }
-                target.remove_run(task, now);
-                self.release_task(table, task, run);
+            StartOutcome::Unknown => return target.request_stop(task, now),
+            StartOutcome::Fenced => {
+                self.fenced = true;
+                return;
             }
-            StartOutcome::Late
+            StartOutcome::Unhealthy => target.health.start_refused(now),
+            StartOutcome::NoRoom
+            | StartOutcome::Late
             | StartOutcome::OldRun
             | StartOutcome::Invalid
             | StartOutcome::OtherIncarnation => {
                 target.starts_paused_until = now + START_PAUSE_MS;
-                target.remove_run(task, now);
-                self.release_task(table, task, run);
             }
         }
+        target.remove_run(task, now);
+        let release = Release {
+            task,
+            run,
+            target: id,
+            born,
+            evidence: Evidence::Refused(outcome),
+            answered_at: target.last_answer_at,
+        };
+        self.release_task(table, &release, now);
     }
 }
--- a/src/scheduler/leader/stops.rs
+++ b/src/scheduler/leader/stops.rs
@@ -84,7 +84,12 @@
         let reservation = step
             .map(crate::scheduler::Step::reservation)
             .unwrap_or_default();
-        spdlog::warn!("unknown_run", kv: { task = running.task.to_string(), run = running.run, target = id.0.as_ref() });
+        let stored = table.get(running.task.step.job);
+        let stored = stored.and_then(|job| job.progress.task(running.task));
+        spdlog::warn!("unknown_run", kv: {
+            task = running.task.to_string(), run = running.run, target = id.0.as_ref(), born = target.entry.born,
+            latest = stored.map_or(0, |task| task.run), phase = stored.map_or("unknown", |task| task.phase.name())
+        });
         let run = Run {
             number: running.run,
             phase: RunPhase::Adopted,
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -8,6 +8,7 @@
 use super::admission::Admission;
 use super::journal::Journal;
 use super::lost_targets::LostTargets;
+use super::releases::PastRuns;
 use super::removed_entries::RemovedEntries;
 use super::schedule::LastPass;
 use super::verdicts::Loss;
@@ -55,6 +56,7 @@
             facts: FactsCache::default(),
             orphans: IndexMap::new(),
             lost_targets: LostTargets::default(),
+            past_runs: PastRuns::default(),
             journal: Journal::new(now),
             admission: Admission::default(),
             demand_trends: IndexMap::new(),
@@ -175,7 +177,7 @@
             target.listed = true;
             target.update_entry(entry, now);
         } else if entry.born > target.entry.born {
-            self.target_restarted(table, entry, now);
+            self.target_restarted(table, entry, "entry", now);
         }
     }
 
--- a/src/scheduler/progress.rs
+++ b/src/scheduler/progress.rs
@@ -46,6 +46,17 @@
     Done,
 }
 
+impl TaskPhase {
+    /// Name in the log.
+    pub(super) const fn name(&self) -> &'static str {
+        match self {
+            Self::Pending => "pending",
+            Self::Placed { .. } => "placed",
+            Self::Done => "done",
+        }
+    }
+}
+
 /// Stored progress of one task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskProgress {
