Let fake targets run a task under several numbers at a time

The model kept one run per task: a higher number replaced the run that was there, and a lower one was refused. The platform's rule is narrower. A start is refused only if its number is not higher than that of a run stopped or ended there; any other begins beside the running one, and a stop ends the run of its number only. So no play could show a task that runs twice on a target for longer than the moment of its start, nor what the leader makes of a report that lists a task twice.

Runs are kept by task and number, and only stops and ends bar later starts. The check for two runs at a time is as it was: it looks at all runs on all targets that are alive, the same one included.

--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -68,7 +68,6 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
-    number: u32,
     work: Work,
     /// When the run started, moved on by the time for which it was stalled.
     worked_since: Millis,
@@ -110,9 +109,11 @@
     lease_deadline: u64,
     /// Highest fencing token of any call; lower ones are refused.
     highest_epoch: u64,
-    runs: IndexMap<TaskKey, Run>,
-    /// Highest run number of each task that was started or stopped.
-    highest_runs: IndexMap<TaskKey, u32>,
+    /// Runs that have not ended, by task and number: a task may run under several numbers at a time.
+    runs: IndexMap<(TaskKey, u32), Run>,
+    /// Highest number of a run of each task that was stopped or has ended; starts up to it are
+    /// refused.
+    barred_runs: IndexMap<TaskKey, u32>,
     /// Ended runs that may not be forgotten yet, each with the time of its end.
     ended: Vec<(Millis, EndedRun)>,
     /// Largest number of ended runs in a report.
@@ -158,7 +159,7 @@
             lease_deadline: 0,
             highest_epoch: 0,
             runs: IndexMap::new(),
-            highest_runs: IndexMap::new(),
+            barred_runs: IndexMap::new(),
             ended: Vec::new(),
             ends_page: 500,
             next_position: 1,
@@ -233,17 +234,18 @@
                 run.hold_back(passed);
             }
         }
-        let over: Vec<(TaskKey, EndKind)> = self
+        let over: Vec<((TaskKey, u32), EndKind)> = self
             .runs
             .iter()
-            .filter_map(|(task, run)| Some((*task, self.due_end(run, now)?)))
+            .filter_map(|(key, run)| Some((*key, self.due_end(run, now)?)))
             .collect();
-        for (task, kind) in over {
-            let run = self.runs.shift_remove(&task).unwrap();
+        for ((task, run), kind) in over {
+            self.runs.shift_remove(&(task, run));
+            self.bar_starts(task, run);
             let end = EndedRun {
                 position: self.next_position,
                 task,
-                run: run.number,
+                run,
                 kind,
                 checkpoint: String::new(),
             };
@@ -263,28 +265,38 @@
 
     /// The run of a task under this number.
     pub(crate) fn run(&self, task: TaskKey, number: u32) -> Option<&Run> {
-        self.runs.get(&task).filter(|run| run.number == number)
+        self.runs.get(&(task, number))
     }
 
     pub(crate) fn run_mut(&mut self, task: TaskKey, number: u32) -> Option<&mut Run> {
-        let run = self.runs.get_mut(&task);
-        run.filter(|run| run.number == number)
+        self.runs.get_mut(&(task, number))
     }
 
+    /// Tasks of the runs here; one that runs under several numbers comes up several times.
     pub(crate) fn running(&self) -> impl Iterator<Item = TaskKey> {
-        self.runs.keys().copied()
+        self.runs.keys().map(|(task, _)| *task)
     }
 
-    /// Number of the run of a task that is running here.
+    /// Number of the only run of a task that is running here.
     pub(crate) fn run_number(&self, task: TaskKey) -> u32 {
-        self.runs[&task].number
+        let mut numbers = self.runs.keys().filter(|(other, _)| *other == task);
+        let (_, number) = numbers.next().unwrap();
+        assert!(numbers.next().is_none(), "{task} runs twice");
+        *number
     }
 
     /// Gives the run of a task another number, as if a start of that number had been carried out
     /// here instead.
     pub(crate) fn renumber_run(&mut self, task: TaskKey, number: u32) {
-        self.runs.get_mut(&task).unwrap().number = number;
-        self.highest_runs.insert(task, number);
+        let key = (task, self.run_number(task));
+        let run = self.runs.shift_remove(&key).unwrap();
+        self.runs.insert((task, number), run);
+    }
+
+    /// Refuses starts of the task up to this number from now on.
+    fn bar_starts(&mut self, task: TaskKey, run: u32) {
+        let barred = self.barred_runs.entry(task).or_default();
+        *barred = run.max(*barred);
     }
 
     /// Sum of what its runs reserve.
@@ -313,17 +325,13 @@
             return StartOutcome::Late;
         }
         self.extend_lease(deadline_ms, now);
-        if self
-            .runs
-            .get(&task)
-            .is_some_and(|there| there.number == run)
-        {
+        if self.run(task, run).is_some() {
             return StartOutcome::Running;
         }
         if self
-            .highest_runs
+            .barred_runs
             .get(&task)
-            .is_some_and(|high| run <= *high)
+            .is_some_and(|barred| run <= *barred)
         {
             return StartOutcome::OldRun;
         }
@@ -331,14 +339,12 @@
             return StartOutcome::NoRoom;
         }
         let mut begun = Run {
-            number: run,
             work,
             worked_since: now,
             end: None,
         };
         begun.begin_work(now);
-        self.highest_runs.insert(task, run);
-        self.runs.insert(task, begun);
+        self.runs.insert((task, run), begun);
         StartOutcome::Running
     }
 
@@ -347,10 +353,8 @@
             return StopOutcome::Fenced;
         }
         self.highest_epoch = epoch;
-        let high = self.highest_runs.entry(task).or_default();
-        *high = (*high).max(run);
-        if let Some(there) = self.runs.get_mut(&task)
-            && there.number <= run
+        self.bar_starts(task, run);
+        if let Some(there) = self.run_mut(task, run)
             && !matches!(there.end, Some((_, EndKind::Stopped)))
         {
             there.end = Some((now + STOP_MS, EndKind::Stopped));
@@ -379,9 +383,9 @@
         });
         self.forgotten_done.extend(done);
         self.ended.retain(|(_, end)| end.position > cursor);
-        let running = self.runs.iter().map(|(task, run)| RunningTask {
+        let running = self.runs.iter().map(|((task, number), run)| RunningTask {
             task: *task,
-            run: run.number,
+            run: *number,
             checkpoint: String::new(),
             percent: run.percent(now),
             load: 0,
--- a/tests/scheduler/world/crash.rs
+++ b/tests/scheduler/world/crash.rs
@@ -226,7 +226,8 @@
 
     /// Notes a loss of a target that no task there caused, for the tasks that it ran.
     pub(super) fn note_losses(&mut self, id: &TargetId) {
-        for task in self.targets[id].running() {
+        let tasks: IndexSet<TaskKey> = self.targets[id].running().collect();
+        for task in tasks {
             let losses = self.crashes.losses.entry(task).or_default();
             *losses += 1;
             if *losses >= LOSS_LIMIT {
@@ -240,7 +241,7 @@
         let target = &mut self.targets[id];
         let entry = target.entry.clone();
         let deadly = &self.crashes.deadly;
-        let under: Vec<TaskKey> = target
+        let under: IndexSet<TaskKey> = target
             .running()
             .filter(|task| deadly.contains(task))
             .collect();
