Let stops and holds be late, and answers overtake each other

A call without an answer may be carried out seconds later, and answers on different connections may overtake each other. The model did this to starts only. Stops and holds are now carried out 2 to 12 s late at given rates, by the incarnation that has received them, with no answer in time; answers may be late by up to a given time within the timeout of their call. All rates are 0 unless a test sets them, and nothing is drawn for them then, so that earlier plays stay as they were.

The first test that uses them fails on this commit: while the start and the stop of run 2 of a task are late, the answer to the stop of run 1 counts as the confirmation of run 2 (Event::StopAnswered names no run). The test puts run 1 on the target by hand.

--- a/tests/scheduler/evacuation.rs
+++ b/tests/scheduler/evacuation.rs
@@ -231,6 +231,7 @@
             failed_runs: 0,
             held_up_orders: 100,
             lost_starts: 0,
+            ..Faults::default()
         };
         world.claim();
         for round in 0..12 {
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -19,6 +19,7 @@
 mod incomplete_reports;
 mod job_order;
 mod jobs;
+mod parallel_runs;
 mod pool_day;
 mod pools;
 mod queue_terms;
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -338,14 +338,19 @@
         if !self.room.admits(&self.used(), &work.reserved) {
             return StartOutcome::NoRoom;
         }
-        let mut begun = Run {
+        self.begin_run(task, run, work, now);
+        StartOutcome::Running
+    }
+
+    /// A run begins, beside others of its task.
+    pub(crate) fn begin_run(&mut self, task: TaskKey, number: u32, work: Work, now: Millis) {
+        let mut run = Run {
             work,
             worked_since: now,
             end: None,
         };
-        begun.begin_work(now);
-        self.runs.insert((task, run), begun);
-        StartOutcome::Running
+        run.begin_work(now);
+        self.runs.insert((task, number), run);
     }
 
     pub(crate) fn stop(&mut self, task: TaskKey, run: u32, epoch: u64, now: Millis) -> StopOutcome {
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -3,6 +3,7 @@
 mod crash;
 mod evacuation;
 mod gangs;
+mod late_calls;
 mod leave;
 mod moves;
 
@@ -24,6 +25,7 @@
 use crash::{Contact, CrashStep, Crashes};
 use evacuation::Operators;
 use gangs::Gangs;
+use late_calls::LateHold;
 use leave::Departure;
 
 pub(crate) use crash::Returns;
@@ -67,8 +69,14 @@
         /// start that is carried out as it arrives.
         received_by: Option<u64>,
     },
-    Stop(usize, Command),
+    Stop {
+        leader: usize,
+        command: Command,
+        /// As in a start.
+        received_by: Option<u64>,
+    },
     Hold(HoldCall),
+    LateHold(LateHold),
     Store {
         leader: usize,
         batch: u64,
@@ -120,6 +128,12 @@
     pub(crate) lost_starts: u32,
     /// Starts that are carried out 2 to 12 s late and not answered in time, of all starts.
     pub(crate) late_starts: u32,
+    /// Stops that are carried out as late and not answered, of all stops.
+    pub(crate) late_stops: u32,
+    /// Holds that are carried out as late and not answered, of all holds.
+    pub(crate) late_holds: u32,
+    /// Longest time by which answers are late, in ms; they arrive before the call fails.
+    pub(crate) jitter_ms: Millis,
     /// Runs that end as failed, of all runs.
     pub(crate) failed_runs: u32,
     /// Orders for VMs that the network holds up for as long as a connection lasts without
@@ -584,8 +598,11 @@
                 };
                 self.schedule(delay, start);
             }
-            Command::Stop { .. } => self.schedule(CALL_LATENCY_MS, Action::Stop(leader, command)),
+            Command::Stop { .. } => self.send_stop(leader, command),
             Command::Hold { .. } => {
+                if self.draw(self.faults.late_holds) {
+                    return self.send_late_hold(leader, command);
+                }
                 let call = HoldCall {
                     leader,
                     command,
@@ -695,7 +712,17 @@
                     self.start(leader, command, sent_at);
                 }
             }
-            Action::Stop(leader, command) => self.stop(leader, &command),
+            Action::Stop {
+                leader,
+                command,
+                received_by: None,
+            } => self.stop(leader, &command),
+            Action::Stop {
+                leader,
+                command,
+                received_by: Some(born),
+            } => self.carry_out_late_stop(leader, &command, born),
+            Action::LateHold(call) => self.carry_out_late_hold(&call),
             Action::Hold(call) => self.hold(call),
             Action::Crash(step) => self.perform_crash_step(&step),
             Action::Leave(departure) => self.leave(&departure),
@@ -772,7 +799,8 @@
             _ => self.faults.lost_answers,
         };
         if self.rng.u32(..1_000) >= lost {
-            self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
+            let delay = CALL_LATENCY_MS + self.draw_jitter();
+            self.schedule(delay, Action::Deliver { leader, event });
             return;
         }
         let event = match event {
