Test entries that their target did not write

Another writer may publish an entry under the id of a live target. The model can now publish one with any `born`; the target goes on, and its next heartbeat overwrites the entry.

--- a/tests/scheduler/parallel_runs.rs
+++ b/tests/scheduler/parallel_runs.rs
@@ -1,7 +1,8 @@
 //! Two runs of a task at the same time, also on the same target: a target starts a run of a task
 //! beside another one.
 
-use amaranthwick::scheduler::{TargetId, TaskKey};
+use amaranthwick::scheduler::{JobKey, JobState, TargetId, TaskKey};
+use rstest::rstest;
 
 use crate::fixtures::{job, step};
 use crate::world::World;
@@ -10,6 +11,32 @@
     TargetId("t0".into())
 }
 
+/// A world with one target on which the tasks of a job run, which it has reported.
+fn world_with_reported_job(run_ms: u64) -> (World, JobKey) {
+    let mut world = World::new(1, 1);
+    world.claim();
+    let key = world.submit(1, job(vec![step(5, run_ms, &[])]));
+    world.run_for(600);
+    assert_eq!(world.running(key).len(), 5);
+    (world, key)
+}
+
+/// Guards against runs that count as ended because of an entry that their target did not write.
+#[rstest]
+fn an_entry_of_another_writer_with_a_later_start_ends_no_run(
+    #[values(1_200, 3_500)] run_ms: u64,
+    #[values(1, 100_000)] later: u64,
+) {
+    let (mut world, key) = world_with_reported_job(run_ms);
+    let born = world.targets[&only_target()].entry.born + later;
+
+    world.publish_foreign_entry(&only_target(), born);
+    world.run_for(15_000);
+
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.state(key), Some(JobState::Complete));
+}
+
 /// Guards against a run whose own stop is late and that counts as stopped: the stop of a lower run
 /// of its task was confirmed.
 #[test]
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -386,6 +386,20 @@
         self.notify_leaders(&Event::TargetEntry(entry));
     }
 
+    /// Another writer publishes a well-formed entry under the id of a target, which goes on as it
+    /// was and overwrites it with its next heartbeat.
+    pub(crate) fn publish_foreign_entry(&mut self, id: &TargetId, born: u64) {
+        let target = self.targets.get_mut(id).unwrap();
+        let entry = TargetEntry {
+            born,
+            ..target.entry.clone()
+        };
+        target.listed_as = Some(entry.clone());
+        self.notify_leaders(&Event::TargetEntry(entry));
+        let delay = self.rng.u64(..ENTRY_LAG_MS);
+        self.schedule(delay, Action::Publish(id.clone()));
+    }
+
     /// The entries of all targets expire during an outage of the store that has just ended.
     pub(crate) fn expire_entries(&mut self) {
         self.notify_leaders(&Event::TargetListRegained);
