Add a failing test of a report that ends a run that goes on

Two runs of a task at once on one target, both started by one leader, neither start late, the first run never stopped:

- The control loop reads the clock, waits for the lock, and handles all events that have arrived by the end of that with the time from before.
- Start and hold call to a target go out in one poll, on two connections.
The hold call overtakes the start, and returns at once because another run has ended: its report lacks the new run.
- Both are sent after the clock was read (1,023 against 1,022) and answered before the events are drained.
The run counts as confirmed at 1,022, before the hold call was sent, so the report that lacks it ends it: run_missing cause=vanished, and start run=2 on the target.

Measured: the test fails on this commit, one task is started twice. The comparison is the same in (missing_runs, run_leader).

--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -8,6 +8,7 @@
 mod crash_troubles;
 mod crashes_beside_orders;
 mod crashing_tasks;
+mod early_releases;
 mod evacuation;
 mod evacuation_moves;
 mod evacuation_orders;
