--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod admission_replays;
+mod bare_leader;
 mod cancelled_jobs;
 mod capacity;
 mod crash_limits;
