Add a failing test of a run whose lease an earlier leader extends

An earlier leader that can't reach the store extends leases until it has stored nothing for 7 s, and so does a target that can't reach the store either go on. Its entry is removed after three heartbeats of silence. The next leader releases tasks on unlisted targets 5.2 s after it took the role (unlisted_leases_lapsed_at), at which time earlier_extend_ms says that leases may still be extended: it counts on the earlier leader being refused by some other target, which a partition prevents.

--- a/tests/scheduler/early_releases.rs
+++ b/tests/scheduler/early_releases.rs
@@ -49,3 +49,22 @@
     assert_eq!(fixture.starts, Vec::new());
     assert_eq!(fixture.stops, vec![1]);
 }
+
+/// Guards against two runs of a task: its target is not listed when another process takes the role,
+/// as it can't reach the store, nor can the earlier leader, which goes on to extend its lease.
+#[test]
+fn a_task_on_an_unlisted_target_waits_while_the_earlier_leader_may_extend_its_lease() {
+    let earlier = Fixture::with_running_task();
+    let extend_ms = 7_000;
+    let mut fixture = Fixture::take_over(2_000, earlier.log, vec![entry("t1")], extend_ms);
+
+    for now in (2_000..2_000 + extend_ms).step_by(100) {
+        fixture.settle(now);
+        fixture.now = now + 2;
+        if !fixture.holds.is_empty() {
+            fixture.hold_answered(now + 1, &[], &[]);
+        }
+    }
+
+    assert_eq!(fixture.starts, Vec::new());
+}
