Add a failing test of an entry of another writer that ends a run

An entry names a pool that does not exist, and a later born. It names no executor to use, and the one before holds. The leader takes it for a restart, and releases all tasks that the target had reported. The target's next report has the earlier born, which counts as a second restart: nothing is noted of the runs that it lists. Then the task is started again on the same target, beside its first run. One leader, no late call.

Measured: starts=[(task, 1), (task, 2)], while each report lists run 1.

--- a/tests/scheduler/early_releases.rs
+++ b/tests/scheduler/early_releases.rs
@@ -3,9 +3,9 @@
 //! The events are those of a target that keeps to its protocol, in an order that the model of the
 //! other tests can't produce.
 
-use amaranthwick::scheduler::{Event, StartOutcome};
+use amaranthwick::scheduler::{Event, StartOutcome, TargetEntry};
 
-use crate::bare_leader::{Fixture, done, entry, running};
+use crate::bare_leader::{BORN, Fixture, done, entry, running};
 use crate::fixtures::task;
 
 /// Guards against a second start of a task whose run goes on: a hold call overtook the start, so its
@@ -68,3 +68,31 @@
 
     assert_eq!(fixture.starts, Vec::new());
 }
+
+/// Guards against two runs of a task on one target: an entry of another writer, which names a pool that
+/// does not exist, counted as a restart of the target, whose runs go on.
+#[test]
+fn an_entry_that_names_no_pool_ends_no_run() {
+    let mut fixture = Fixture::with_running_task();
+    fixture.poll(500);
+    fixture.hold_answered(16, &[running(1)], &[]);
+    fixture.settle(510);
+
+    let foreign = TargetEntry {
+        born: BORN + 1,
+        pool: "none".into(),
+        ..entry("t0")
+    };
+    fixture.handle(Event::TargetEntry(foreign));
+    fixture.holds.clear();
+    for now in (520..2_000).step_by(20) {
+        fixture.settle(now);
+        fixture.now = now + 2;
+        if !fixture.holds.is_empty() {
+            fixture.hold_answered(now + 1, &[running(1)], &[]);
+        }
+        fixture.handle(Event::TargetEntry(entry("t0")));
+    }
+
+    assert_eq!(fixture.starts, vec![(task(1, 0), 1)]);
+}
