Add a failing test of a start whose number is not stored

A batch with run 1 is on its way, the target restarts, run 1 is dropped, and the task is placed there again as run 2: the answer to the batch of run 1 sends the start of run 2. If the leader ends before its next batch is stored, the next one knows of run 1 only, and gives out number 2 again.

Measured: starts=[(task, 2)] with only run 1 stored.

--- a/tests/scheduler/early_releases.rs
+++ b/tests/scheduler/early_releases.rs
@@ -96,3 +96,26 @@
 
     assert_eq!(fixture.starts, vec![(task(1, 0), 1)]);
 }
+
+/// Guards against a start that is sent before its number is stored: the batch that is stored has the
+/// number of an earlier run on that target, which a restart has ended before it was sent.
+#[test]
+fn a_start_waits_until_its_own_number_is_stored() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1);
+    fixture.poll(10);
+
+    let restarted = TargetEntry {
+        born: BORN + 1,
+        ..entry("t0")
+    };
+    fixture.handle(Event::TargetEntry(restarted));
+    fixture.poll(20);
+    fixture.now = 25;
+    fixture.hold_answered_by(BORN + 1, 21, &[], &[]);
+    fixture.poll(30);
+    fixture.batch_stored();
+    fixture.poll(35);
+
+    assert_eq!(fixture.starts, Vec::new());
+}
