Add a failing test of a stop that the answer to another confirms

Event::StopAnswered has no run number. A restarted target has begun run 1 late, the start of run 2 is on its way, and stops of both were sent. The answer to that of run 1 confirms the one of run 2, whose start is not refused. The next report lacks both, and run 3 is started, with the start of run 2 still to come. It needs two late calls.

--- a/tests/scheduler/early_releases.rs
+++ b/tests/scheduler/early_releases.rs
@@ -119,3 +119,37 @@
 
     assert_eq!(fixture.starts, Vec::new());
 }
+
+/// Guards against a start that follows one that is still on its way: the answer to the stop of an
+/// earlier run, which a restarted target had begun late, confirmed the stop of the later one.
+#[test]
+fn the_answer_to_the_stop_of_another_run_confirms_no_stop() {
+    let mut fixture = Fixture::with_sent_start();
+    fixture.start_answered(1, StartOutcome::Unknown, 13);
+    fixture.poll(420);
+    fixture.stop_confirmed(BORN, 421);
+    fixture.poll(425);
+    fixture.now = 428;
+    fixture.hold_answered(426, &[], &[]);
+    fixture.settle(430);
+    assert_eq!(fixture.starts, vec![(task(1, 0), 1), (task(1, 0), 2)]);
+
+    let restarted = TargetEntry {
+        born: BORN + 1,
+        ..entry("t0")
+    };
+    fixture.handle(Event::TargetEntry(restarted));
+    fixture.holds.clear();
+    fixture.poll(440);
+    fixture.now = 442;
+    fixture.hold_answered_by(BORN + 1, 441, &[running(1)], &[]);
+    fixture.poll(443);
+    assert_eq!(fixture.stops, vec![1, 2, 1]);
+    fixture.stop_confirmed(BORN + 1, 444);
+    fixture.poll(446);
+    fixture.now = 448;
+    fixture.hold_answered_by(BORN + 1, 447, &[], &[]);
+    fixture.settle(450);
+
+    assert_eq!(fixture.starts, vec![(task(1, 0), 1), (task(1, 0), 2)]);
+}
