Take a restart that an entry tells of for true only when the target reports it

Callers saw two runs of a task at once on one target, both started by one process, neither late.

Cause: an entry with a later `born` under the id of a target counted as its restart, whoever wrote it, and all runs that the target had reported counted as ended with the incarnation before. The target can tell, and is asked on the next call in any case.

Change: such an entry is kept as an announcement. The target gets no new work, its lease is not extended and no ended run forgotten until it has answered a call that was sent after the entry was read: with the announced incarnation, it has restarted; with the one before, the entry is not its own (restart_disproved). Without an answer its runs are given up when the lease lapses, as for any silent target. A target without runs is replaced at once, as before. Stops that are confirmed meanwhile are sent again. The call that was in flight when the entry was read says nothing, and is ignored.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -5,7 +5,7 @@
 use super::{Command, HoldFailure, Leader, TargetReport};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::target::{HoldState, Target};
-use crate::scheduler::{JobTable, Millis, TargetId, TaskKey};
+use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey};
 
 /// Time that a target with work may wait for a run to end before it answers, in ms; at most a
 /// third of a lease, so that the lease does not expire when one answer is lost.
@@ -50,15 +50,17 @@
                 continue;
             }
             // A call to a target that did not answer the last one does not extend its lease:
-            // the lease would never expire, and the target's runs could never be given up.
-            let deadline_ms = if target.missed_calls == 0 {
+            // the lease would never expire, and the target's runs could never be given up. Nor does
+            // one that a later incarnation may receive.
+            let deadline_ms = if target.missed_calls == 0 && target.announced.is_none() {
                 target.lease.extend(now, lease_ms)
             } else {
                 None
             };
             let forget_up_to = target.forgettable_end(now);
             let settled = target.applied_end == target.forgotten_end.max(forget_up_to)
-                && target.missed_calls == 0;
+                && target.missed_calls == 0
+                && target.announced.is_none();
             let wait_ms = if target.token_accepted && settled && target.may_be_executing() {
                 MAX_HOLD_WAIT_MS
             } else {
@@ -67,7 +69,7 @@
             target.hold = HoldState::InFlight(now);
             target.sent_cursor = forget_up_to;
             self.commands.push(Command::Hold {
-                target: target.entry.clone(),
+                target: target.called_entry(),
                 deadline_ms,
                 forget_up_to,
                 wait_ms,
@@ -91,22 +93,37 @@
         if target.entry.born != born {
             return;
         }
+        // Another call was sent since, because an incarnation was announced.
+        let superseded = matches!(target.hold, HoldState::InFlight(at) if sent_at < at);
         let report = match result {
-            Ok(report) => report,
             Err(HoldFailure::Fenced) => {
                 spdlog::warn!("fenced", kv: { target = id.0.as_ref(), epoch = self.epoch(), call = "hold" });
                 self.fenced = true;
                 return;
             }
-            Err(HoldFailure::OtherIncarnation) => return self.target_replaced(table, id, now),
-            Err(HoldFailure::NoAnswer) => return call_missed(target, now),
+            _ if superseded => return,
+            Ok(report) => report,
+            Err(HoldFailure::OtherIncarnation) if !target.may_have_moved() => {
+                return self.target_replaced(table, id, now);
+            }
+            Err(HoldFailure::OtherIncarnation | HoldFailure::NoAnswer) => {
+                return call_missed(target, now);
+            }
         };
         if report.born != born {
-            let mut entry = (*target.entry).clone();
-            entry.born = report.born;
+            let announced = target.announced.take().map(|announced| announced.entry);
+            let announced = announced.filter(|entry| entry.born == report.born);
+            let entry = announced.unwrap_or_else(|| TargetEntry {
+                born: report.born,
+                ..(*target.entry).clone()
+            });
             self.target_restarted(table, entry, "report", now);
             return;
         }
+        self.disprove_restart(id, sent_at);
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
         if target.missed_calls > 0 || !target.token_accepted {
             spdlog::info!("target_answers", kv: {
                 target = id.0.as_ref(), missed = target.missed_calls, running = report.running.len(), ended = report.ended.len()
@@ -132,7 +149,9 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        let pause = if target.applied_end > target.stored_end {
+        let pause = if target.announced.is_some() {
+            0
+        } else if target.applied_end > target.stored_end {
             UNSTORED_HOLD_INTERVAL_MS
         } else if target.stored_end > target.forgotten_end || !target.lists_all {
             0
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -26,6 +26,7 @@
         for id in expired {
             self.give_up_runs(table, &id, Loss::Silent, now);
         }
+        self.replace_idle_targets(table, now);
         self.release_orphans(table, now);
     }
 
--- a/src/scheduler/leader/restarts.rs
+++ b/src/scheduler/leader/restarts.rs
@@ -7,7 +7,7 @@
 use super::verdicts::{Loss, LostRuns};
 use crate::scheduler::lease::Lease;
 use crate::scheduler::run::{AfterRestart, RunPhase};
-use crate::scheduler::target::Target;
+use crate::scheduler::target::{Announcement, HoldState, Target};
 use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey, TaskPhase};
 
 impl Leader {
@@ -44,14 +44,15 @@
         later
     }
 
-    /// Returns whether a target has missed calls, so that the incarnation that answers now may be
-    /// another one, and has it asked for a report, which tells.
+    /// Returns whether a target has missed calls or a later incarnation was announced, so that the one
+    /// that answers now may be another one, and has it asked for a report, which tells.
     pub(super) fn may_have_restarted(&mut self, id: &TargetId, now: Millis) -> bool {
-        let silent = self.targets.get(id).is_some_and(|t| t.missed_calls > 0);
-        if silent {
+        let target = self.targets.get(id);
+        let unsure = target.is_some_and(|t| t.missed_calls > 0 || t.announced.is_some());
+        if unsure {
             self.expedite_hold(id, now);
         }
-        silent
+        unsure
     }
 
     /// Notes that a later incarnation of the target has answered the start of a run, so that the
@@ -67,6 +68,61 @@
         }
     }
 
+    /// Applies an entry that tells of a later incarnation of a target. Another writer may have written
+    /// it, so the target's runs end only once a report shows that incarnation, or the lease lapses.
+    pub(super) fn restart_announced(
+        &mut self,
+        table: &mut JobTable,
+        entry: TargetEntry,
+        now: Millis,
+    ) {
+        let Some(target) = self.targets.get_mut(&entry.id) else {
+            return;
+        };
+        if target.runs.is_empty() {
+            return self.target_restarted(table, entry, "entry", now);
+        }
+        let known = target.announced.as_ref();
+        if let Some(known) = known.filter(|known| known.entry.born == entry.born) {
+            let read_at = known.read_at;
+            target.announced = Some(Announcement { entry, read_at });
+            return;
+        }
+        spdlog::warn!("restart_announced", kv: {
+            target = entry.id.0.as_ref(), born = entry.born, before = target.entry.born, runs = target.runs.len()
+        });
+        target.listed = true;
+        target.announced = Some(Announcement {
+            entry,
+            read_at: now,
+        });
+        // The call in flight may have been received by the earlier incarnation.
+        target.hold = HoldState::Due(now);
+    }
+
+    /// Applies that a target has answered a call sent at `sent_at` as the incarnation that is known: one
+    /// that was announced before is not its own.
+    pub(super) fn disprove_restart(&mut self, id: &TargetId, sent_at: Millis) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if let Some(announced) = target.announced.take_if(|known| known.read_at <= sent_at) {
+            spdlog::warn!("restart_disproved", kv: {
+                target = id.0.as_ref(), born = target.entry.born, announced = announced.entry.born
+            });
+            self.needs_scheduling = true;
+        }
+    }
+
+    /// Replaces targets by their announced incarnations once they have no runs left that might go on.
+    pub(super) fn replace_idle_targets(&mut self, table: &mut JobTable, now: Millis) {
+        let idle = self.targets.values_mut().filter(|t| t.runs.is_empty());
+        let announced: Vec<Announcement> = idle.filter_map(|t| t.announced.take()).collect();
+        for Announcement { entry, .. } in announced {
+            self.target_restarted(table, entry, "entry", now);
+        }
+    }
+
     /// Replaces a target by its new incarnation. Runs that the earlier one had reported have ended
     /// with it. The others may be on the new one, because calls name only the id: those whose starts
     /// were answered go on there if it reports them, and those whose starts were not are stopped
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -177,7 +177,7 @@
             target.listed = true;
             target.update_entry(entry, now);
         } else if entry.born > target.entry.born {
-            self.target_restarted(table, entry, "entry", now);
+            self.restart_announced(table, entry, now);
         }
     }
 
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -34,11 +34,23 @@
     pub(super) reclaimed: bool,
 }
 
+/// An entry that tells of a later incarnation of a target, which no report has shown yet.
+#[derive(Clone, Debug)]
+pub(super) struct Announcement {
+    pub(super) entry: TargetEntry,
+    /// When it was first read. A call that was sent later reaches the later incarnation, if there is
+    /// one.
+    pub(super) read_at: Millis,
+}
+
 /// The leader's state of one incarnation of a target.
 #[allow(clippy::struct_excessive_bools)] // They are independent of each other.
 #[derive(Debug)]
 pub(super) struct Target {
     pub(super) entry: Arc<TargetEntry>,
+    /// A later incarnation that an entry tells of, as long as the target has not reported which one
+    /// it is.
+    pub(super) announced: Option<Announcement>,
     /// Whether the platform's list has an entry for it.
     pub(super) listed: bool,
     /// Whether it has answered a call with this leader's fencing token, and so refuses
@@ -94,6 +106,7 @@
         Self {
             cold_until: now + entry.cold_left_ms,
             entry: Arc::new(entry),
+            announced: None,
             listed: true,
             token_accepted: false,
             lease,
@@ -128,6 +141,7 @@
     /// Returns whether runs that were placed on it may start at `now`.
     pub(super) fn may_start(&self, now: Millis) -> bool {
         self.listed
+            && self.announced.is_none()
             && self.token_accepted
             && self.stays()
             && self.missed_calls == 0
@@ -150,6 +164,24 @@
         }
     }
 
+    /// Entry of whom the next hold call is for: of the same incarnation, but at the address of an
+    /// announced one if nothing answers at its own.
+    pub(super) fn called_entry(&self) -> Arc<TargetEntry> {
+        match &self.announced {
+            Some(announced) if self.missed_calls % 2 == 1 => Arc::new(TargetEntry {
+                address: announced.entry.address,
+                ..(*self.entry).clone()
+            }),
+            _ => Arc::clone(&self.entry),
+        }
+    }
+
+    /// Returns whether a later incarnation at another address was announced.
+    pub(super) fn may_have_moved(&self) -> bool {
+        let announced = self.announced.as_ref();
+        announced.is_some_and(|announced| announced.entry.address != self.entry.address)
+    }
+
     /// Returns whether a crash would show whose run caused it, if a run of `job` started now: while
     /// a suspect run starts up, no run of another job may.
     pub(super) fn isolates(&self, job: JobKey, suspect: bool, now: Millis) -> bool {
@@ -241,7 +273,10 @@
         let recent = self
             .reported_at
             .is_some_and(|at| now.saturating_sub(at) <= MAX_REPORT_AGE_MS);
-        let forgettable = recent && self.missed_calls == 0 && self.stored_end > self.forgotten_end;
+        let forgettable = recent
+            && self.announced.is_none()
+            && self.missed_calls == 0
+            && self.stored_end > self.forgotten_end;
         if forgettable { self.stored_end } else { 0 }
     }
 
