Conclude from a report only on runs that began before its hold call was sent

Cause: a run that a report lacks has ended if it was confirmed before the hold call was sent. Both times were read from a clock, and the control loop read its time before it waited for the lock and took the events. A start whose answer came in that wait counted as confirmed before; a hold call that was sent in it, and overtook the start on another connection, brings a report without the run, which then has "vanished", and its task starts again beside it. Likewise a target's clock counted as read earlier than it was, so that a lease could lapse too soon.

The calls are sent on the thread that runs the loop, so that the order cannot come about as long as there is one.

Change: hold calls are numbered. A run notes how many had been sent when it was known to run, or to be stopped, and only the answer to a later one tells of it; the order no longer depends on clocks. The answer to a call after which another one was sent is ignored. The control loop reads its time once it has the lock and the events.

--- a/benches/leader/fleet.rs
+++ b/benches/leader/fleet.rs
@@ -24,6 +24,7 @@
 
 /// A call that waits for a run to end.
 struct WaitingHold {
+    number: u64,
     sent_at: Millis,
     until: Millis,
 }
@@ -95,7 +96,7 @@
             let answers = target
                 .hold
                 .take_if(|hold| hold.until <= now || !target.ended.is_empty());
-            events.extend(answers.map(|hold| target.report(hold.sent_at, now)));
+            events.extend(answers.map(|hold| target.report(hold.number, hold.sent_at, now)));
         }
         let (arrived, pending) = std::mem::take(&mut self.pending)
             .into_iter()
@@ -146,6 +147,7 @@
             }),
             Command::Hold {
                 target,
+                number,
                 forget_up_to,
                 wait_ms,
                 ..
@@ -155,12 +157,13 @@
                 let until = now + wait_ms;
                 if wait_ms > 0 {
                     fake.hold = Some(WaitingHold {
+                        number,
                         sent_at: now,
                         until,
                     });
                     return None;
                 }
-                Some(fake.report(now, now))
+                Some(fake.report(number, now, now))
             }
             Command::ListVms => Some(Event::VmList(Some(self.vms()))),
             Command::BeginUpkeep { vm, .. } | Command::MoveVm { vm, .. } => {
@@ -195,7 +198,7 @@
         }
     }
 
-    fn report(&self, sent_at: Millis, now: Millis) -> Event {
+    fn report(&self, number: u64, sent_at: Millis, now: Millis) -> Event {
         let running = self.runs.iter().map(|(task, run)| RunningTask {
             task: *task,
             run: run.number,
@@ -206,6 +209,7 @@
         Event::HoldAnswered {
             target: self.entry.id.clone(),
             born: self.entry.born,
+            number,
             result: Ok(TargetReport {
                 born: self.entry.born,
                 clock_ms: now,
--- a/src/dispatch/calls.rs
+++ b/src/dispatch/calls.rs
@@ -76,6 +76,7 @@
         }
         Command::Hold {
             target,
+            number,
             deadline_ms,
             forget_up_to,
             wait_ms,
@@ -91,6 +92,7 @@
             Event::HoldAnswered {
                 target: target.id.clone(),
                 born: target.born,
+                number,
                 result,
                 sent_at,
             }
--- a/src/dispatch/lead.rs
+++ b/src/dispatch/lead.rs
@@ -1,5 +1,6 @@
 //! Control loop: runs the leader, and carries out its commands.
 
+use std::iter;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -80,13 +81,15 @@
     /// which it must run again although no event arrives, in ms, or `None` once this process no
     /// longer leads.
     fn run_leader<S: Services>(&self, shared: &Arc<Shared<S>>) -> Option<Millis> {
-        let now = shared.clock.now();
         let mut guard = shared.lock();
         let state = &mut *guard;
         let Some(leader) = &mut state.leader else {
             return None;
         };
-        while let Ok(event) = self.events.try_recv() {
+        let events: Vec<Event> = iter::from_fn(|| self.events.try_recv().ok()).collect();
+        // Read after the events were taken, so that none of them is later.
+        let now = shared.clock.now();
+        for event in events {
             leader.handle(&mut state.table, event, now);
         }
         if leader.deposed(now) {
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -66,10 +66,12 @@
             } else {
                 0
             };
-            target.hold = HoldState::InFlight(now);
+            self.holds_sent += 1;
+            target.hold = HoldState::InFlight(self.holds_sent);
             target.sent_cursor = forget_up_to;
             self.commands.push(Command::Hold {
                 target: target.called_entry(),
+                number: self.holds_sent,
                 deadline_ms,
                 forget_up_to,
                 wait_ms,
@@ -77,12 +79,14 @@
         }
     }
 
-    /// Applies the answer to a hold call.
+    /// Applies the answer to a hold call, unless another one was sent to the target since.
+    #[allow(clippy::too_many_arguments)] // One for each field of the event.
     pub(super) fn hold_answered(
         &mut self,
         table: &mut JobTable,
         id: &TargetId,
         born: u64,
+        number: u64,
         result: Result<TargetReport, HoldFailure>,
         sent_at: Millis,
         now: Millis,
@@ -93,8 +97,7 @@
         if target.entry.born != born {
             return;
         }
-        // Another call was sent since, because an incarnation was announced.
-        let superseded = matches!(target.hold, HoldState::InFlight(at) if sent_at < at);
+        let superseded = target.hold != HoldState::InFlight(number);
         let report = match result {
             Err(HoldFailure::Fenced) => {
                 spdlog::warn!("fenced", kv: { target = id.0.as_ref(), epoch = self.epoch(), call = "hold" });
@@ -111,7 +114,7 @@
             }
         };
         if report.born != born {
-            let announced = target.announced.take().map(|announced| announced.entry);
+            let announced = target.announced.take();
             let announced = announced.filter(|entry| entry.born == report.born);
             let entry = announced.unwrap_or_else(|| TargetEntry {
                 born: report.born,
@@ -120,7 +123,7 @@
             self.target_restarted(table, entry, "report", now);
             return;
         }
-        self.disprove_restart(id, sent_at);
+        self.disprove_restart(id);
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
@@ -140,7 +143,7 @@
             target.lease.take_over();
         }
         self.target_returned(table, id, born);
-        self.apply_report(table, id, &report, sent_at, now);
+        self.apply_report(table, id, &report, number, now);
         self.schedule_next_hold(id, now);
     }
 
@@ -163,13 +166,14 @@
         target.hold = HoldState::Due(now + pause);
     }
 
-    /// Applies the ended runs and running tasks that a target reported.
+    /// Applies the ended runs and running tasks that a target reported in answer to the hold call
+    /// `number`.
     fn apply_report(
         &mut self,
         table: &mut JobTable,
         id: &TargetId,
         report: &TargetReport,
-        sent_at: Millis,
+        number: u64,
         now: Millis,
     ) {
         for ended in &report.ended {
@@ -193,7 +197,7 @@
             });
             return;
         }
-        let missing = self.missing_runs(id, report, sent_at);
+        let missing = self.missing_runs(id, report, number);
         for (task, run, confirmed) in missing {
             if let Some(target) = self.targets.get_mut(id) {
                 target.remove_run(task, now);
@@ -233,10 +237,11 @@
         };
         let clock_ms = target.lease.clock_ms();
         let born = target.entry.born;
+        let holds_sent = self.holds_sent;
         match target.runs.get_mut(&task) {
             Some(run) if run.number == running.run => {
                 if matches!(run.phase, RunPhase::Sent | RunPhase::Adopted) {
-                    run.confirm(now);
+                    run.confirm(holds_sent, now);
                 }
                 let first = run.reported_clock.is_none();
                 run.reported_clock = run.reported_clock.or(clock_ms);
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -126,13 +126,13 @@
         })
     }
 
-    /// Runs that the target would have reported as running if it had them. Each comes with its
-    /// number, and whether the target had confirmed that it runs.
+    /// Runs that the target would have reported as running if it had them, in the answer to the hold
+    /// call `number`. Each comes with its number, and whether the target had confirmed that it runs.
     pub(super) fn missing_runs(
         &self,
         id: &TargetId,
         report: &TargetReport,
-        sent_at: Millis,
+        number: u64,
     ) -> Vec<(TaskKey, u32, bool)> {
         let Some(target) = self.targets.get(id) else {
             return Vec::new();
@@ -144,9 +144,9 @@
             .filter(|(task, run)| {
                 let settled = match run.phase {
                     RunPhase::Planned | RunPhase::Sent => false,
-                    RunPhase::Adopted | RunPhase::Running => run.phase_since < sent_at,
-                    RunPhase::Stopping { confirmed_at, .. } => {
-                        confirmed_at.is_some_and(|at| at < sent_at)
+                    RunPhase::Adopted | RunPhase::Running => run.holds_before < number,
+                    RunPhase::Stopping { holds_before, .. } => {
+                        holds_before.is_some_and(|before| before < number)
                     }
                 };
                 settled && !listed(task)
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -159,6 +159,8 @@
         target: TargetId,
         /// `born` of the incarnation that the call was meant for.
         born: u64,
+        /// Number of the call, as in the command.
+        number: u64,
         /// What the target reported, or why there is no report.
         result: Result<TargetReport, HoldFailure>,
         /// When the call was sent, on the local clock.
@@ -224,6 +226,8 @@
     Hold {
         /// Entry of the target to call.
         target: Arc<TargetEntry>,
+        /// Counts the leader's hold calls, from 1.
+        number: u64,
         /// When the target's lease expires, in ms of its clock. `None` leaves the lease as it
         /// is: the clock is not known, or the target did not answer the last call.
         deadline_ms: Option<u64>,
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -113,6 +113,8 @@
     /// Numbers of waves, and names of VMs whose maintenance in them has begun but is not
     /// recorded yet.
     begun_upkeeps: Vec<(u64, String)>,
+    /// Number of hold calls that were sent.
+    holds_sent: u64,
     commands: Vec<Command>,
     /// Whether a call was refused because another leader has a higher fencing token.
     fenced: bool,
@@ -203,9 +205,10 @@
             Event::HoldAnswered {
                 target,
                 born,
+                number,
                 result,
                 sent_at,
-            } => self.hold_answered(table, &target, born, result, sent_at, now),
+            } => self.hold_answered(table, &target, born, number, result, sent_at, now),
             Event::VmList(vms) => {
                 let read = vms.is_some();
                 self.vm_tracker.apply_list(vms, now);
--- a/src/scheduler/leader/place.rs
+++ b/src/scheduler/leader/place.rs
@@ -77,7 +77,7 @@
                 }
                 break;
             };
-            self.add_planned_run(&id, task, &request, spec.team.as_ref(), now);
+            self.add_planned_run(&id, task, &request, spec.team.as_ref());
             add_used(&mut pass.used_by_team, spec.team.as_ref(), step);
             placed.push((task, id));
         }
@@ -144,7 +144,6 @@
         task: TaskKey,
         request: &PlacementRequest<'_>,
         team: Option<&String>,
-        now: Millis,
     ) {
         let step = request.step;
         if let Some(target) = self.targets.get_mut(id) {
@@ -152,7 +151,7 @@
                 number: 0,
                 phase: RunPhase::Planned,
                 reserved: step.reservation(),
-                phase_since: now,
+                holds_before: self.holds_sent,
                 working_since: None,
                 progress: ReportedProgress::default(),
                 sent_at: None,
--- a/src/scheduler/leader/restarts.rs
+++ b/src/scheduler/leader/restarts.rs
@@ -7,7 +7,7 @@
 use super::verdicts::{Loss, LostRuns};
 use crate::scheduler::lease::Lease;
 use crate::scheduler::run::{AfterRestart, RunPhase};
-use crate::scheduler::target::{Announcement, HoldState, Target};
+use crate::scheduler::target::{HoldState, Target};
 use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey, TaskPhase};
 
 impl Leader {
@@ -82,33 +82,27 @@
         if target.runs.is_empty() {
             return self.target_restarted(table, entry, "entry", now);
         }
-        let known = target.announced.as_ref();
-        if let Some(known) = known.filter(|known| known.entry.born == entry.born) {
-            let read_at = known.read_at;
-            target.announced = Some(Announcement { entry, read_at });
-            return;
+        let known = target.announced.as_ref().map(|known| known.born);
+        if known != Some(entry.born) {
+            spdlog::warn!("restart_announced", kv: {
+                target = entry.id.0.as_ref(), born = entry.born, before = target.entry.born, runs = target.runs.len()
+            });
+            // A call in flight may have been received by the earlier incarnation: its answer is ignored.
+            target.hold = HoldState::Due(now);
         }
-        spdlog::warn!("restart_announced", kv: {
-            target = entry.id.0.as_ref(), born = entry.born, before = target.entry.born, runs = target.runs.len()
-        });
         target.listed = true;
-        target.announced = Some(Announcement {
-            entry,
-            read_at: now,
-        });
-        // The call in flight may have been received by the earlier incarnation.
-        target.hold = HoldState::Due(now);
+        target.announced = Some(entry);
     }
 
-    /// Applies that a target has answered a call sent at `sent_at` as the incarnation that is known: one
-    /// that was announced before is not its own.
-    pub(super) fn disprove_restart(&mut self, id: &TargetId, sent_at: Millis) {
-        let Some(target) = self.targets.get_mut(id) else {
-            return;
-        };
-        if let Some(announced) = target.announced.take_if(|known| known.read_at <= sent_at) {
+    /// Applies that a target has answered, as the incarnation that is known, a call that was sent after
+    /// another one was announced: the entry that announced it is not its own.
+    pub(super) fn disprove_restart(&mut self, id: &TargetId) {
+        let target = self.targets.get_mut(id);
+        if let Some(target) = target
+            && let Some(announced) = target.announced.take()
+        {
             spdlog::warn!("restart_disproved", kv: {
-                target = id.0.as_ref(), born = target.entry.born, announced = announced.entry.born
+                target = id.0.as_ref(), born = target.entry.born, announced = announced.born
             });
             self.needs_scheduling = true;
         }
@@ -117,8 +111,8 @@
     /// Replaces targets by their announced incarnations once they have no runs left that might go on.
     pub(super) fn replace_idle_targets(&mut self, table: &mut JobTable, now: Millis) {
         let idle = self.targets.values_mut().filter(|t| t.runs.is_empty());
-        let announced: Vec<Announcement> = idle.filter_map(|t| t.announced.take()).collect();
-        for Announcement { entry, .. } in announced {
+        let announced: Vec<TargetEntry> = idle.filter_map(|t| t.announced.take()).collect();
+        for entry in announced {
             self.target_restarted(table, entry, "entry", now);
         }
     }
@@ -152,6 +146,7 @@
             leaving: self.is_leaving(&old_target.entry),
         };
         self.suspect_runs(table, &lost, now);
+        let holds_sent = self.holds_sent;
         let mut counts = [0; 3];
         for (task, run) in began_later.into_iter().chain(old_target.runs) {
             let fate = run.after_restart();
@@ -171,7 +166,7 @@
                 };
                 self.release_task(table, &release, now);
             } else if let Some(target) = self.targets.get_mut(&id) {
-                target.add_run(task, run.on_next_incarnation(now));
+                target.add_run(task, run.on_next_incarnation(holds_sent));
                 if fate == AfterRestart::MayBegin {
                     target.request_stop(task, now);
                 }
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -49,7 +49,6 @@
             .map_or_else(String::new, |task| task.checkpoint.clone());
         if let Some(run) = target.runs.get_mut(&task) {
             run.phase = RunPhase::Sent;
-            run.phase_since = now;
             run.sent_at = Some(now);
         }
         spdlog::info!("start", kv: {
@@ -151,7 +150,7 @@
             return;
         }
         if outcome == StartOutcome::Running {
-            known_run.confirm(now);
+            known_run.confirm(self.holds_sent, now);
             self.expedite_hold(id, now);
             return;
         }
--- a/src/scheduler/leader/stops.rs
+++ b/src/scheduler/leader/stops.rs
@@ -94,7 +94,7 @@
             number: running.run,
             phase: RunPhase::Adopted,
             reserved: reservation,
-            phase_since: now,
+            holds_before: self.holds_sent,
             working_since: None,
             progress: ReportedProgress::default(),
             sent_at: None,
@@ -195,7 +195,7 @@
         let number = run.number;
         let RunPhase::Stopping {
             resend_at,
-            confirmed_at,
+            holds_before,
         } = &mut run.phase
         else {
             return;
@@ -207,10 +207,10 @@
             *resend_at = now + RETRY_MS;
             return;
         }
-        if confirmed_at.is_none() {
+        if holds_before.is_none() {
             spdlog::info!("stop_confirmed", kv: { task = task.to_string(), run = number, target = id.0.as_ref() });
         }
-        confirmed_at.get_or_insert(now);
+        holds_before.get_or_insert(self.holds_sent);
         self.expedite_hold(id, now);
     }
 }
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -64,6 +64,7 @@
             next_balance: 0,
             next_demand_log: 0,
             begun_upkeeps: Vec::new(),
+            holds_sent: 0,
             commands: Vec::new(),
             fenced: false,
             needs_scheduling: true,
@@ -129,7 +130,7 @@
         run: u32,
         now: Millis,
     ) {
-        let Some(run) = adopted_run(table, task, run, now) else {
+        let Some(run) = adopted_run(table, task, run, self.holds_sent) else {
             return;
         };
         let restarted_lease = self.restarted_lease(now);
@@ -250,14 +251,14 @@
 
 /// State of a run that an earlier leader decided to start; `None` if the job or step is not
 /// known.
-fn adopted_run(table: &JobTable, task: TaskKey, run: u32, now: Millis) -> Option<Run> {
+fn adopted_run(table: &JobTable, task: TaskKey, run: u32, holds_sent: u64) -> Option<Run> {
     let job = table.get(task.step.job)?;
     let step = job.spec.steps.get(task.step.step as usize)?;
     Some(Run {
         number: run,
         phase: RunPhase::Adopted,
         reserved: step.reservation(),
-        phase_since: now,
+        holds_before: holds_sent,
         working_since: None,
         progress: ReportedProgress::default(),
         sent_at: None,
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -82,8 +82,9 @@
     Stopping {
         /// When the stop is sent, or sent again.
         resend_at: Millis,
-        /// When the target confirmed the stop; `None` before.
-        confirmed_at: Option<Millis>,
+        /// Number of hold calls that were sent before it was known that the target has confirmed the
+        /// stop; `None` before.
+        holds_before: Option<u64>,
     },
 }
 
@@ -142,8 +143,9 @@
     pub(super) phase: RunPhase,
     /// Capacity that the run reserves on the target.
     pub(super) reserved: Capacity,
-    /// When `phase` began.
-    pub(super) phase_since: Millis,
+    /// Number of hold calls that were sent before it was known that it runs, or before it was taken
+    /// over. Earlier calls may have been answered before it began.
+    pub(super) holds_before: u64,
     /// Since when the target has reported 100 percent; `None` while it reports less, as a
     /// task does that is starting up or slowed down.
     pub(super) working_since: Option<Millis>,
@@ -174,9 +176,9 @@
     }
 
     /// Notes that the target has confirmed that it runs.
-    pub(super) fn confirm(&mut self, now: Millis) {
+    pub(super) fn confirm(&mut self, holds_sent: u64, now: Millis) {
         self.phase = RunPhase::Running;
-        self.phase_since = now;
+        self.holds_before = holds_sent;
         self.running_since.get_or_insert(now);
     }
 
@@ -191,10 +193,10 @@
     }
 
     /// The same run on the next incarnation of its target, of which nothing is known yet.
-    pub(super) fn on_next_incarnation(self, now: Millis) -> Self {
+    pub(super) fn on_next_incarnation(self, holds_sent: u64) -> Self {
         Self {
             phase: RunPhase::Adopted,
-            phase_since: now,
+            holds_before: holds_sent,
             working_since: None,
             progress: ReportedProgress::default(),
             running_since: None,
@@ -234,7 +236,7 @@
         let confirmed = matches!(
             self.phase,
             RunPhase::Stopping {
-                confirmed_at: Some(_),
+                holds_before: Some(_),
                 ..
             }
         );
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -20,8 +20,8 @@
 pub(super) enum HoldState {
     /// No call is in flight; the next one is due at this time.
     Due(Millis),
-    /// A call was sent at this time and is not answered yet.
-    InFlight(Millis),
+    /// The call with this number is not answered yet.
+    InFlight(u64),
 }
 
 /// Draining of a target whose pool holds more VMs than it needs: the target gets no new work while
@@ -34,23 +34,13 @@
     pub(super) reclaimed: bool,
 }
 
-/// An entry that tells of a later incarnation of a target, which no report has shown yet.
-#[derive(Clone, Debug)]
-pub(super) struct Announcement {
-    pub(super) entry: TargetEntry,
-    /// When it was first read. A call that was sent later reaches the later incarnation, if there is
-    /// one.
-    pub(super) read_at: Millis,
-}
-
 /// The leader's state of one incarnation of a target.
 #[allow(clippy::struct_excessive_bools)] // They are independent of each other.
 #[derive(Debug)]
 pub(super) struct Target {
     pub(super) entry: Arc<TargetEntry>,
-    /// A later incarnation that an entry tells of, as long as the target has not reported which one
-    /// it is.
-    pub(super) announced: Option<Announcement>,
+    /// The entry of a later incarnation, as long as the target has not reported which one it is.
+    pub(super) announced: Option<TargetEntry>,
     /// Whether the platform's list has an entry for it.
     pub(super) listed: bool,
     /// Whether it has answered a call with this leader's fencing token, and so refuses
@@ -169,7 +159,7 @@
     pub(super) fn called_entry(&self) -> Arc<TargetEntry> {
         match &self.announced {
             Some(announced) if self.missed_calls % 2 == 1 => Arc::new(TargetEntry {
-                address: announced.entry.address,
+                address: announced.address,
                 ..(*self.entry).clone()
             }),
             _ => Arc::clone(&self.entry),
@@ -179,7 +169,7 @@
     /// Returns whether a later incarnation at another address was announced.
     pub(super) fn may_have_moved(&self) -> bool {
         let announced = self.announced.as_ref();
-        announced.is_some_and(|announced| announced.entry.address != self.entry.address)
+        announced.is_some_and(|announced| announced.address != self.entry.address)
     }
 
     /// Returns whether a crash would show whose run caused it, if a run of `job` started now: while
@@ -319,9 +309,8 @@
         if !run.stopping() {
             run.phase = RunPhase::Stopping {
                 resend_at: now,
-                confirmed_at: None,
+                holds_before: None,
             };
-            run.phase_since = now;
             self.stopping_runs += 1;
         }
     }
--- a/tests/scheduler/bare_leader.rs
+++ b/tests/scheduler/bare_leader.rs
@@ -24,8 +24,8 @@
     pub(crate) log: Vec<Change>,
     /// The batch that is not stored yet.
     pub(crate) batch: Option<(u64, Vec<Record>)>,
-    /// Entries of the targets with a hold call that is not answered yet.
-    pub(crate) holds: Vec<Arc<TargetEntry>>,
+    /// Hold calls that are not answered yet: the entry of the target, and the call's number.
+    pub(crate) holds: Vec<(Arc<TargetEntry>, u64)>,
     /// Tasks that were started, with the numbers of their runs.
     pub(crate) starts: Vec<(TaskKey, u32)>,
     /// Runs for which a stop was sent.
@@ -98,7 +98,7 @@
         for command in self.leader.poll(&mut self.table, now, now) {
             match command {
                 Command::Append { batch, records, .. } => self.batch = Some((batch, records)),
-                Command::Hold { target, .. } => self.holds.push(target),
+                Command::Hold { target, number, .. } => self.holds.push((target, number)),
                 Command::Start { task, run, .. } => self.starts.push((task, run)),
                 Command::Stop { run, .. } => self.stops.push(run),
                 _ => {}
@@ -167,7 +167,7 @@
         running: &[RunningTask],
         ended: &[EndedRun],
     ) {
-        let called = self.holds.remove(0);
+        let (called, number) = self.holds.remove(0);
         let report = TargetReport {
             born,
             clock_ms: CLOCK_MS + sent_at,
@@ -178,6 +178,7 @@
         self.handle(Event::HoldAnswered {
             target: called.id.clone(),
             born: called.born,
+            number,
             result: Ok(report),
             sent_at,
         });
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -851,11 +851,13 @@
             Event::HoldAnswered {
                 target,
                 born,
+                number,
                 sent_at,
                 ..
             } => Event::HoldAnswered {
                 target,
                 born,
+                number,
                 result: Err(HoldFailure::NoAnswer),
                 sent_at,
             },
@@ -1038,6 +1040,7 @@
     fn hold(&mut self, mut call: HoldCall) {
         let Command::Hold {
             target,
+            number,
             deadline_ms,
             forget_up_to,
             wait_ms,
@@ -1072,6 +1075,7 @@
         let event = Event::HoldAnswered {
             target: target.id.clone(),
             born: target.born,
+            number: *number,
             result,
             sent_at: call.sent_at,
         };
--- a/tests/scheduler/world/late_calls.rs
+++ b/tests/scheduler/world/late_calls.rs
@@ -71,7 +71,10 @@
 
     pub(super) fn send_late_hold(&mut self, leader: usize, command: Command) {
         let Command::Hold {
-            target, wait_ms, ..
+            target,
+            number,
+            wait_ms,
+            ..
         } = &command
         else {
             return;
@@ -79,6 +82,7 @@
         let event = Event::HoldAnswered {
             target: target.id.clone(),
             born: target.born,
+            number: *number,
             result: Err(HoldFailure::NoAnswer),
             sent_at: self.now,
         };
