Credit the answer to a stop to the run that the call named

Callers could see two runs of a task at once, the earlier start of the two carried out late.

Cause: Event::StopAnswered named the task and not the run. The answer to the stop of a lower run confirmed that of the task's own run, whose stop was lost or still on its way, as was its start. The next report lacked it, so it counted as never begun, and the task started again.

It needs a late start and a late stop, so it is not what the users' record shows.

Change: the event has the number of the run, and only the run of that number is confirmed. The test of the bare leader answers one more hold call, since an entry alone no longer replaces the target; what it asserts is the same.

--- a/benches/leader/fleet.rs
+++ b/benches/leader/fleet.rs
@@ -137,10 +137,11 @@
                     sent_at: now,
                 })
             }
-            Command::Stop { target, task, .. } => Some(Event::StopAnswered {
+            Command::Stop { target, task, run } => Some(Event::StopAnswered {
                 target: target.id.clone(),
                 born: target.born,
                 task,
+                run,
                 outcome: StopOutcome::Confirmed,
                 clock_ms: None,
                 sent_at: now,
--- a/src/dispatch/calls.rs
+++ b/src/dispatch/calls.rs
@@ -69,6 +69,7 @@
                 target: target.id.clone(),
                 born: target.born,
                 task,
+                run,
                 outcome: answer.outcome,
                 clock_ms: answer.clock_ms,
                 sent_at,
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -146,6 +146,8 @@
         born: u64,
         /// Id of the task.
         task: TaskKey,
+        /// Number of the run that the call named.
+        run: u32,
         /// The target's answer, or [`StopOutcome::Unknown`] without one.
         outcome: StopOutcome,
         /// Time on the target's clock, in ms; `None` if the answer did not tell it.
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -188,6 +188,7 @@
                 target,
                 born,
                 task,
+                run,
                 outcome,
                 clock_ms,
                 sent_at,
@@ -200,7 +201,7 @@
                     }
                     other => other,
                 };
-                self.stop_answered(&target, born, task, outcome, now);
+                self.stop_answered(&target, born, task, run, outcome, now);
             }
             Event::HoldAnswered {
                 target,
--- a/src/scheduler/leader/stops.rs
+++ b/src/scheduler/leader/stops.rs
@@ -174,6 +174,7 @@
         id: &TargetId,
         born: u64,
         task: TaskKey,
+        run: u32,
         outcome: StopOutcome,
         now: Millis,
     ) {
@@ -189,26 +190,26 @@
             self.fenced = true;
             return;
         }
-        let Some(run) = target.runs.get_mut(&task) else {
+        let known = target.runs.get_mut(&task);
+        let Some(known) = known.filter(|known| known.number == run) else {
             return;
         };
-        let number = run.number;
         let RunPhase::Stopping {
             resend_at,
             holds_before,
-        } = &mut run.phase
+        } = &mut known.phase
         else {
             return;
         };
         if outcome != StopOutcome::Confirmed {
             spdlog::info!("stop_unconfirmed", kv: {
-                task = task.to_string(), run = number, target = id.0.as_ref(), outcome = format!("{outcome:?}")
+                task = task.to_string(), run, target = id.0.as_ref(), outcome = format!("{outcome:?}")
             });
             *resend_at = now + RETRY_MS;
             return;
         }
         if holds_before.is_none() {
-            spdlog::info!("stop_confirmed", kv: { task = task.to_string(), run = number, target = id.0.as_ref() });
+            spdlog::info!("stop_confirmed", kv: { task = task.to_string(), run, target = id.0.as_ref() });
         }
         holds_before.get_or_insert(self.holds_sent);
         self.expedite_hold(id, now);
--- a/tests/scheduler/bare_leader.rs
+++ b/tests/scheduler/bare_leader.rs
@@ -146,13 +146,14 @@
         });
     }
 
-    /// A stop of the task of job 1 is confirmed.
-    pub(crate) fn stop_confirmed(&mut self, born: u64, sent_at: Millis) {
+    /// A stop of a run of the task of job 1 is confirmed.
+    pub(crate) fn stop_confirmed(&mut self, born: u64, run: u32, sent_at: Millis) {
         self.now = sent_at + 1;
         self.handle(Event::StopAnswered {
             target: entry("t0").id,
             born,
             task: task(1, 0),
+            run,
             outcome: StopOutcome::Confirmed,
             clock_ms: Some(CLOCK_MS + sent_at),
             sent_at,
--- a/tests/scheduler/early_releases.rs
+++ b/tests/scheduler/early_releases.rs
@@ -127,7 +127,7 @@
     let mut fixture = Fixture::with_sent_start();
     fixture.start_answered(1, StartOutcome::Unknown, 13);
     fixture.poll(420);
-    fixture.stop_confirmed(BORN, 421);
+    fixture.stop_confirmed(BORN, 1, 421);
     fixture.poll(425);
     fixture.now = 428;
     fixture.hold_answered(426, &[], &[]);
@@ -144,12 +144,15 @@
     fixture.now = 442;
     fixture.hold_answered_by(BORN + 1, 441, &[running(1)], &[]);
     fixture.poll(443);
-    assert_eq!(fixture.stops, vec![1, 2, 1]);
-    fixture.stop_confirmed(BORN + 1, 444);
+    fixture.now = 445;
+    fixture.hold_answered_by(BORN + 1, 444, &[running(1)], &[]);
     fixture.poll(446);
-    fixture.now = 448;
-    fixture.hold_answered_by(BORN + 1, 447, &[], &[]);
-    fixture.settle(450);
+    assert_eq!(fixture.stops, vec![1, 2, 1]);
+    fixture.stop_confirmed(BORN + 1, 1, 447);
+    fixture.poll(449);
+    fixture.now = 451;
+    fixture.hold_answered_by(BORN + 1, 450, &[], &[]);
+    fixture.settle(453);
 
     assert_eq!(fixture.starts, vec![(task(1, 0), 1), (task(1, 0), 2)]);
 }
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -838,12 +838,14 @@
                 target,
                 born,
                 task,
+                run,
                 sent_at,
                 ..
             } => Event::StopAnswered {
                 target,
                 born,
                 task,
+                run,
                 outcome: StopOutcome::Unknown,
                 clock_ms: None,
                 sent_at,
@@ -999,6 +1001,7 @@
             target: target.id.clone(),
             born: target.born,
             task: *task,
+            run: *run,
             outcome,
             clock_ms,
             sent_at: now - CALL_LATENCY_MS,
--- a/tests/scheduler/world/late_calls.rs
+++ b/tests/scheduler/world/late_calls.rs
@@ -39,7 +39,7 @@
     }
 
     pub(super) fn send_stop(&mut self, leader: usize, command: Command) {
-        let Command::Stop { target, task, .. } = &command else {
+        let Command::Stop { target, task, run } = &command else {
             return;
         };
         if !self.draw(self.faults.late_stops) {
@@ -54,6 +54,7 @@
             target: target.id.clone(),
             born: target.born,
             task: *task,
+            run: *run,
             outcome: StopOutcome::Unknown,
             clock_ms: None,
             sent_at: self.now,
