Start no task beside a run of it that is known to go on

Callers saw two runs of a task at once on one target, both started by one process, neither late; of some the first run was never stopped.

Cause: whatever released a task too early, nothing asked at its next start whether a run of it was known to go on. A report that showed such a run had it entered as being stopped, and left the task free to start. The same poll placed the task before it sent stops, mostly on the same target, which is the fullest; the new run took the place of the entry, so that no stop was sent until the next report showed another number. A run that ended before that was never stopped, and ended done. With the stop confirmed it was the same: a confirmed stop is no end.

Change: a target keeps runs that it reports beside those of the leader as stray runs, by task and number, with their capacity and their team's share. They are stopped until a report lacks them, lists their end, or the lease lapses, and no task with a stray run anywhere is placed; a plan that is not sent yet is taken back. Its next run gets a higher number than the stray one. A task that waits to start again takes its latest run back instead, so that no work is thrown away, and the next leader knows of it from the stored progress. Reports are matched by task and number, not by task.

stop_unknown_run and stop_renumbered_run are gone, and with them run_number_differs in the log. What the test of the given-up run asserts is stricter: no second start until the job is complete.

--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -34,6 +34,10 @@
                 self.facts.note_run(&job.spec, step, now - since);
             }
         }
+        self.stray_ended(id, end.task, end.run);
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
         match end.kind {
             EndKind::Done => target.health.run_done(),
             EndKind::Failed if target.health.run_failed(end.task.step.job, now) => {
@@ -181,6 +185,7 @@
         job.progress.ended_ms = self.wall_ms;
         spdlog::info!("job_ended", kv: { job = key.to_string(), state = format!("{state:?}"), cause });
         self.active_jobs.swap_remove(&key);
+        self.stray_numbers.retain(|task, _| task.step.job != key);
         self.journal.mark_job_dirty(key);
     }
 
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -158,7 +158,7 @@
             UNSTORED_HOLD_INTERVAL_MS
         } else if target.stored_end > target.forgotten_end || !target.lists_all {
             0
-        } else if target.runs.is_empty() {
+        } else if target.is_idle() {
             IDLE_HOLD_INTERVAL_MS
         } else {
             0
@@ -197,6 +197,7 @@
             });
             return;
         }
+        self.remove_ended_strays(id, report);
         let missing = self.missing_runs(id, report, number);
         for (task, run, confirmed) in missing {
             if let Some(target) = self.targets.get_mut(id) {
@@ -265,8 +266,7 @@
                     self.note_incarnation(table, task, running.run, born);
                 }
             }
-            Some(_) => return self.stop_renumbered_run(table, id, running, now),
-            None => return self.stop_unknown_run(table, id, running, now),
+            _ => return self.stray_reported(table, id, running, now),
         }
         if self.stop_unwanted_run(table, id, task, now) {
             return;
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -18,7 +18,7 @@
             .targets
             .iter()
             .filter(|(_, target)| {
-                let unused = target.runs.is_empty() && target.listed;
+                let unused = target.is_idle() && target.listed;
                 target.missed_calls > 0 && !unused && target.lease.lapsed(now)
             })
             .map(|(id, _)| id.clone())
@@ -137,7 +137,10 @@
         let Some(target) = self.targets.get(id) else {
             return Vec::new();
         };
-        let listed = |task: &TaskKey| report.running.iter().any(|running| running.task == *task);
+        let listed = |task: TaskKey, number: u32| {
+            let mut rows = report.running.iter();
+            rows.any(|row| row.task == task && row.run == number)
+        };
         target
             .runs
             .iter()
@@ -149,7 +152,7 @@
                         holds_before.is_some_and(|before| before < number)
                     }
                 };
-                settled && !listed(task)
+                settled && !listed(**task, run.number)
             })
             .map(|(task, run)| (*task, run.number, run.phase == RunPhase::Running))
             .collect()
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -25,6 +25,7 @@
 mod schedule;
 mod starts;
 mod stops;
+mod strays;
 mod sums;
 mod takeover;
 mod upkeep;
@@ -99,6 +100,9 @@
     orphans: IndexMap<TaskKey, Millis>,
     lost_targets: LostTargets,
     past_runs: PastRuns,
+    /// Highest number of a stray run of each task that has not started again since. Targets refuse
+    /// starts with lower ones.
+    stray_numbers: IndexMap<TaskKey, u32>,
     journal: Journal,
     admission: Admission,
     vm_tracker: VmTracker,
--- a/src/scheduler/leader/place.rs
+++ b/src/scheduler/leader/place.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use indexmap::IndexMap;
+
 use super::Leader;
 use super::isolation::Isolation;
 use super::schedule::{SchedulingPass, pending_tasks};
@@ -45,12 +47,18 @@
         if pending.is_empty() || (step.gang && pending.len() < step.count as usize) {
             return;
         }
+        if step.gang && Self::step_has_strays(&pass.strays, key) {
+            return;
+        }
         let Some(pool_name) = self.facts.pools().get_index(pool).cloned() else {
             return;
         };
         let mut placed = Vec::new();
         for index in pending {
             let task = key.task(index);
+            if pass.strays.contains(&task) {
+                continue;
+            }
             let mut request = PlacementRequest {
                 pool: &pool_name,
                 key,
@@ -199,12 +207,13 @@
             return;
         };
         let gang = job.spec.steps[key.step as usize].gang;
-        let highest = placed
-            .iter()
-            .filter_map(|(task, _)| job.progress.task(*task))
-            .map(|task| task.run)
-            .max()
-            .unwrap_or(0);
+        let latest = placed.iter().filter_map(|(task, _)| {
+            let stored = job.progress.task(*task)?.run;
+            let stray = self.stray_numbers.swap_remove(task).unwrap_or(0);
+            Some((*task, stored.max(stray)))
+        });
+        let latest: IndexMap<TaskKey, u32> = latest.collect();
+        let highest = latest.values().copied().max().unwrap_or(0);
         for (task, id) in placed {
             let Some(target) = self.targets.get_mut(id) else {
                 continue;
@@ -212,7 +221,7 @@
             let Some(stored) = job.progress.task_mut(*task) else {
                 continue;
             };
-            stored.run = if gang { highest } else { stored.run } + 1;
+            stored.run = if gang { highest } else { latest[task] } + 1;
             stored.phase = TaskPhase::Placed {
                 target: id.clone(),
                 born: target.entry.born,
--- a/src/scheduler/leader/releases.rs
+++ b/src/scheduler/leader/releases.rs
@@ -86,6 +86,11 @@
         self.runs.insert(release.task, run);
     }
 
+    /// Forgets the latest run of a task that goes on, or of one that does not start again.
+    pub(super) fn forget(&mut self, task: TaskKey) {
+        self.runs.swap_remove(&task);
+    }
+
     /// Removes what is known of the run of a task before its run `number`, and describes it.
     pub(super) fn take_description(&mut self, task: TaskKey, number: u32, now: Millis) -> String {
         match self.runs.swap_remove(&task) {
--- a/src/scheduler/leader/restarts.rs
+++ b/src/scheduler/leader/restarts.rs
@@ -79,7 +79,7 @@
         let Some(target) = self.targets.get_mut(&entry.id) else {
             return;
         };
-        if target.runs.is_empty() {
+        if target.is_idle() {
             return self.target_restarted(table, entry, "entry", now);
         }
         let known = target.announced.as_ref().map(|known| known.born);
@@ -110,7 +110,7 @@
 
     /// Replaces targets by their announced incarnations once they have no runs left that might go on.
     pub(super) fn replace_idle_targets(&mut self, table: &mut JobTable, now: Millis) {
-        let idle = self.targets.values_mut().filter(|t| t.runs.is_empty());
+        let idle = self.targets.values_mut().filter(|t| t.is_idle());
         let announced: Vec<TargetEntry> = idle.filter_map(|t| t.announced.take()).collect();
         for entry in announced {
             self.target_restarted(table, entry, "entry", now);
--- a/src/scheduler/leader/schedule.rs
+++ b/src/scheduler/leader/schedule.rs
@@ -2,12 +2,14 @@
 
 use std::collections::HashMap;
 
+use indexmap::IndexSet;
+
 use super::Leader;
 use super::isolation::IsolationPass;
 use crate::scheduler::order::{self, Plan, PoolLoad, PoolRoom, SmallestTask};
 use crate::scheduler::placement::ReservedTargets;
 use crate::scheduler::target::Target;
-use crate::scheduler::{Capacity, Job, JobTable, Millis, Occurrence, StepKey, TaskPhase};
+use crate::scheduler::{Capacity, Job, JobTable, Millis, Occurrence, StepKey, TaskKey, TaskPhase};
 
 /// Least time between two passes over the jobs while many jobs wait for room, in ms: short beside
 /// the run time of a task, and enough for the leader to handle the answers to its calls.
@@ -28,6 +30,8 @@
     /// and those that get only isolated ones.
     pub(super) reserved_targets: ReservedTargets,
     pub(super) isolation: IsolationPass,
+    /// Tasks with stray runs, which do not start before these have ended.
+    pub(super) strays: IndexSet<TaskKey>,
     /// Room of each pool, in the order of the pools in the cache of facts.
     pub(super) rooms: Vec<PoolRoom>,
     pub(super) now: Millis,
@@ -107,6 +111,7 @@
             used_by_team: self.used_by_team(),
             reserved_targets: self.isolation_targets.clone(),
             isolation: IsolationPass::new(std::mem::take(&mut self.isolation_targets)),
+            strays: self.stray_tasks(),
             rooms,
             now,
         };
@@ -178,12 +183,16 @@
     /// Capacity that the runs of each team reserve on all targets, by the team's name.
     fn used_by_team(&self) -> HashMap<String, Capacity> {
         let mut used: HashMap<String, Capacity> = HashMap::new();
-        for run in self.targets.values().flat_map(|t| t.runs.values()) {
-            if let Some(team) = &run.team {
+        let runs = self.targets.values().flat_map(|t| t.runs.values());
+        let runs = runs.map(|run| (&run.team, run.reserved));
+        let strays = self.targets.values().flat_map(|t| t.strays.values());
+        let strays = strays.map(|stray| (&stray.team, stray.reserved));
+        for (team, reserved) in runs.chain(strays) {
+            if let Some(team) = team {
                 match used.get_mut(team) {
-                    Some(sum) => sum.add(&run.reserved),
+                    Some(sum) => sum.add(&reserved),
                     None => {
-                        used.insert(team.clone(), run.reserved);
+                        used.insert(team.clone(), reserved);
                     }
                 }
             }
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -96,7 +96,7 @@
     }
 
     /// Removes a planned run, so that its task may be placed again.
-    fn release_planned_run(
+    pub(super) fn release_planned_run(
         &mut self,
         table: &mut JobTable,
         id: &TargetId,
--- a/src/scheduler/leader/stops.rs
+++ b/src/scheduler/leader/stops.rs
@@ -2,8 +2,8 @@
 //! refuse a start of it that is still on its way.
 
 use super::{Command, Leader, StopOutcome};
-use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
-use crate::scheduler::{Job, JobKey, JobState, JobTable, Millis, RunningTask, TargetId, TaskKey};
+use crate::scheduler::run::RunPhase;
+use crate::scheduler::{Job, JobKey, JobState, JobTable, Millis, TargetId, TaskKey};
 
 /// Pause before a stop call is repeated that was not confirmed, in ms.
 const RETRY_MS: Millis = 250;
@@ -66,89 +66,10 @@
         true
     }
 
-    /// Stops a run that the leader does not know. The decision to start a run is stored before
-    /// its start is sent, so this is one that was given up.
-    pub(super) fn stop_unknown_run(
-        &mut self,
-        table: &JobTable,
-        id: &TargetId,
-        running: &RunningTask,
-        now: Millis,
-    ) {
-        let Some(target) = self.targets.get_mut(id) else {
-            return;
-        };
-        let step = table
-            .get(running.task.step.job)
-            .and_then(|job| job.spec.steps.get(running.task.step.step as usize));
-        let reservation = step
-            .map(crate::scheduler::Step::reservation)
-            .unwrap_or_default();
-        let stored = table.get(running.task.step.job);
-        let stored = stored.and_then(|job| job.progress.task(running.task));
-        spdlog::warn!("unknown_run", kv: {
-            task = running.task.to_string(), run = running.run, target = id.0.as_ref(), born = target.entry.born,
-            latest = stored.map_or(0, |task| task.run), phase = stored.map_or("unknown", |task| task.phase.name())
-        });
-        let run = Run {
-            number: running.run,
-            phase: RunPhase::Adopted,
-            reserved: reservation,
-            holds_before: self.holds_sent,
-            working_since: None,
-            progress: ReportedProgress::default(),
-            sent_at: None,
-            running_since: None,
-            reported_clock: None,
-            began_later: false,
-            suspect: false,
-            long_running: false,
-            team: None,
-        };
-        target.add_run(running.task, run);
-        target.request_stop(running.task, now);
-    }
-
-    /// Stops a run that a target reports under another number than the leader's, as a start that
-    /// was carried out late may leave it. The task starts anew once its target no longer reports
-    /// it: with a number that is higher than both, because a target refuses any other.
-    pub(super) fn stop_renumbered_run(
-        &mut self,
-        table: &mut JobTable,
-        id: &TargetId,
-        running: &RunningTask,
-        now: Millis,
-    ) {
-        let task = running.task;
-        let Some(target) = self.targets.get_mut(id) else {
-            return;
-        };
-        let Some(run) = target.runs.get_mut(&task) else {
-            return;
-        };
-        spdlog::warn!("run_number_differs", kv: {
-            task = task.to_string(), run = run.number, reported = running.run, target = id.0.as_ref()
-        });
-        if running.run < run.number {
-            self.commands.push(Command::Stop {
-                target: target.entry.clone(),
-                task,
-                run: running.run,
-            });
-            return;
-        }
-        run.number = running.run;
-        target.request_stop(task, now);
-        let stored = table.get_mut(task.step.job);
-        if let Some(stored) = stored.and_then(|job| job.progress.task_mut(task)) {
-            stored.run = stored.run.max(running.run);
-            self.journal.mark_job_dirty(task.step.job);
-        }
-    }
-
     /// Sends the stop calls that are due.
     pub(super) fn send_stops(&mut self, now: Millis) {
         let resend_after_ms = self.settings.stop_timeout_ms + RETRY_MS;
+        self.stop_strays(resend_after_ms, now);
         let targets = self.targets.values_mut();
         for target in targets.filter(|target| target.stopping_runs > 0) {
             for (task, run) in &mut target.runs {
@@ -192,7 +113,7 @@
         }
         let known = target.runs.get_mut(&task);
         let Some(known) = known.filter(|known| known.number == run) else {
-            return;
+            return self.stray_stop_answered(id, task, run, outcome, now);
         };
         let RunPhase::Stopping {
             resend_at,
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -57,6 +57,7 @@
             orphans: IndexMap::new(),
             lost_targets: LostTargets::default(),
             past_runs: PastRuns::default(),
+            stray_numbers: IndexMap::new(),
             journal: Journal::new(now),
             admission: Admission::default(),
             demand_trends: IndexMap::new(),
@@ -251,7 +252,12 @@
 
 /// State of a run that an earlier leader decided to start; `None` if the job or step is not
 /// known.
-fn adopted_run(table: &JobTable, task: TaskKey, run: u32, holds_sent: u64) -> Option<Run> {
+pub(super) fn adopted_run(
+    table: &JobTable,
+    task: TaskKey,
+    run: u32,
+    holds_sent: u64,
+) -> Option<Run> {
     let job = table.get(task.step.job)?;
     let step = job.spec.steps.get(task.step.step as usize)?;
     Some(Run {
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -169,6 +169,18 @@
     pub(super) team: Option<String>,
 }
 
+/// A run on a target that is not the task's: it was given up, or another one began since. It is being
+/// stopped.
+#[derive(Clone, Debug)]
+pub(super) struct StrayRun {
+    /// Capacity that it reserves on the target.
+    pub(super) reserved: Capacity,
+    /// Team whose limit that counts against; `None` for none.
+    pub(super) team: Option<String>,
+    /// When its stop is sent, or sent again.
+    pub(super) resend_at: Millis,
+}
+
 impl Run {
     /// Returns whether it is being stopped.
     pub(super) const fn stopping(&self) -> bool {
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -6,7 +6,7 @@
 
 use super::health::Health;
 use super::lease::Lease;
-use super::run::{Run, RunPhase};
+use super::run::{Run, RunPhase, StrayRun};
 use super::{Capacity, JobKey, Millis, StepKey, TargetEntry, TargetState, TaskKey};
 
 /// Longest time since a report in which a hold call may let the target forget ended runs, in ms. The
@@ -66,7 +66,9 @@
     /// Position of the last ended run that an answered hold allowed the target to forget.
     pub(super) forgotten_end: u64,
     pub(super) runs: IndexMap<TaskKey, Run>,
-    /// Sum of what `runs` reserve.
+    /// Further runs that it has reported, by task and number.
+    pub(super) strays: IndexMap<(TaskKey, u32), StrayRun>,
+    /// Sum of what `runs` and `strays` reserve.
     pub(super) used: Capacity,
     /// Number of `runs` that are suspect.
     pub(super) suspect_runs: usize,
@@ -110,6 +112,7 @@
             sent_cursor: 0,
             forgotten_end: 0,
             runs: IndexMap::new(),
+            strays: IndexMap::new(),
             used: Capacity::default(),
             suspect_runs: 0,
             stopping_runs: 0,
@@ -191,7 +194,7 @@
 
     /// Returns whether the planned runs of a step fit beside the runs that may be executing.
     pub(super) fn fits_planned_step(&self, step: StepKey) -> bool {
-        let mut used = Capacity::default();
+        let mut used = self.stray_used();
         for (task, run) in &self.runs {
             if run.may_be_executing() || task.step == step {
                 used.add(&run.reserved);
@@ -203,7 +206,7 @@
     /// Returns whether the planned run of a task fits beside the runs that may be executing. The
     /// capacity may have shrunk since the run was planned.
     pub(super) fn fits_planned_run(&self, task: TaskKey) -> bool {
-        let mut used = Capacity::default();
+        let mut used = self.stray_used();
         for run in self.runs.values().filter(|run| run.may_be_executing()) {
             used.add(&run.reserved);
         }
@@ -232,6 +235,35 @@
         Some(run)
     }
 
+    /// Adds a stray run and reserves its capacity.
+    pub(super) fn add_stray(&mut self, task: TaskKey, number: u32, stray: StrayRun) {
+        self.used.add(&stray.reserved);
+        self.strays.insert((task, number), stray);
+    }
+
+    /// Removes a stray run and frees its capacity; returns whether there was one.
+    pub(super) fn remove_stray(&mut self, task: TaskKey, number: u32) -> bool {
+        let stray = self.strays.swap_remove(&(task, number));
+        if let Some(stray) = &stray {
+            self.used.subtract(&stray.reserved);
+        }
+        stray.is_some()
+    }
+
+    /// Sum of what its stray runs reserve.
+    fn stray_used(&self) -> Capacity {
+        let mut used = Capacity::default();
+        for stray in self.strays.values() {
+            used.add(&stray.reserved);
+        }
+        used
+    }
+
+    /// Returns whether it has no run, stray ones included.
+    pub(super) fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.strays.is_empty()
+    }
+
     /// Marks the run of a task as no longer suspect.
     pub(super) fn clear_suspect(&mut self, task: TaskKey) {
         if let Some(run) = self.runs.get_mut(&task) {
@@ -239,8 +271,9 @@
         }
     }
 
-    /// Removes and returns all runs.
+    /// Removes all runs, and returns those that are not stray.
     pub(super) fn take_runs(&mut self, now: Millis) -> IndexMap<TaskKey, Run> {
+        self.strays.clear();
         self.used = Capacity::default();
         self.suspect_runs = 0;
         self.stopping_runs = 0;
@@ -278,7 +311,7 @@
     /// Returns whether its VM may be taken away: it has no runs, and no ended run that it
     /// still lists would be lost.
     pub(super) fn removable(&self) -> bool {
-        self.runs.is_empty() && self.lists_all && self.forgotten_end == self.applied_end
+        self.is_idle() && self.lists_all && self.forgotten_end == self.applied_end
     }
 
     /// Number of its runs of long-running tasks.
@@ -297,7 +330,7 @@
 
     /// Returns whether it may be executing any run.
     pub(super) fn may_be_executing(&self) -> bool {
-        self.runs.values().any(Run::may_be_executing)
+        !self.strays.is_empty() || self.runs.values().any(Run::may_be_executing)
     }
 
     /// Marks the run of a task to be stopped. Does nothing without one, or if it is already
--- a/tests/scheduler/early_releases.rs
+++ b/tests/scheduler/early_releases.rs
@@ -3,7 +3,7 @@
 //! The events are those of a target that keeps to its protocol, in an order that the model of the
 //! other tests can't produce.
 
-use amaranthwick::scheduler::{Event, StartOutcome, TargetEntry};
+use amaranthwick::scheduler::{Event, JobKey, JobState, StartOutcome, TargetEntry};
 
 use crate::bare_leader::{BORN, Fixture, done, entry, running};
 use crate::fixtures::task;
@@ -47,7 +47,14 @@
     fixture.settle(7_410);
 
     assert_eq!(fixture.starts, Vec::new());
-    assert_eq!(fixture.stops, vec![1]);
+
+    fixture.now = 7_800;
+    fixture.hold_answered(7_799, &[], &[done(1)]);
+    fixture.settle(7_805);
+
+    assert_eq!(fixture.starts, Vec::new());
+    let job = fixture.table.get(JobKey(1)).unwrap();
+    assert_eq!(job.state(), JobState::Complete);
 }
 
 /// Guards against two runs of a task: its target is not listed when another process takes the role,
