Send a start only once its own number is stored

Cause: a planned run that waits for its batch was noted by target and task. If the run was dropped, because its target restarted, and the task placed there again as the next run, the answer to the batch of the first sent the start of the second, whose number was not stored. If the leader then ended, the next one knew of the first only, and gave the number of the second out again.

Evidence: early_releases::a_start_waits_until_its_own_number_is_stored failed before. It passed for the wrong reason since an entry alone replaces no target with runs (the hold call that it answered was an ignored one); it answers the right ones now, and fails without this change (start of run 2 while run 1 is stored).

--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -18,12 +18,21 @@
 /// more than three of these.
 const HEARTBEAT_MS: Millis = 300;
 
+/// A run whose start waits until the decision is stored.
+#[derive(Clone, Debug)]
+pub(super) struct PlannedRun {
+    pub(super) target: TargetId,
+    pub(super) task: TaskKey,
+    /// Number of the run. The task may be placed there again under the next one.
+    pub(super) number: u32,
+}
+
 /// A batch that is being stored, and what may be done once it is.
 #[derive(Debug)]
 struct Batch {
     number: u64,
     /// Runs whose start may be sent.
-    planned_runs: Vec<(TargetId, TaskKey)>,
+    planned_runs: Vec<PlannedRun>,
     /// Targets, `born` of their incarnations, and positions of ended runs up to which the
     /// targets may forget.
     ends: Vec<(TargetId, u64, u64)>,
@@ -39,7 +48,7 @@
     changed_jobs: Vec<JobKey>,
     /// Runs whose start waits until the progress of their job is stored. Some may be gone, or in
     /// a batch already.
-    planned_runs: Vec<(TargetId, TaskKey)>,
+    planned_runs: Vec<PlannedRun>,
     /// Waves whose progress is in no batch yet, by number.
     dirty_waves: IndexSet<u64>,
     in_flight: Option<Batch>,
@@ -87,8 +96,8 @@
     }
 
     /// Has the start of a run wait until the progress of its job is stored.
-    pub(super) fn add_planned_run(&mut self, target: TargetId, task: TaskKey) {
-        self.planned_runs.push((target, task));
+    pub(super) fn add_planned_run(&mut self, run: PlannedRun) {
+        self.planned_runs.push(run);
     }
 
     /// Has the wave's progress stored with the next batch.
@@ -158,19 +167,22 @@
     }
 
     /// Takes the runs whose start waits until the progress of one of `jobs` is stored.
-    fn planned_runs_of(&mut self, jobs: &IndexSet<JobKey>) -> Vec<(TargetId, TaskKey)> {
+    fn planned_runs_of(&mut self, jobs: &IndexSet<JobKey>) -> Vec<PlannedRun> {
         let (mut taken, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.journal.planned_runs)
             .into_iter()
-            .partition(|(_, task)| jobs.contains(&task.step.job));
+            .partition(|planned| jobs.contains(&planned.task.step.job));
         self.journal.planned_runs = left;
-        taken.retain(|(id, task)| {
-            let target = self.targets.get(id);
-            let run = target.and_then(|target| target.runs.get(task));
-            run.is_some_and(|run| run.phase == RunPhase::Planned)
-        });
+        taken.retain(|planned| self.is_planned(planned));
         taken
     }
 
+    /// Returns whether the start of a run still waits to be sent.
+    fn is_planned(&self, planned: &PlannedRun) -> bool {
+        let target = self.targets.get(&planned.target);
+        let run = target.and_then(|target| target.runs.get(&planned.task));
+        run.is_some_and(|run| run.phase == RunPhase::Planned && run.number == planned.number)
+    }
+
     /// Returns whether some ended run is applied but not known to be stored.
     fn has_unstored_ends(&self) -> bool {
         let mut targets = self.targets.values();
@@ -206,7 +218,12 @@
                 self.expedite_hold(&id, now);
             }
         }
-        let planned_runs = self.drop_broken_gangs(table, batch.planned_runs, now);
+        let planned_runs = batch.planned_runs.into_iter();
+        let planned_runs = planned_runs
+            .filter(|planned| self.is_planned(planned))
+            .map(|planned| (planned.target, planned.task))
+            .collect();
+        let planned_runs = self.drop_broken_gangs(table, planned_runs, now);
         for (id, task) in planned_runs {
             self.send_start(table, &id, task, now);
         }
--- a/src/scheduler/leader/place.rs
+++ b/src/scheduler/leader/place.rs
@@ -8,6 +8,7 @@
 
 use super::Leader;
 use super::isolation::Isolation;
+use super::journal::PlannedRun;
 use super::schedule::{SchedulingPass, pending_tasks};
 use crate::scheduler::order::ReadyStep;
 use crate::scheduler::placement::{self, PlacementRequest, RackRuns};
@@ -229,7 +230,11 @@
             if let Some(run) = target.runs.get_mut(task) {
                 run.number = stored.run;
             }
-            self.journal.add_planned_run(id.clone(), *task);
+            self.journal.add_planned_run(PlannedRun {
+                target: id.clone(),
+                task: *task,
+                number: stored.run,
+            });
         }
         if job.progress.state == JobState::Queued {
             job.progress.state = JobState::Running;
--- a/tests/scheduler/early_releases.rs
+++ b/tests/scheduler/early_releases.rs
@@ -117,9 +117,13 @@
         ..entry("t0")
     };
     fixture.handle(Event::TargetEntry(restarted));
+    fixture.holds.clear();
     fixture.poll(20);
     fixture.now = 25;
     fixture.hold_answered_by(BORN + 1, 21, &[], &[]);
+    fixture.poll(26);
+    fixture.now = 28;
+    fixture.hold_answered_by(BORN + 1, 27, &[], &[]);
     fixture.poll(30);
     fixture.batch_stored();
     fixture.poll(35);
