--- /dev/null
+++ b/tests/plays/findings.py
@@ -0,0 +1,60 @@
+"""What broke in a play: pairs of runs of a task, and the lines that the processes and executors wrote of them."""
+
+import glob
+import os
+import re
+
+NEAR_S = 4.0
+LINES = 60
+
+
+def describe(run):
+    """A run: [began, ended, how, number, executor, N, noted, (fence token, late)]."""
+    ended = f"ended {run[1]:.3f} {run[2]}{', noted' if run[6] else ''}" if run[1] is not None else "goes on"
+    late = ", order late" if run[7][1] else ""
+    return f"run {run[3]} on {run[4]} began {run[0]:.3f}, {ended}, fence token {run[7][0]}{late}"
+
+
+def orderer(logs, task, number):
+    """The processes that logged the start of a run."""
+    pattern = re.compile(rf"\bstart\b.*task={re.escape(task)}\b.*\brun={number}\b")
+    return [os.path.basename(path)[:-4] for path in logs if any(pattern.search(line) for line in open(path, errors="replace"))]
+
+
+def lines_of(logs, task, targets):
+    """Lines of the logs on a task, and on the restarts and silences of its targets, by time."""
+    found = []
+    for path in logs:
+        for line in open(path, errors="replace"):
+            of_task = task in line
+            of_target = any(target in line for target in targets) and re.search(
+                r"event=(target_|runs_given_up|role_)", line)
+            if of_task or of_target:
+                found.append((line, os.path.basename(path)[:-4], bool(of_task)))
+    found.sort()
+    return found
+
+
+def near(found):
+    """The lines of a task, and those of its targets between its first and its last."""
+    own = [i for i, (_, _, of_task) in enumerate(found) if of_task]
+    return found[max(0, own[0] - 4) : own[-1] + 4] if own else []
+
+
+def write(path, folder, parallel, again, calls):
+    """Writes each case with its two runs, and the lines of the first ten."""
+    logs = sorted(glob.glob(os.path.join(folder, "*.log")))
+    cases = [("parallel", *case[:3], case[3]) for case in parallel] + [("again", *case, None) for case in again]
+    with open(path, "w", encoding="utf-8") as file:
+        for index, (kind, task, first, second, length) in enumerate(cases):
+            together = f", together for {length:.3f} s" if length is not None else ""
+            same = "the same executor" if first[4] == second[4] else "two executors"
+            file.write(f"TWICE ({kind}, {same}{together}): {task}\n")
+            for run in (first, second):
+                file.write(f"  {describe(run)}, ordered by {', '.join(orderer(logs, task, run[3])) or 'unknown'}\n")
+            if index < 10:
+                for call in calls.get(task, []):
+                    file.write(f"    call {call}\n")
+                for line, process, _ in near(lines_of(logs, task, {first[4], second[4]}))[:LINES]:
+                    file.write(f"    {process}: {line.rstrip()}\n")
+    return cases
