Add a play with busy processes that looks for runs taken for gone

run_leader reads the clock before it takes the lock and drains the events, so a start may be noted as confirmed before its answer came. If a /hold is sent and done in between, before that start, its report lacks the run, and missing_runs gives up a run that goes on.

The form `busy` has three processes on one core, up to two busy programs beside them, about 300 starts a second that are done up to 0.06 s late, and in some plays a leader that is stopped for 5 to 50 ms again and again. It counts `run_missing ... cause=vanished` for runs that an executor has begun, beside the pairs of runs of the other forms.

No play has shown yet that the form finds the fault where it can happen.

--- a/tests/plays/parallel_runs.py
+++ b/tests/plays/parallel_runs.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import busy
 import findings
 import standins
 from standins import lab
@@ -29,6 +30,7 @@
     loss: float = 0.0
     late: float = 0.0
     slow: float = 0.0
+    start_s: float = 0.0
     slow_clock: bool = False
 
 
@@ -221,6 +223,7 @@
     "foreign": Form(foreign, 4, 0, 30, 3, [0.36, 0.9], [0, 0, 0.1, 0.2], [0], 0, False, [96_000], 200),
     "role": Form(role, 0, 6, 34, 3, [0.3, 0.6], [0.05, 0.1, 0.2], [0, 0.05], 0.05, True, [16_000, 48_000], 400),
     "large": Form(large, 32, 200, 30, 8, [0.25], [0.03, 0.1], [0.02], 0.05, True, [16_000], 800),
+    "busy": Form(busy.run, 3, 3, 30, 0, [1], [0], [0], 0, False, [192_000], 200),
 }
 
 
@@ -235,9 +238,13 @@
     late = options.late if options.late is not None else late
     play.configure(1, [lab.queue("q", SERVICE, "/count/")], [SERVICE])
     play.add_executors(executors, cpu)
-    play.start(entries)
+    if options.form == "busy":
+        play.core = busy.pin(play, entries)
+    else:
+        play.start(entries)
+    play.record.line("play", f"begun at {time.time() - now():.3f} s since 1970")
     play.record.line("play", f"form {options.form}, seed {options.seed}, {entries} entries, {executors} executors of "
-                     f"{cpu}, loss {loss}, late {late}, slow {form.slow}, a job each {period_s / form.callers:.2f} s")
+                     f"{cpu}, loss {loss}, late {late}, slow {form.slow}, {form.callers} callers of a job each {period_s:.2f} s")
     callers = [threading.Thread(target=play.caller, args=(f"caller-{i}", period_s)) for i in range(form.callers)]
     for caller in callers:
         caller.start()
@@ -281,7 +288,9 @@
         parallel, again = play.twice()
         starts = sum(len(runs) for runs in play.runs.values())
         result.update(starts=starts, parallel=len(parallel), again=len(again), lag_s=round(play.worst_lag, 3))
-        code = 1 if parallel or again else 0
+        gone = busy.vanished(play) if options.form == "busy" else 0
+        result.update(vanished=gone)
+        code = 1 if parallel or again or gone else 0
         for process in play.processes:
             process.log.flush()
         findings.write(os.path.join(options.logs, "cases.txt"), play.folder, parallel, again, play.calls)
--- a/tests/plays/standins.py
+++ b/tests/plays/standins.py
@@ -112,6 +112,10 @@
         call = json.loads(body)
         if headers.get("expect-instance", self.eid) != self.eid:
             return reply(421, {"clock-ms": self.clock()})
+        if target == "/run-start" and self.faults.start_s:
+            self.lab.record.line("received", f"{call['task']} run {call['run-id']} at {self.eid[:8]}")
+            await asyncio.sleep(self.rng.uniform(0, self.faults.start_s))
+        received_at = now()
         draw = self.rng.random()
         if draw < self.faults.late:
             delay = self.rng.uniform(0.5, 5.0)
@@ -124,6 +128,9 @@
         answer = self.act(target, call, False)
         if answer is None:
             answer = await self.hold(call, life)
+            if self.faults.start_s:
+                self.lab.record.line("hold", f"at {self.eid[:8]} received {received_at:.3f}, answered with "
+                                     f"{len(self.running)} that run and {len(self.ended)} that ended")
         if self.rng.random() < self.faults.slow:
             await asyncio.sleep(self.rng.uniform(0.02, 0.9))
         if self.cut or self.down or life != self.life or self.rng.random() < self.faults.loss:
