Add drawn plays in which no task may run twice

The tests of single faults each hold, and users still saw two runs of a task.

After a quiet phase no rule may be violated and every job must have ended.

--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -9,6 +9,7 @@
 mod crash_troubles;
 mod crashes_beside_orders;
 mod crashing_tasks;
+mod drawn_parallel_runs;
 mod early_releases;
 mod evacuation;
 mod evacuation_moves;
