Show pairs of runs on one executor first in the plays

Cause: the first cases of a play were of two executors, although the report that it follows has both runs on one. Change: cases on one executor come first, and the result counts them.

--- a/tests/plays/findings.py
+++ b/tests/plays/findings.py
@@ -42,9 +42,10 @@
 
 
 def write(path, folder, parallel, again, calls):
-    """Writes each case with its two runs, and the lines of the first ten."""
+    """Writes each case with its two runs, those on one executor first, and the lines of the first ten."""
     logs = sorted(glob.glob(os.path.join(folder, "*.log")))
     cases = [("parallel", *case[:3], case[3]) for case in parallel] + [("again", *case, None) for case in again]
+    cases.sort(key=lambda case: case[2][4] != case[3][4])
     with open(path, "w", encoding="utf-8") as file:
         for index, (kind, task, first, second, length) in enumerate(cases):
             together = f", together for {length:.3f} s" if length is not None else ""
--- a/tests/plays/parallel_runs.py
+++ b/tests/plays/parallel_runs.py
@@ -287,7 +287,8 @@
         result = run(play, options)
         parallel, again = play.twice()
         starts = sum(len(runs) for runs in play.runs.values())
-        result.update(starts=starts, parallel=len(parallel), again=len(again), lag_s=round(play.worst_lag, 3))
+        same = sum(first[4] == second[4] for _, first, second, _ in parallel)
+        result.update(starts=starts, parallel=len(parallel), same_executor=same, again=len(again), lag_s=round(play.worst_lag, 3))
         gone = busy.vanished(play) if options.form == "busy" else 0
         result.update(vanished=gone)
         code = 1 if parallel or again or gone else 0
