Count a lapse of the lease of an idle executor in the plays

Cause: the executor of the plays noted a lapse only while something ran on it. An end that was forgotten after such a lapse counted as noted, so a start after it was a break that rule TWICE allows. A call that came between a lapse and the next look at the clock could also save runs whose lease had expired. Change: the lease is looked at before each call, and a lapse counts whether anything runs or not. Tests of the stand-ins, a sentence of PROTOCOL.md each.

--- a/tests/plays/standins.py
+++ b/tests/plays/standins.py
@@ -71,10 +71,7 @@
         while True:
             left = (self.deadline - self.clock()) / 1000
             await asyncio.sleep(min(TICK_S, left + 0.001) if left >= 0 else TICK_S)
-            if not self.down and self.running and self.clock() > self.deadline:
-                self.lapsed_at = now()
-                for run in list(self.running.values()):
-                    self.end(run, "lapsed")
+            self.lapse()
             at = time.monotonic()
             if self.down or self.cut or self.lab.store.mode == "silent":
                 self.back_at = None
@@ -90,6 +87,13 @@
                 beat = at + BEAT_S
                 self.list()
 
+    def lapse(self):
+        """Ends all that runs, once its lease has expired."""
+        if not self.down and self.clock() > self.deadline:
+            self.lapsed_at = now()
+            for run in list(self.running.values()):
+                self.end(run, "lapsed")
+
     def finish(self, run, life, how):
         if life == self.life and self.running.get((run.task, run.run)) is run:
             self.end(run, how)
@@ -146,6 +150,7 @@
 
     def act(self, target, call, late):
         """The answer to a start or a stop; None for a hold that may go on."""
+        self.lapse()
         clock = {"clock-ms": self.clock()}
         if call.get("fence-token", 0) < self.token:
             answer = reply(409, {**clock, "reason": "fence"})
--- /dev/null
+++ b/tests/plays/test_standins.py
@@ -0,0 +1,236 @@
+"""Tests of the executors and the store of the plays (PROTOCOL.md): python3 -m unittest discover tests/plays"""
+
+import asyncio
+import collections
+import json
+import random
+import tempfile
+import unittest
+from types import SimpleNamespace
+
+import standins
+from standins import DROP, lab
+
+TASK = "00000000000000aa.0.0.0"
+
+
+class Play(lab.Lab):
+    """What an executor needs of a play, without a thread of its own."""
+
+    def __init__(self, folder):
+        self.record = standins.Record(f"{folder}/record.txt")
+        self.store = standins.Store(self.record, random.Random(1))
+        self.runs, self.by_end = collections.defaultdict(list), {}
+        self.lock = lab.threading.Lock()
+
+    def run_started(self, executor, run):
+        super().run_started(executor, run)
+        run.entry.append(run.order)
+
+    def call_seen(self, *call):
+        pass
+
+
+def faults(**given):
+    return SimpleNamespace(**{"loss": 0.0, "late": 0.0, "slow": 0.0, "slow_clock": False, **given})
+
+
+class Executors(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.play = Play(folder.name)
+        self.addCleanup(self.play.record.file.close)
+
+    def executor(self, **given):
+        executor = standins.Executor(self.play, "i-1", "s", random.Random(1), faults(**given), cpu=1_000, mem=1_000)
+        executor.server = SimpleNamespace(text="127.0.0.1:1", life=1)
+        executor.list()
+        live = asyncio.get_running_loop().create_task(executor.live())
+        self.addCleanup(live.cancel)
+        return executor
+
+    async def call(self, executor, target, token=1, **fields):
+        """The status and the answer of a call, or None."""
+        body = {"fence-token": token, "task": TASK, **fields}
+        answer = await executor.handle("POST", target, {}, json.dumps(body).encode())
+        return None if answer is DROP else (answer[0], json.loads(answer[1]))
+
+    async def start(self, executor, number, length_ms=3_000, held_ms=6_000, token=1):
+        spec = f"ms={length_ms} cpu=100 mem=100"
+        deadline = executor.clock() + held_ms
+        answer = await self.call(executor, "/run-start", token, spec=spec, **{"run-id": number, "deadline-ms": deadline})
+        return answer and (answer[0], answer[1].get("reason"))
+
+    async def stop(self, executor, number):
+        await self.call(executor, "/run-stop", **{"run-id": number})
+
+    async def hold(self, executor, cursor=0, **fields):
+        return (await self.call(executor, "/hold", **{"ack-cursor": cursor, **fields}))[1]
+
+    async def test_any_number_begins_beside_a_run(self):
+        executor = self.executor()
+
+        answers = [await self.start(executor, number) for number in (2, 3, 1, 3)]
+
+        self.assertEqual(answers, [(200, None)] * 4)
+        self.assertEqual([row[1] for row in (await self.hold(executor))["running"]], [2, 3, 1])
+
+    async def test_numbers_up_to_a_stopped_one_are_refused(self):
+        executor = self.executor()
+        await self.stop(executor, 2)
+
+        answers = [await self.start(executor, number) for number in (1, 2, 3)]
+
+        self.assertEqual(answers, [(409, "old"), (409, "old"), (200, None)])
+
+    async def test_numbers_up_to_an_ended_one_are_refused(self):
+        executor = self.executor()
+        await self.start(executor, 2, length_ms=50)
+        await asyncio.sleep(0.15)
+
+        answers = [await self.start(executor, number) for number in (1, 2, 3)]
+
+        self.assertEqual(answers, [(409, "old"), (409, "old"), (200, None)])
+
+    async def test_a_stop_ends_its_own_run_in_time(self):
+        executor = self.executor()
+        await self.start(executor, 1)
+        await self.start(executor, 2)
+
+        await self.stop(executor, 1)
+        at_once = len((await self.hold(executor))["running"])
+        await asyncio.sleep(0.45)
+        later = await self.hold(executor)
+
+        self.assertEqual(at_once, 2)
+        self.assertEqual([row[1] for row in later["running"]], [2])
+        self.assertEqual([row[1:4] for row in later["finished"]], [[TASK, 1, "stopped"]])
+
+    async def test_lower_tokens_are_refused(self):
+        executor = self.executor()
+        await self.start(executor, 1, token=5)
+
+        answer = await self.start(executor, 2, token=4)
+
+        self.assertEqual(answer, (409, "fence"))
+
+    async def test_runs_end_with_their_lease(self):
+        executor = self.executor(slow_clock=True)
+        await self.start(executor, 1, held_ms=300)
+
+        await asyncio.sleep(0.25)
+        before = executor.clock()
+        running = len(executor.running)
+        await asyncio.sleep(0.15)
+
+        self.assertLess(before, 300)
+        self.assertEqual(running, 1)
+        self.assertEqual([row[3] for row in (await self.hold(executor))["finished"]], ["lapsed"])
+
+    async def test_a_deadline_is_limited_and_never_shortens(self):
+        executor = self.executor()
+
+        await self.hold(executor, **{"deadline-ms": 60_000})
+        longest = executor.deadline
+        await self.hold(executor, **{"deadline-ms": 10})
+
+        self.assertLessEqual(longest, executor.clock() + lab.HOLD_MAX_MS)
+        self.assertEqual(executor.deadline, longest)
+
+    async def test_an_end_from_before_a_lapse_is_not_noted(self):
+        executor = self.executor()
+        await self.start(executor, 1, length_ms=50, held_ms=300)
+        await asyncio.sleep(0.5)
+
+        await self.hold(executor, cursor=1)
+
+        self.assertEqual(self.play.runs[TASK][0][2], "done")
+        self.assertFalse(self.play.runs[TASK][0][6])
+
+    async def test_an_end_in_the_lease_is_noted(self):
+        executor = self.executor()
+        await self.start(executor, 1, length_ms=50)
+        await asyncio.sleep(0.2)
+
+        await self.hold(executor, cursor=1)
+
+        self.assertTrue(self.play.runs[TASK][0][6])
+
+    async def test_late_calls_are_carried_out_and_not_answered(self):
+        executor = self.executor(late=1.0)
+
+        answer = await self.start(executor, 1, held_ms=9_000)
+        at_once = len(executor.running)
+        await asyncio.sleep(5.2)
+
+        self.assertIsNone(answer)
+        self.assertEqual(at_once, 0)
+        self.assertEqual(self.play.runs[TASK][0][7], (1, True))
+
+    async def test_late_calls_of_an_earlier_life_are_not_done(self):
+        executor = self.executor(late=1.0)
+        await self.start(executor, 1, held_ms=9_000)
+
+        executor.crash()
+        executor.restart()
+        await asyncio.sleep(5.2)
+
+        self.assertEqual(self.play.runs, {})
+
+    async def test_lost_answers_are_of_calls_that_were_done(self):
+        executor = self.executor(loss=1.0)
+
+        answer = await self.start(executor, 1)
+
+        self.assertIsNone(answer)
+        self.assertEqual(len(executor.running), 1)
+
+    async def test_an_executor_out_of_reach_goes_on(self):
+        executor = self.executor()
+        await self.start(executor, 1)
+
+        executor.cut = True
+        answer = await self.start(executor, 2)
+        await asyncio.sleep(0.2)
+
+        self.assertIsNone(answer)
+        self.assertEqual(list(executor.running), [(TASK, 1)])
+
+    async def test_entries_go_with_the_store_and_come_back(self):
+        executor = self.executor()
+        newest = self.play.store.topic("keyed.servers").newest
+
+        self.play.store.mode = "silent"
+        await asyncio.sleep(3 * lab.BEAT_S + 0.3)
+        silent = "i-1" in newest
+        self.play.store.mode = None
+        await asyncio.sleep(2.4)
+
+        self.assertFalse(silent)
+        self.assertIn("i-1", newest)
+
+
+class Stores(unittest.IsolatedAsyncioTestCase):
+    async def append(self, mode):
+        with tempfile.TemporaryDirectory() as folder:
+            record = standins.Record(f"{folder}/record.txt")
+            store = standins.Store(record, random.Random(2))
+            store.mode = mode
+            answers = [await store.handle("POST", f"/log-append?topic=t&part=0&at={i}", {}, lab.frame("k", b"v"))
+                       for i in range(20)]
+            record.file.close()
+            return [answer is DROP for answer in answers].count(True), len(store.topic("t").records)
+
+    async def test_a_silent_store_does_nothing(self):
+        self.assertEqual(await self.append("silent"), (20, 0))
+
+    async def test_a_losing_store_does_all(self):
+        lost, records = await self.append("losing")
+
+        self.assertEqual(records, 20)
+        self.assertTrue(0 < lost < 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
