--- a/tests/plays/parallel_runs.py
+++ b/tests/plays/parallel_runs.py
@@ -86,7 +86,7 @@
         rng, cpu = self.rng(name), self.task_cpu
         while not self.over.is_set():
             key = f"{rng.getrandbits(64):016x}"
-            ms, count = rng.randrange(600, 3_501), rng.randint(2, 5)
+            ms, count = rng.randrange(600, self.options.task_ms + 1), rng.randint(2, 5)
             step = {"count": count, "cpu": cpu, "mem-mb": cpu, "est-ms": ms}
             job = {"spec": f"ms={ms} cpu={cpu} mem={cpu}", "steps": [step]}
             for _ in range(6):
@@ -272,6 +272,7 @@
     parser.add_argument("--entries", type=int, choices=range(1, 33), metavar="1..32")
     parser.add_argument("--executors", type=int, choices=range(1, 301), metavar="1..300")
     parser.add_argument("--seconds", type=float, help="of faults")
+    parser.add_argument("--task-ms", type=int, default=3_500, help="longest task; leases last up to 6 s")
     parser.add_argument("--loss", type=float, help="share of calls to executors that are done and not answered")
     parser.add_argument("--late", type=float, help="share of calls that are done seconds later, and not answered")
     parser.add_argument("--foreign", choices=["own", "unnamed", "both"], default="both", help="service of foreign entries")
