Count stray runs against the runs of a step on its target

Before stray runs were kept apart, they were among the runs and counted.

a_stray_run_counts_against_the_runs_of_its_step failed before, and passes.

--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -303,9 +303,11 @@
         if forgettable { self.stored_end } else { 0 }
     }
 
-    /// Number of its runs of tasks of `step`.
+    /// Number of its runs of tasks of `step`, stray ones included.
     pub(super) fn runs_of_step(&self, step: StepKey) -> usize {
-        self.runs.keys().filter(|task| task.step == step).count()
+        let strays = self.strays.keys().map(|(task, _)| task);
+        let tasks = self.runs.keys().chain(strays);
+        tasks.filter(|task| task.step == step).count()
     }
 
     /// Returns whether its VM may be taken away: it has no runs, and no ended run that it
