Count the failure of a stray run, and keep its checkpoint

A stray run of a job that has ended leaves no number behind any more, which nothing would have removed.

the_failure_of_a_stray_run_counts failed before, and passes.

--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -34,7 +34,7 @@
                 self.facts.note_run(&job.spec, step, now - since);
             }
         }
-        self.stray_ended(id, end.task, end.run);
+        let is_stray = self.stray_ended(id, end.task, end.run);
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
@@ -52,7 +52,7 @@
         self.needs_scheduling = true;
         if end.kind == EndKind::Done {
             self.mark_task_done(table, id, end, now);
-        } else if is_current_run {
+        } else if is_current_run || is_stray {
             self.apply_unfinished_run(table, id, end, now);
         }
         self.update_job_state(table, end.task.step.job);
--- a/src/scheduler/leader/strays.rs
+++ b/src/scheduler/leader/strays.rs
@@ -93,6 +93,7 @@
         let job = table.get(task.step.job);
         let step = job.and_then(|job| job.spec.steps.get(task.step.step as usize));
         let gang = step.is_some_and(|step| step.gang);
+        let job_active = job.is_some_and(|job| !job.state().ended());
         let stray = StrayRun {
             reserved: step
                 .map(crate::scheduler::Step::reservation)
@@ -103,8 +104,10 @@
         if let Some(target) = self.targets.get_mut(id) {
             target.add_stray(task, number, stray);
         }
-        let highest = self.stray_numbers.entry(task).or_default();
-        *highest = number.max(*highest);
+        if job_active {
+            let highest = self.stray_numbers.entry(task).or_default();
+            *highest = number.max(*highest);
+        }
         self.release_plans(table, now, |planned| {
             planned == task || (gang && planned.step == task.step)
         });
@@ -144,13 +147,15 @@
         }
     }
 
-    /// Removes a stray run that has ended, if it is one.
-    pub(super) fn stray_ended(&mut self, id: &TargetId, task: TaskKey, number: u32) {
+    /// Removes a stray run that has ended; returns whether there was one.
+    pub(super) fn stray_ended(&mut self, id: &TargetId, task: TaskKey, number: u32) -> bool {
         let target = self.targets.get_mut(id);
-        if target.is_some_and(|target| target.remove_stray(task, number)) {
+        let found = target.is_some_and(|target| target.remove_stray(task, number));
+        if found {
             spdlog::info!("stray_run_ended", kv: { task = task.to_string(), run = number, target = id.0.as_ref() });
             self.needs_scheduling = true;
         }
+        found
     }
 
     /// Sends the stop calls of stray runs that are due.
