--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -83,6 +83,7 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
+        self.needs_scheduling = true;
         let runs = target.take_runs(now);
         let listed = target.listed;
         let (entry, answered_at) = (Arc::clone(&target.entry), target.last_answer_at);
--- a/src/scheduler/leader/restarts.rs
+++ b/src/scheduler/leader/restarts.rs
@@ -129,6 +129,7 @@
         now: Millis,
     ) {
         self.target_sighted(table, &entry);
+        self.needs_scheduling = true;
         let id = entry.id.clone();
         let lease = self.restarted_lease(now);
         let new_target = Target::new(entry, lease, now);
