Move the runs of a target, and stalled runs, to modules of their own

Moved without a change of behaviour: what adds, removes and counts the runs of a target to target_runs.rs, the stop of runs without progress to stalls.rs.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -2,10 +2,11 @@
 //! asks for its running tasks and ended runs.
 
 use super::releases::{Evidence, Release};
+use super::stalls::stall_ms;
 use super::{Command, HoldFailure, Leader, TargetReport};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::target::{HoldState, Target};
-use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey};
+use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId};
 
 /// Time that a target with work may wait for a run to end before it answers, in ms; at most a
 /// third of a lease, so that the lease does not expire when one answer is lost.
@@ -19,13 +20,6 @@
 /// clock recent and show whether it answers.
 const IDLE_HOLD_INTERVAL_MS: Millis = 2_500;
 
-/// Least time without progress after which a run counts as stalled, in ms: enough for a cold
-/// start and one lost report.
-const MIN_STALL_MS: Millis = 800;
-
-/// Factor by which a slow target may exceed the estimated duration of a task.
-const MAX_SLOWDOWN: u64 = 10;
-
 /// Time between two hold calls to a target while the effects of its ended runs are not stored,
 /// in ms. The calls go on, so that the lease does not expire.
 const UNSTORED_HOLD_INTERVAL_MS: Millis = 300;
@@ -278,36 +272,6 @@
             task.checkpoint.clone_from(&running.checkpoint);
         }
     }
-
-    /// Stops a run that has stalled. All runs on a faulty target may stall, so it also gets no
-    /// new work for a while.
-    fn stop_stalled_run(
-        &mut self,
-        id: &TargetId,
-        running: &crate::scheduler::RunningTask,
-        unchanged_ms: Millis,
-        now: Millis,
-    ) {
-        let Some(target) = self.targets.get_mut(id) else {
-            return;
-        };
-        spdlog::warn!("run_stalled", kv: {
-            task = running.task.to_string(), run = running.run, target = id.0.as_ref(),
-            percent = running.percent, unchanged_ms
-        });
-        target.request_stop(running.task, now);
-        target.health.run_stalled(now);
-    }
-}
-
-/// Time without progress after which a run of the task counts as stalled, in ms: the time that
-/// one percent takes on a slow target, and [`MIN_STALL_MS`]. `None` for a task whose progress
-/// may stand still: it is long-running, or may be waiting for the rest of its gang.
-fn stall_ms(table: &JobTable, task: TaskKey) -> Option<Millis> {
-    let job = table.get(task.step.job)?;
-    let step = job.spec.steps.get(task.step.step as usize)?;
-    let shows_stalls = !step.long_running && !step.gang;
-    shows_stalls.then(|| MIN_STALL_MS + step.estimate_ms * MAX_SLOWDOWN / 100)
 }
 
 /// Notes that a hold call was not answered and sets when the next one is due. That one goes
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -23,6 +23,7 @@
 mod removed_entries;
 mod restarts;
 mod schedule;
+mod stalls;
 mod starts;
 mod stops;
 mod strays;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -30,6 +30,7 @@
 mod table;
 mod target;
 mod target_entry;
+mod target_runs;
 #[cfg(test)]
 mod tests;
 mod urgency;
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -215,82 +215,6 @@
             .is_some_and(|run| used.fits(&run.reserved, &self.entry.capacity))
     }
 
-    /// Adds a run and reserves its capacity.
-    pub(super) fn add_run(&mut self, task: TaskKey, run: Run) {
-        self.used.add(&run.reserved);
-        self.suspect_runs += usize::from(run.suspect);
-        self.stopping_runs += usize::from(run.stopping());
-        self.runs.insert(task, run);
-    }
-
-    /// Removes the run of a task and frees its capacity; `None` without one.
-    pub(super) fn remove_run(&mut self, task: TaskKey, now: Millis) -> Option<Run> {
-        let run = self.runs.swap_remove(&task)?;
-        self.used.subtract(&run.reserved);
-        self.suspect_runs -= usize::from(run.suspect);
-        self.stopping_runs -= usize::from(run.stopping());
-        if self.runs.is_empty() {
-            self.idle_since = now;
-        }
-        Some(run)
-    }
-
-    /// Adds a stray run and reserves its capacity.
-    pub(super) fn add_stray(&mut self, task: TaskKey, number: u32, stray: StrayRun) {
-        self.used.add(&stray.reserved);
-        self.strays.insert((task, number), stray);
-    }
-
-    /// Removes a stray run and frees its capacity; returns whether there was one.
-    pub(super) fn remove_stray(&mut self, task: TaskKey, number: u32) -> bool {
-        let stray = self.strays.swap_remove(&(task, number));
-        if let Some(stray) = &stray {
-            self.used.subtract(&stray.reserved);
-        }
-        stray.is_some()
-    }
-
-    /// Sum of what its stray runs reserve.
-    fn stray_used(&self) -> Capacity {
-        let mut used = Capacity::default();
-        for stray in self.strays.values() {
-            used.add(&stray.reserved);
-        }
-        used
-    }
-
-    /// Returns whether it has no run, stray ones included.
-    pub(super) fn is_idle(&self) -> bool {
-        self.runs.is_empty() && self.strays.is_empty()
-    }
-
-    /// Marks the run of a task as no longer suspect.
-    pub(super) fn clear_suspect(&mut self, task: TaskKey) {
-        if let Some(run) = self.runs.get_mut(&task) {
-            self.suspect_runs -= usize::from(std::mem::take(&mut run.suspect));
-        }
-    }
-
-    /// Removes all runs, and returns those that are not stray.
-    pub(super) fn take_runs(&mut self, now: Millis) -> IndexMap<TaskKey, Run> {
-        self.strays.clear();
-        self.used = Capacity::default();
-        self.suspect_runs = 0;
-        self.stopping_runs = 0;
-        self.idle_since = now;
-        std::mem::take(&mut self.runs)
-    }
-
-    /// Removes and returns the runs that a later incarnation has accepted.
-    pub(super) fn take_runs_that_began_later(&mut self, now: Millis) -> IndexMap<TaskKey, Run> {
-        let later = self.runs.iter().filter(|(_, run)| run.began_later);
-        let later: Vec<TaskKey> = later.map(|(task, _)| *task).collect();
-        let taken = later.into_iter();
-        taken
-            .filter_map(|task| Some((task, self.remove_run(task, now)?)))
-            .collect()
-    }
-
     /// Position of the last ended run that a hold call sent now may let the target forget; 0 for none.
     pub(super) fn forgettable_end(&self, now: Millis) -> u64 {
         let recent = self
@@ -303,33 +227,12 @@
         if forgettable { self.stored_end } else { 0 }
     }
 
-    /// Number of its runs of tasks of `step`, stray ones included.
-    pub(super) fn runs_of_step(&self, step: StepKey) -> usize {
-        let strays = self.strays.keys().map(|(task, _)| task);
-        let tasks = self.runs.keys().chain(strays);
-        tasks.filter(|task| task.step == step).count()
-    }
-
     /// Returns whether its VM may be taken away: it has no runs, and no ended run that it
     /// still lists would be lost.
     pub(super) fn removable(&self) -> bool {
         self.is_idle() && self.lists_all && self.forgotten_end == self.applied_end
     }
 
-    /// Number of its runs of long-running tasks.
-    pub(super) fn long_running_runs(&self) -> usize {
-        self.runs.values().filter(|run| run.long_running).count()
-    }
-
-    /// Sum of what its runs of long-running tasks reserve.
-    pub(super) fn long_running_used(&self) -> Capacity {
-        let mut used = Capacity::default();
-        for run in self.runs.values().filter(|run| run.long_running) {
-            used.add(&run.reserved);
-        }
-        used
-    }
-
     /// Returns whether it may be executing any run.
     pub(super) fn may_be_executing(&self) -> bool {
         !self.strays.is_empty() || self.runs.values().any(Run::may_be_executing)
