Log on what grounds a job is shown as ended

Change: no decision changes. `job_shown`, once for each job, state and process, says whether the end is stored, for how long this process has read it, the epoch and the age of the table. `job_end_stored` says at the leader when the batch with an end is stored. `role_lost` counts the ends that were not. `ended_job_changed` says that the stream or a loaded table contradicts what was shown. Two generations of 16,384 jobs bound what is remembered. The fake store of tests/dispatch can have its records expire.

Not covered: the repeat of a POST that finds an ended job writes no line, and `elapsed_ms` counts from the leader's last poll before the decision.

--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -183,8 +183,24 @@
         }
     }
 
-    /// Looks up a job. If it is not known, has the stream read once more before the answer.
+    /// Looks up a job for its caller. If it is not known, has the stream read once more before the
+    /// answer. Logs on what grounds a job is shown as ended for the first time.
     pub async fn look_up(&self, key: JobKey) -> Lookup {
+        let found = self.find(key).await;
+        if let Lookup::Found(job_state) = found
+            && job_state.ended()
+        {
+            let now = self.shared.clock.now();
+            let shown = self.shared.lock().show_end(key, job_state, now);
+            if let Some(shown) = shown {
+                shown.log();
+            }
+        }
+        found
+    }
+
+    /// Looks up a job. If it is not known, has the stream read once more.
+    async fn find(&self, key: JobKey) -> Lookup {
         let first = self.local_lookup(key);
         if first != Lookup::NotFound {
             return first;
@@ -207,7 +223,7 @@
     /// Cancels a job; gives up after `limit_ms`.
     pub async fn cancel(&self, key: JobKey, limit_ms: u64) -> CancelOutcome {
         let shared = &self.shared;
-        if self.look_up(key).await == Lookup::Found(JobState::Canceled) {
+        if self.find(key).await == Lookup::Found(JobState::Canceled) {
             return CancelOutcome::Accepted;
         }
         let deadline = shared.clock.now() + limit_ms;
--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -9,7 +9,7 @@
 use super::feed::FeedStatus;
 use super::services::{Page, ReadOutcome, Services, Snapshot, TargetChange};
 use super::state::{Shared, State};
-use crate::scheduler::{Change, Event, JobTable, Member, Millis, Record, leader_event};
+use crate::scheduler::{Change, Event, JobKey, JobTable, Member, Millis, Record, leader_event};
 
 /// Time that the store may wait for a record or a change of the targets, in ms; short, so that a
 /// store that does not answer is noticed soon.
@@ -87,6 +87,10 @@
             let mut state = shared.lock();
             state.table = table;
             state.next_offset = Some(next);
+            let jobs: Vec<JobKey> = state.table.iter().map(|(job, _)| job).collect();
+            for job in jobs {
+                state.compare_shown(job, now);
+            }
             // After a pause in reading, the timeout of the current leader starts anew.
             state.election.caught_up(now);
             state.election.records_loaded(now);
@@ -184,15 +188,28 @@
         Change::Put(Record::Progress(..) | Record::Wave(..))
     );
     if written_by_leader && state.leader.is_some() {
+        note_stored_end(state, &change, now);
         return;
     }
     let event = leader_event(&change);
-    state.table.apply(change);
+    if let Some(job) = state.table.apply(change) {
+        state.compare_shown(job, now);
+    }
     if let Some(event) = event {
         state.notify_leader(event, now);
     }
 }
 
+/// Notes the end of a job that this process, which leads, has read back.
+fn note_stored_end(state: &mut State, change: &Change, now: Millis) {
+    if let Change::Put(Record::Progress(job, progress)) = change
+        && progress.state.ended()
+        && let Some(changed) = state.shown_jobs.state_read(*job, progress.state, now)
+    {
+        changed.log();
+    }
+}
+
 /// Follows the list of targets, but only while this process leads.
 pub(super) async fn targets<S: Services>(shared: Arc<Shared<S>>) {
     let mut feed = FeedStatus::new("targets");
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod operators;
 mod pending_claim;
 mod services;
+mod shown_jobs;
 mod state;
 mod store_router;
 #[cfg(test)]
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -12,8 +12,11 @@
 use super::clock::Clock;
 use super::pending_claim::{ClaimStatus, PendingClaim};
 use super::services::{OrderClaim, Producer};
+use super::shown_jobs::{Grounds, ShownEnd, ShownJobs, Stored};
 use crate::runtime::Runtime;
-use crate::scheduler::{Election, Evacuations, Event, JobTable, Leader, Millis, Policy, Wave};
+use crate::scheduler::{
+    Election, Evacuations, Event, Job, JobKey, JobState, JobTable, Leader, Millis, Policy, Wave,
+};
 use crate::telemetry::Metrics;
 
 /// State on which decisions are based, behind one lock that is never held during I/O.
@@ -43,6 +46,8 @@
     pub(super) leader: Option<Leader>,
     /// What decisions on callers' jobs are based on besides the leader's state.
     pub(super) admissions: Admissions,
+    /// Jobs that callers were shown as ended.
+    pub(super) shown_jobs: ShownJobs,
     /// Number of the last batch of this leader that was read back from the stream; 0 before the
     /// first.
     pub(super) read_back_batch: u64,
@@ -89,6 +94,7 @@
             last_claim: None,
             leader: None,
             admissions: Admissions::default(),
+            shown_jobs: ShownJobs::default(),
             read_back_batch: 0,
             stopping: false,
         };
@@ -172,11 +178,54 @@
         }
     }
 
+    /// Notes that a caller is shown an ended job; returns what to log the first time.
+    pub(super) fn show_end(
+        &mut self,
+        job: JobKey,
+        state: JobState,
+        now: Millis,
+    ) -> Option<ShownEnd> {
+        let grounds = Grounds {
+            stored: self.end_stored(job, state),
+            epoch: self.leader.as_ref().map_or(0, Leader::epoch),
+            table_ms: self.caught_up_at.map(|at| now.saturating_sub(at)),
+        };
+        self.shown_jobs.show(job, state, grounds, now)
+    }
+
+    /// Returns whether the end of a job is stored.
+    fn end_stored(&self, job: JobKey, state: JobState) -> Stored {
+        let cancelled = self.table.get(job).is_some_and(|job| job.cancelled);
+        match &self.leader {
+            // A cancel is applied once it is stored.
+            _ if cancelled && state == JobState::Canceled => Stored::Yes,
+            Some(leader) if leader.is_end_stored(job) => Stored::Yes,
+            Some(_) => Stored::No,
+            None if self.next_offset.is_some() || self.shown_jobs.end_read(job) => Stored::Yes,
+            None => Stored::Unknown,
+        }
+    }
+
+    /// Compares a job that has been read from the stream with what callers were shown. While this
+    /// process leads, the table is ahead of the stream.
+    pub(super) fn compare_shown(&mut self, job: JobKey, now: Millis) {
+        let Some(state) = self.table.get(job).map(Job::state) else {
+            self.shown_jobs.forget(job);
+            return;
+        };
+        if self.leader.is_none()
+            && let Some(changed) = self.shown_jobs.state_read(job, state, now)
+        {
+            changed.log();
+        }
+    }
+
     /// Stops leading and has the table loaded anew, because it may hold decisions that were not
     /// stored.
     pub(super) fn step_down(&mut self, cause: &str) {
         if let Some(leader) = self.leader.take() {
-            spdlog::warn!("role_lost", kv: { epoch = leader.epoch(), cause });
+            let unstored_ends = leader.unstored_end_count();
+            spdlog::warn!("role_lost", kv: { epoch = leader.epoch(), cause, unstored_ends });
         }
         self.next_offset = None;
         self.caught_up_at = None;
--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -184,6 +184,7 @@
         job.progress.state = state;
         job.progress.ended_ms = self.wall_ms;
         spdlog::info!("job_ended", kv: { job = key.to_string(), state = format!("{state:?}"), cause });
+        self.unstored_ends.add(key, state, self.now);
         self.active_jobs.swap_remove(&key);
         self.stray_numbers.retain(|task, _| task.step.job != key);
         self.journal.mark_job_dirty(key);
--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -36,6 +36,8 @@
     /// Targets, `born` of their incarnations, and positions of ended runs up to which the
     /// targets may forget.
     ends: Vec<(TargetId, u64, u64)>,
+    /// Jobs whose end is stored with the batch.
+    ended_jobs: Vec<JobKey>,
     sent_at: Millis,
 }
 
@@ -155,6 +157,7 @@
             } else {
                 Vec::new()
             },
+            ended_jobs: self.unstored_ends.in_batch(&jobs, table),
             sent_at: now,
         };
         self.journal.next_batch += 1;
@@ -211,6 +214,7 @@
         };
         self.journal.stored_at = now;
         self.journal.confirmed_at = batch.sent_at;
+        self.ends_stored(&batch.ended_jobs, number, now);
         for (id, born, end) in batch.ends {
             let target = self.targets.get_mut(&id);
             if let Some(target) = target.filter(|target| target.entry.born == born) {
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -29,6 +29,7 @@
 mod strays;
 mod sums;
 mod takeover;
+mod unstored_ends;
 mod upkeep;
 mod verdicts;
 mod vm_orders;
@@ -54,6 +55,7 @@
 use releases::PastRuns;
 use removed_entries::RemovedEntries;
 use schedule::LastPass;
+use unstored_ends::UnstoredEnds;
 
 /// Settings of a leader: its claim of the role, and time limits.
 #[derive(Clone, Debug)]
@@ -105,6 +107,7 @@
     /// starts with lower ones.
     stray_numbers: IndexMap<TaskKey, u32>,
     journal: Journal,
+    unstored_ends: UnstoredEnds,
     admission: Admission,
     vm_tracker: VmTracker,
     /// Recent demand of each pool, by the pool's name.
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -11,6 +11,7 @@
 use super::releases::PastRuns;
 use super::removed_entries::RemovedEntries;
 use super::schedule::LastPass;
+use super::unstored_ends::UnstoredEnds;
 use super::verdicts::Loss;
 use super::{Leader, LeaderSettings};
 use crate::scheduler::lease::Lease;
@@ -59,6 +60,7 @@
             past_runs: PastRuns::default(),
             stray_numbers: IndexMap::new(),
             journal: Journal::new(now),
+            unstored_ends: UnstoredEnds::default(),
             admission: Admission::default(),
             demand_trends: IndexMap::new(),
             next_wave_check: 0,
--- a/tests/dispatch/fakes.rs
+++ b/tests/dispatch/fakes.rs
@@ -31,6 +31,9 @@
     pub(crate) stream: Vec<Change>,
     /// Whether the stream can be read.
     pub(crate) readable: bool,
+    /// Whether the next read of the stream finds its records expired, so that the process loads
+    /// `loaded` again.
+    pub(crate) expired: bool,
     /// Ages of the summary that the entry told the leader.
     pub(crate) summary_ages: Vec<Option<Millis>>,
 }
@@ -56,7 +59,10 @@
 
     async fn read_records(&self, from: u64, _wait_ms: u64) -> ReadOutcome<Page> {
         pause(20).await;
-        let script = self.script();
+        let mut script = self.script();
+        if std::mem::take(&mut script.expired) {
+            return ReadOutcome::Expired;
+        }
         if !script.readable {
             return ReadOutcome::Failed("unavailable".to_owned());
         }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,7 +2,11 @@
 //! earlier build.
 
 mod fakes;
+#[allow(unreachable_pub)] // Shared with tests that use it as public.
+#[path = "../support/log_fields.rs"]
+mod log_fields;
 mod process;
+mod shown_ends;
 
 use std::thread;
 use std::time::{Duration, Instant};
--- a/tests/dispatch/process.rs
+++ b/tests/dispatch/process.rs
@@ -195,6 +195,7 @@
             appended: Vec::new(),
             stream: Vec::new(),
             readable: true,
+            expired: false,
             summary_ages: Vec::new(),
         })));
         let settings = DispatchSettings {
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -30,6 +30,7 @@
 mod records;
 mod returned_targets;
 mod silent_crashes;
+mod stored_ends;
 mod stray_gaps;
 mod stray_runs;
 mod target;
