Let the model see what callers are shown

Change: callers look up all jobs every 50 ms at every process, leading, stepped down or following; the store can fall silent; a shown ended state must not go back, nor be missing from the store at a later claim, and no start may come over 1 s after its job was shown as complete. The checks are on in all plays.

--- a/tests/scheduler/drawn_parallel_runs.rs
+++ b/tests/scheduler/drawn_parallel_runs.rs
@@ -217,18 +217,19 @@
             self.plan(length + claim_ms, Due::Claim);
         }
     }
+}
 
-    fn unended(&self) -> Vec<String> {
-        let table = self.world.stored();
-        let states = self.keys.iter().map(|key| {
-            let state = table.get(*key).map(amaranthwick::scheduler::Job::state);
-            (key, state)
-        });
-        let unended = states.filter(|(_, state)| !state.is_some_and(JobState::ended));
-        unended
-            .map(|(key, state)| format!("{key} is {state:?}"))
-            .collect()
-    }
+/// Jobs that have not ended, as stored.
+pub(crate) fn unended(world: &World, keys: &[JobKey]) -> Vec<String> {
+    let table = world.stored();
+    let states = keys.iter().map(|key| {
+        let state = table.get(*key).map(amaranthwick::scheduler::Job::state);
+        (key, state)
+    });
+    let unended = states.filter(|(_, state)| !state.is_some_and(JobState::ended));
+    unended
+        .map(|(key, state)| format!("{key} is {state:?}"))
+        .collect()
 }
 
 /// A rate of up to `highest`, which is 0 in every other play.
@@ -263,10 +264,10 @@
         play.run_round(false);
     }
     let limit = play.world.now + END_LIMIT_MS;
-    while play.world.now < limit && !play.unended().is_empty() {
+    while play.world.now < limit && !unended(&play.world, &play.keys).is_empty() {
         play.world.run_for(1_000);
     }
-    let unended = play.unended();
+    let unended = unended(&play.world, &play.keys);
     play.world.violations.into_iter().chain(unended).collect()
 }
 
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -29,6 +29,7 @@
 mod reborn_targets;
 mod records;
 mod returned_targets;
+mod shown_states;
 mod silent_crashes;
 mod stray_gaps;
 mod stray_runs;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -1,5 +1,6 @@
 //! A simulated platform in virtual time, which checks what its callers and targets see.
 
+mod callers;
 mod crash;
 mod evacuation;
 mod gangs;
@@ -22,6 +23,7 @@
 use crate::fixtures::{POOL, policy, policy_without_admission_check};
 use crate::target::{FakeTarget, ForgottenEnd, MAX_LEASE_MS, Work};
 use crate::vm_service::{Refusal, VmService};
+use callers::Callers;
 use crash::{Contact, CrashStep, Crashes};
 use evacuation::Operators;
 use gangs::Gangs;
@@ -97,6 +99,8 @@
     FinishMove(String),
     Crash(CrashStep),
     Publish(TargetId),
+    /// A target publishes its entry, whether it is listed or not.
+    Heartbeat(TargetId),
     /// The processes read what the operators have had evacuated.
     ReadEvacuations,
     Leave(Departure),
@@ -148,6 +152,7 @@
     pub(crate) faults: Faults,
     pub(crate) crashes: Crashes,
     gangs: Gangs,
+    pub(crate) callers: Callers,
     pub(crate) operators: Operators,
     /// Whether targets let hold calls wait for the end of a run, for as long as these allow. Such a
     /// call gets no answer from an incarnation that has started meanwhile.
@@ -208,6 +213,7 @@
             faults: Faults::default(),
             crashes: Crashes::default(),
             gangs: Gangs::new(),
+            callers: Callers::default(),
             operators: Operators::default(),
             holds_wait: false,
             store_up: true,
@@ -322,6 +328,7 @@
 
     /// Ends the process that claimed the role last.
     pub(crate) fn kill(&mut self) {
+        self.note_kill();
         self.processes.last_mut().unwrap().gone = true;
     }
 
@@ -377,6 +384,9 @@
 
     /// A target publishes its entry.
     pub(crate) fn publish_entry(&mut self, id: &TargetId) {
+        if self.store_is_silent() {
+            return self.publish_later(id);
+        }
         let now = self.now;
         let target = self.targets.get_mut(id).unwrap();
         target.listed = true;
@@ -468,6 +478,9 @@
     }
 
     fn notify_leaders(&mut self, event: &Event) {
+        if self.store_is_silent() {
+            return;
+        }
         let now = self.now;
         for process in self.processes.iter_mut().filter(|process| !process.gone) {
             process
@@ -537,6 +550,7 @@
         for i in 0..self.processes.len() {
             self.decide(i);
         }
+        self.look_up_jobs();
     }
 
     fn decide(&mut self, i: usize) {
@@ -750,6 +764,11 @@
                     self.publish_entry(&id);
                 }
             }
+            Action::Heartbeat(id) => {
+                if self.targets[&id].is_up() {
+                    self.publish_entry(&id);
+                }
+            }
             Action::ReadEvacuations => self.read_evacuations(),
             Action::Move { leader, vm, pool } => self.begin_move(leader, &vm, &pool),
             Action::FinishMove(vm) => self.finish_move(&vm),
@@ -785,6 +804,9 @@
 
     /// Appends to the store, which refuses all but the process that claimed the role last.
     fn append(&mut self, leader: usize, batch: u64, changes: Vec<Change>) {
+        if self.store_is_silent() {
+            return self.append_unanswered(leader, batch, changes);
+        }
         if !self.store_up {
             self.schedule(
                 50,
@@ -913,6 +935,7 @@
                 let outcome = fake.start(task, run, work, deadline_ms, epoch, self.now);
                 if outcome == StartOutcome::Running && !before {
                     self.check_start(task, &running);
+                    self.check_repeat(leader, task, ordered_at);
                     self.check_evacuations(task, &target, ordered_at);
                     self.check_room(task, &target.id, ordered_at);
                     let step = &spec.steps[task.step.step as usize];
