--- a/src/dispatch/admitting.rs
+++ b/src/dispatch/admitting.rs
@@ -108,11 +108,11 @@
 
     /// Decides on a job. One that is known, or may be stored, is accepted again.
     fn decide(&mut self, key: JobKey, spec: &JobSpec, now: Millis) -> Result<(), Refusal> {
-        if self.table.get(key).is_some() || self.admissions.unsettled(key, now).is_some() {
+        if self.stored.table().get(key).is_some() || self.admissions.unsettled(key, now).is_some() {
             return Ok(());
         }
         if let Some(leader) = &mut self.leader {
-            return leader.admit(&self.table, key, spec, now);
+            return leader.admit(key, spec, now);
         }
         let Some(age_ms) = self.admissions.summary_age(now) else {
             return Ok(());
--- a/src/dispatch/append_queue.rs
+++ b/src/dispatch/append_queue.rs
@@ -170,7 +170,8 @@
         Timer::after(Duration::from_millis(READ_BACK_INTERVAL_MS)).await;
         shared.request_read();
         let state = shared.lock();
-        if records.iter().all(|record| state.table.has_applied(record)) {
+        let table = state.stored.table();
+        if records.iter().all(|record| table.has_applied(record)) {
             let end = state.next_offset.unwrap_or_default();
             return Appended::all(AppendOutcome::Stored { end });
         }
--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -9,7 +9,7 @@
 use super::forwarding::{Appended, ForwardAnswer, PeerBuild};
 use super::services::{AppendOutcome, Services};
 use super::{Dispatch, admitting, append_queue, state::Shared};
-use crate::scheduler::{Change, Event, JobKey, JobSpec, JobState, Millis, Policy, Record, Refusal};
+use crate::scheduler::{JobKey, JobSpec, JobState, Millis, Policy, Record, Refusal};
 
 /// Time without a read to the end of the stream after which this process's table counts as
 /// outdated, in ms: about one and a half times the longest time between two reads in a process that
@@ -111,7 +111,7 @@
             if sent && self.local_lookup(key) == Lookup::Unavailable {
                 return Submission::Unknown;
             }
-            if shared.lock().table.get(key).is_some() {
+            if shared.lock().stored.table().get(key).is_some() {
                 return Submission::Accepted;
             }
             let gives_up = !sent && refused >= MAX_REFUSED_TRIES;
@@ -120,7 +120,7 @@
             }
             Timer::after(Duration::from_millis(RETRY_MS)).await;
         }
-        self.apply_stored(key, record);
+        self.apply_stored(record);
         Submission::Accepted
     }
 
@@ -136,11 +136,10 @@
     }
 
     /// Applies a stored record at once, before it is read from the stream.
-    fn apply_stored(&self, key: JobKey, record: Record) {
+    fn apply_stored(&self, record: Record) {
         let now = self.shared.clock.now();
         let mut state = self.shared.lock();
-        state.table.apply(Change::Put(record));
-        state.notify_leader(Event::JobChanged(key), now);
+        state.apply_acknowledged(record, now);
         drop(state);
         self.shared.wake();
     }
@@ -164,7 +163,7 @@
             let now = shared.clock.now();
             let state = &mut *shared.lock();
             let leader = state.leader.as_mut()?;
-            Some(leader.backlog_for_peers(&state.table, now))
+            Some(leader.backlog_for_peers(now))
         });
         ForwardAnswer {
             appended,
@@ -178,7 +177,7 @@
             if let Record::Job(key, _) | Record::Cancel(key) = &record
                 && appended.refusal(*key).is_none()
             {
-                self.apply_stored(*key, record);
+                self.apply_stored(record);
             }
         }
     }
@@ -210,10 +209,10 @@
         self.local_lookup(key)
     }
 
-    /// Looks up a job in the table as it is.
+    /// Looks up a job in the stored table as it is.
     fn local_lookup(&self, key: JobKey) -> Lookup {
         let state = self.shared.lock();
-        match state.table.get(key) {
+        match state.stored.table().get(key) {
             Some(job) => Lookup::Found(job.state()),
             None if is_fresh(&self.shared, state.caught_up_at) => Lookup::NotFound,
             None => Lookup::Unavailable,
@@ -238,8 +237,8 @@
             }
             Timer::after(Duration::from_millis(RETRY_MS)).await;
         }
-        self.apply_stored(key, record);
-        if shared.lock().table.get(key).is_some() {
+        self.apply_stored(record);
+        if shared.lock().stored.table().get(key).is_some() {
             CancelOutcome::Accepted
         } else {
             spdlog::info!("unknown_job_cancelled", kv: { job = key.to_string() });
@@ -251,18 +250,19 @@
     #[must_use]
     pub fn queued_jobs(&self, queue: &str) -> usize {
         self.shared.request_read();
-        self.shared.lock().table.queued_jobs(queue)
+        self.shared.lock().stored.table().queued_jobs(queue)
     }
 
     /// Names and values of figures on the process, for the state dump.
     #[must_use]
     pub fn summary(&self) -> Vec<(&'static str, u64)> {
         let state = self.shared.lock();
+        let table = state.stored.table();
         let mut numbers = vec![
             ("policy_version", state.policy.version),
-            ("jobs", state.table.len() as u64),
+            ("jobs", table.len() as u64),
             ("next_offset", state.next_offset.unwrap_or(0)),
-            ("holder_epoch", state.table.holder().map_or(0, |h| h.epoch)),
+            ("holder_epoch", table.holder().map_or(0, |h| h.epoch)),
             ("evacuated_data_centres", state.evacuations.len() as u64),
         ];
         if let Some(leader) = &state.leader {
--- a/src/dispatch/claiming.rs
+++ b/src/dispatch/claiming.rs
@@ -15,7 +15,7 @@
 use super::state::{Shared, State};
 use super::writer;
 use crate::scheduler::{
-    Election, Event, Holder, Leader, LeaderSettings, Millis, Record, TargetEntry,
+    ActiveLeader, Election, Event, Holder, LeaderSettings, Millis, Record, TargetEntry,
 };
 
 /// Length of the leases that the leader gives targets, in ms, unless they accept only shorter
@@ -75,7 +75,9 @@
     if state.stopping || state.operators_read_at.is_none() {
         return None;
     }
-    let should = state.election.should_claim(state.table.holder(), now);
+    let should = state
+        .election
+        .should_claim(state.stored.table().holder(), now);
     state.next_offset.filter(|_| should)
 }
 
@@ -98,7 +100,7 @@
     let mut guard = shared.lock();
     let state = &mut *guard;
     offset_to_claim_at(state, shared.clock.now())?;
-    let before = state.table.holder().cloned();
+    let before = state.stored.table().holder().cloned();
     let holder = state.election.next_claim(before.as_ref());
     let last = state.last_claim.filter(|last| last.epoch == holder.epoch);
     let producer = last.unwrap_or_else(|| Producer {
@@ -185,7 +187,7 @@
     future::or(shared.wait_for_wake(), pause).await;
 }
 
-/// Waits until the stream has been read up to the claim, so that the table includes all that
+/// Waits until the stream has been read up to the claim, so that the stored table includes all that
 /// earlier leaders and callers had stored before it; gives up after [`READ_TIMEOUT_MS`]. Returns
 /// whether the claim still holds then.
 async fn read_up_to_claim<S: Services>(shared: &Shared<S>) -> bool {
@@ -256,15 +258,15 @@
     let earlier_extend_ms = settings.earlier_extend_ms;
     let policy = Arc::clone(&state.policy);
     let targets = entries.len();
-    let mut leader = Leader::new(settings, &mut state.table, policy, entries, now, wall_ms());
+    let stored = &state.stored;
+    let mut leader = ActiveLeader::take_over(settings, stored, policy, entries, now, wall_ms());
     for wave in state.waves.values() {
-        leader.handle(&mut state.table, Event::WaveRequested(wave.clone()), now);
+        leader.handle(Event::WaveRequested(wave.clone()), now);
     }
     let evacuations = state.evacuation_event(now);
-    leader.handle(&mut state.table, evacuations, now);
+    leader.handle(evacuations, now);
     state.leader = Some(leader);
-    state.read_back_batch = 0;
-    spdlog::info!("role_taken", kv: { epoch, targets, jobs = state.table.len(), earlier_extend_ms });
+    spdlog::info!("role_taken", kv: { epoch, targets, jobs = state.stored.table().len(), earlier_extend_ms });
     drop(guard);
     let write = writer::run(Arc::clone(shared), batches, event_tx.clone(), producer);
     shared.runtime.spawn(write).detach();
@@ -284,7 +286,7 @@
         let mut state = shared.lock();
         state.stopping = true;
         let leads = state.leader.is_some();
-        let holder = state.table.holder().cloned();
+        let holder = state.stored.table().holder().cloned();
         if leads {
             state.step_down("stopping");
         }
--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -9,7 +9,7 @@
 use super::feed::FeedStatus;
 use super::services::{Page, ReadOutcome, Services, Snapshot, TargetChange};
 use super::state::{Shared, State};
-use crate::scheduler::{Change, Event, JobKey, JobTable, Member, Millis, Record, leader_event};
+use crate::scheduler::{ActiveLeader, Change, Event, JobKey, JobTable, Member, Millis, Record};
 
 /// Time that the store may wait for a record or a change of the targets, in ms; short, so that a
 /// store that does not answer is noticed soon.
@@ -30,7 +30,7 @@
 /// Pause between two checks whether this process leads, in ms.
 const NOT_LEADING_PAUSE_MS: u64 = 200;
 
-/// Applies the stream of records to the table for as long as the process runs.
+/// Applies the stream of records to the stored table for as long as the process runs.
 pub(super) async fn records<S: Services>(shared: Arc<Shared<S>>) {
     let mut feed = FeedStatus::new("records");
     loop {
@@ -63,7 +63,7 @@
                 spdlog::warn!("records_expired", kv: { from });
                 let mut state = shared.lock();
                 if state.next_offset == Some(from) {
-                    state.step_down("records expired");
+                    state.reload();
                 }
             }
             ReadOutcome::Failed(cause) => feed.read_failed(&cause).await,
@@ -71,45 +71,107 @@
     }
 }
 
-/// Loads the table from the newest records of all keys. This process does not lead meanwhile: a
-/// leader that steps down has `next_offset` reset, and the role is taken only while it is set.
+/// Loads the stored table from the newest records of all keys. This process does not lead meanwhile:
+/// the role is taken only while `next_offset` is set.
 async fn load<S: Services>(shared: &Shared<S>, feed: &mut FeedStatus) {
-    match shared.services.load_snapshot().await {
-        ReadOutcome::Read(Snapshot { changes, next }) => {
-            feed.read_succeeded();
-            let mut table = JobTable::default();
-            let count = changes.len();
-            for change in changes {
-                table.apply(change);
-            }
-            spdlog::info!("records_loaded", kv: { records = count, jobs = table.len(), next });
-            let now = shared.clock.now();
-            let mut state = shared.lock();
-            state.table = table;
-            state.next_offset = Some(next);
-            let jobs: Vec<JobKey> = state.table.iter().map(|(job, _)| job).collect();
-            for job in jobs {
-                state.compare_shown(job, now);
+    shared.lock().stored.load_began();
+    match load_to_end(shared).await {
+        ReadOutcome::Read(Loaded {
+            table,
+            records,
+            next,
+        }) => {
+            let jobs = table.len();
+            if !adopt_loaded(shared, table, next) {
+                feed.read_failed("a batch was stored meanwhile").await;
+                return;
             }
-            // After a pause in reading, the timeout of the current leader starts anew.
-            state.election.caught_up(now);
-            state.election.records_loaded(now);
+            feed.read_succeeded();
+            spdlog::info!("records_loaded", kv: { records, jobs, next });
         }
         ReadOutcome::Expired => {}
         ReadOutcome::Failed(cause) => feed.read_failed(&cause).await,
     }
 }
 
+/// Replaces the stored table by a loaded one, which includes all records before `next`. Returns false
+/// if it lacks a batch that was acknowledged meanwhile.
+fn adopt_loaded<S>(shared: &Shared<S>, table: JobTable, next: u64) -> bool {
+    let now = shared.clock.now();
+    let mut state = shared.lock();
+    if !state.stored.loaded(table) {
+        return false;
+    }
+    state.next_offset = Some(next);
+    let jobs: Vec<JobKey> = state.stored.table().iter().map(|(job, _)| job).collect();
+    for job in jobs {
+        state.compare_shown(job, now);
+    }
+    // After a pause in reading, the timeout of the current leader starts anew.
+    state.election.caught_up(now);
+    state.election.records_loaded(now);
+    true
+}
+
+/// The newest records of all keys, read to the end of the stream.
+#[derive(Debug)]
+struct Loaded {
+    table: JobTable,
+    /// Number of the records.
+    records: usize,
+    /// Offset after the last of them.
+    next: u64,
+}
+
+/// Loads the newest records of all keys, and applies those that were written since the load began.
+/// The pages of the load are read one after the other: until then the table may have some records
+/// of a batch and lack others.
+async fn load_to_end<S: Services>(shared: &Shared<S>) -> ReadOutcome<Loaded> {
+    let Snapshot { changes, next } = match shared.services.load_snapshot().await {
+        ReadOutcome::Read(snapshot) => snapshot,
+        ReadOutcome::Expired => return ReadOutcome::Expired,
+        ReadOutcome::Failed(cause) => return ReadOutcome::Failed(cause),
+    };
+    let mut loaded = Loaded {
+        table: JobTable::default(),
+        records: 0,
+        next,
+    };
+    loaded.apply(changes);
+    loop {
+        match shared.services.read_records(loaded.next, 0).await {
+            ReadOutcome::Read(page) => {
+                loaded.apply(page.changes);
+                loaded.next = page.next;
+                if page.next >= page.end {
+                    return ReadOutcome::Read(loaded);
+                }
+            }
+            ReadOutcome::Expired => return ReadOutcome::Expired,
+            ReadOutcome::Failed(cause) => return ReadOutcome::Failed(cause),
+        }
+    }
+}
+
+impl Loaded {
+    fn apply(&mut self, changes: Vec<Change>) {
+        self.records += changes.len();
+        for change in changes {
+            self.table.apply(change);
+        }
+    }
+}
+
 /// Appends a record with the address of this process, unless the table has it, and takes the
 /// addresses of the other processes from the table.
 async fn announce_address<S: Services>(shared: &Shared<S>) {
     let settings = &shared.settings;
     let known = {
         let state = shared.lock();
-        let others = state.table.other_addresses(&settings.member);
+        let others = state.stored.table().other_addresses(&settings.member);
         shared.services.set_peers(others);
         state.next_offset.is_none()
-            || state.table.member_address(&settings.member) == Some(settings.peer)
+            || state.stored.table().member_address(&settings.member) == Some(settings.peer)
     };
     if known {
         return;
@@ -123,7 +185,7 @@
     spdlog::info!("introduced", kv: { member = settings.member.as_str(), answer = format!("{appended:?}") });
 }
 
-/// Applies records that were read from the offset `from`, unless the table was reset meanwhile.
+/// Applies records that were read from the offset `from`, unless they are being loaded anew.
 /// Returns whether this process leads.
 fn apply_page<S: Services>(shared: &Shared<S>, from: u64, page: Page) -> bool {
     let now = shared.clock.now();
@@ -137,12 +199,12 @@
         apply_change(&mut state, change, now);
     }
     if members {
-        let others = state.table.other_addresses(&shared.settings.member);
+        let others = state
+            .stored
+            .table()
+            .other_addresses(&shared.settings.member);
         shared.services.set_peers(others);
     }
-    if state.next_offset.is_none() {
-        return false;
-    }
     state.next_offset = Some(page.next);
     if page.next >= page.end {
         state.caught_up_at = Some(now);
@@ -159,7 +221,7 @@
     )
 }
 
-/// Applies one change to the election and the table, and passes it to the leader.
+/// Applies one change to the election and the stored table, and passes it to the leader.
 fn apply_change(state: &mut State, change: Change, now: Millis) {
     let own_claim = match (&mut state.claim, &change) {
         (Some(claim), Change::Put(Record::Holder(holder))) => claim.observe(holder),
@@ -170,44 +232,14 @@
         state.election.leader_seen(now);
     }
     if let Change::Put(Record::Holder(holder)) = &change {
-        state
-            .election
-            .holder_read(state.table.holder(), holder, now);
-        let own_epoch = state.leader.as_ref().map(crate::scheduler::Leader::epoch);
+        let before = state.stored.table().holder();
+        state.election.holder_read(before, holder, now);
+        let own_epoch = state.leader.as_ref().map(ActiveLeader::epoch);
         if own_epoch.is_some_and(|epoch| holder.epoch > epoch) {
             state.step_down("another process claimed the role");
-            return;
-        }
-        if own_epoch == Some(holder.epoch) {
-            state.read_back_batch = holder.batch;
         }
     }
-    // The table of a leading process already has these changes, and later ones.
-    let written_by_leader = matches!(
-        &change,
-        Change::Put(Record::Progress(..) | Record::Wave(..))
-    );
-    if written_by_leader && state.leader.is_some() {
-        note_stored_end(state, &change, now);
-        return;
-    }
-    let event = leader_event(&change);
-    if let Some(job) = state.table.apply(change) {
-        state.compare_shown(job, now);
-    }
-    if let Some(event) = event {
-        state.notify_leader(event, now);
-    }
-}
-
-/// Notes the end of a job that this process, which leads, has read back.
-fn note_stored_end(state: &mut State, change: &Change, now: Millis) {
-    if let Change::Put(Record::Progress(job, progress)) = change
-        && progress.state.ended()
-        && let Some(changed) = state.shown_jobs.state_read(*job, progress.state, now)
-    {
-        changed.log();
-    }
+    state.apply_read(change, now);
 }
 
 /// Follows the list of targets, but only while this process leads.
--- a/src/dispatch/lead.rs
+++ b/src/dispatch/lead.rs
@@ -90,13 +90,13 @@
         // Read after the events were taken, so that none of them is later.
         let now = shared.clock.now();
         for event in events {
-            leader.handle(&mut state.table, event, now);
+            leader.handle(event, now);
         }
         if leader.deposed(now) {
             state.step_down("deposed");
             return None;
         }
-        let commands = leader.poll(&mut state.table, now, wall_ms());
+        let commands = leader.poll(now, wall_ms());
         let next_pass = leader.next_pass_at().map(|at| at.saturating_sub(now));
         drop(guard);
         for command in commands {
--- a/src/dispatch/shown_jobs.rs
+++ b/src/dispatch/shown_jobs.rs
@@ -1,5 +1,5 @@
 //! Remembers which jobs this process has shown to callers as ended, so that the log tells once for
-//! each job on what grounds, and whether the stream contradicts it later.
+//! each job on what grounds, and whether what is stored contradicts it later.
 
 use indexmap::IndexMap;
 
@@ -8,34 +8,12 @@
 /// Limit for the jobs in each of the two generations.
 const MAX_GENERATION: usize = 16_384;
 
-/// Whether the end of a job is stored, as far as this process knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Stored {
-    Yes,
-    /// This process leads and has decided on the end, but no stored batch is known to contain it.
-    No,
-    /// The table is left over from a term of this process.
-    Unknown,
-}
-
-impl Stored {
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Yes => "yes",
-            Self::No => "no",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
 /// What the answer to a lookup rests on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Grounds {
-    pub(super) stored: Stored,
     /// Fencing token of this process's claim; 0 if it does not lead.
     pub(super) epoch: u64,
-    /// Time since the stream was last read to its end, in ms; `None` before the first time and after
-    /// this process stepped down.
+    /// Time since the stream was last read to its end, in ms; `None` before the first time.
     pub(super) table_ms: Option<Millis>,
 }
 
@@ -45,7 +23,7 @@
     pub(super) job: JobKey,
     pub(super) state: JobState,
     pub(super) grounds: Grounds,
-    /// Time since this process first read the end from the stream, in ms; `None` if it has not.
+    /// Time since this process first knew the end to be stored, in ms; `None` if it has forgotten.
     pub(super) stored_ms: Option<Millis>,
 }
 
@@ -54,13 +32,13 @@
     pub(super) fn log(&self) {
         spdlog::info!("job_shown", kv: {
             job = self.job.to_string(), state = format!("{:?}", self.state),
-            stored = self.grounds.stored.name(), stored_ms = known_or_unknown(self.stored_ms),
+            stored_ms = known_or_unknown(self.stored_ms),
             epoch = self.grounds.epoch, table_ms = known_or_unknown(self.grounds.table_ms)
         });
     }
 }
 
-/// A job whose state in the stream is not the ended one that was shown to a caller.
+/// A job whose stored state is not the ended one that was shown to a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ChangedEnd {
     pub(super) job: JobKey,
@@ -69,7 +47,7 @@
 }
 
 impl ChangedEnd {
-    /// Logs what was shown, and what was read.
+    /// Logs what was shown, and what is stored.
     pub(super) fn log(&self) {
         spdlog::warn!("ended_job_changed", kv: {
             job = self.job.to_string(), shown = format!("{:?}", self.shown),
@@ -87,11 +65,11 @@
 struct EndedJob {
     /// State that was last shown to a caller; `None` if the job was not shown as ended.
     shown: Option<JobState>,
-    /// When the end was first read from the stream.
-    read_at: Option<Millis>,
+    /// When the end was first known to be stored.
+    stored_at: Option<Millis>,
 }
 
-/// Ended jobs that this process has read or shown. Of more than [`MAX_GENERATION`] jobs only the
+/// Ended jobs that are stored or were shown. Of more than [`MAX_GENERATION`] jobs only the
 /// latest are remembered: `older` is dropped whenever `recent` is full.
 #[derive(Debug, Default)]
 pub(super) struct ShownJobs {
@@ -113,7 +91,7 @@
         if ended.shown.replace(state) == Some(state) {
             return None;
         }
-        let stored_ms = ended.read_at.map(|at| now.saturating_sub(at));
+        let stored_ms = ended.stored_at.map(|at| now.saturating_sub(at));
         Some(ShownEnd {
             job,
             state,
@@ -122,9 +100,8 @@
         })
     }
 
-    /// Notes the state of a job that was read from the stream. Returns what to log if it is not the
-    /// one that was shown.
-    pub(super) fn state_read(
+    /// Notes the stored state of a job. Returns what to log if it is not the one that was shown.
+    pub(super) fn state_stored(
         &mut self,
         job: JobKey,
         state: JobState,
@@ -136,16 +113,11 @@
             self.forget(job);
         }
         if state.ended() {
-            self.entry(job).read_at.get_or_insert(now);
+            self.entry(job).stored_at.get_or_insert(now);
         }
         changed.map(|shown| ChangedEnd { job, shown, state })
     }
 
-    /// Returns whether the end of a job was read from the stream.
-    pub(super) fn end_read(&self, job: JobKey) -> bool {
-        self.get(job).is_some_and(|ended| ended.read_at.is_some())
-    }
-
     /// Forgets a job whose records are deleted.
     pub(super) fn forget(&mut self, job: JobKey) {
         self.recent.swap_remove(&job);
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -12,22 +12,24 @@
 use super::clock::Clock;
 use super::pending_claim::{ClaimStatus, PendingClaim};
 use super::services::{OrderClaim, Producer};
-use super::shown_jobs::{Grounds, ShownEnd, ShownJobs, Stored};
+use super::shown_jobs::{Grounds, ShownEnd, ShownJobs};
 use crate::runtime::Runtime;
 use crate::scheduler::{
-    Election, Evacuations, Event, Job, JobKey, JobState, JobTable, Leader, Millis, Policy, Wave,
+    ActiveLeader, BatchId, Change, Election, Evacuations, Event, Job, JobKey, JobState, JobUpdate,
+    Millis, Policy, Record, StoredTable, Wave,
 };
 use crate::telemetry::Metrics;
 
 /// State on which decisions are based, behind one lock that is never held during I/O.
 #[derive(Debug)]
 pub(super) struct State {
-    /// Jobs, waves and processes, as read from the stream; ahead of it while this process leads.
-    pub(super) table: JobTable,
-    /// Offset at which reading the stream continues; `None` when the table must be loaded anew.
+    /// Jobs, waves and processes, as far as they are known to be stored. Callers are answered from
+    /// it.
+    pub(super) stored: StoredTable,
+    /// Offset at which reading the stream continues; `None` when the records must be loaded anew.
     pub(super) next_offset: Option<u64>,
-    /// When the stream was last read to its end; `None` before the first time and after this
-    /// process stepped down.
+    /// When the stream was last read to its end; `None` before the first time and after
+    /// records that were not read had expired.
     pub(super) caught_up_at: Option<Millis>,
     /// Newest policy of the operators; of version 0 before the first.
     pub(super) policy: Arc<Policy>,
@@ -42,15 +44,12 @@
     pub(super) claim: Option<PendingClaim>,
     /// Producer of the last claim that this process made.
     pub(super) last_claim: Option<Producer>,
-    /// State of the leader while this process leads.
-    pub(super) leader: Option<Leader>,
+    /// The leader while this process leads. Its decisions are not all stored.
+    pub(super) leader: Option<ActiveLeader>,
     /// What decisions on callers' jobs are based on besides the leader's state.
     pub(super) admissions: Admissions,
     /// Jobs that callers were shown as ended.
     pub(super) shown_jobs: ShownJobs,
-    /// Number of the last batch of this leader that was read back from the stream; 0 before the
-    /// first.
-    pub(super) read_back_batch: u64,
     /// Whether the process is stopping and must not claim the role again.
     pub(super) stopping: bool,
 }
@@ -82,7 +81,7 @@
     ) -> Self {
         let election = Election::new(&settings.member, settings.incarnation, settings.rank);
         let state = State {
-            table: JobTable::default(),
+            stored: StoredTable::default(),
             next_offset: None,
             caught_up_at: None,
             policy: Arc::new(Policy::default()),
@@ -95,7 +94,6 @@
             leader: None,
             admissions: Admissions::default(),
             shown_jobs: ShownJobs::default(),
-            read_back_batch: 0,
             stopping: false,
         };
         Self {
@@ -149,23 +147,37 @@
     /// Address of the leader; `None` if there is none, it is `member` itself, or its address is
     /// not known.
     pub(super) fn leader_address(&self, member: &str) -> Option<SocketAddr> {
-        let holder = self.table.holder();
+        let table = self.stored.table();
+        let holder = table.holder();
         let holder = holder.filter(|holder| !holder.released && holder.member != member)?;
-        self.table.member_address(&holder.member)
+        table.member_address(&holder.member)
     }
 
     /// Passes an event to the leader, if this process leads.
     pub(super) fn notify_leader(&mut self, event: Event, now: Millis) {
         if let Some(leader) = &mut self.leader {
-            leader.handle(&mut self.table, event, now);
+            leader.handle(event, now);
         }
     }
 
+    /// Passes a change of a job to the leader, if this process leads.
+    pub(super) fn update_leader(&mut self, update: Option<JobUpdate>, now: Millis) {
+        if let (Some(leader), Some(update)) = (&mut self.leader, update) {
+            leader.apply(update, now);
+        }
+    }
+
+    /// Applies a caller's record whose append was acknowledged.
+    pub(super) fn apply_acknowledged(&mut self, record: Record, now: Millis) {
+        let update = self.stored.apply_acknowledged(record);
+        self.update_leader(update, now);
+    }
+
     /// Status of the claim that is being made; lost without one.
     pub(super) fn claim_status(&self) -> ClaimStatus {
         let claim = self.claim.as_ref();
         claim.map_or(ClaimStatus::Lost, |claim| {
-            claim.status(self.table.holder(), self.next_offset)
+            claim.status(self.stored.table().holder(), self.next_offset)
         })
     }
 
@@ -178,6 +190,29 @@
         }
     }
 
+    /// Applies the records of a batch of the leader whose append was acknowledged.
+    pub(super) fn batch_stored(&mut self, batch: BatchId, records: Vec<Record>, now: Millis) {
+        let jobs: Vec<JobKey> = records.iter().filter_map(progress_of).collect();
+        self.stored.batch_stored(batch, records);
+        for job in jobs {
+            self.compare_shown(job, now);
+        }
+    }
+
+    /// Applies the next change of the stream.
+    pub(super) fn apply_read(&mut self, change: Change, now: Millis) {
+        let job = match &change {
+            Change::Put(Record::Cancel(job)) | Change::Forget(job) => Some(*job),
+            Change::Put(record) => progress_of(record),
+            Change::Other => None,
+        };
+        let update = self.stored.apply_read(change);
+        if let Some(job) = job {
+            self.compare_shown(job, now);
+        }
+        self.update_leader(update, now);
+    }
+
     /// Notes that a caller is shown an ended job; returns what to log the first time.
     pub(super) fn show_end(
         &mut self,
@@ -186,48 +221,44 @@
         now: Millis,
     ) -> Option<ShownEnd> {
         let grounds = Grounds {
-            stored: self.end_stored(job, state),
-            epoch: self.leader.as_ref().map_or(0, Leader::epoch),
+            epoch: self.leader.as_ref().map_or(0, ActiveLeader::epoch),
             table_ms: self.caught_up_at.map(|at| now.saturating_sub(at)),
         };
         self.shown_jobs.show(job, state, grounds, now)
     }
 
-    /// Returns whether the end of a job is stored.
-    fn end_stored(&self, job: JobKey, state: JobState) -> Stored {
-        let cancelled = self.table.get(job).is_some_and(|job| job.cancelled);
-        match &self.leader {
-            // A cancel is applied once it is stored.
-            _ if cancelled && state == JobState::Canceled => Stored::Yes,
-            Some(leader) if leader.is_end_stored(job) => Stored::Yes,
-            Some(_) => Stored::No,
-            None if self.next_offset.is_some() || self.shown_jobs.end_read(job) => Stored::Yes,
-            None => Stored::Unknown,
-        }
-    }
-
-    /// Compares a job that has been read from the stream with what callers were shown. While this
-    /// process leads, the table is ahead of the stream.
+    /// Compares the stored state of a job with what callers were shown.
     pub(super) fn compare_shown(&mut self, job: JobKey, now: Millis) {
-        let Some(state) = self.table.get(job).map(Job::state) else {
+        let Some(state) = self.stored.table().get(job).map(Job::state) else {
             self.shown_jobs.forget(job);
             return;
         };
-        if self.leader.is_none()
-            && let Some(changed) = self.shown_jobs.state_read(job, state, now)
-        {
+        if let Some(changed) = self.shown_jobs.state_stored(job, state, now) {
             changed.log();
         }
     }
 
-    /// Stops leading and has the table loaded anew, because it may hold decisions that were not
-    /// stored.
+    /// Stops leading. Decisions that were not stored go with the leader.
     pub(super) fn step_down(&mut self, cause: &str) {
         if let Some(leader) = self.leader.take() {
             let unstored_ends = leader.unstored_end_count();
             spdlog::warn!("role_lost", kv: { epoch = leader.epoch(), cause, unstored_ends });
         }
+    }
+
+    /// Has the records loaded anew, because some that were not read have expired. Callers are
+    /// answered from the earlier ones until then.
+    pub(super) fn reload(&mut self) {
+        self.step_down("records expired");
         self.next_offset = None;
         self.caught_up_at = None;
     }
 }
+
+/// The job whose progress a record holds.
+const fn progress_of(record: &Record) -> Option<JobKey> {
+    match record {
+        Record::Progress(job, _) => Some(*job),
+        _ => None,
+    }
+}
--- a/src/dispatch/tests/shown_grounds.rs
+++ b/src/dispatch/tests/shown_grounds.rs
@@ -1,15 +1,14 @@
-//! Tests of whether an ended job that is shown counts as stored.
+//! Tests of whether a job is shown as ended only once that is stored.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::dispatch::DispatchSettings;
-use crate::dispatch::shown_jobs::Stored;
-use crate::dispatch::state::Shared;
+use crate::dispatch::state::{Shared, State};
 use crate::runtime::Runtime;
 use crate::scheduler::{
-    Change, Command, Event, Holder, JobKey, JobProgress, JobSpec, JobState, Leader, LeaderSettings,
-    Occurrence, Policy, Record,
+    ActiveLeader, BatchId, Change, Command, Holder, JobKey, JobProgress, JobSpec, JobState,
+    LeaderSettings, Occurrence, Policy, Record,
 };
 use crate::telemetry::Metrics;
 
@@ -35,10 +34,8 @@
     let runtime = Runtime::start(1).unwrap();
     let shared = Shared::new(settings, (), Metrics::new(), runtime, append_queue);
     let mut state = shared.lock();
-    state.table.apply(Change::Put(Record::Job(KEY, spec())));
-    state
-        .table
-        .apply(Change::Put(Record::Progress(KEY, progress())));
+    state.apply_read(Change::Put(Record::Job(KEY, spec())), 800);
+    state.apply_read(Change::Put(Record::Progress(KEY, progress())), 800);
     state.next_offset = Some(1);
     state.caught_up_at = Some(900);
     drop(state);
@@ -52,12 +49,30 @@
     let state = &mut *guard;
     let settings = leader_settings();
     let policy = Arc::new(Policy::default());
-    let leader = Leader::new(settings, &mut state.table, policy, Vec::new(), 900, 900);
+    let leader = ActiveLeader::take_over(settings, &state.stored, policy, Vec::new(), 900, 900);
     state.leader = Some(leader);
     drop(guard);
     shared
 }
 
+/// State of the job, as a caller is shown it.
+fn shown_state(state: &State) -> JobState {
+    state.stored.table().get(KEY).unwrap().state()
+}
+
+/// Has the leader decide; returns the number and the records of its batch.
+fn next_batch(state: &mut State) -> (u64, Vec<Record>) {
+    let leader = state.leader.as_mut().unwrap();
+    let batch = leader
+        .poll(910, 910)
+        .into_iter()
+        .find_map(|command| match command {
+            Command::Append { batch, records, .. } => Some((batch, records)),
+            _ => None,
+        });
+    batch.unwrap()
+}
+
 fn spec() -> JobSpec {
     JobSpec {
         queue: "queue".to_owned(),
@@ -101,67 +116,57 @@
     }
 }
 
-/// Guards against an end that counts as stored while only this process knows of it.
+/// Guards against an end that is shown while only the leader knows of it.
 #[test]
-fn an_end_that_the_leader_has_not_stored_is_shown_as_such() {
+fn an_end_that_the_leader_has_not_stored_is_not_shown() {
     let shared = leader();
-    let mut state = shared.lock();
+    let state = shared.lock();
 
-    let shown = state.show_end(KEY, JobState::Complete, 1_000).unwrap();
+    let unstored = state.leader.as_ref().unwrap().unstored_end_count();
 
-    assert_eq!(shown.grounds.stored, Stored::No);
-    assert_eq!(shown.grounds.epoch, EPOCH);
-    assert_eq!(shown.grounds.table_ms, Some(100));
-    assert_eq!(shown.stored_ms, None);
-    let leader = state.leader.as_ref().unwrap();
-    assert_eq!(leader.unstored_end_count(), 1);
+    assert_eq!(unstored, 1);
+    assert_eq!(shown_state(&state), JobState::Running);
 }
 
-/// Guards against an end that counts as unstored after its batch was stored.
+/// Guards against an end that is not shown, or without its age, after its batch was stored.
 #[test]
-fn an_end_is_shown_as_stored_after_its_batch_is() {
+fn an_end_is_shown_once_its_batch_is_stored() {
     let shared = leader();
-    let mut guard = shared.lock();
-    let state = &mut *guard;
-    let leader = state.leader.as_mut().unwrap();
-    let commands = leader.poll(&mut state.table, 910, 910);
-    let batch = commands.iter().find_map(|command| match command {
-        Command::Append { batch, .. } => Some(*batch),
-        _ => None,
-    });
-    let stored = Event::BatchStored {
-        batch: batch.unwrap(),
-    };
-    leader.handle(&mut state.table, stored, 920);
+    let mut state = shared.lock();
+    let (number, records) = next_batch(&mut state);
+    let in_flight = shown_state(&state);
 
-    let shown = state.show_end(KEY, JobState::Complete, 1_000).unwrap();
+    let batch = BatchId {
+        epoch: EPOCH,
+        number,
+    };
+    state.batch_stored(batch, records, 950);
+    let after = shown_state(&state);
+    let shown = state.show_end(KEY, after, 1_000).unwrap();
 
-    assert_eq!(shown.grounds.stored, Stored::Yes);
+    assert_eq!(in_flight, JobState::Running);
+    assert_eq!(after, JobState::Complete);
     assert_eq!(shown.grounds.epoch, EPOCH);
+    assert_eq!(shown.grounds.table_ms, Some(100));
+    assert_eq!(shown.stored_ms, Some(50));
 }
 
-/// Guards against an end that counts as stored because the process that decided on it no longer
-/// leads, and against a load of the unfinished record that says nothing.
+/// Guards against an end that is shown because the process that decided on it no longer leads.
 #[test]
-fn an_end_of_a_lost_term_is_unknown_until_the_table_is_loaded() {
+fn an_end_of_a_lost_term_is_not_shown() {
     let shared = leader();
     let mut state = shared.lock();
-    state.step_down("test");
+    let (_, records) = next_batch(&mut state);
 
-    let shown = state.show_end(KEY, JobState::Complete, 1_000).unwrap();
-    let changed = state
-        .shown_jobs
-        .state_read(KEY, JobState::Running, 1_500)
-        .unwrap();
+    state.step_down("test");
 
-    assert_eq!(shown.grounds.stored, Stored::Unknown);
-    assert_eq!(shown.grounds.epoch, 0);
-    assert_eq!(shown.grounds.table_ms, None);
-    assert_eq!(changed.shown, JobState::Complete);
+    assert_eq!(records.len(), 2);
+    assert_eq!(shown_state(&state), JobState::Running);
+    assert!(state.leader.is_none());
 }
 
-/// Guards against a stored end, or a stored cancel, that counts as unknown in a process that only
-/// reads the stream.
+/// Guards against a stored end, or a stored cancel, that is shown without its age by a process that
+/// only reads the stream.
 #[test]
 fn what_was_read_from_the_stream_is_stored() {
     let shared = follower();
@@ -171,20 +176,19 @@
         ..progress()
     };
     let cancelled = JobKey(2);
-    state
-        .table
-        .apply(Change::Put(Record::Progress(KEY, progress)));
-    state
-        .table
-        .apply(Change::Put(Record::Job(cancelled, spec())));
-    state.table.apply(Change::Put(Record::Cancel(cancelled)));
-    state.compare_shown(KEY, 950);
+    let stream = [
+        Record::Progress(KEY, progress),
+        Record::Job(cancelled, spec()),
+        Record::Cancel(cancelled),
+    ];
+    for record in stream {
+        state.apply_read(Change::Put(record), 950);
+    }
 
     let complete = state.show_end(KEY, JobState::Complete, 1_000).unwrap();
-    state.step_down("test");
     let by_cancel = state.show_end(cancelled, JobState::Canceled, 1_000);
 
-    assert_eq!(complete.grounds.stored, Stored::Yes);
     assert_eq!(complete.stored_ms, Some(50));
-    assert_eq!(by_cancel.unwrap().grounds.stored, Stored::Yes);
+    assert_eq!(complete.grounds.epoch, 0);
+    assert_eq!(by_cancel.unwrap().stored_ms, Some(50));
 }
--- a/src/dispatch/tests/shown_jobs.rs
+++ b/src/dispatch/tests/shown_jobs.rs
@@ -1,6 +1,6 @@
 //! Tests of what is logged of jobs that callers are shown as ended.
 
-use crate::dispatch::shown_jobs::{ChangedEnd, Grounds, ShownEnd, ShownJobs, Stored};
+use crate::dispatch::shown_jobs::{ChangedEnd, Grounds, ShownEnd, ShownJobs};
 use crate::scheduler::{JobKey, JobState};
 
 const KEY: JobKey = JobKey(1);
@@ -9,7 +9,6 @@
 const MAX_REMEMBERED: usize = 40_000;
 
 const GROUNDS: Grounds = Grounds {
-    stored: Stored::Yes,
     epoch: 3,
     table_ms: Some(20),
 };
@@ -19,7 +18,7 @@
 fn a_job_is_logged_once_as_ended_with_its_grounds() {
     let mut jobs = ShownJobs::default();
 
-    let read = jobs.state_read(KEY, JobState::Complete, 100);
+    let read = jobs.state_stored(KEY, JobState::Complete, 100);
     let first = jobs.show(KEY, JobState::Complete, GROUNDS, 150);
     let second = jobs.show(KEY, JobState::Complete, GROUNDS, 160);
 
@@ -39,8 +38,8 @@
 fn the_age_of_a_stored_end_counts_from_its_first_read() {
     let mut jobs = ShownJobs::default();
 
-    jobs.state_read(KEY, JobState::Failed, 100);
-    jobs.state_read(KEY, JobState::Failed, 190);
+    jobs.state_stored(KEY, JobState::Failed, 100);
+    jobs.state_stored(KEY, JobState::Failed, 190);
     let read = jobs.show(KEY, JobState::Failed, GROUNDS, 200).unwrap();
     let unread = jobs.show(JobKey(2), JobState::Failed, GROUNDS, 200);
 
@@ -54,12 +53,12 @@
 fn a_shown_job_that_goes_on_is_logged_once() {
     let mut jobs = ShownJobs::default();
     jobs.show(KEY, JobState::Complete, GROUNDS, 100);
-    jobs.state_read(JobKey(2), JobState::Complete, 100);
+    jobs.state_stored(JobKey(2), JobState::Complete, 100);
 
-    let same = jobs.state_read(KEY, JobState::Complete, 110);
-    let changed = jobs.state_read(KEY, JobState::Running, 120);
-    let repeated = jobs.state_read(KEY, JobState::Running, 130);
-    let not_shown = jobs.state_read(JobKey(2), JobState::Running, 140);
+    let same = jobs.state_stored(KEY, JobState::Complete, 110);
+    let changed = jobs.state_stored(KEY, JobState::Running, 120);
+    let repeated = jobs.state_stored(KEY, JobState::Running, 130);
+    let not_shown = jobs.state_stored(JobKey(2), JobState::Running, 140);
 
     let expected = ChangedEnd {
         job: KEY,
@@ -70,17 +69,17 @@
     assert_eq!(changed, Some(expected));
     assert_eq!(repeated, None);
     assert_eq!(not_shown, None);
-    assert!(!jobs.end_read(KEY));
 }
 
-/// Guards against a second end, after the job went on, that is shown without a line.
+/// Guards against a second end, after the job went on, that is shown without a line or with the age
+/// of the first.
 #[test]
 fn a_job_that_ends_again_is_logged_again() {
     let mut jobs = ShownJobs::default();
     jobs.show(KEY, JobState::Complete, GROUNDS, 100);
-    jobs.state_read(KEY, JobState::Running, 110);
+    jobs.state_stored(KEY, JobState::Running, 110);
 
-    jobs.state_read(KEY, JobState::Complete, 500);
+    jobs.state_stored(KEY, JobState::Complete, 500);
     let again = jobs.show(KEY, JobState::Complete, GROUNDS, 540);
 
     assert_eq!(again.and_then(|shown| shown.stored_ms), Some(40));
--- a/src/dispatch/writer.rs
+++ b/src/dispatch/writer.rs
@@ -10,7 +10,7 @@
 use super::clock::whole_micros;
 use super::services::{AppendOutcome, Producer, Services};
 use super::state::Shared;
-use crate::scheduler::{Event, JobKey, Record};
+use crate::scheduler::{ActiveLeader, BatchId, Event, JobKey, Record};
 use crate::telemetry::metrics;
 
 /// Pause before an append is repeated that the store refused for now or did not answer, in ms.
@@ -44,9 +44,10 @@
         if !store(&shared, &batch, producer, &event_tx).await {
             return;
         }
-        let _ = event_tx.try_send(Event::BatchStored {
-            batch: batch.number,
-        });
+        let id = batch_id(&batch, producer);
+        let now = shared.clock.now();
+        shared.lock().batch_stored(id, batch.records, now);
+        let _ = event_tx.try_send(Event::BatchStored { batch: id.number });
         shared.wake();
     }
 }
@@ -66,7 +67,8 @@
         }
         let services = &shared.services;
         let append = services.append(&batch.records, &batch.forgotten_jobs, Some(producer), None);
-        let appended = future::or(append, wait_until_read_back(shared, batch.number)).await;
+        let read_back = wait_until_read_back(shared, batch_id(batch, producer));
+        let appended = future::or(append, read_back).await;
         match appended {
             AppendOutcome::Stored { .. } => {
                 let elapsed = whole_micros(started_at.elapsed());
@@ -77,7 +79,7 @@
             }
             AppendOutcome::Fenced | AppendOutcome::EndMismatch => {
                 let mut state = shared.lock();
-                let epoch = state.leader.as_ref().map(crate::scheduler::Leader::epoch);
+                let epoch = state.leader.as_ref().map(ActiveLeader::epoch);
                 if epoch == Some(producer.epoch) {
                     state.step_down("the store refused the fencing token");
                 }
@@ -91,14 +93,22 @@
     }
 }
 
+const fn batch_id(batch: &Batch, producer: Producer) -> BatchId {
+    BatchId {
+        epoch: producer.epoch,
+        number: batch.number,
+    }
+}
+
 /// Returns once the batch has been read back from the stream, as the answer to its append may be
 /// late or lost.
-async fn wait_until_read_back<S: Services>(shared: &Shared<S>, batch: u64) -> AppendOutcome {
+async fn wait_until_read_back<S: Services>(shared: &Shared<S>, batch: BatchId) -> AppendOutcome {
     loop {
         Timer::after(Duration::from_millis(READ_BACK_INTERVAL_MS)).await;
         shared.request_read();
         let state = shared.lock();
-        if state.read_back_batch >= batch {
+        let read = state.stored.read();
+        if read.epoch == batch.epoch && read.number >= batch.number {
             let end = state.next_offset.unwrap_or_default();
             return AppendOutcome::Stored { end };
         }
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -4,8 +4,8 @@
 
 use crate::scheduler::run::{EndedRun, RunningTask};
 use crate::scheduler::{
-    Change, Evacuations, JobKey, JobSpec, Millis, Policy, Record, TargetEntry, TargetId, TaskKey,
-    Vm, VmOutcome, Wave,
+    Evacuations, JobKey, JobSpec, Millis, Policy, Record, TargetEntry, TargetId, TaskKey, Vm,
+    VmOutcome, Wave,
 };
 
 /// Outcome of a start call.
@@ -268,13 +268,3 @@
         complete: bool,
     },
 }
-
-/// The event to pass to the leader once `change` is applied to the table; `None` if the
-/// change does not concern it.
-#[must_use]
-pub fn leader_event(change: &Change) -> Option<Event> {
-    match change {
-        Change::Put(Record::Job(job, _) | Record::Cancel(job)) => Some(Event::JobChanged(*job)),
-        _ => None,
-    }
-}
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -45,9 +45,7 @@
 use super::vms::VmTracker;
 use super::{Evacuations, Holder, JobKey, JobTable, Millis, Policy, TargetId, TaskKey};
 
-pub use messages::{
-    Command, Event, HoldFailure, StartOutcome, StopOutcome, TargetReport, leader_event,
-};
+pub use messages::{Command, Event, HoldFailure, StartOutcome, StopOutcome, TargetReport};
 
 use admission::Admission;
 use journal::Journal;
--- a/src/scheduler/leader/unstored_ends.rs
+++ b/src/scheduler/leader/unstored_ends.rs
@@ -40,12 +40,6 @@
 }
 
 impl Leader {
-    /// Returns whether the end of an ended job is known to be stored.
-    #[must_use]
-    pub fn is_end_stored(&self, job: JobKey) -> bool {
-        !self.unstored_ends.decisions.contains_key(&job)
-    }
-
     /// Number of jobs whose end is decided on and not known to be stored.
     #[must_use]
     pub fn unstored_end_count(&self) -> usize {
--- a/src/scheduler/table.rs
+++ b/src/scheduler/table.rs
@@ -32,7 +32,7 @@
 }
 
 /// Jobs, waves, processes and the holder of the leader role, as the records say.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct JobTable {
     jobs: IndexMap<JobKey, Job>,
     /// Cancels and progress that were read before their job: pages of the first load may overlap,
@@ -48,7 +48,7 @@
     pub fn apply(&mut self, change: Change) -> Option<JobKey> {
         match change {
             Change::Put(Record::Job(key, spec)) => {
-                self.accept(key, spec);
+                self.accept(key, Arc::new(spec));
                 Some(key)
             }
             Change::Put(Record::Cancel(key)) => {
@@ -87,13 +87,13 @@
     }
 
     /// Adds a job. A repeated record changes nothing: the first one of an id counts.
-    fn accept(&mut self, key: JobKey, spec: JobSpec) {
+    pub(super) fn accept(&mut self, key: JobKey, spec: Arc<JobSpec>) {
         if self.jobs.contains_key(&key) {
             return;
         }
         let (cancelled, progress) = self.early_updates.swap_remove(&key).unwrap_or_default();
         let job = Job {
-            spec: Arc::new(spec),
+            spec,
             cancelled,
             progress: progress.unwrap_or_default(),
         };
--- a/tests/dispatch/fakes.rs
+++ b/tests/dispatch/fakes.rs
@@ -7,16 +7,38 @@
 use amaranthwick::dispatch::{
     AppendOutcome, ForwardAnswer, HoldRequest, OperatorChange, OrderClaim, Page, Producer,
     ReadOutcome, Services, Snapshot, StartAnswer, StartRequest, StopAnswer, StopRequest,
-    TargetChange,
+    TargetChange, wall_ms,
 };
 use amaranthwick::scheduler::{
-    Change, HoldFailure, JobKey, Millis, Record, StartOutcome, StopOutcome, TargetReport, Vm,
-    VmOutcome,
+    Change, EndKind, EndedRun, HoldFailure, JobKey, Millis, Record, RunningTask, StartOutcome,
+    StopOutcome, TargetReport, TaskKey, Vm, VmOutcome,
 };
 use async_io::Timer;
 
 use crate::process::{policy, target};
 
+/// What the store does with appends of the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaderAppends {
+    Stored,
+    /// They are stored, but not answered.
+    Unanswered,
+    /// They are neither stored nor answered until this changes.
+    Silent,
+    /// They are refused because of a higher fencing token.
+    Fenced,
+}
+
+/// Runs on the only target.
+#[derive(Debug, Default)]
+pub(crate) struct Runs {
+    /// Whether the target answers.
+    pub(crate) up: bool,
+    pub(crate) running: Vec<(TaskKey, u32)>,
+    /// Runs that have ended as done, in their order.
+    pub(crate) ended: Vec<(TaskKey, u32)>,
+}
+
 /// What the services answer, and what they were asked to store.
 #[derive(Debug)]
 pub(crate) struct Script {
@@ -27,6 +49,10 @@
     /// The store's answer to records of callers.
     pub(crate) append: AppendOutcome,
     pub(crate) appended: Vec<Record>,
+    pub(crate) leader_appends: LeaderAppends,
+    pub(crate) runs: Runs,
+    /// How often the records were loaded.
+    pub(crate) loads: u32,
     /// Records of the leader that the stream holds after the loaded ones.
     pub(crate) stream: Vec<Change>,
     /// Whether the stream can be read.
@@ -47,13 +73,47 @@
     }
 }
 
+/// The report of the only target.
+fn report(runs: &Runs) -> TargetReport {
+    let running = runs.running.iter().map(|&(task, run)| RunningTask {
+        task,
+        run,
+        checkpoint: String::new(),
+        percent: 0,
+        load: 0,
+    });
+    let ended = (1..)
+        .zip(&runs.ended)
+        .map(|(position, &(task, run))| EndedRun {
+            position,
+            task,
+            run,
+            kind: EndKind::Done,
+            checkpoint: String::new(),
+        });
+    TargetReport {
+        born: target().born,
+        clock_ms: wall_ms(),
+        running: running.collect(),
+        ended: ended.collect(),
+        complete: true,
+    }
+}
+
 async fn pause(ms: u64) {
     Timer::after(Duration::from_millis(ms)).await;
 }
 
 impl Services for FakeServices {
     async fn load_snapshot(&self) -> ReadOutcome<Snapshot> {
-        let changes = self.script().loaded.clone();
+        let changes = {
+            let mut script = self.script();
+            if !script.readable {
+                return ReadOutcome::Failed("unavailable".to_owned());
+            }
+            script.loads += 1;
+            script.loaded.clone()
+        };
         ReadOutcome::Read(Snapshot { changes, next: 1 })
     }
 
@@ -85,8 +145,26 @@
         producer: Option<Producer>,
         _expected: Option<u64>,
     ) -> AppendOutcome {
+        while producer.is_some() && self.script().leader_appends == LeaderAppends::Silent {
+            pause(10).await;
+        }
+        let unanswered = producer.is_some() && {
+            let mut script = self.script();
+            let unanswered = script.leader_appends == LeaderAppends::Unanswered;
+            if unanswered {
+                let changes = records.iter().cloned().map(Change::Put);
+                script.stream.extend(changes);
+            }
+            unanswered
+        };
+        if unanswered {
+            std::future::pending::<()>().await;
+        }
         let mut script = self.script();
         if producer.is_some() {
+            if script.leader_appends == LeaderAppends::Fenced {
+                return AppendOutcome::Fenced;
+            }
             let changes = records.iter().cloned().map(Change::Put);
             script.stream.extend(changes);
             let end = 1 + script.stream.len() as u64;
@@ -132,7 +210,15 @@
         ReadOutcome::Read((vec![TargetChange::Entry(target())], 1))
     }
 
-    async fn start_run(&self, _start: StartRequest<'_>) -> StartAnswer {
+    async fn start_run(&self, start: StartRequest<'_>) -> StartAnswer {
+        let mut script = self.script();
+        if script.runs.up {
+            script.runs.running.push((start.task, start.run));
+            return StartAnswer {
+                outcome: StartOutcome::Running,
+                clock_ms: Some(wall_ms()),
+            };
+        }
         StartAnswer {
             outcome: StartOutcome::Unknown,
             clock_ms: None,
@@ -148,7 +234,11 @@
 
     async fn hold(&self, _hold: HoldRequest<'_>) -> Result<TargetReport, HoldFailure> {
         pause(50).await;
-        Err(HoldFailure::NoAnswer)
+        let script = self.script();
+        if !script.runs.up {
+            return Err(HoldFailure::NoAnswer);
+        }
+        Ok(report(&script.runs))
     }
 
     async fn list_vms(&self) -> Option<Vec<Vm>> {
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 #[path = "../support/log_fields.rs"]
 mod log_fields;
 mod process;
+mod shown;
 mod shown_ends;
 
 use std::thread;
--- a/tests/dispatch/process.rs
+++ b/tests/dispatch/process.rs
@@ -17,16 +17,16 @@
 use amaranthwick::telemetry::Metrics;
 use async_io::block_on;
 
-use crate::fakes::{FakeServices, Script};
+use crate::fakes::{FakeServices, LeaderAppends, Runs, Script};
 
-const LEADER: &str = "leader";
+pub(crate) const LEADER: &str = "leader";
 const ENTRY: &str = "entry";
 
 /// Time for a call of a caller, in ms.
 const LIMIT_MS: u64 = 300;
 
 /// Number of stored jobs, each of 1 s on all targets: the next one can't be served.
-const STORED_JOBS: u64 = 30;
+pub(crate) const STORED_JOBS: u64 = 30;
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -107,12 +107,21 @@
     }
 }
 
+/// Waits until `condition` holds, for 10 s at most.
+pub(crate) fn wait_until(condition: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !condition() {
+        assert!(begun.elapsed() < Duration::from_secs(10));
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 fn stored_jobs() -> Vec<Change> {
     let job = |key| Change::Put(Record::Job(JobKey(key), job()));
     (0..STORED_JOBS).map(job).collect()
 }
 
-fn holder(member: &str) -> Holder {
+pub(crate) fn holder(member: &str) -> Holder {
     Holder {
         member: member.to_owned(),
         incarnation: 1,
@@ -193,6 +202,9 @@
             forward: ForwardAnswer::plain(stored()),
             append: stored(),
             appended: Vec::new(),
+            leader_appends: LeaderAppends::Stored,
+            runs: Runs::default(),
+            loads: 0,
             stream: Vec::new(),
             readable: true,
             expired: false,
@@ -217,18 +229,23 @@
             services,
             _runtime: runtime,
         };
-        let begun = Instant::now();
-        while !process.ready(leads) {
-            assert!(begun.elapsed() < Duration::from_secs(10));
-            thread::sleep(Duration::from_millis(20));
-        }
+        wait_until(|| process.ready(leads));
         process
     }
 
     fn ready(&self, leads: bool) -> bool {
+        self.dispatch.ready() && self.leads() == leads
+    }
+
+    pub(crate) fn leads(&self) -> bool {
+        self.figure("busy_targets").is_some()
+    }
+
+    /// A figure of the state dump; `None` when it is missing.
+    pub(crate) fn figure(&self, name: &str) -> Option<u64> {
         let summary = self.dispatch.summary();
-        let is_leader = summary.iter().any(|(name, _)| *name == "busy_targets");
-        self.dispatch.ready() && is_leader == leads
+        let figure = summary.iter().find(|(found, _)| *found == name);
+        figure.map(|(_, value)| *value)
     }
 
     pub(crate) fn submit(&self, key: u64) -> Submission {
--- a/tests/dispatch/shown_ends.rs
+++ b/tests/dispatch/shown_ends.rs
@@ -81,7 +81,6 @@
     let shown = lines("job_shown", key);
     assert_eq!(shown.len(), 1, "{shown:?}");
     assert_eq!(value(&shown[0], "state"), Some("Complete"));
-    assert_eq!(value(&shown[0], "stored"), Some("yes"));
     assert_eq!(value(&shown[0], "epoch"), Some("0"));
     for age in ["stored_ms", "table_ms"] {
         let ms = value(&shown[0], age).map(str::parse::<u64>);
@@ -139,6 +138,5 @@
     }
     let shown = lines("job_shown", key);
     assert_eq!(shown.len(), 1, "{shown:?}");
-    assert_eq!(value(&shown[0], "stored"), Some("yes"));
     assert_eq!(value(&shown[0], "epoch"), Some("1"));
 }
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -32,6 +32,7 @@
 mod shown_states;
 mod silent_crashes;
 mod stored_ends;
+mod stored_table;
 mod stray_gaps;
 mod stray_runs;
 mod target;
--- a/tests/scheduler/stored_ends.rs
+++ b/tests/scheduler/stored_ends.rs
@@ -23,19 +23,18 @@
 fn the_end_of_a_job_is_stored_with_the_batch_that_contains_it() {
     let mut fixture = with_end_beside_a_batch();
     let state = fixture.table.get(KEY).map(Job::state);
-    let decided = fixture.leader.is_end_stored(KEY);
+    let decided = fixture.leader.unstored_end_count();
 
     fixture.batch_stored();
-    let after_earlier_batch = fixture.leader.is_end_stored(KEY);
+    let after_earlier_batch = fixture.leader.unstored_end_count();
     fixture.poll(1_030);
     let in_flight = fixture.leader.unstored_end_count();
     fixture.batch_stored();
 
     assert_eq!(state, Some(JobState::Complete));
-    assert!(!decided);
-    assert!(!after_earlier_batch);
+    assert_eq!(decided, 1);
+    assert_eq!(after_earlier_batch, 1);
     assert_eq!(in_flight, 1);
-    assert!(fixture.leader.is_end_stored(KEY));
     assert_eq!(fixture.leader.unstored_end_count(), 0);
 }
 
@@ -48,6 +47,5 @@
 
     let fixture = Fixture::take_over(2_000, earlier.log, Vec::new(), 0);
 
-    assert!(fixture.leader.is_end_stored(KEY));
     assert_eq!(fixture.leader.unstored_end_count(), 0);
 }
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -13,9 +13,9 @@
 
 use amaranthwick::http::UNACKNOWLEDGED_LIMIT_MS;
 use amaranthwick::scheduler::{
-    Capacity, Change, Command, Election, Event, HoldFailure, Holder, JobKey, JobSpec, JobState,
-    JobTable, Leader, LeaderSettings, Millis, Policy, Record, Refusal as JobRefusal, StartOutcome,
-    StopOutcome, TargetEntry, TargetId, TaskKey, VmOutcome, Wave, leader_event,
+    ActiveLeader, BatchId, Capacity, Change, Command, Election, Event, HoldFailure, Holder, JobKey,
+    JobSpec, JobState, JobTable, LeaderSettings, Millis, Policy, Record, Refusal as JobRefusal,
+    StartOutcome, StopOutcome, StoredTable, TargetEntry, TargetId, TaskKey, VmOutcome, Wave,
 };
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
@@ -84,6 +84,12 @@
         batch: u64,
         changes: Vec<Change>,
     },
+    /// The store acknowledges a batch.
+    Acknowledge {
+        leader: usize,
+        batch: u64,
+        changes: Vec<Change>,
+    },
     Upkeep {
         leader: usize,
         vm: String,
@@ -117,12 +123,27 @@
 
 /// A process that holds the leader role, or has held it.
 struct Process {
-    leader: Leader,
-    table: JobTable,
+    leader: ActiveLeader,
+    /// What callers are answered from.
+    stored: StoredTable,
+    /// Number of the changes in the store that it has read.
+    read: usize,
     frozen_until: Millis,
     gone: bool,
 }
 
+impl Process {
+    /// Reads the changes in the store to their end.
+    fn read_log(&mut self, log: &[Change], now: Millis) {
+        for change in &log[self.read..] {
+            if let Some(update) = self.stored.apply_read(change.clone()) {
+                self.leader.apply(update, now);
+            }
+        }
+        self.read = log.len();
+    }
+}
+
 /// Rates of random faults, in parts of a thousand.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Faults {
@@ -278,9 +299,9 @@
         self.election
             .holder_read(before.as_ref(), &holder, self.now);
         self.log.push(Change::Put(Record::Holder(holder.clone())));
-        let mut table = JobTable::default();
+        let mut stored = StoredTable::default();
         for change in &self.log {
-            table.apply(change.clone());
+            stored.apply_read(change.clone());
         }
         let settings = LeaderSettings {
             holder,
@@ -296,14 +317,15 @@
         let policy = Arc::clone(&self.policy);
         let now = self.now;
         let wall_ms = MIDNIGHT_MS + now;
-        let mut leader = Leader::new(settings, &mut table, policy, entries, now, wall_ms);
+        let mut leader = ActiveLeader::take_over(settings, &stored, policy, entries, now, wall_ms);
         if let Some(wave) = &self.wave {
-            leader.handle(&mut table, Event::WaveRequested(wave.clone()), self.now);
+            leader.handle(Event::WaveRequested(wave.clone()), self.now);
         }
-        leader.handle(&mut table, self.operators.event(), self.now);
+        leader.handle(self.operators.event(), self.now);
         self.processes.push(Process {
             leader,
-            table,
+            stored,
+            read: self.log.len(),
             frozen_until: 0,
             gone: false,
         });
@@ -354,9 +376,7 @@
     pub(crate) fn offer(&mut self, job: u64, spec: JobSpec) -> Result<JobKey, JobRefusal> {
         let now = self.now;
         let process = self.processes.last_mut().unwrap();
-        process
-            .leader
-            .admit(&process.table, JobKey(job), &spec, now)?;
+        process.leader.admit(JobKey(job), &spec, now)?;
         Ok(self.submit(job, spec))
     }
 
@@ -483,20 +503,14 @@
         }
         let now = self.now;
         for process in self.processes.iter_mut().filter(|process| !process.gone) {
-            process
-                .leader
-                .handle(&mut process.table, event.clone(), now);
+            process.leader.handle(event.clone(), now);
         }
     }
 
     fn store(&mut self, change: &Change) {
         self.log.push(change.clone());
-        let now = self.now;
         for process in self.processes.iter_mut().filter(|process| !process.gone) {
-            process.table.apply(change.clone());
-            if let Some(event) = leader_event(change) {
-                process.leader.handle(&mut process.table, event, now);
-            }
+            process.read_log(&self.log, self.now);
         }
     }
 
@@ -563,7 +577,7 @@
             return;
         }
         let wall_ms = MIDNIGHT_MS + self.now;
-        let commands = process.leader.poll(&mut process.table, self.now, wall_ms);
+        let commands = process.leader.poll(self.now, wall_ms);
         for command in commands {
             self.send(i, command);
         }
@@ -730,6 +744,11 @@
                 batch,
                 changes,
             } => self.append(leader, batch, changes),
+            Action::Acknowledge {
+                leader,
+                batch,
+                changes,
+            } => self.acknowledge(leader, batch, changes),
             Action::Start {
                 leader,
                 command,
@@ -799,7 +818,7 @@
             return;
         }
         let now = self.now;
-        process.leader.handle(&mut process.table, event, now);
+        process.leader.handle(event, now);
     }
 
     /// Appends to the store, which refuses all but the process that claimed the role last.
@@ -822,11 +841,37 @@
             self.processes[leader].gone = true;
             return;
         }
-        self.check_failed_jobs(&changes);
-        self.log.extend(changes);
-        self.last_stored = self.now;
-        let event = Event::BatchStored { batch };
-        self.schedule(STORE_LATENCY_MS, Action::Deliver { leader, event });
+        self.store_batch(leader, batch, &changes);
+        let acknowledged = Action::Acknowledge {
+            leader,
+            batch,
+            changes,
+        };
+        self.schedule(STORE_LATENCY_MS, acknowledged);
+    }
+
+    /// A process learns that its batch is stored.
+    fn acknowledge(&mut self, leader: usize, batch: u64, changes: Vec<Change>) {
+        let process = &mut self.processes[leader];
+        if process.frozen_until > self.now {
+            let wait = process.frozen_until - self.now;
+            let late = Action::Acknowledge {
+                leader,
+                batch,
+                changes,
+            };
+            return self.schedule(wait, late);
+        }
+        let records = changes.into_iter().filter_map(|change| match change {
+            Change::Put(record) => Some(record),
+            Change::Forget(_) | Change::Other => None,
+        });
+        let id = BatchId {
+            epoch: process.leader.epoch(),
+            number: batch,
+        };
+        process.stored.batch_stored(id, records.collect());
+        self.deliver(leader, Event::BatchStored { batch });
     }
 
     fn answer(&mut self, leader: usize, event: Event) {
--- a/tests/scheduler/world/callers.rs
+++ b/tests/scheduler/world/callers.rs
@@ -1,11 +1,11 @@
 //! Callers, who look up jobs at every process again and again, and a store that falls silent.
 
 use amaranthwick::scheduler::{
-    Change, Event, Job, JobKey, JobState, JobTable, Millis, TargetId, TaskKey,
+    Change, Event, Job, JobKey, JobState, Millis, StoredTable, TargetId, TaskKey,
 };
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Action, ENTRY_LAG_MS, Process, STORE_LATENCY_MS, TICK_MS, World};
+use super::{Action, ENTRY_LAG_MS, STORE_LATENCY_MS, TICK_MS, World};
 
 /// Interval at which callers look up all jobs, in ms.
 const LOOKUP_MS: Millis = 50;
@@ -25,10 +25,12 @@
     silent_since: Option<Millis>,
     /// Processes that were killed.
     killed: IndexSet<usize>,
+    /// Batches, by leader and number, that were stored and not answered.
+    unanswered: IndexSet<(usize, u64)>,
     /// Table of a process that only follows.
-    follower: JobTable,
-    /// Number of changes that each process which does not lead has read.
-    read: IndexMap<usize, usize>,
+    follower: StoredTable,
+    /// Number of changes that it has read.
+    read: usize,
     /// First ended state of each job that any process has shown, with the time.
     ended: IndexMap<JobKey, (Millis, JobState)>,
     /// Ended states that each process has shown.
@@ -39,11 +41,6 @@
     pub(crate) repeats: usize,
 }
 
-/// The table that lookups at a process are answered from, as in `Dispatch::local_lookup`.
-const fn shown_table(process: &Process) -> &JobTable {
-    &process.table
-}
-
 impl Callers {
     /// Notes what a lookup at a process found. Returns the state that is contradicted.
     fn note(&mut self, at: usize, key: JobKey, state: JobState, now: Millis) -> Option<JobState> {
@@ -114,9 +111,8 @@
             .is_some_and(|since| self.now < since + STORE_LATENCY_MS + TICK_MS);
         let holds_role = leader + 1 == self.processes.len();
         if sent_before && holds_role && self.rng.bool() {
-            self.check_failed_jobs(&changes);
-            self.log.extend(changes.iter().cloned());
-            self.last_stored = self.now;
+            self.store_batch(leader, batch, &changes);
+            self.callers.unanswered.insert((leader, batch));
         }
         if !self.processes[leader].gone {
             let append = Action::Store {
@@ -128,6 +124,16 @@
         }
     }
 
+    /// Stores a batch, unless it repeats one that was stored and not answered.
+    pub(super) fn store_batch(&mut self, leader: usize, batch: u64, changes: &[Change]) {
+        if self.callers.unanswered.contains(&(leader, batch)) {
+            return;
+        }
+        self.check_failed_jobs(changes);
+        self.log.extend_from_slice(changes);
+        self.last_stored = self.now;
+    }
+
     /// Callers look up all jobs at every process that runs.
     pub(super) fn look_up_jobs(&mut self) {
         if self.now.is_multiple_of(READ_MS) && !self.store_is_silent() {
@@ -145,11 +151,11 @@
             .map(|(i, _)| i)
             .collect();
         for i in running.into_iter().chain([FOLLOWER]) {
-            let table = match self.processes.get(i) {
-                Some(process) => shown_table(process),
+            let stored = match self.processes.get(i) {
+                Some(process) => &process.stored,
                 None => &self.callers.follower,
             };
-            let states = table.iter().map(|(key, job)| (key, job.state()));
+            let states = stored.table().iter().map(|(key, job)| (key, job.state()));
             let states: Vec<(JobKey, JobState)> = states.collect();
             for (key, state) in states {
                 if let Some(earlier) = self.callers.note(i, key, state, now) {
@@ -161,34 +167,22 @@
         }
     }
 
-    /// Processes that do not lead read the stream to its end. Those that stepped down since they
-    /// last could load it anew.
+    /// Processes that do not lead read the stream to its end.
     fn read_stream(&mut self) {
         let log = &self.log;
         let callers = &mut self.callers;
-        let next = callers.read.entry(FOLLOWER).or_default();
-        let changes = &log[*next..];
-        *next = log.len();
-        for change in changes {
-            callers.follower.apply(change.clone());
-        }
+        let changes = &log[callers.read..];
+        callers.read = log.len();
         for change in changes {
+            callers.follower.apply_read(change.clone());
             if let Change::Forget(key) = change {
                 callers.forget(*key);
             }
         }
         for (i, process) in self.processes.iter_mut().enumerate() {
-            if !process.gone || process.frozen_until > self.now || callers.killed.contains(&i) {
-                continue;
-            }
-            let next = callers.read.entry(i).or_insert_with(|| {
-                process.table = JobTable::default();
-                0
-            });
-            for change in &log[*next..] {
-                process.table.apply(change.clone());
+            if process.gone && process.frozen_until <= self.now && !callers.killed.contains(&i) {
+                process.read_log(log, self.now);
             }
-            *next = log.len();
         }
     }
 
