Store ended jobs before others

Cause: a batch takes the first 100 jobs whose progress has changed, in the order of their changes. An end that came after many placements waited for further batches, and callers are shown it only once it is stored.

Change: when more jobs have changed than fit a batch, those that have ended come first; the others keep their order.

Before, the next batch lacked the end (`assertion failed: ended`); now it has it. Starts of the placed tasks may wait for one batch longer.

--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -107,6 +107,17 @@
         self.dirty_waves.insert(wave);
     }
 
+    /// Takes the jobs for one batch. Those that have ended come first: callers wait for their ends.
+    fn take_jobs(&mut self, table: &JobTable) -> IndexSet<JobKey> {
+        if self.dirty_jobs.len() > MAX_BATCH_JOBS {
+            let ended =
+                |key: &JobKey| (table.get(*key)).is_some_and(|job| job.progress.state.ended());
+            self.dirty_jobs.sort_by_key(|key| !ended(key));
+        }
+        let count = self.dirty_jobs.len().min(MAX_BATCH_JOBS);
+        self.dirty_jobs.drain(..count).collect()
+    }
+
     /// Returns whether no batch is being stored.
     pub(super) const fn idle(&self) -> bool {
         self.in_flight.is_none()
@@ -128,8 +139,7 @@
         if nothing_to_store && now - self.journal.sent_at < HEARTBEAT_MS {
             return;
         }
-        let count = self.journal.dirty_jobs.len().min(MAX_BATCH_JOBS);
-        let jobs: IndexSet<JobKey> = self.journal.dirty_jobs.drain(..count).collect();
+        let jobs = self.journal.take_jobs(table);
         let mut records: Vec<Record> = jobs
             .iter()
             .filter_map(|key| {
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -22,6 +22,7 @@
 mod incomplete_reports;
 mod job_order;
 mod jobs;
+mod journal;
 mod parallel_runs;
 mod pool_day;
 mod pools;
