Report a wave as complete once its progress is stored

Cause: the report rested on the leader's own table, which has a VM as begun before the batch with that is stored. A leader that is lost in between has told the operators that the wave is complete, and the next one goes on with its VMs.

Evidence: tests/scheduler/wave_reports.rs answers the order for the last VM as not part of the wave. Before, the report was sent before the batch was, with and without an earlier batch in flight (`[(1, false), (1, true)]` instead of `[(1, false)]`); now it follows the answer to the append.

--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -38,6 +38,8 @@
     ends: Vec<(TargetId, u64, u64)>,
     /// Jobs whose end is stored with the batch.
     ended_jobs: Vec<JobKey>,
+    /// Waves whose progress is in the batch, by number.
+    waves: IndexSet<u64>,
     sent_at: Millis,
 }
 
@@ -107,6 +109,12 @@
         self.dirty_waves.insert(wave);
     }
 
+    /// Returns whether the wave's progress is stored.
+    pub(super) fn wave_is_stored(&self, wave: u64) -> bool {
+        let mut in_flight = self.in_flight.iter();
+        !self.dirty_waves.contains(&wave) && !in_flight.any(|batch| batch.waves.contains(&wave))
+    }
+
     /// Takes the jobs for one batch. Those that have ended come first: callers wait for their ends.
     fn take_jobs(&mut self, table: &JobTable) -> IndexSet<JobKey> {
         if self.dirty_jobs.len() > MAX_BATCH_JOBS {
@@ -147,9 +155,10 @@
                 Some(Record::Progress(*key, job.progress.clone()))
             })
             .collect();
-        for wave in std::mem::take(&mut self.journal.dirty_waves) {
-            if let Some(progress) = table.wave(wave) {
-                records.push(Record::Wave(wave, progress.clone()));
+        let waves = std::mem::take(&mut self.journal.dirty_waves);
+        for wave in &waves {
+            if let Some(progress) = table.wave(*wave) {
+                records.push(Record::Wave(*wave, progress.clone()));
             }
         }
         // When the answer of the store is lost, reading this record back confirms the batch.
@@ -168,6 +177,7 @@
                 Vec::new()
             },
             ended_jobs: self.unstored_ends.in_batch(&jobs, table),
+            waves,
             sent_at: now,
         };
         self.journal.next_batch += 1;
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -60,7 +60,9 @@
             .filter(|name| !begun.contains(name) && !self.vm_tracker.is_missing(name))
             .collect();
         let down = self.vm_tracker.down_count(wave);
-        let complete = remaining.is_empty() && down == 0;
+        // The next leader goes on with VMs that are not stored as done.
+        let stored = self.journal.wave_is_stored(wave.number);
+        let complete = remaining.is_empty() && down == 0 && stored;
         if self.vm_tracker.start_report(wave.number, complete) {
             let wave = wave.number;
             self.commands.push(Command::ReportWave { wave, complete });
--- a/tests/scheduler/bare_leader.rs
+++ b/tests/scheduler/bare_leader.rs
@@ -30,6 +30,10 @@
     pub(crate) starts: Vec<(TaskKey, u32)>,
     /// Runs for which a stop was sent.
     pub(crate) stops: Vec<u32>,
+    /// VMs whose maintenance was ordered.
+    pub(crate) upkeeps: Vec<String>,
+    /// Reports on waves: the number, and whether the wave is complete.
+    pub(crate) reports: Vec<(u64, bool)>,
 }
 
 impl Fixture {
@@ -68,6 +72,8 @@
             holds: Vec::new(),
             starts: Vec::new(),
             stops: Vec::new(),
+            upkeeps: Vec::new(),
+            reports: Vec::new(),
         }
     }
 
@@ -101,6 +107,11 @@
                 Command::Hold { target, number, .. } => self.holds.push((target, number)),
                 Command::Start { task, run, .. } => self.starts.push((task, run)),
                 Command::Stop { run, .. } => self.stops.push(run),
+                Command::BeginUpkeep { vm, .. } => self.upkeeps.push(vm),
+                Command::ReportWave { wave, complete } => {
+                    self.reports.push((wave, complete));
+                    self.handle(Event::WaveReported { wave, stored: true });
+                }
                 _ => {}
             }
         }
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -41,4 +41,5 @@
 mod upkeep;
 mod vm_orders;
 mod vm_service;
+mod wave_reports;
 mod world;
