Let the first end that is stored stand

What callers saw: a job shown as cancelled, and as complete later.

Cause: a leader that had ended a job, but not stored that, took a cancel for too late. The cancel was stored and the job shown as cancelled; then the batch with its end was stored, and it was shown as complete. One end followed another.

Change: progress that is applied to a table doesn't change an end, be it by a stored cancel or by earlier progress. The leader ends a job as cancelled if the cancel comes before its own end of the job is known to be stored, so that a process that loads the records, which have no order, sees the same.

Evidence: two tests, three cases. Before, the table showed `Some(Complete)` after a stored cancel, and the leader stored `Some(Complete)`, whether the batch with the end was in flight or not; `Some(Canceled)` was expected, and is there now. What stays: a cancel and the batch with the end that are stored in the other order than they are acknowledged are shown differently by the leader and by processes that read the stream.

--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -144,6 +144,7 @@
             return;
         };
         if job.progress.state.ended() {
+            self.cancel_unstored_end(table, key);
             return;
         }
         let attempts = self.policy.attempts_of(&job.spec);
@@ -169,6 +170,24 @@
         self.end_job(table, key, state, &cause);
     }
 
+    /// Ends a job as cancelled that was cancelled before its end was stored: its caller was shown the
+    /// cancel.
+    fn cancel_unstored_end(&mut self, table: &mut JobTable, key: JobKey) {
+        let Some(job) = table.get_mut(key) else {
+            return;
+        };
+        let overtaken = job.cancelled && job.progress.state != JobState::Canceled;
+        if overtaken && self.unstored_ends.contains(key) {
+            spdlog::info!("job_ended", kv: {
+                job = key.to_string(), state = format!("{:?}", JobState::Canceled),
+                cause = format!("cancelled before it was stored as {:?}", job.progress.state)
+            });
+            job.progress.state = JobState::Canceled;
+            self.unstored_ends.add(key, JobState::Canceled, self.now);
+            self.journal.mark_job_dirty(key);
+        }
+    }
+
     /// Ends a job that has not ended, in the given state.
     pub(super) fn end_job(
         &mut self,
--- a/src/scheduler/leader/unstored_ends.rs
+++ b/src/scheduler/leader/unstored_ends.rs
@@ -24,6 +24,11 @@
         self.decisions.insert(job, Decision { state, decided_at });
     }
 
+    /// Returns whether this leader has ended the job and does not know that to be stored.
+    pub(super) fn contains(&self, job: JobKey) -> bool {
+        self.decisions.contains_key(&job)
+    }
+
     /// Returns which of the `jobs` in a batch have ends that are not stored yet. Drops those whose
     /// records are deleted.
     pub(super) fn in_batch(&mut self, jobs: &IndexSet<JobKey>, table: &JobTable) -> Vec<JobKey> {
--- a/src/scheduler/table.rs
+++ b/src/scheduler/table.rs
@@ -29,6 +29,16 @@
             state => state,
         }
     }
+
+    /// Applies stored progress. A job that has ended, by a cancel or otherwise, keeps its first end:
+    /// its caller may have been shown it.
+    fn apply_progress(&mut self, progress: JobProgress) {
+        let before = self.state();
+        self.progress = progress;
+        if before.ended() && self.progress.state.ended() {
+            self.progress.state = before;
+        }
+    }
 }
 
 /// Jobs, waves, processes and the holder of the leader role, as the records say.
@@ -60,7 +70,7 @@
             }
             Change::Put(Record::Progress(key, progress)) => {
                 match self.jobs.get_mut(&key) {
-                    Some(job) => job.progress = progress,
+                    Some(job) => job.apply_progress(progress),
                     None => self.early_updates.entry(key).or_default().1 = Some(progress),
                 }
                 Some(key)
--- a/tests/scheduler/bare_leader.rs
+++ b/tests/scheduler/bare_leader.rs
@@ -136,6 +136,15 @@
         self.handle(Event::JobChanged(key));
     }
 
+    /// A caller's cancel is stored.
+    pub(crate) fn cancel(&mut self, number: u64) {
+        let key = JobKey(number);
+        let change = Change::Put(Record::Cancel(key));
+        self.log.push(change.clone());
+        self.table.apply(change);
+        self.handle(Event::JobChanged(key));
+    }
+
     pub(crate) fn batch_stored(&mut self) {
         let (batch, records) = self.batch.take().expect("a batch was sent");
         self.log.extend(records.into_iter().map(Change::Put));
--- a/tests/scheduler/cancelled_jobs.rs
+++ b/tests/scheduler/cancelled_jobs.rs
@@ -1,8 +1,9 @@
 //! Runs of cancelled jobs that the leader learns of only after the cancel.
 
-use amaranthwick::scheduler::{Change, JobKey, JobState, Millis};
+use amaranthwick::scheduler::{Change, JobKey, JobState, Millis, Record};
 use rstest::rstest;
 
+use crate::bare_leader::{Fixture, done};
 use crate::fixtures::{job, long_running_step, step};
 use crate::world::World;
 
@@ -49,6 +50,35 @@
     assert_eq!(world.state(key), Some(JobState::Canceled));
 }
 
+/// Guards against a job that was shown as cancelled and is complete for a process that loads the
+/// records: the leader had ended it before it learned of the cancel, but had not stored that.
+#[rstest]
+fn a_cancel_stands_against_an_end_that_is_not_stored(#[values(false, true)] in_flight: bool) {
+    let mut fixture = Fixture::with_running_task();
+    fixture.settle(20);
+    if !in_flight {
+        fixture.poll(400);
+    }
+    while fixture.holds.is_empty() {
+        fixture.now += 50;
+        fixture.poll(fixture.now);
+    }
+    fixture.hold_answered(fixture.now, &[], &[done(1)]);
+    fixture.poll(fixture.now + 5);
+
+    fixture.cancel(1);
+    while fixture.batch.is_some() {
+        fixture.batch_stored();
+        fixture.poll(fixture.now + 5);
+    }
+
+    let stored = fixture.log.iter().rev().find_map(|change| match change {
+        Change::Put(Record::Progress(_, progress)) => Some(progress.state),
+        _ => None,
+    });
+    assert_eq!(stored, Some(JobState::Canceled));
+}
+
 /// Guards against runs that no stop reaches: the leader named its own number of the run, and a
 /// target that runs a later one does not end that.
 #[rstest]
--- a/tests/scheduler/stored_table.rs
+++ b/tests/scheduler/stored_table.rs
@@ -195,6 +195,23 @@
     assert_eq!(table.table().wave(1).unwrap().begun, ["a", "b"]);
 }
 
+/// Guards against a job that is shown as cancelled and later as complete, because the leader had ended
+/// it otherwise when it learned of the cancel; and against a cancel that changes a stored end.
+#[test]
+fn the_first_end_that_is_stored_stands() {
+    let mut table = claimed();
+
+    table.apply_acknowledged(Record::Cancel(JOB));
+    table.batch_stored(id(1, 1), batch(1, 1, JOB, JobState::Complete));
+    let cancelled_first = state(&table, JOB);
+    table.batch_stored(id(1, 2), batch(1, 2, OTHER, JobState::Complete));
+    table.apply_acknowledged(Record::Cancel(OTHER));
+    table.batch_stored(id(1, 3), batch(1, 3, OTHER, JobState::Canceled));
+
+    assert_eq!(cancelled_first, Some(JobState::Canceled));
+    assert_eq!(state(&table, OTHER), Some(JobState::Complete));
+}
+
 /// Guards against a load that replaces what was shown by something older.
 #[test]
 fn loaded_records_replace_the_others_unless_they_lack_a_batch() {
