--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -19,6 +19,7 @@
 mod faults;
 mod fixtures;
 mod gangs;
+mod gone_targets;
 mod incomplete_reports;
 mod job_order;
 mod jobs;
