Store where a task with a stray run must be waited for

Callers saw, in the model, two runs of a task at once: the leader knew that a target still runs a task that it had given up, and had that run stopped. The next leader did not know, and started the task elsewhere when another target answered first.

Cause: stray runs are kept in the leader's memory only, while the task is stored as pending.

Now a pending task with a stray run is stored as placed on the target of that run, under a number that the stray run does not have. The next leader waits for that target's report, or for the end of its lease, as for any placed run; the report shows the stray run, which is stopped. The stored format is unchanged. What remains: a task with stray runs on several targets is stored with one of them, and what a leader learned less than an append before its end is lost. If the target restarts before it answers the next leader, a crash is counted against the task, as for any placed run.

--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -3,6 +3,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::strays::progress_with_strays;
 use super::{Command, Leader};
 use crate::scheduler::run::RunPhase;
 use crate::scheduler::{Holder, JobKey, JobTable, Millis, Record, TargetId, TaskKey};
@@ -148,11 +149,13 @@
             return;
         }
         let jobs = self.journal.take_jobs(table);
+        let strays = self.located_strays();
         let mut records: Vec<Record> = jobs
             .iter()
             .filter_map(|key| {
                 let job = table.get(*key)?;
-                Some(Record::Progress(*key, job.progress.clone()))
+                let progress = progress_with_strays(*key, &job.progress, &strays);
+                Some(Record::Progress(*key, progress))
             })
             .collect();
         let waves = std::mem::take(&mut self.journal.dirty_waves);
--- a/src/scheduler/leader/strays.rs
+++ b/src/scheduler/leader/strays.rs
@@ -3,15 +3,18 @@
 //!
 //! Such a run was released too early, or its start was carried out late. A task that waits to start
 //! again takes its latest run back. Any other stray run is stopped, and until it has ended, its task
-//! is not started anywhere.
+//! is not started anywhere. Until then a task that waits is stored as placed on the stray run's target,
+//! so that the next leader waits for that target's report, or for the end of its lease.
 
 use indexmap::IndexSet;
 
 use super::takeover::adopted_run;
 use super::{Command, Leader, StopOutcome};
 use crate::scheduler::run::{RunPhase, StrayRun};
+use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::{
-    JobTable, Millis, RunningTask, StepKey, TargetId, TargetReport, TaskKey, TaskPhase,
+    JobKey, JobProgress, JobTable, Millis, RunningTask, StepKey, TargetId, TargetReport, TaskKey,
+    TaskPhase,
 };
 
 impl Leader {
@@ -105,6 +108,7 @@
             target.add_stray(task, number, stray);
         }
         if job_active {
+            self.journal.mark_job_dirty(task.step.job);
             let highest = self.stray_numbers.entry(task).or_default();
             *highest = number.max(*highest);
         }
@@ -154,10 +158,24 @@
         if found {
             spdlog::info!("stray_run_ended", kv: { task = task.to_string(), run = number, target = id.0.as_ref() });
             self.needs_scheduling = true;
+            self.journal.mark_job_dirty(task.step.job);
         }
         found
     }
 
+    /// Stray runs, with the incarnations of the targets that they are on.
+    pub(super) fn located_strays(&self) -> Vec<(TaskKey, u32, Incarnation)> {
+        let targets = self.targets.values();
+        targets
+            .filter(|target| !target.strays.is_empty())
+            .flat_map(|target| {
+                let place = Incarnation::of(&target.entry);
+                let strays = target.strays.keys();
+                strays.map(move |(task, number)| (*task, *number, place.clone()))
+            })
+            .collect()
+    }
+
     /// Sends the stop calls of stray runs that are due.
     pub(super) fn stop_strays(&mut self, resend_after_ms: Millis, now: Millis) {
         let targets = self.targets.values_mut();
@@ -209,3 +227,25 @@
         strays.iter().any(|task| task.step == step)
     }
 }
+
+/// Progress of a job as it is stored while its tasks have the stray runs among `strays`.
+pub(super) fn progress_with_strays(
+    job: JobKey,
+    progress: &JobProgress,
+    strays: &[(TaskKey, u32, Incarnation)],
+) -> JobProgress {
+    let mut progress = progress.clone();
+    let own = strays.iter().filter(|(task, ..)| task.step.job == job);
+    for (task, number, place) in own {
+        let stored = progress.task_mut(*task);
+        if let Some(stored) = stored.filter(|task| task.phase == TaskPhase::Pending) {
+            // Under its own number, the next leader would take the stray run for the task's.
+            stored.run = stored.run.max(number + 1);
+            stored.phase = TaskPhase::Placed {
+                target: place.id.clone(),
+                born: place.born,
+            };
+        }
+    }
+    progress
+}
--- a/tests/scheduler/stray_gaps.rs
+++ b/tests/scheduler/stray_gaps.rs
@@ -70,6 +70,26 @@
     assert_eq!(fixture.starts, Vec::new());
 }
 
+/// Guards against a task that waits for good at the next leader.
+#[test]
+fn the_next_leader_starts_a_task_after_the_end_of_its_stray_run() {
+    let earlier = with_stray_run();
+    let entries = vec![entry("t0"), entry("t1")];
+    let mut fixture = Fixture::take_over(7_500, earlier.log, entries, 7_000);
+    let stopped = EndedRun {
+        kind: EndKind::Stopped,
+        ..done(1)
+    };
+
+    for now in (7_500..7_700).step_by(10) {
+        fixture.settle(now);
+        answer(&mut fixture, "t1", &[], &[]);
+        answer(&mut fixture, "t0", &[], std::slice::from_ref(&stopped));
+    }
+
+    assert_eq!(fixture.starts.len(), 1);
+}
+
 /// Guards against a task that waits for a stray run of a target whose lease has lapsed.
 #[test]
 fn a_task_starts_when_the_lease_over_its_stray_run_has_lapsed() {
