Give a restarted target no longer lease than the next leader counts on

Callers saw, in the model, tasks that started after an end that was noted later, for runs up to 2 s longer than a lease: a target restarts, the role passes on, the target goes silent, and the new leader gives its runs up while they go on.

The lease was the longest one (6 s), but no call meant for the earlier incarnation gave it. A leader assumes, to be safe, that a restarted target may have the longest lease, and Lease::extend returned that assumed deadline for the next call.

Now a call carries the deadline of its own lease; what is assumed is only waited for.

--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -86,8 +86,9 @@
         }
     }
 
-    /// Extends the lease by `length_ms` from `now` and returns its deadline by the target's
-    /// clock, for the call that is sent now; `None` before the clock is known.
+    /// Extends the lease to `length_ms` from `now` and returns the deadline by the target's clock for
+    /// the call that is sent now; `None` before the clock is known. The call must not carry a later
+    /// one that was only assumed, of which the next leader would not know.
     pub(super) fn extend(&mut self, now: Millis, length_ms: u64) -> Option<u64> {
         let ClockReading {
             clock_ms,
@@ -95,7 +96,7 @@
         } = self.reading?;
         let deadline = clock_ms + now.saturating_sub(received_at) + length_ms;
         self.deadline = self.deadline.max(deadline);
-        Some(self.deadline)
+        Some(deadline)
     }
 
     /// Returns whether the lease has certainly expired, so that all runs under it have ended,
