Start no gang again whose earlier runs turn out to be done

Callers would see tasks of a gang that start after their end was noted (TWICE): the runs of a gang are given up with their target, the gang is placed anew, and while that is being stored the target returns and reports the first runs as done. The gang's step is done then, but the job has further steps, so the starts are sent.

Cause: mark_task_done stops other runs of a task that is done, but left out gangs, whose members are to end together. A later run of the gang is not one of these.

Before: late_ends::a_gang_does_not_start_after_a_late_end failed (2 starts of the step after its end, 0 expected). Now runs of the gang under other numbers are stopped, planned ones included; those of the number that is done are left to end together, as before.

--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -4,7 +4,8 @@
 use super::releases::{Evidence, Release};
 use crate::scheduler::run::{EndKind, EndedRun};
 use crate::scheduler::{
-    Job, JobKey, JobState, JobTable, Millis, Occurrence, TargetId, TaskKey, TaskPhase, TaskProgress,
+    Job, JobKey, JobState, JobTable, Millis, Occurrence, StepKey, TargetId, TaskKey, TaskPhase,
+    TaskProgress,
 };
 
 impl Leader {
@@ -84,7 +85,9 @@
             stored.phase = TaskPhase::Done;
         }
         self.journal.mark_job_dirty(task.step.job);
-        if !gang && !latest_ended {
+        if gang {
+            self.stop_other_gang_runs(task.step, run, now);
+        } else if !latest_ended {
             self.stop_other_runs(task, now);
         }
     }
@@ -96,6 +99,18 @@
         }
     }
 
+    /// Stops any runs of a gang but those numbered `run`, whose members end together.
+    fn stop_other_gang_runs(&mut self, gang: StepKey, run: u32, now: Millis) {
+        for target in self.targets.values_mut() {
+            let runs = target.runs.iter();
+            let others = runs.filter(|(task, other)| task.step == gang && other.number != run);
+            let others: Vec<TaskKey> = others.map(|(task, _)| *task).collect();
+            for task in others {
+                target.request_stop(task, now);
+            }
+        }
+    }
+
     /// Applies the end of a run that was not done: keeps its checkpoint, counts a failure and
     /// lets the task start again.
     fn apply_unfinished_run(
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -24,6 +24,7 @@
 mod job_order;
 mod jobs;
 mod journal;
+mod late_ends;
 mod longest_leases;
 mod parallel_runs;
 mod pool_day;
