Count how long an ended job is kept by a clock that does not jump

Callers would see a job that is complete answered with 410, and a repeat of its POST begin it anew: a step of the leader's clock by more than the retention (120 s) forgets all ended jobs at the next search.

Cause: expired_jobs compared the time of day with the time of day of the end, which another process may have written.

Before: clock_steps::a_step_of_the_clock_forgets_no_job failed (the job was forgotten within 20 s of a step of 200 s). Now the leader counts from when it first saw the job ended, by its own clock, as it did for cancels of jobs that never came. The cost: after a change of the leader ended jobs are kept for the whole time anew.

--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -68,8 +68,9 @@
     sent_at: Millis,
     /// When ended jobs that may be forgotten are next searched for.
     next_forget_at: Millis,
-    /// Jobs that were cancelled and are not known, with the time when they were first seen.
-    early_cancels: IndexMap<JobKey, Millis>,
+    /// Jobs that have ended, or were cancelled and are not known, with the time when this leader
+    /// first saw them so.
+    over_since: IndexMap<JobKey, Millis>,
 }
 
 impl Journal {
@@ -85,7 +86,7 @@
             confirmed_at: now,
             sent_at: now,
             next_forget_at: now + FORGET_INTERVAL_MS,
-            early_cancels: IndexMap::new(),
+            over_since: IndexMap::new(),
         }
     }
 
@@ -136,11 +137,11 @@
 impl Leader {
     /// Sends a batch with the changes so far, or without changes as a heartbeat when one is
     /// due. Does nothing while a batch is being stored.
-    pub(super) fn store_changes(&mut self, table: &JobTable, now: Millis, wall_ms: u64) {
+    pub(super) fn store_changes(&mut self, table: &JobTable, now: Millis) {
         if !self.journal.idle() {
             return;
         }
-        let forgotten_jobs = self.expired_jobs(table, now, wall_ms);
+        let forgotten_jobs = self.expired_jobs(table, now);
         let nothing_to_store = self.journal.dirty_jobs.is_empty()
             && self.journal.dirty_waves.is_empty()
             && forgotten_jobs.is_empty()
@@ -257,26 +258,20 @@
     }
 
     /// Ended jobs, and cancels of jobs that never came, that have been kept long enough, at most as many
-    /// as fit a batch.
-    fn expired_jobs(&mut self, table: &JobTable, now: Millis, wall_ms: u64) -> Vec<JobKey> {
+    /// as fit a batch. The time of day does not count, as it may jump.
+    fn expired_jobs(&mut self, table: &JobTable, now: Millis) -> Vec<JobKey> {
         if now < self.journal.next_forget_at {
             return Vec::new();
         }
         self.journal.next_forget_at = now + FORGET_INTERVAL_MS;
         let job_retention_ms = self.settings.job_retention_ms;
-        let ended = table.iter().filter(|(_, job)| {
-            let progress = &job.progress;
-            progress.state.ended() && wall_ms.saturating_sub(progress.ended_ms) > job_retention_ms
-        });
-        let ended = ended.map(|(key, _)| key);
-        let before = std::mem::take(&mut self.journal.early_cancels);
-        let cancels = table.early_cancels();
-        let cancels = cancels.map(|key| (key, before.get(&key).copied().unwrap_or(now)));
-        self.journal.early_cancels = cancels.collect();
-        let cancels = self.journal.early_cancels.iter();
-        let old_cancels = cancels
-            .filter(|(_, seen_at)| now - **seen_at > job_retention_ms)
-            .map(|(key, _)| *key);
-        ended.chain(old_cancels).take(MAX_BATCH_JOBS).collect()
+        let ended = table.iter().filter(|(_, job)| job.progress.state.ended());
+        let over = ended.map(|(key, _)| key).chain(table.early_cancels());
+        let before = std::mem::take(&mut self.journal.over_since);
+        let over = over.map(|key| (key, before.get(&key).copied().unwrap_or(now)));
+        self.journal.over_since = over.collect();
+        let over = self.journal.over_since.iter();
+        let expired = over.filter(|(_, since)| now - **since > job_retention_ms);
+        expired.map(|(key, _)| *key).take(MAX_BATCH_JOBS).collect()
     }
 }
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -5,6 +5,7 @@
 mod bare_leader;
 mod cancelled_jobs;
 mod capacity;
+mod clock_steps;
 mod crash_limits;
 mod crash_troubles;
 mod crashes_beside_orders;
