--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -27,6 +27,7 @@
 mod journal;
 mod late_ends;
 mod longest_leases;
+mod noted_ends;
 mod parallel_runs;
 mod pool_day;
 mod pools;
