Give the executors in the plays' tests the field that `busy` added

13 of the 16 tests failed on with AttributeError: the executors read `faults.start_s`, which the fixture of the tests lacks since the form `busy` came. No check is changed. 16 of 16 pass.

--- a/tests/plays/test_standins.py
+++ b/tests/plays/test_standins.py
@@ -32,7 +32,7 @@
 
 
 def faults(**given):
-    return SimpleNamespace(**{"loss": 0.0, "late": 0.0, "slow": 0.0, "slow_clock": False, **given})
+    return SimpleNamespace(**{"loss": 0.0, "late": 0.0, "slow": 0.0, "start_s": 0.0, "slow_clock": False, **given})
 
 
 class Executors(unittest.IsolatedAsyncioTestCase):
