Test that a load shows nothing older than it brought

A load begins to read where the stream ended at its first page, and a later page may have newer records.

--- a/tests/dispatch/fakes.rs
+++ b/tests/dispatch/fakes.rs
@@ -55,6 +55,8 @@
     pub(crate) loads: u32,
     /// Records of the leader that the stream holds after the loaded ones.
     pub(crate) stream: Vec<Change>,
+    /// Number of records that a read brings at most.
+    pub(crate) page_records: usize,
     /// Whether the stream can be read.
     pub(crate) readable: bool,
     /// Whether the next read of the stream finds its records expired, so that the process loads
@@ -120,21 +122,21 @@
     async fn read_records(&self, from: u64, _wait_ms: u64) -> ReadOutcome<Page> {
         pause(20).await;
         let mut script = self.script();
-        if std::mem::take(&mut script.expired) {
-            return ReadOutcome::Expired;
-        }
         if !script.readable {
             return ReadOutcome::Failed("unavailable".to_owned());
         }
+        if std::mem::take(&mut script.expired) {
+            return ReadOutcome::Expired;
+        }
         let unread = script
             .stream
             .get(usize::try_from(from).unwrap() - 1..)
             .unwrap_or_default();
-        let end = from + unread.len() as u64;
+        let page = &unread[..unread.len().min(script.page_records)];
         ReadOutcome::Read(Page {
-            changes: unread.to_vec(),
-            next: end,
-            end,
+            changes: page.to_vec(),
+            next: from + page.len() as u64,
+            end: from + unread.len() as u64,
         })
     }
 
--- a/tests/dispatch/process.rs
+++ b/tests/dispatch/process.rs
@@ -206,6 +206,7 @@
             runs: Runs::default(),
             loads: 0,
             stream: Vec::new(),
+            page_records: usize::MAX,
             readable: true,
             expired: false,
             summary_ages: Vec::new(),
--- a/tests/dispatch/shown.rs
+++ b/tests/dispatch/shown.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use amaranthwick::dispatch::Lookup;
-use amaranthwick::scheduler::{Change, Holder, JobKey, JobState, Record};
+use amaranthwick::scheduler::{Change, Holder, JobKey, JobProgress, JobState, Record};
 use async_io::block_on;
 
 use crate::fakes::LeaderAppends;
-use crate::process::{LEADER, Process, STORED_JOBS, holder, wait_until};
+use crate::process::{LEADER, Process, STORED_JOBS, holder, job, wait_until};
 
 /// A leader that has read the end of a job's only run while the store does what `appends` says.
 fn leader_with_ended_job(appends: LeaderAppends) -> (Process, JobKey) {
@@ -83,6 +83,42 @@
     assert_eq!(process.services.script().loads, 1);
 }
 
+/// Guards against a state that goes back after a load: the records that are read from where the load
+/// began are older than some that it brought.
+#[test]
+fn a_load_shows_nothing_older_than_it_brought() {
+    let process = Process::start(false);
+    let key = JobKey(100);
+    let progress = |state| {
+        let progress = JobProgress {
+            state,
+            ..JobProgress::default()
+        };
+        Change::Put(Record::Progress(key, progress))
+    };
+    process.submit(key.0);
+    let (running, complete) = (progress(JobState::Running), progress(JobState::Complete));
+
+    {
+        let mut script = process.services.script();
+        let submitted = Change::Put(Record::Job(key, job()));
+        script.loaded.extend([submitted, complete.clone()]);
+        script.stream.extend([running, complete]);
+        script.page_records = 1;
+        script.expired = true;
+    }
+    let mut shown = Vec::new();
+    for _ in 0..200 {
+        shown.push(state(&process, key));
+        thread::sleep(Duration::from_millis(5));
+    }
+    shown.dedup();
+
+    let states = [JobState::Queued, JobState::Complete];
+    assert_eq!(shown, states.map(Lookup::Found));
+    assert_eq!(process.services.script().loads, 2);
+}
+
 /// Guards against an end that is shown late, because it is not read back from the stream.
 #[test]
 fn an_end_is_shown_once_its_append_is_acknowledged() {
