--- a/tests/scheduler/shown_states.rs
+++ b/tests/scheduler/shown_states.rs
@@ -136,6 +136,33 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Guards against starts that a leader had planned before it was suspended and sends once it goes on:
+/// a target that has restarted since does not know of the later leader.
+#[test]
+fn a_leader_that_was_suspended_starts_no_task_again() {
+    let mut world = World::new(2, 1);
+    world.claim();
+    world.run_for(500);
+    let key = world.submit(1, job(vec![step(1, 300, &[])]));
+    while world.state(key) != Some(JobState::Running) {
+        world.run_for(5);
+    }
+
+    world.freeze(6_000);
+    world.run_for(CLAIM_AFTER_MS);
+    world.claim();
+    world.run_for(2_000);
+    assert_eq!(world.state(key), Some(JobState::Complete));
+    world.kill();
+    world.silence_store();
+    for id in world.targets.keys().cloned().collect::<Vec<_>>() {
+        world.restart(&id);
+    }
+    world.run_for(5_000);
+
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Something that is due at a later time.
 enum Due {
     StoreBack { expired: bool },
