Send no start on an answer that waited while the leader was suspended

What callers saw, in the model: a task starts after its end was noted, 4.4 s after its job was shown as complete; and two runs of a task at once.

Cause: a leader is suspended between the sending of a batch and the answer. Once it goes on, it takes the answer as new and sends the starts of that batch, seconds after another process has claimed the role. A target that has restarted since does not know of the later leader and accepts them.

Change: a leader notes when it went on after a pause in which another process may have claimed the role. Starts of a batch that was sent before that wait for a further batch, which the store refuses if there is a later leader; and the answer does not count as a recent sign that this one leads. A store that is slow to answer changes nothing.

--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -236,7 +236,9 @@
         else {
             return;
         };
-        self.journal.stored_at = now;
+        // The answer may have waited while this process was suspended.
+        let outdated = batch.sent_at < self.resumed_at;
+        self.journal.stored_at = if outdated { batch.sent_at } else { now };
         self.journal.confirmed_at = batch.sent_at;
         self.ends_stored(&batch.ended_jobs, number, now);
         for (id, born, end) in batch.ends {
@@ -246,6 +248,9 @@
                 self.expedite_hold(&id, now);
             }
         }
+        if outdated {
+            return self.plan_again(batch.planned_runs);
+        }
         let planned_runs = batch.planned_runs.into_iter();
         let planned_runs = planned_runs
             .filter(|planned| self.is_planned(planned))
@@ -257,6 +262,15 @@
         }
     }
 
+    /// Has the starts of runs wait for a further batch, because another process may have claimed the
+    /// role since theirs was stored. A target that has restarted knows of no later leader.
+    fn plan_again(&mut self, planned_runs: Vec<PlannedRun>) {
+        for planned in planned_runs {
+            self.journal.mark_job_dirty(planned.task.step.job);
+            self.journal.add_planned_run(planned);
+        }
+    }
+
     /// Ended jobs, and cancels of jobs that never came, that have been kept long enough, at most as many
     /// as fit a batch. The time of day does not count, as it may jump.
     fn expired_jobs(&mut self, table: &JobTable, now: Millis) -> Vec<JobKey> {
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -54,6 +54,7 @@
 use removed_entries::RemovedEntries;
 use schedule::LastPass;
 use unstored_ends::UnstoredEnds;
+use vm_orders::CLAIM_CONFIRMED_MS;
 
 /// Settings of a leader: its claim of the role, and time limits.
 #[derive(Clone, Debug)]
@@ -138,6 +139,8 @@
     next_occurrence_ms: u64,
     /// Time of the last poll.
     now: Millis,
+    /// When this process last went on after a pause in which another one may have claimed the role.
+    resumed_at: Millis,
     /// Time of day at the last poll, in ms since 1970.
     wall_ms: u64,
 }
@@ -159,6 +162,7 @@
     /// Applies an event to the leader's state and to `table`. The commands that follow are
     /// returned by the next [`Self::poll`].
     pub fn handle(&mut self, table: &mut JobTable, event: Event, now: Millis) {
+        self.note_pause(now);
         match event {
             Event::JobChanged(job) => self.job_changed(table, job),
             Event::PolicyChanged(policy) => self.apply_policy(policy),
@@ -231,6 +235,7 @@
     /// Decides what to do at `now` and returns the commands to carry out; `wall_ms` is the
     /// time of day in ms since 1970.
     pub fn poll(&mut self, table: &mut JobTable, now: Millis, wall_ms: u64) -> Vec<Command> {
+        self.note_pause(now);
         self.apply_final_removals(now);
         self.mark_evacuated_targets();
         self.expire_leases(table, now);
@@ -248,6 +253,13 @@
         std::mem::take(&mut self.commands)
     }
 
+    /// Notes whether this process was suspended since the last poll.
+    fn note_pause(&mut self, now: Millis) {
+        if now.saturating_sub(self.now) > CLAIM_CONFIRMED_MS {
+            self.resumed_at = now;
+        }
+    }
+
     fn apply_policy(&mut self, policy: Arc<Policy>) {
         if policy.version > self.policy.version {
             self.policy = policy;
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -74,6 +74,7 @@
             reschedule_at: None,
             next_occurrence_ms: 0,
             now,
+            resumed_at: now,
             wall_ms,
         };
         for entry in entries {
