Add plays that look at what callers are shown

No check looked at it. Now callers look up the accepted jobs at every process in all forms: a start over a second after its job was shown as complete fails a play, and so does a state that goes back. The new form `shown` has the store silent, executors crashed or out of reach, and the role lost, each at its own time.

--- a/tests/plays/findings.py
+++ b/tests/plays/findings.py
@@ -6,6 +6,7 @@
 
 NEAR_S = 4.0
 LINES = 60
+DETAILED = 10
 
 
 def describe(run):
@@ -53,9 +54,28 @@
             file.write(f"TWICE ({kind}, {same}{together}): {task}\n")
             for run in (first, second):
                 file.write(f"  {describe(run)}, ordered by {', '.join(orderer(logs, task, run[3])) or 'unknown'}\n")
-            if index < 10:
-                for call in calls.get(task, []):
-                    file.write(f"    call {call}\n")
-                for line, process, _ in near(lines_of(logs, task, {first[4], second[4]}))[:LINES]:
-                    file.write(f"    {process}: {line.rstrip()}\n")
+            if index < DETAILED:
+                write_details(file, logs, task, {first[4], second[4]}, calls)
     return cases
+
+
+def write_details(file, logs, task, targets, calls):
+    for call in calls.get(task, []):
+        file.write(f"    call {call}\n")
+    for line, process, _ in near(lines_of(logs, task, targets))[:LINES]:
+        file.write(f"    {process}: {line.rstrip()}\n")
+
+
+def append_shown(path, folder, late, back, calls):
+    """Adds the starts after an end that was shown, and the states that went back."""
+    logs = sorted(glob.glob(os.path.join(folder, "*.log")))
+    with open(path, "a", encoding="utf-8") as file:
+        for index, (task, shown, run) in enumerate(late):
+            file.write(f"TWICE (shown): {task} began {run[0] - shown.at:.3f} s after its job was shown as {shown.state} "
+                       f"by {shown.process} at {shown.at:.3f}\n")
+            file.write(f"  {describe(run)}, ordered by {', '.join(orderer(logs, task, run[3])) or 'unknown'}\n")
+            if index < DETAILED:
+                write_details(file, logs, task, {run[4]}, calls)
+        for key, before, after in back:
+            file.write(f"SHOWN (went back): job {key} was {before.state} at {before.process} at {before.at:.3f}, "
+                       f"then {after.state} at {after.process} at {after.at:.3f}\n")
--- a/tests/plays/parallel_runs.py
+++ b/tests/plays/parallel_runs.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Plays that look for two runs of one task at once (README.md beside this file)."""
+"""Plays that look for two runs of one task at once, and for ends that were shown too early (README.md beside this file)."""
 
 import argparse
 import asyncio
@@ -16,8 +16,9 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import busy
 import findings
+import shown
 import standins
-from standins import lab
+from standins import crash, cut, lab
 from lab import CannotRun, now
 
 CALM_BEFORE_S = 3.0
@@ -44,6 +45,7 @@
         self.store_server.handler = self.store.handle
         self.calls = collections.defaultdict(list)
         self.accepted, self.over = [], threading.Event()
+        self.watch = shown.Watch()
         self.faults = Faults()
         self.task_cpu = 0
         self.worst_lag = 0.0
@@ -114,27 +116,6 @@
         self.record.line("disruption", text)
 
 
-def crash(play, executor, dark_s):
-    if executor.down or executor.cut:
-        return
-    play.do(executor.crash)
-    play.note(f"{executor.eid} stays down for {dark_s:.1f} s")
-    play.loop.call_soon_threadsafe(play.loop.call_later, dark_s, executor.restart)
-
-
-def cut(play, executor, dark_s):
-    """The executor goes on, and nobody reaches it or hears of it."""
-    if executor.down or executor.cut:
-        return
-    def back():
-        executor.cut = False
-        executor.server.life += 1
-        play.note(f"{executor.eid} is reached again")
-    executor.cut = True
-    play.note(f"{executor.eid} can't be reached for {dark_s:.1f} s")
-    play.loop.call_soon_threadsafe(play.loop.call_later, dark_s, back)
-
-
 def disturb_role(play, rng):
     """Takes the role from its leader, or the store from all, for seconds; the leader may be the next one, too."""
     kind = rng.choice(["kill", "freeze", "term", "silent", "slow", "losing"])
@@ -223,6 +204,7 @@
     "foreign": Form(foreign, 4, 0, 30, 3, [0.36, 0.9], [0, 0, 0.1, 0.2], [0], 0, False, [96_000], 200),
     "role": Form(role, 0, 6, 34, 3, [0.3, 0.6], [0.05, 0.1, 0.2], [0, 0.05], 0.05, True, [16_000, 48_000], 400),
     "large": Form(large, 32, 200, 30, 8, [0.25], [0.03, 0.1], [0.02], 0.05, True, [16_000], 800),
+    "shown": Form(shown.run, 5, 12, 58, 4, [0.2, 0.4], [0], [0], 0, False, [4_000], 500),
     "busy": Form(busy.run, 3, 3, 30, 0, [1], [0], [0], 0, False, [192_000], 200),
 }
 
@@ -248,6 +230,7 @@
     callers = [threading.Thread(target=play.caller, args=(f"caller-{i}", period_s)) for i in range(form.callers)]
     for caller in callers:
         caller.start()
+    play.watch.start(play)
     time.sleep(CALM_BEFORE_S)
     play.faults.loss, play.faults.late, play.faults.slow = loss, late, form.slow
     form.action(play, rng, now() + (options.seconds or form.seconds))
@@ -256,6 +239,7 @@
     for caller in callers:
         caller.join()
     time.sleep(CALM_AFTER_S)
+    play.watch.stop()
     return {"form": options.form, "seed": options.seed, "entries": entries, "executors": executors, "loss": loss,
             "late": late, "period_s": period_s, "jobs": len(play.accepted), "complete": play.complete()}
 
@@ -291,16 +275,19 @@
         same = sum(first[4] == second[4] for _, first, second, _ in parallel)
         result.update(starts=starts, parallel=len(parallel), same_executor=same, again=len(again), lag_s=round(play.worst_lag, 3))
         gone = busy.vanished(play) if options.form == "busy" else 0
-        result.update(vanished=gone)
-        code = 1 if parallel or again or gone else 0
+        late, back = play.watch.late_starts(play.runs), play.watch.back
+        result.update(vanished=gone, shown=len(late), back=len(back), lookups=play.watch.lookups)
+        code = 1 if parallel or again or gone or late or back else 0
         for process in play.processes:
             process.log.flush()
         findings.write(os.path.join(options.logs, "cases.txt"), play.folder, parallel, again, play.calls)
+        findings.append_shown(os.path.join(options.logs, "cases.txt"), play.folder, late, back, play.calls)
     except CannotRun as error:
         result["error"] = str(error)
     finally:
         if play:
             play.over.set()
+            play.watch.over.set()
             play.close()
     result["result"] = {0: "held", 1: "BROKEN", 2: "could not run"}[code]
     print(json.dumps(result), flush=True)
--- a/tests/plays/standins.py
+++ b/tests/plays/standins.py
@@ -250,3 +250,24 @@
             self.child.wait(grace_s)
         except subprocess.TimeoutExpired:
             self.end_child()
+
+
+def crash(play, executor, dark_s):
+    if executor.down or executor.cut:
+        return
+    play.do(executor.crash)
+    play.note(f"{executor.eid} stays down for {dark_s:.1f} s")
+    play.loop.call_soon_threadsafe(play.loop.call_later, dark_s, executor.restart)
+
+
+def cut(play, executor, dark_s):
+    """The executor goes on, and nobody reaches it or hears of it."""
+    if executor.down or executor.cut:
+        return
+    def back():
+        executor.cut = False
+        executor.server.life += 1
+        play.note(f"{executor.eid} is reached again")
+    executor.cut = True
+    play.note(f"{executor.eid} can't be reached for {dark_s:.1f} s")
+    play.loop.call_soon_threadsafe(play.loop.call_later, dark_s, back)
--- a/tests/plays/test_standins.py
+++ b/tests/plays/test_standins.py
@@ -8,6 +8,7 @@
 import unittest
 from types import SimpleNamespace
 
+import shown
 import standins
 from standins import DROP, lab
 
@@ -232,5 +233,65 @@
         self.assertTrue(0 < lost < 20)
 
 
+class ShownEnds(unittest.TestCase):
+    def setUp(self):
+        self.watch = shown.Watch()
+        self.ended = collections.defaultdict(dict)
+
+    def show(self, state, process="edge-1", key="aa"):
+        self.watch.note(process, self.ended[process], key, state)
+
+    def late_starts(self, after_s, late=False):
+        began = self.watch.first["aa"].at + after_s
+        runs = {"aa.0.0.0": [[began, None, None, 2, "i-1", 0, False, (1, late)]]}
+        return [task for task, _, _ in self.watch.late_starts(runs)]
+
+    def states_back(self):
+        return [(before.process, before.state, after.process, after.state) for _, before, after in self.watch.back]
+
+    def test_a_start_over_a_second_after_a_complete_job_was_shown_is_a_case(self):
+        self.show("running")
+        self.show("complete")
+
+        self.assertEqual(self.late_starts(1.1), ["aa.0.0.0"])
+        self.assertEqual(self.late_starts(0.9), [])
+
+    def test_a_start_that_the_executor_did_late_is_none(self):
+        self.show("complete")
+
+        self.assertEqual(self.late_starts(1.1, late=True), [])
+
+    def test_a_start_after_a_failed_job_is_none(self):
+        self.show("failed")
+
+        self.assertEqual(self.late_starts(1.1), [])
+
+    def test_the_first_time_at_any_process_counts(self):
+        self.show("complete", "edge-2")
+        first = self.watch.first["aa"]
+        self.show("complete", "edge-1")
+
+        self.assertIs(self.watch.first["aa"], first)
+
+    def test_a_process_that_goes_back_is_a_case(self):
+        for state in ("complete", None, "running", "running", "complete", "unknown"):
+            self.show(state)
+
+        self.assertEqual(self.states_back(), [
+            ("edge-1", "complete", "edge-1", "running"), ("edge-1", "complete", "edge-1", "unknown")])
+
+    def test_a_process_that_has_not_read_of_an_end_is_none(self):
+        self.show("complete", "edge-1")
+        self.show("running", "edge-2")
+
+        self.assertEqual(self.states_back(), [])
+
+    def test_two_ends_of_a_job_are_a_case(self):
+        self.show("complete", "edge-1")
+        self.show("failed", "edge-2")
+
+        self.assertEqual(self.states_back(), [("edge-1", "complete", "edge-2", "failed")])
+
+
 if __name__ == "__main__":
     unittest.main()
