Have a target confirm a restart that its entry tells of at a takeover

Callers lose the work of a target's runs: a new leader whose list of targets has an entry of another writer, with a later `born` than the runs were placed on, stops all of them and counts a crash against their tasks, although they go on.

Now the new leader takes such a target for the incarnation that its runs were placed on, with the entry as announced. The report tells which it is; if the target is silent, the longest lease is waited for, as before. A real restart costs one more answer before the target gets work.

--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -77,8 +77,10 @@
             resumed_at: now,
             wall_ms,
         };
+        let placed_on = latest_placed(table);
         for entry in entries {
-            let target = Target::new(entry, leader.inherited_lease(), now);
+            let placed_on = placed_on.get(&entry.id).copied();
+            let target = leader.listed_target(entry, leader.inherited_lease(), placed_on, now);
             leader.targets.insert(target.entry.id.clone(), target);
         }
         leader.adopt_jobs(table, now);
@@ -98,6 +100,30 @@
         Lease::inherited(self.inherited_leases_until(), self.settings.lease_ms)
     }
 
+    /// A target of the list that may have the lease `lease`; `placed_on` is `born` of the latest
+    /// incarnation that tasks were placed on. If the entry tells of a later one, that counts once the
+    /// target reports it, as another writer may have written the entry.
+    fn listed_target(
+        &self,
+        entry: TargetEntry,
+        mut lease: Lease,
+        placed_on: Option<u64>,
+        now: Millis,
+    ) -> Target {
+        let Some(born) = placed_on.filter(|born| *born < entry.born) else {
+            return Target::new(entry, lease, now);
+        };
+        lease.extend_inherited(&self.restarted_lease(now));
+        let known = TargetEntry {
+            born,
+            ..entry.clone()
+        };
+        Target {
+            announced: Some(entry),
+            ..Target::new(known, lease, now)
+        }
+    }
+
     /// Takes over the jobs in the table, and the runs of their placed tasks.
     fn adopt_jobs(&mut self, table: &mut JobTable, now: Millis) {
         let jobs: Vec<_> = table.iter().map(|(key, _)| key).collect();
@@ -184,8 +210,16 @@
         } else {
             Lease::default()
         };
-        self.targets
-            .insert(id.clone(), Target::new(entry, lease, now));
+        let placed_on = self.orphans.keys().filter_map(|task| {
+            let stored = table.get(task.step.job)?.progress.task(*task)?;
+            match &stored.phase {
+                TaskPhase::Placed { target, born } if *target == id => Some(*born),
+                _ => None,
+            }
+        });
+        let placed_on = placed_on.max();
+        let target = self.listed_target(entry, lease, placed_on, now);
+        self.targets.insert(id.clone(), target);
         self.adopt_orphans(table, &id, now);
     }
 
@@ -227,6 +261,18 @@
     length_ms + length_ms * LEASE_MARGIN_PERCENT / 100
 }
 
+/// `born` of the latest incarnation of each target that tasks are placed on.
+fn latest_placed(table: &JobTable) -> IndexMap<TargetId, u64> {
+    let mut latest: IndexMap<TargetId, u64> = IndexMap::new();
+    for (key, job) in table.iter() {
+        for (_, target, born, _) in placed_tasks(key, job) {
+            let known = latest.entry(target).or_default();
+            *known = born.max(*known);
+        }
+    }
+    latest
+}
+
 /// Placed tasks of a job: each with its target, `born` of the target's incarnation and the
 /// number of the run.
 fn placed_tasks(
