Go back to the listed entry of a target that nothing answers for

Callers lose the room of a target that had no runs when another writer wrote an entry under its id with another address: the leader calls that address for good.

Cause: a later `born` of an idle target counts at once, and after that the target's own entry, with its lower `born`, is ignored.

Now such an entry, which is the list's newest, is believed while nothing has ever answered as the later incarnation and it has no runs; a real later incarnation comes back with its next heartbeat.

--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -198,6 +198,9 @@
             target.update_entry(entry, now);
         } else if entry.born > target.entry.born {
             self.restart_announced(table, entry, now);
+        } else if target.is_idle() && target.last_answer_at.is_none() {
+            // Nothing has answered as the later incarnation, which another writer may have made up.
+            self.target_restarted(table, entry, "later entry", now);
         }
     }
 
