Show by tests that shown ends go back after a cancel, failing

A job that was complete before its cancel is Canceled in a process that loads the records (c/ and j/ come before p/); a leader that reads its batch with an end and a later cancel before it handles BatchStored stores Canceled over the stored Complete; a job that comes long after its cancel is forgotten by the time since the cancel, not since its end.

--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -35,6 +35,7 @@
 mod reborn_targets;
 mod records;
 mod returned_targets;
+mod review_0019;
 mod shown_states;
 mod silent_crashes;
 mod stored_ends;
