Show through a process that a load changes a shown end, failing

a_load_does_not_turn_a_shown_end_into_a_later_cancel fails on: a job is looked up as Complete, is cancelled after that, and is Canceled once the records were loaded anew in the order of their keys.

--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 #[path = "../support/log_fields.rs"]
 mod log_fields;
 mod process;
+mod review_0019;
 mod shown;
 mod shown_ends;
 
