Let a load keep an end that came before a cancel

What callers saw: a job shown as complete, and as cancelled by a process that started or loaded the records anew after the job's DELETE.

Cause: a table keeps the first end that is applied, and the newest records of a load have no order. A cancel that was stored after the end was applied before it.

Change: a load applies cancels last.

Evidence: a_cancel_after_a_stored_end_changes_nothing_in_a_load and a_load_does_not_turn_a_shown_end_into_a_later_cancel failed before (Complete, then Canceled) and pass now. The test's own load applies the records by the new function, which is the product's; before, it repeated what the product did.

--- a/src/dispatch/follow.rs
+++ b/src/dispatch/follow.rs
@@ -134,10 +134,10 @@
     };
     let mut loaded = Loaded {
         table: JobTable::default(),
-        records: 0,
+        records: changes.len(),
         next,
     };
-    loaded.apply(changes);
+    loaded.table.apply_newest(changes);
     loop {
         match shared.services.read_records(loaded.next, 0).await {
             ReadOutcome::Read(page) => {
@@ -154,6 +154,7 @@
 }
 
 impl Loaded {
+    /// Applies changes that were read from the stream.
     fn apply(&mut self, changes: Vec<Change>) {
         self.records += changes.len();
         for change in changes {
--- a/src/scheduler/table.rs
+++ b/src/scheduler/table.rs
@@ -54,6 +54,16 @@
 }
 
 impl JobTable {
+    /// Applies the newest records of all keys, which have no order. Cancels come last: one that was
+    /// stored after the end of its job changes nothing, and that end was shown.
+    pub fn apply_newest(&mut self, changes: Vec<Change>) {
+        let is_cancel = |change: &Change| matches!(change, Change::Put(Record::Cancel(_)));
+        let (cancels, others): (Vec<_>, Vec<_>) = changes.into_iter().partition(is_cancel);
+        for change in others.into_iter().chain(cancels) {
+            self.apply(change);
+        }
+    }
+
     /// Applies one change; returns the job that it concerns, if any.
     pub fn apply(&mut self, change: Change) -> Option<JobKey> {
         match change {
--- a/tests/scheduler/review_0019.rs
+++ b/tests/scheduler/review_0019.rs
@@ -31,9 +31,7 @@
         }
     }
     let mut loaded = JobTable::default();
-    for record in newest.into_values() {
-        loaded.apply(Change::Put(record));
-    }
+    loaded.apply_newest(newest.into_values().map(Change::Put).collect());
     let mut table = StoredTable::default();
     table.load_began();
     assert!(table.loaded(loaded));
