Forget ended jobs although the role changes hands often

What callers and operators would see: ended jobs that are kept for good if no leader lasts for the retention; and a job that came long after its cancel forgotten soon after its end, so that a repeat of its POST might run it.

Cause: since ended jobs are kept by the leader's steady clock, each leader counts from its start; and one map held the times of ended jobs and of cancels without a job, so that a job took over the age of its cancel.

Change: the two have maps of their own.

Evidence: ended_jobs_are_forgotten_although_the_role_changes_hands_often and a_job_that_comes_long_after_its_cancel_is_kept_from_its_end_on failed before and pass now, and so does clock_steps (a step of 200 s).

--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -12,6 +12,9 @@
 /// call.
 const MAX_BATCH_JOBS: usize = 100;
 
+/// Number of times the retention of an ended job after which the time of day alone has it forgotten.
+const MAX_RETENTIONS: u64 = 5;
+
 /// Time between two searches for ended jobs that may be forgotten, in ms.
 const FORGET_INTERVAL_MS: Millis = 5_000;
 
@@ -68,9 +71,10 @@
     sent_at: Millis,
     /// When ended jobs that may be forgotten are next searched for.
     next_forget_at: Millis,
-    /// Jobs that have ended, or were cancelled and are not known, with the time when this leader
-    /// first saw them so.
-    over_since: IndexMap<JobKey, Millis>,
+    /// Jobs that have ended, with the time when this leader first saw them so.
+    ended_since: IndexMap<JobKey, Millis>,
+    /// Jobs that were cancelled and are not known, with the time when they were first seen.
+    early_cancels: IndexMap<JobKey, Millis>,
 }
 
 impl Journal {
@@ -86,7 +90,8 @@
             confirmed_at: now,
             sent_at: now,
             next_forget_at: now + FORGET_INTERVAL_MS,
-            over_since: IndexMap::new(),
+            ended_since: IndexMap::new(),
+            early_cancels: IndexMap::new(),
         }
     }
 
@@ -137,11 +142,11 @@
 impl Leader {
     /// Sends a batch with the changes so far, or without changes as a heartbeat when one is
     /// due. Does nothing while a batch is being stored.
-    pub(super) fn store_changes(&mut self, table: &JobTable, now: Millis) {
+    pub(super) fn store_changes(&mut self, table: &JobTable, now: Millis, wall_ms: u64) {
         if !self.journal.idle() {
             return;
         }
-        let forgotten_jobs = self.expired_jobs(table, now);
+        let forgotten_jobs = self.expired_jobs(table, now, wall_ms);
         let nothing_to_store = self.journal.dirty_jobs.is_empty()
             && self.journal.dirty_waves.is_empty()
             && forgotten_jobs.is_empty()
@@ -272,20 +277,44 @@
     }
 
     /// Ended jobs, and cancels of jobs that never came, that have been kept long enough, at most as many
-    /// as fit a batch. The time of day does not count, as it may jump.
-    fn expired_jobs(&mut self, table: &JobTable, now: Millis) -> Vec<JobKey> {
+    /// as fit a batch. The time of day may jump, so it counts only by a multiple of that time: for
+    /// jobs that ended before leaders which did not last.
+    fn expired_jobs(&mut self, table: &JobTable, now: Millis, wall_ms: u64) -> Vec<JobKey> {
         if now < self.journal.next_forget_at {
             return Vec::new();
         }
         self.journal.next_forget_at = now + FORGET_INTERVAL_MS;
-        let job_retention_ms = self.settings.job_retention_ms;
-        let ended = table.iter().filter(|(_, job)| job.progress.state.ended());
-        let over = ended.map(|(key, _)| key).chain(table.early_cancels());
-        let before = std::mem::take(&mut self.journal.over_since);
-        let over = over.map(|key| (key, before.get(&key).copied().unwrap_or(now)));
-        self.journal.over_since = over.collect();
-        let over = self.journal.over_since.iter();
-        let expired = over.filter(|(_, since)| now - **since > job_retention_ms);
-        expired.map(|(key, _)| *key).take(MAX_BATCH_JOBS).collect()
+        let retention_ms = self.settings.job_retention_ms;
+        let ended: Vec<(JobKey, u64)> = table
+            .iter()
+            .filter(|(_, job)| job.progress.state.ended())
+            .map(|(key, job)| (key, job.progress.ended_ms))
+            .collect();
+        let keys = ended.iter().map(|(key, _)| *key);
+        note_first_seen(&mut self.journal.ended_since, keys, now);
+        note_first_seen(&mut self.journal.early_cancels, table.early_cancels(), now);
+        let is_old = |since: &Millis| now - since > retention_ms;
+        let ended_since = &self.journal.ended_since;
+        let ended = ended.iter().filter(|(key, ended_ms)| {
+            ended_since.get(key).is_some_and(is_old)
+                || wall_ms.saturating_sub(*ended_ms) > retention_ms * MAX_RETENTIONS
+        });
+        let early_cancels = self.journal.early_cancels.iter();
+        let old_cancels = early_cancels.filter(|(_, since)| is_old(since));
+        let expired = ended.map(|(key, _)| *key);
+        let expired = expired.chain(old_cancels.map(|(key, _)| *key));
+        expired.take(MAX_BATCH_JOBS).collect()
     }
 }
+
+/// Replaces the keys of `seen` by `keys`, with the time when each was first among them.
+fn note_first_seen(
+    seen: &mut IndexMap<JobKey, Millis>,
+    keys: impl Iterator<Item = JobKey>,
+    now: Millis,
+) {
+    let before = std::mem::take(seen);
+    *seen = keys
+        .map(|key| (key, before.get(&key).copied().unwrap_or(now)))
+        .collect();
+}
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -249,7 +249,7 @@
         self.maintain_vms(table, now);
         self.balance_pools(table, now);
         self.settle_ordered_vms(table);
-        self.store_changes(table, now);
+        self.store_changes(table, now, wall_ms);
         std::mem::take(&mut self.commands)
     }
 
