Take a cancel for too late once the end is shown

What callers would see: a job shown as complete by all processes that read the stream, and as cancelled by those that load the records later.

Cause: the leader reads the batch with the end, and a later cancel, before it handles the answer to that batch. It took the end for not stored, and stored the job as cancelled.

Change: the stored table tells with a cancel what callers are shown after it. The leader ends the job as cancelled only if that is what they see.

--- a/src/scheduler/active_leader.rs
+++ b/src/scheduler/active_leader.rs
@@ -73,9 +73,9 @@
                 self.table.accept(key, spec);
                 self.handle(Event::JobChanged(key), now);
             }
-            JobUpdate::Cancelled(key) => {
-                self.table.apply(Change::Put(Record::Cancel(key)));
-                self.handle(Event::JobChanged(key), now);
+            JobUpdate::Cancelled(job, shown) => {
+                self.table.apply(Change::Put(Record::Cancel(job)));
+                self.handle(Event::JobCancelled { job, shown }, now);
             }
             JobUpdate::Forgotten(key) => {
                 self.table.apply(Change::Forget(key));
--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -198,7 +198,6 @@
                 cause = format!("cancelled before it was stored as {:?}", job.progress.state)
             });
             job.progress.state = JobState::Canceled;
-            self.unstored_ends.add(key, JobState::Canceled, self.now);
             self.journal.mark_job_dirty(key);
         }
     }
@@ -224,6 +223,19 @@
         self.journal.mark_job_dirty(key);
     }
 
+    /// Applies a caller's cancel. It comes too late for a job that callers are shown to have ended
+    /// otherwise, even if the answer to the batch with that end is not handled yet.
+    pub(super) fn job_cancelled(
+        &mut self,
+        table: &mut JobTable,
+        key: JobKey,
+        shown: Option<JobState>,
+    ) {
+        if shown.is_none_or(|state| state == JobState::Canceled) {
+            self.job_changed(table, key);
+        }
+    }
+
     /// Applies that a job was accepted or cancelled, or was found at the takeover.
     pub(super) fn job_changed(&mut self, table: &mut JobTable, key: JobKey) {
         self.needs_scheduling = true;
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -4,8 +4,8 @@
 
 use crate::scheduler::run::{EndedRun, RunningTask};
 use crate::scheduler::{
-    Evacuations, JobKey, JobSpec, Millis, Policy, Record, TargetEntry, TargetId, TaskKey, Vm,
-    VmOutcome, Wave,
+    Evacuations, JobKey, JobSpec, JobState, Millis, Policy, Record, TargetEntry, TargetId, TaskKey,
+    Vm, VmOutcome, Wave,
 };
 
 /// Outcome of a start call.
@@ -95,6 +95,13 @@
 pub enum Event {
     /// The record of a job, or of its cancellation, was applied to the table.
     JobChanged(JobKey),
+    /// A job was cancelled by its caller.
+    JobCancelled {
+        /// Id of the job.
+        job: JobKey,
+        /// State that callers are shown now; `None` if the job is not known.
+        shown: Option<JobState>,
+    },
     /// The operators published a policy. One that is not newer than the current one is
     /// ignored.
     PolicyChanged(Arc<Policy>),
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -165,6 +165,7 @@
         self.note_pause(now);
         match event {
             Event::JobChanged(job) => self.job_changed(table, job),
+            Event::JobCancelled { job, shown } => self.job_cancelled(table, job, shown),
             Event::PolicyChanged(policy) => self.apply_policy(policy),
             Event::TargetEntry(entry) => self.apply_target_entry(table, entry, now),
             Event::TargetList(entries) => self.apply_target_list(table, entries, now),
--- a/src/scheduler/stored_table.rs
+++ b/src/scheduler/stored_table.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Change, Holder, JobKey, JobSpec, JobTable, Record};
+use super::{Change, Holder, Job, JobKey, JobSpec, JobState, JobTable, Record};
 
 /// Identifies a batch of a leader: batches are ordered by the leader's fencing token, then by their
 /// number.
@@ -29,8 +29,9 @@
 pub enum JobUpdate {
     /// A job was accepted, or a record of it was repeated.
     Accepted(JobKey, Arc<JobSpec>),
-    /// A job was cancelled by its caller.
-    Cancelled(JobKey),
+    /// A job was cancelled by its caller, and callers are shown this state of it now; `None` if the
+    /// job is not known.
+    Cancelled(JobKey, Option<JobState>),
     /// The job is forgotten.
     Forgotten(JobKey),
 }
@@ -140,7 +141,8 @@
             }
             Change::Put(Record::Cancel(key)) => {
                 self.table.apply(change);
-                Some(JobUpdate::Cancelled(key))
+                let shown = self.table.get(key).map(Job::state);
+                Some(JobUpdate::Cancelled(key, shown))
             }
             Change::Forget(key) => {
                 self.table.apply(change);
--- a/tests/scheduler/bare_leader.rs
+++ b/tests/scheduler/bare_leader.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use amaranthwick::scheduler::{
-    Capacity, Change, Command, EndKind, EndedRun, Event, Holder, JobKey, JobTable, Leader,
-    LeaderSettings, Millis, Record, RunningTask, StartOutcome, StopOutcome, TargetEntry, TargetId,
-    TargetReport, TargetState, TaskKey,
+    Capacity, Change, Command, EndKind, EndedRun, Event, Holder, Job, JobKey, JobState, JobTable,
+    Leader, LeaderSettings, Millis, Record, RunningTask, StartOutcome, StopOutcome, StoredTable,
+    TargetEntry, TargetId, TargetReport, TargetState, TaskKey,
 };
 
 use crate::fixtures::{POOL, job, policy, step, task};
@@ -142,7 +142,17 @@
         let change = Change::Put(Record::Cancel(key));
         self.log.push(change.clone());
         self.table.apply(change);
-        self.handle(Event::JobChanged(key));
+        let shown = self.shown(key);
+        self.handle(Event::JobCancelled { job: key, shown });
+    }
+
+    /// State of a job, as callers are shown it by a process that has read all that is stored.
+    fn shown(&self, key: JobKey) -> Option<JobState> {
+        let mut stored = StoredTable::default();
+        for change in &self.log {
+            stored.apply_read(change.clone());
+        }
+        stored.table().get(key).map(Job::state)
     }
 
     pub(crate) fn batch_stored(&mut self) {
--- a/tests/scheduler/stored_table.rs
+++ b/tests/scheduler/stored_table.rs
@@ -261,7 +261,10 @@
     let stored = &table.table().get(added).unwrap().spec;
     assert!(matches!(&accepted, Some(JobUpdate::Accepted(key, spec))
         if *key == added && Arc::ptr_eq(spec, stored)));
-    assert!(matches!(cancelled, Some(JobUpdate::Cancelled(JOB))));
+    assert!(matches!(
+        cancelled,
+        Some(JobUpdate::Cancelled(JOB, Some(JobState::Canceled)))
+    ));
     assert!(matches!(forgotten, Some(JobUpdate::Forgotten(OTHER))));
     assert!(own.is_none());
 }
