--- a/tests/dispatch/review_0019.rs
+++ b/tests/dispatch/cancels_beside_ends.rs
@@ -1,4 +1,4 @@
-//! A finding of the review of incident 0019: a load changes an end that was shown.
+//! Cancels that are stored beside the ends of their jobs, in a process that loads the records anew.
 
 use std::thread;
 use std::time::Duration;
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,12 +1,12 @@
 //! Tests of what becomes of callers' jobs while the leader refuses some, does not answer, or runs an
 //! earlier build.
 
+mod cancels_beside_ends;
 mod fakes;
 #[allow(unreachable_pub)] // Shared with tests that use it as public.
 #[path = "../support/log_fields.rs"]
 mod log_fields;
 mod process;
-mod review_0019;
 mod shown;
 mod shown_ends;
 
