Start tasks of unlisted targets as soon as before after a takeover

What it gave up for that needs a target and an earlier leader that both can't reach the store and go on together, which no play with real processes has shown.

--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -29,6 +29,9 @@
 /// clocks of targets and the time that calls take.
 const LEASE_MARGIN_PERCENT: u64 = 5;
 
+/// Time in which the earlier leader learns from some target that it was replaced, in ms.
+const UNLISTED_SLACK_MS: Millis = 1_000;
+
 impl Leader {
     /// Creates the leader from the stored jobs in `table` and the current list of targets.
     /// `wall_ms` is the time of day in ms since 1970.
@@ -88,9 +91,8 @@
         leader
     }
 
-    /// Until when leases that earlier leaders gave may hold, those of unlisted targets included: a
-    /// target and an earlier leader that both can't reach the store may still reach each other.
-    pub(super) const fn inherited_leases_until(&self) -> Millis {
+    /// Until when leases that earlier leaders gave may hold.
+    const fn inherited_leases_until(&self) -> Millis {
         let length = self.settings.earlier_extend_ms + self.settings.lease_ms;
         self.started_at + with_lease_margin(length)
     }
@@ -124,6 +126,13 @@
         }
     }
 
+    /// When the leases of unlisted targets have certainly expired. That is earlier than for
+    /// listed ones: a target that reaches the store would be listed, and the earlier leader
+    /// has been fenced off.
+    pub(super) const fn unlisted_leases_lapsed_at(&self) -> Millis {
+        self.started_at + with_lease_margin(self.settings.lease_ms) + UNLISTED_SLACK_MS
+    }
+
     /// Takes over the jobs in the table, and the runs of their placed tasks.
     fn adopt_jobs(&mut self, table: &mut JobTable, now: Millis) {
         let jobs: Vec<_> = table.iter().map(|(key, _)| key).collect();
@@ -169,11 +178,13 @@
                 };
                 self.suspect_earlier_run(table, task, number, &lost, Loss::Replaced, now);
             }
-            // The target is not listed, or the list lags behind: the earlier leader had learned of a
-            // later incarnation.
-            _ => {
+            // The list lags behind: the earlier leader had learned of a later incarnation.
+            Some(_) => {
                 self.orphans.insert(task, self.inherited_leases_until());
             }
+            None => {
+                self.orphans.insert(task, self.unlisted_leases_lapsed_at());
+            }
         }
     }
 
@@ -208,7 +219,7 @@
     /// there.
     fn insert_target(&mut self, table: &mut JobTable, entry: TargetEntry, now: Millis) {
         let id = entry.id.clone();
-        let lease = if now < self.inherited_leases_until() {
+        let lease = if now < self.unlisted_leases_lapsed_at() {
             self.inherited_lease()
         } else {
             Lease::default()
--- a/src/scheduler/leader/upkeep.rs
+++ b/src/scheduler/leader/upkeep.rs
@@ -126,7 +126,7 @@
             return 0;
         };
         // Tasks that an earlier leader placed on an unlisted target may still be running.
-        let unknown = if now < self.inherited_leases_until() {
+        let unknown = if now < self.unlisted_leases_lapsed_at() {
             u64::MAX
         } else {
             0
