--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -18,6 +18,7 @@
 mod messages;
 mod movable_tasks;
 mod place;
+mod placed_tasks;
 mod pool_work;
 mod releases;
 mod removed_entries;
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -8,6 +8,7 @@
 use super::admission::Admission;
 use super::journal::Journal;
 use super::lost_targets::LostTargets;
+use super::placed_tasks::{latest_placed, placed_tasks};
 use super::releases::PastRuns;
 use super::removed_entries::RemovedEntries;
 use super::schedule::LastPass;
@@ -275,33 +276,6 @@
     length_ms + length_ms * LEASE_MARGIN_PERCENT / 100
 }
 
-/// `born` of the latest incarnation of each target that tasks are placed on.
-fn latest_placed(table: &JobTable) -> IndexMap<TargetId, u64> {
-    let mut latest: IndexMap<TargetId, u64> = IndexMap::new();
-    for (key, job) in table.iter() {
-        for (_, target, born, _) in placed_tasks(key, job) {
-            let known = latest.entry(target).or_default();
-            *known = born.max(*known);
-        }
-    }
-    latest
-}
-
-/// Placed tasks of a job: each with its target, `born` of the target's incarnation and the
-/// number of the run.
-fn placed_tasks(
-    key: crate::scheduler::JobKey,
-    job: &crate::scheduler::Job,
-) -> Vec<(TaskKey, TargetId, u64, u32)> {
-    let tasks = job.progress.tasks(key);
-    tasks
-        .filter_map(|(key, task)| match &task.phase {
-            TaskPhase::Placed { target, born } => Some((key, target.clone(), *born, task.run)),
-            _ => None,
-        })
-        .collect()
-}
-
 /// State of a run that an earlier leader decided to start; `None` if the job or step is not
 /// known.
 pub(super) fn adopted_run(
