--- a/src/dispatch/shown_jobs.rs
+++ b/src/dispatch/shown_jobs.rs
@@ -13,7 +13,8 @@
 pub(super) struct Grounds {
     /// Fencing token of this process's claim; 0 if it does not lead.
     pub(super) epoch: u64,
-    /// Time since the stream was last read to its end, in ms; `None` before the first time.
+    /// Time since the stream was last read to its end, in ms; `None` before the first time, and while
+    /// the records are loaded anew.
     pub(super) table_ms: Option<Millis>,
 }
 
@@ -23,7 +24,8 @@
     pub(super) job: JobKey,
     pub(super) state: JobState,
     pub(super) grounds: Grounds,
-    /// Time since this process first knew the end to be stored, in ms; `None` if it has forgotten.
+    /// Time since this process first knew the end to be stored, in ms; `None` if that is
+    /// no longer remembered.
     pub(super) stored_ms: Option<Millis>,
 }
 
@@ -70,7 +72,7 @@
 }
 
 /// Ended jobs that are stored or were shown. Of more than [`MAX_GENERATION`] jobs only the
-/// latest are remembered: `older` is dropped whenever `recent` is full.
+/// latest are remembered, so that memory stays bounded: `older` is dropped whenever `recent` is full.
 #[derive(Debug, Default)]
 pub(super) struct ShownJobs {
     recent: IndexMap<JobKey, EndedJob>,
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -192,7 +192,7 @@
 
     /// Applies the records of a batch of the leader whose append was acknowledged.
     pub(super) fn batch_stored(&mut self, batch: BatchId, records: Vec<Record>, now: Millis) {
-        let jobs: Vec<JobKey> = records.iter().filter_map(progress_of).collect();
+        let jobs: Vec<JobKey> = records.iter().filter_map(job_of_progress).collect();
         self.stored.batch_stored(batch, records);
         for job in jobs {
             self.compare_shown(job, now);
@@ -203,7 +203,7 @@
     pub(super) fn apply_read(&mut self, change: Change, now: Millis) {
         let job = match &change {
             Change::Put(Record::Cancel(job)) | Change::Forget(job) => Some(*job),
-            Change::Put(record) => progress_of(record),
+            Change::Put(record) => job_of_progress(record),
             Change::Other => None,
         };
         let update = self.stored.apply_read(change);
@@ -255,8 +255,8 @@
     }
 }
 
-/// The job whose progress a record holds.
-const fn progress_of(record: &Record) -> Option<JobKey> {
+/// The job whose progress a record holds; `None` for other kinds of record.
+const fn job_of_progress(record: &Record) -> Option<JobKey> {
     match record {
         Record::Progress(job, _) => Some(*job),
         _ => None,
--- a/src/scheduler/leader/strays.rs
+++ b/src/scheduler/leader/strays.rs
@@ -228,7 +228,8 @@
     }
 }
 
-/// Progress of a job as it is stored while its tasks have the stray runs among `strays`.
+/// Progress of a job as it is stored: a waiting task with one of the `strays`, each given with its
+/// number and place, is stored as placed there. The leader's own copy keeps it waiting.
 pub(super) fn progress_with_strays(
     job: JobKey,
     progress: &JobProgress,
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -212,7 +212,7 @@
             self.restart_announced(table, entry, now);
         } else if target.is_idle() && target.last_answer_at.is_none() {
             // Nothing has answered as the later incarnation, which another writer may have made up.
-            self.target_restarted(table, entry, "later entry", now);
+            self.target_restarted(table, entry, "listed entry", now);
         }
     }
 
