--- a/review/lab-2/cases.rs
+++ b/review/lab-2/cases.rs
@@ -1,6 +1,5 @@
 //! The cases.
 
-use std::collections::HashMap;
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
@@ -10,9 +9,6 @@
 use crate::record::{COUNTED_JOB, Record};
 use crate::system::{Queue, System, config};
 
-/// `bounds.finish_s`.
-const FINISH: Duration = Duration::from_secs(14);
-
 const ROOM: (u64, u64) = (16_000, 32_768);
 
 const SMALL: Queue = Queue {
@@ -48,119 +44,6 @@
         .as_millis()
 }
 
-/// One scheduled job of many tasks comes beside small jobs of another tenant, on another service.
-/// Returns whether LOST is broken: `finish_s` after the end of the traffic a small job has nothing
-/// running for 3 s, although its service is idle.
-pub fn large_job(trouble: bool, record: &Arc<Record>, folder: &Path) -> bool {
-    let services = [("stado", 6, ROOM), ("ispasa", 6, ROOM)];
-    let system = System::start(&two_queues(0), &services, 3, Arc::clone(record), folder);
-    system.wait_until_ready();
-    let begun = Instant::now();
-    let work = StepWork {
-        cpu: 500,
-        mem_mb: 256,
-        work_ms: Some(500),
-    };
-    let mut accepted = Vec::new();
-    let mut large_sent = !trouble;
-    let mut number = 0u64;
-    while begun.elapsed() < Duration::from_secs(36) {
-        if !large_sent && begun.elapsed() > Duration::from_secs(5) {
-            large_sent = true;
-            // 600 tasks of 2 s on half a core, 40 times, every half second: 24,000 tasks, of which 192
-            // fit at a time.
-            let body = format!(
-                "{{\"spec\":\"tide tables\",\"times\":40,\"start-at-ms\":{},\"interval-ms\":500,\"steps\":[\
-                 {{\"count\":600,\"cpu\":500,\"mem-mb\":128,\"est-ms\":2000}}]}}",
-                now_ms()
-            );
-            let works = vec![StepWork {
-                cpu: 500,
-                mem_mb: 128,
-                work_ms: Some(2_000),
-            }];
-            let taken = system.submit(&LARGE, COUNTED_JOB, &body, works);
-            record.note(&format!("the large job is accepted: {taken}"));
-        }
-        number += 1;
-        let id = format!("{number:016x}");
-        let body = "{\"spec\":\"headcount\",\"steps\":[{\"count\":3,\"cpu\":500,\"mem-mb\":256,\"est-ms\":500}]}";
-        if system.submit(&SMALL, &id, body, vec![work]) {
-            accepted.push((id, record.now()));
-        }
-        sleep(500);
-    }
-    record.note("end of the traffic");
-    thread::sleep(FINISH);
-    let open: Vec<String> = accepted
-        .iter()
-        .filter(|(id, _)| {
-            system
-                .state(&SMALL, id)
-                .is_none_or(|state| state != "complete")
-        })
-        .map(|(id, _)| id.clone())
-        .collect();
-    record.note(&format!(
-        "{} small jobs were accepted, {} are not complete",
-        accepted.len(),
-        open.len()
-    ));
-    // 3 s in which the tasks on the executors of the small jobs are watched.
-    let mut ran: HashMap<String, bool> = open.iter().map(|id| (id.clone(), false)).collect();
-    let mut most_used = 0;
-    let watched = Instant::now();
-    while watched.elapsed() < Duration::from_millis(3_100) {
-        let mut used = 0;
-        for executor in system
-            .executors
-            .iter()
-            .filter(|executor| executor.service == "stado")
-        {
-            for (task, ..) in executor.running() {
-                used += work.cpu;
-                if let Some(ran) = ran.get_mut(&task[..16]) {
-                    *ran = true;
-                }
-            }
-        }
-        most_used = most_used.max(used);
-        sleep(20);
-    }
-    let idle: Vec<&String> = ran
-        .iter()
-        .filter(|(_, ran)| !**ran)
-        .map(|(id, _)| id)
-        .collect();
-    let room = 6 * ROOM.0;
-    record.note(&format!(
-        "in 3 s more, {} of these had nothing running; at most {most_used} of {room} thousandths of a core of their service were in use",
-        idle.len()
-    ));
-    let events = record.events();
-    let starts = || events.iter().filter(|event| event.kind == "start");
-    let of_large = starts()
-        .filter(|event| event.task.starts_with(COUNTED_JOB))
-        .count();
-    record.note(&format!("starts of tasks of the large job: {of_large}"));
-    let last = starts().map(|event| event.at).max().unwrap_or_default();
-    record.note(&format!(
-        "the last start of any task was at {:.1} s",
-        last.as_secs_f64()
-    ));
-    let (refused, largest, call) = system.store.refused();
-    record.note(&format!(
-        "the store refused {refused} appends over a limit; the first had a record of {largest} bytes, in a call of {call} bytes"
-    ));
-    for (id, at) in accepted.iter().filter(|(id, _)| idle.contains(&id)).take(3) {
-        record.note(&format!(
-            "job {id}: accepted at {:.1} s, nothing runs",
-            at.as_secs_f64()
-        ));
-    }
-    !idle.is_empty() && most_used < room / 2
-}
-
 /// A scheduled job comes whose first occurrence was due 104 days ago. The platform kills processes over
 /// their memory and starts them again. Returns whether Fault is broken: on two machines or more a
 /// process ends by itself three times.
@@ -185,7 +68,7 @@
     let mut number = 0u64;
     let begun = Instant::now();
     let mut next_job = begun;
-    while begun.elapsed() < Duration::from_secs(75) {
+    while begun.elapsed() < Duration::from_secs(45) {
         if !sent && begun.elapsed() > Duration::from_secs(5) {
             sent = true;
             // Every 10 s since 104 days ago, for 116 days.
@@ -220,7 +103,7 @@
             }
             let memory = system.memory_mb(i).unwrap_or(0);
             most[i] = most[i].max(memory);
-            let by_itself = !system.ended().is_empty();
+            let by_itself = system.has_ended(i);
             if memory > MEMORY_MB || by_itself {
                 ends[i] += 1;
                 record.note(&format!(
@@ -274,6 +157,11 @@
     let begun = Instant::now();
     if trouble {
         free.turn_grey(true);
+        let grey = Arc::clone(&free);
+        thread::spawn(move || {
+            thread::sleep(GREY);
+            grey.turn_grey(false);
+        });
     }
     let work = StepWork {
         cpu: 500,
@@ -290,9 +178,6 @@
     }
     let mut broken = false;
     while begun.elapsed() < Duration::from_secs(11) {
-        if free.is_grey() && begun.elapsed() >= GREY {
-            free.turn_grey(false);
-        }
         sleep(200);
         for node in 0..system.nodes.len() {
             let asked = Instant::now();
@@ -383,7 +268,7 @@
             killed = Some((leader, Instant::now()));
         }
         if let Some((node, at)) = killed
-            && at.elapsed() > Duration::from_millis(3_500)
+            && at.elapsed() > Duration::from_millis(3_000)
             && !system.is_up(node)
         {
             system.spawn(node);
@@ -398,6 +283,15 @@
             system.request(node, "POST", &SMALL, &id, body);
         }
     }
+    if let Some(at) = system.machines.late_taken() {
+        let calls = system
+            .machines
+            .calls_within(at, Duration::from_millis(5_500));
+        record.note(&format!("1 of {calls} calls for upkeep in 5.5 s was late"));
+        if calls < 2 {
+            crate::give_up("more than half of the calls were late");
+        }
+    }
     let mut broken = false;
     for upkeep in system.machines.begun() {
         if upkeep.down >= CAP {
--- a/review/lab-2/executor.rs
+++ b/review/lab-2/executor.rs
@@ -224,10 +224,6 @@
         self.grey.store(grey, Ordering::SeqCst);
     }
 
-    pub fn is_grey(&self) -> bool {
-        self.grey.load(Ordering::SeqCst)
-    }
-
     /// Has a task that lasts exit by itself, with success.
     pub fn finish(&self, task: &str) {
         let mut life = self.life.lock().unwrap();
--- a/review/lab-2/machines.rs
+++ b/review/lab-2/machines.rs
@@ -42,6 +42,8 @@
     /// Whether the next upkeep call gets no answer and is carried out late.
     late_next: bool,
     late_taken: Option<Instant>,
+    /// When calls for upkeep were received.
+    calls: Vec<Instant>,
 }
 
 pub struct Machines {
@@ -74,6 +76,15 @@
         self.state.lock().unwrap().late_taken
     }
 
+    /// Number of calls for upkeep in the span from `from` on.
+    pub fn calls_within(&self, from: Instant, span: Duration) -> usize {
+        let state = self.state.lock().unwrap();
+        let calls = state.calls.iter();
+        calls
+            .filter(|at| **at >= from && **at <= from + span)
+            .count()
+    }
+
     pub fn begun(&self) -> Vec<Begun> {
         self.state.lock().unwrap().begun.clone()
     }
@@ -98,8 +109,9 @@
         }
         let late = {
             let mut state = self.state.lock().unwrap();
+            state.calls.push(Instant::now());
             if state.late_next {
-                state.late_taken = Some(Instant::now());
+                state.late_taken = state.calls.last().copied();
             }
             std::mem::take(&mut state.late_next)
         };
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -42,7 +42,6 @@
     record.note(&format!("case {case}, TROUBLE={}", u8::from(trouble)));
     let work_folder = PathBuf::from(work_folder);
     let broken = match case.as_str() {
-        "large-job" => cases::large_job(trouble, &record, &work_folder),
         "occurrences" => cases::occurrences(trouble, &record, &work_folder),
         "pending" => cases::pending(trouble, &record, &work_folder),
         "late-order" => cases::late_order(trouble, &record, &work_folder),
--- a/review/lab-2/store.rs
+++ b/review/lab-2/store.rs
@@ -43,10 +43,6 @@
 #[derive(Default)]
 struct State {
     topics: HashMap<String, Topic>,
-    /// Appends that were refused because a record or the call was over its limit, with the sizes
-    /// of the largest record and of the call.
-    refused: Vec<(Instant, usize, usize)>,
-    appended_bytes: usize,
 }
 
 #[derive(Default)]
@@ -67,17 +63,6 @@
         self.changed.notify_all();
     }
 
-    /// Number of refused appends, and the sizes of the first one's largest record and call.
-    pub fn refused(&self) -> (usize, usize, usize) {
-        let state = self.state.lock().unwrap();
-        let first = state.refused.first();
-        (
-            state.refused.len(),
-            first.map_or(0, |r| r.1),
-            first.map_or(0, |r| r.2),
-        )
-    }
-
     pub fn serve(self: &Arc<Self>, listener: TcpListener) {
         let store = Arc::clone(self);
         let handler = move |request: &Request| Some(store.handle(request));
@@ -118,7 +103,6 @@
                 .push((Instant::now(), largest, request.body.len()));
             return response(400, "{\"reason\":\"size\"}");
         }
-        state.appended_bytes += request.body.len();
         let topic = state.topics.entry(name.to_owned()).or_default();
         let end = topic.records.len();
         if let (Some(epoch), Some(seq)) = (number("epoch"), number("seq")) {
--- a/review/lab-2/system.rs
+++ b/review/lab-2/system.rs
@@ -207,13 +207,10 @@
         self.nodes[i].child.is_some()
     }
 
-    /// Ids of nodes whose processes have ended by themselves.
-    pub fn ended(&mut self) -> Vec<String> {
-        let ended = self.nodes.iter_mut().filter_map(|node| {
-            let status = node.child.as_mut()?.try_wait().ok()??;
-            Some(format!("{}: {status}", node.name))
-        });
-        ended.collect()
+    /// Whether the process of a node has ended by itself.
+    pub fn has_ended(&mut self, i: usize) -> bool {
+        let child = self.nodes[i].child.as_mut();
+        child.is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
     }
 
     pub fn stop(&mut self) {
