Answer a repeated submission with the state of the job

Cause: Submission::Accepted had no state, and the platform's adapter wrote `queued` for all. Change: it has the stored state of the job.

--- a/src/dispatch/callers.rs
+++ b/src/dispatch/callers.rs
@@ -29,8 +29,8 @@
 /// Outcome of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Submission {
-    /// The job is stored and will run.
-    Accepted,
+    /// The job is stored and will run. If it was known before, this is its state.
+    Accepted(JobState),
     /// The job is not stored and will not run.
     Refused(Refusal),
     /// The job may have been stored, or may still be.
@@ -89,7 +89,7 @@
         // An earlier call may have left the record stored, or on its way to the store.
         let mut sent = shared.lock().admissions.maybe_stored(key, begun_at);
         match self.local_lookup(key) {
-            Lookup::Found(_) => return Submission::Accepted,
+            Lookup::Found(state) => return Submission::Accepted(state),
             Lookup::Unavailable => {
                 return self.refuse(key, sent, Refusal::STORE_UNAVAILABLE);
             }
@@ -111,8 +111,8 @@
             if sent && self.local_lookup(key) == Lookup::Unavailable {
                 return Submission::Unknown;
             }
-            if shared.lock().stored.table().get(key).is_some() {
-                return Submission::Accepted;
+            if let Lookup::Found(state) = self.local_lookup(key) {
+                return Submission::Accepted(state);
             }
             let gives_up = !sent && refused >= MAX_REFUSED_TRIES;
             if gives_up || shared.clock.now() >= deadline {
@@ -121,7 +121,10 @@
             Timer::after(Duration::from_millis(RETRY_MS)).await;
         }
         self.apply_stored(record);
-        Submission::Accepted
+        match self.local_lookup(key) {
+            Lookup::Found(state) => Submission::Accepted(state),
+            Lookup::NotFound | Lookup::Unavailable => Submission::Accepted(JobState::Queued),
+        }
     }
 
     /// Outcome of a submission that is refused: unknown if a try of this call was `sent` without a
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -16,7 +16,7 @@
 use amaranthwick::dispatch::{
     AppendOutcome, CancelOutcome, ForwardAnswer, Lookup, PeerBuild, Submission,
 };
-use amaranthwick::scheduler::{JobKey, Record, RefusalCause};
+use amaranthwick::scheduler::{JobKey, JobState, Record, RefusalCause};
 use async_io::block_on;
 
 use process::{Process, REFUSAL, job, overloaded_summary, refusing, stored};
@@ -33,7 +33,7 @@
     let accepted = process.submit(101);
 
     assert_eq!(refused, Submission::Refused(REFUSAL));
-    assert_eq!(accepted, Submission::Accepted);
+    assert_eq!(accepted, Submission::Accepted(JobState::Queued));
     assert!(elapsed < Duration::from_millis(100), "{elapsed:?}");
     assert!(process.stored_keys().is_empty());
 }
@@ -98,14 +98,14 @@
     thread::sleep(Duration::from_millis(2_100));
     let old = process.submit(102);
 
-    assert_eq!(with_summary, Submission::Accepted);
+    assert_eq!(with_summary, Submission::Accepted(JobState::Queued));
     let Submission::Refused(refusal) = lost else {
         panic!("{lost:?}");
     };
     assert_eq!(refusal.cause, RefusalCause::NoCapacity);
     assert!(refusal.retry_s > 1);
-    assert_eq!(known, Submission::Accepted);
-    assert_eq!(old, Submission::Accepted);
+    assert_eq!(known, Submission::Accepted(JobState::Queued));
+    assert_eq!(old, Submission::Accepted(JobState::Queued));
     assert_eq!(process.stored_keys(), ["j/0000000000000066"]);
     let ages = process.services.script().summary_ages.clone();
     assert_eq!(ages.first(), Some(&None));
@@ -121,8 +121,8 @@
     process.services.script().forward = ForwardAnswer::plain(AppendOutcome::Busy);
     let bypassed = process.submit(101);
 
-    assert_eq!(forwarded, Submission::Accepted);
-    assert_eq!(bypassed, Submission::Accepted);
+    assert_eq!(forwarded, Submission::Accepted(JobState::Queued));
+    assert_eq!(bypassed, Submission::Accepted(JobState::Queued));
     assert_eq!(process.stored_keys(), ["j/0000000000000065"]);
 }
 
