Keep state for the occurrences in hand only

Cause: advance_occurrences gave each due occurrence state for all its tasks, in one loop under the lock. All of it went into each stored record and each pass, and ended occurrences kept their place, so that state followed the number of occurrences, due or done.

Change: due occurrences are a computed count. One gets state when its first task is placed, in the order of due times, and loses it when it is done. Sums and order take the waiting ones as one step with a factor, and a job stands in the order where its next occurrence stands. Progress without its ended occurrences has a record format of its own, which earlier builds refuse. Times are added without overflow.

--- a/src/dispatch/tests/shown_grounds.rs
+++ b/src/dispatch/tests/shown_grounds.rs
@@ -94,6 +94,7 @@
         state: JobState::Running,
         occurrences: vec![Occurrence::default()],
         ended_ms: 0,
+        opened: 1,
     }
 }
 
--- a/src/scheduler/leader/balance.rs
+++ b/src/scheduler/leader/balance.rs
@@ -8,6 +8,7 @@
 use super::Leader;
 use crate::scheduler::balance::{PoolRequest, grant_vms};
 use crate::scheduler::demand::{MoveCandidate, PoolDemand, PoolMove, plan_moves};
+use crate::scheduler::step_status::step_statuses;
 use crate::scheduler::vm::VmOrder;
 use crate::scheduler::{Capacity, JobTable, Millis, Step, StepKey, VmState};
 
@@ -116,22 +117,15 @@
             let Some(pool) = pools.get_mut(name) else {
                 continue;
             };
-            for occurrence in (0..).take(job.progress.occurrences.len()) {
-                for (step, spec) in (0..).zip(&job.spec.steps) {
-                    let step = StepKey {
-                        job: *key,
-                        occurrence,
-                        step,
-                    };
-                    let pending = super::schedule::pending_tasks(job, step).len() as u64;
-                    let together = spec.long_running || (spec.gang && pending > 0);
-                    if together && spec.max_per_target > 0 {
-                        let mut targets = spec.count.div_ceil(spec.max_per_target) as usize;
-                        if pending > 0 {
-                            targets += self.targets_too_small(name, step, spec, &pool.vm_capacity);
-                        }
-                        pool.min_vms = pool.min_vms.max(targets);
+            for status in step_statuses(*key, job, self.due.waiting(*key, job)) {
+                let (step, spec, pending) = (status.key, status.spec, status.pending);
+                let together = spec.long_running || (spec.gang && pending > 0);
+                if together && spec.max_per_target > 0 {
+                    let mut targets = spec.count.div_ceil(spec.max_per_target) as usize;
+                    if pending > 0 {
+                        targets += self.targets_too_small(name, step, spec, &pool.vm_capacity);
                     }
+                    pool.min_vms = pool.min_vms.max(targets);
                 }
             }
         }
--- a/src/scheduler/leader/ends.rs
+++ b/src/scheduler/leader/ends.rs
@@ -5,8 +5,7 @@
 use super::releases::{Evidence, Release};
 use crate::scheduler::run::{EndKind, EndedRun};
 use crate::scheduler::{
-    Job, JobKey, JobState, JobTable, Millis, Occurrence, StepKey, TargetId, TaskKey, TaskPhase,
-    TaskProgress,
+    Job, JobKey, JobState, JobTable, Millis, StepKey, TargetId, TaskKey, TaskPhase,
 };
 
 impl Leader {
@@ -73,7 +72,7 @@
             return;
         };
         let gang = is_gang(job, task);
-        let Some(tasks) = tasks_mut(job, task) else {
+        let Some(tasks) = job.progress.step_mut(task.step) else {
             return;
         };
         let latest = tasks.get(task.index as usize);
@@ -129,7 +128,7 @@
             return;
         };
         let gang = is_gang(job, end.task);
-        let Some(tasks) = tasks_mut(job, end.task) else {
+        let Some(tasks) = job.progress.step_mut(end.task.step) else {
             return;
         };
         if !end.checkpoint.is_empty() {
@@ -158,8 +157,9 @@
         self.count_late_end(table, end.task, end.run, end.kind.name());
     }
 
-    /// Ends a job that was cancelled, has failed or is complete.
-    pub(super) fn update_job_state(&mut self, table: &mut JobTable, key: JobKey) {
+    /// Closes the occurrences of a job that are done, and ends a job that was cancelled, has failed or
+    /// is complete.
+    fn update_job_state(&mut self, table: &mut JobTable, key: JobKey) {
         let Some(job) = table.get_mut(key) else {
             return;
         };
@@ -169,14 +169,12 @@
         }
         let attempts = self.policy.attempts_of(&job.spec);
         let failed = failed_step(job, attempts);
-        clear_done_steps(&mut job.progress.occurrences);
-        let begun = job.progress.occurrences.len();
-        let all_begun = begun == job.spec.occurrences() as usize;
+        job.progress.settle(&job.spec);
         let state = if job.cancelled {
             JobState::Canceled
         } else if failed.is_some() {
             JobState::Failed
-        } else if all_begun && job.progress.occurrences.iter().all(Occurrence::done) {
+        } else if job.progress.is_complete(&job.spec) {
             JobState::Complete
         } else {
             return;
@@ -224,6 +222,7 @@
         spdlog::info!("job_ended", kv: { job = key.to_string(), state = format!("{state:?}"), cause });
         self.unstored_ends.add(key, state, self.now);
         self.active_jobs.swap_remove(&key);
+        self.due.remove(key);
         self.stray_numbers.retain(|task, _| task.step.job != key);
         self.journal.mark_job_dirty(key);
     }
@@ -250,13 +249,15 @@
         };
         if job.progress.state.ended() {
             self.active_jobs.swap_remove(&key);
+            self.due.remove(key);
         } else {
             if self.active_jobs.insert(key) {
                 self.facts.note_job(&job.spec);
             }
-            self.next_occurrence_ms = 0;
+            self.due.add(key, job);
         }
         self.update_job_state(table, key);
+        open_at_once(table, key);
         self.stop_runs_of_ended_job(table, key);
     }
 }
@@ -266,10 +267,13 @@
     step.is_some_and(|step| step.gang)
 }
 
-fn tasks_mut(job: &mut Job, task: TaskKey) -> Option<&mut Vec<TaskProgress>> {
-    let occurrences = &mut job.progress.occurrences;
-    let occurrence = occurrences.get_mut(task.step.occurrence as usize)?;
-    occurrence.steps.get_mut(task.step.step as usize)
+/// Opens the only occurrence of a job without set times.
+fn open_at_once(table: &mut JobTable, key: JobKey) {
+    let job = table.get_mut(key);
+    let job = job.filter(|job| !job.progress.state.ended() && job.spec.occurrence_count == 0);
+    if let Some(job) = job.filter(|job| job.progress.opened == 0) {
+        job.progress.open_next(&job.spec);
+    }
 }
 
 /// Index of a step with a task that has failed `attempts` times or more; `None` without one.
@@ -284,15 +288,3 @@
             (failed && !long_running).then_some(i)
         })
 }
-
-/// Clears the tasks of steps that are done; an empty list of tasks stands for a done step.
-fn clear_done_steps(occurrences: &mut [Occurrence]) {
-    for tasks in occurrences
-        .iter_mut()
-        .flat_map(|occurrence| occurrence.steps.iter_mut())
-    {
-        if tasks.iter().all(|task| task.phase == TaskPhase::Done) {
-            tasks.clear();
-        }
-    }
-}
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -34,6 +34,15 @@
 const MAX_RETRY_MS: Millis = 1_000;
 
 impl Leader {
+    /// Makes the next hold call to a target due now, unless one is in flight.
+    pub(super) fn expedite_hold(&mut self, id: &TargetId, now: Millis) {
+        if let Some(target) = self.targets.get_mut(id)
+            && matches!(target.hold, HoldState::Due(_))
+        {
+            target.hold = HoldState::Due(now);
+        }
+    }
+
     /// Sends the hold calls that are due.
     pub(super) fn send_holds(&mut self, now: Millis) {
         let lease_ms = self.settings.lease_ms;
--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -3,6 +3,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::retention::FORGET_INTERVAL_MS;
 use super::strays::progress_with_strays;
 use super::{Command, Leader};
 use crate::scheduler::run::RunPhase;
@@ -10,13 +11,7 @@
 
 /// Largest number of jobs in one batch, so that a batch stays well below the size limit of a
 /// call.
-const MAX_BATCH_JOBS: usize = 100;
-
-/// Number of times the retention of an ended job after which the time of day alone has it forgotten.
-const MAX_RETENTIONS: u64 = 5;
-
-/// Time between two searches for ended jobs that may be forgotten, in ms.
-const FORGET_INTERVAL_MS: Millis = 5_000;
+pub(super) const MAX_BATCH_JOBS: usize = 100;
 
 /// Longest time between two appends, in ms. A follower presumes the leader dead after a little
 /// more than three of these.
@@ -73,11 +68,11 @@
     /// When a batch was last sent.
     sent_at: Millis,
     /// When ended jobs that may be forgotten are next searched for.
-    next_forget_at: Millis,
+    pub(super) next_forget_at: Millis,
     /// Jobs that have ended, with the time when this leader first saw them so.
-    ended_since: IndexMap<JobKey, Millis>,
+    pub(super) ended_since: IndexMap<JobKey, Millis>,
     /// Jobs that were cancelled and are not known, with the time when they were first seen.
-    early_cancels: IndexMap<JobKey, Millis>,
+    pub(super) early_cancels: IndexMap<JobKey, Millis>,
 }
 
 impl Journal {
@@ -286,46 +281,4 @@
             self.journal.add_planned_run(planned);
         }
     }
-
-    /// Ended jobs, and cancels of jobs that never came, that have been kept long enough, at most as many
-    /// as fit a batch. The time of day may jump, so it counts only by a multiple of that time: for
-    /// jobs that ended before leaders which did not last.
-    fn expired_jobs(&mut self, table: &JobTable, now: Millis, wall_ms: u64) -> Vec<JobKey> {
-        if now < self.journal.next_forget_at {
-            return Vec::new();
-        }
-        self.journal.next_forget_at = now + FORGET_INTERVAL_MS;
-        let retention_ms = self.settings.job_retention_ms;
-        let ended: Vec<(JobKey, u64)> = table
-            .iter()
-            .filter(|(_, job)| job.progress.state.ended())
-            .map(|(key, job)| (key, job.progress.ended_ms))
-            .collect();
-        let keys = ended.iter().map(|(key, _)| *key);
-        note_first_seen(&mut self.journal.ended_since, keys, now);
-        note_first_seen(&mut self.journal.early_cancels, table.early_cancels(), now);
-        let is_old = |since: &Millis| now - since > retention_ms;
-        let ended_since = &self.journal.ended_since;
-        let ended = ended.iter().filter(|(key, ended_ms)| {
-            ended_since.get(key).is_some_and(is_old)
-                || wall_ms.saturating_sub(*ended_ms) > retention_ms * MAX_RETENTIONS
-        });
-        let early_cancels = self.journal.early_cancels.iter();
-        let old_cancels = early_cancels.filter(|(_, since)| is_old(since));
-        let expired = ended.map(|(key, _)| *key);
-        let expired = expired.chain(old_cancels.map(|(key, _)| *key));
-        expired.take(MAX_BATCH_JOBS).collect()
-    }
-}
-
-/// Replaces the keys of `seen` by `keys`, with the time when each was first among them.
-fn note_first_seen(
-    seen: &mut IndexMap<JobKey, Millis>,
-    keys: impl Iterator<Item = JobKey>,
-    now: Millis,
-) {
-    let before = std::mem::take(seen);
-    *seen = keys
-        .map(|key| (key, before.get(&key).copied().unwrap_or(now)))
-        .collect();
 }
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -18,12 +18,14 @@
 mod lost_targets;
 mod messages;
 mod movable_tasks;
+mod occurrences;
 mod place;
 mod placed_tasks;
 mod pool_work;
 mod releases;
 mod removed_entries;
 mod restarts;
+mod retention;
 mod schedule;
 mod stalls;
 mod starts;
@@ -41,9 +43,10 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::balance::DemandTrend;
+use super::due_occurrences::DueOccurrences;
 use super::order::FactsCache;
 use super::placement::ReservedTargets;
-use super::target::{HoldState, Target};
+use super::target::Target;
 use super::vms::VmTracker;
 use super::{Evacuations, Holder, JobKey, JobTable, Millis, Policy, TargetId, TaskKey};
 
@@ -137,8 +140,10 @@
     /// When to schedule again although nothing has changed, because a suspect task is isolated for
     /// a while.
     reschedule_at: Option<Millis>,
-    /// Time of day when the next occurrence of a job is due, in ms since 1970.
-    next_occurrence_ms: u64,
+    /// Occurrences of jobs that are due.
+    due: DueOccurrences,
+    /// When the occurrences that wait are next logged.
+    next_occurrence_log: Millis,
     /// Time of the last poll.
     now: Millis,
     /// When this process last went on after a pause in which another one may have claimed the role.
@@ -306,13 +311,4 @@
             ("orders", runs),
         ]
     }
-
-    /// Makes the next hold call to a target due now, unless one is in flight.
-    fn expedite_hold(&mut self, id: &TargetId, now: Millis) {
-        if let Some(target) = self.targets.get_mut(id)
-            && matches!(target.hold, HoldState::Due(_))
-        {
-            target.hold = HoldState::Due(now);
-        }
-    }
 }
--- a/src/scheduler/leader/place.rs
+++ b/src/scheduler/leader/place.rs
@@ -18,21 +18,21 @@
 impl Leader {
     /// Places pending tasks of a step, until one finds no target, may still be running on an
     /// unlisted target, or would exceed the team's limit. A gang is placed as a whole or not at
-    /// all.
+    /// all. Returns whether any task was placed.
     pub(super) fn start_step(
         &mut self,
         table: &mut JobTable,
         ready: &ReadyStep,
         pool: usize,
         pass: &mut SchedulingPass,
-    ) {
+    ) -> bool {
         let (key, now) = (ready.key, pass.now);
         let Some(job) = table.get(key.job) else {
-            return;
+            return false;
         };
         let spec = Arc::clone(&job.spec);
         let Some(step) = spec.steps.get(key.step as usize) else {
-            return;
+            return false;
         };
         let crashes = |index: u32| {
             let stored = job.progress.task(key.task(index));
@@ -44,13 +44,13 @@
             pending.sort_by_cached_key(|index| Reverse(crashes(*index)));
         }
         if pending.is_empty() || (step.gang && pending.len() < step.count as usize) {
-            return;
+            return false;
         }
         if step.gang && Self::step_has_strays(&pass.strays, key) {
-            return;
+            return false;
         }
         let Some(pool_name) = self.facts.pools().get_index(pool).cloned() else {
-            return;
+            return false;
         };
         let mut placed = Vec::new();
         for index in pending {
@@ -91,9 +91,10 @@
         if step.gang && placed.len() < step.count as usize {
             let used = &mut pass.used_by_team;
             self.remove_planned_runs(&placed, used, spec.team.as_ref(), step, now);
-            return;
+            return false;
         }
         self.record_planned_runs(table, key, &placed);
+        !placed.is_empty()
     }
 
     /// Chooses a target for a task, unless it is known that none has room.
--- a/src/scheduler/leader/pool_work.rs
+++ b/src/scheduler/leader/pool_work.rs
@@ -5,10 +5,10 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::Leader;
-use super::schedule::pending_tasks;
+use crate::scheduler::step_status::{StepStatus, step_statuses};
 use crate::scheduler::urgency::Urgency;
 use crate::scheduler::work::multiply;
-use crate::scheduler::{Capacity, Job, JobKey, JobTable, StepKey};
+use crate::scheduler::{Capacity, JobKey, JobTable};
 
 /// Demand of a pool's jobs.
 #[derive(Clone, Copy, Debug, Default)]
@@ -47,13 +47,16 @@
                 let priorities = work.priority.into_iter().chain([terms.priority]);
                 work.priority = priorities.min();
             }
-            for waiting in waiting_steps(*key, job) {
+            let statuses = step_statuses(*key, job, self.due.waiting(*key, job));
+            for status in statuses.filter(StepStatus::ready) {
+                let reservation = status.spec.reservation();
                 if useless {
-                    let least = multiply(&waiting.reservation, waiting.least);
-                    work.least = work.least.max_each(&least);
+                    // The members of a gang make progress only together.
+                    let least = if status.spec.gang { status.pending } else { 1 };
+                    work.least = work.least.max_each(&multiply(&reservation, least));
                 } else {
-                    let all = multiply(&waiting.reservation, waiting.count);
-                    work.demand.add(&all);
+                    work.demand
+                        .add(&multiply(&reservation, status.pending_in_all()));
                 }
             }
         }
@@ -69,34 +72,3 @@
         works
     }
 }
-
-/// Tasks of a step that could start now.
-struct WaitingStep {
-    reservation: Capacity,
-    count: u64,
-    /// Number of tasks that make progress: all of a gang.
-    least: u64,
-}
-
-/// Steps of a job with tasks that could start now.
-fn waiting_steps(key: JobKey, job: &Job) -> impl Iterator<Item = WaitingStep> {
-    (0..)
-        .zip(&job.progress.occurrences)
-        .flat_map(move |(occurrence, progress)| {
-            (0..).zip(&job.spec.steps).filter_map(move |(step, spec)| {
-                let step = StepKey {
-                    job: key,
-                    occurrence,
-                    step,
-                };
-                let mut needed = spec.depends_on.iter();
-                let count = pending_tasks(job, step).len() as u64;
-                let ready = count > 0 && needed.all(|needed| progress.step_done(*needed));
-                ready.then(|| WaitingStep {
-                    reservation: spec.reservation(),
-                    count,
-                    least: if spec.gang { count } else { 1 },
-                })
-            })
-        })
-}
--- a/src/scheduler/leader/schedule.rs
+++ b/src/scheduler/leader/schedule.rs
@@ -9,7 +9,7 @@
 use crate::scheduler::order::{self, Plan, PoolLoad, PoolRoom, SmallestTask};
 use crate::scheduler::placement::ReservedTargets;
 use crate::scheduler::target::Target;
-use crate::scheduler::{Capacity, Job, JobTable, Millis, Occurrence, StepKey, TaskKey, TaskPhase};
+use crate::scheduler::{Capacity, Job, JobTable, Millis, StepKey, TaskKey, TaskPhase};
 
 /// Least time between two passes over the jobs while many jobs wait for room, in ms: short beside
 /// the run time of a task, and enough for the leader to handle the answers to its calls.
@@ -57,30 +57,6 @@
 }
 
 impl Leader {
-    /// Adds the occurrences of jobs that are due by `wall_ms`.
-    pub(super) fn advance_occurrences(&mut self, table: &mut JobTable, now: Millis, wall_ms: u64) {
-        self.now = now;
-        self.wall_ms = wall_ms;
-        if wall_ms < self.next_occurrence_ms {
-            return;
-        }
-        self.next_occurrence_ms = u64::MAX;
-        for key in self.active_jobs.clone() {
-            let Some(job) = table.get_mut(key) else {
-                continue;
-            };
-            while let Some(due) = next_occurrence(job) {
-                if due > wall_ms {
-                    self.next_occurrence_ms = self.next_occurrence_ms.min(due);
-                    break;
-                }
-                job.progress.occurrences.push(Occurrence::new(&job.spec));
-                self.facts.note_change(key);
-                self.needs_scheduling = true;
-            }
-        }
-    }
-
     /// Begins a pass over the jobs if one is wanted and may begin now.
     pub(super) fn schedule_if_due(&mut self, table: &mut JobTable, now: Millis) {
         let recheck = self.reschedule_at.is_some_and(|at| at <= now);
@@ -103,7 +79,8 @@
         for job in self.journal.take_changed() {
             self.facts.note_change(job);
         }
-        self.facts.refresh(table, &self.policy, &self.active_jobs);
+        self.facts
+            .refresh(table, &self.policy, &self.active_jobs, &self.due);
         let rooms = self.rooms(now);
         let plan = self.plan(&rooms);
         self.log_order(&plan, now);
@@ -130,7 +107,9 @@
             for step in ready {
                 self.start_step(table, &step, pool, &mut pass);
             }
+            self.start_waiting_occurrences(table, position.job, pool, &mut pass);
         }
+        self.log_waiting_occurrences(table, now);
         self.finish_isolation(pass.isolation, now);
         self.last_pass = LastPass { at: now, waiting };
     }
@@ -201,16 +180,10 @@
     }
 }
 
-/// Due time of the next occurrence, in ms since 1970; `None` when all have begun.
-fn next_occurrence(job: &Job) -> Option<u64> {
-    let begun = u32::try_from(job.progress.occurrences.len()).unwrap_or(u32::MAX);
-    (begun < job.spec.occurrences()).then(|| job.spec.due_ms(begun).unwrap_or(0))
-}
-
-/// Indices of the step's tasks that are neither placed nor done.
+/// Indices of the tasks of a step of an open occurrence that are neither placed nor done.
 pub(super) fn pending_tasks(job: &Job, key: StepKey) -> Vec<u32> {
-    let occurrence = &job.progress.occurrences[key.occurrence as usize];
-    let tasks = occurrence.steps.get(key.step as usize);
+    let occurrence = job.progress.occurrence(key.occurrence);
+    let tasks = occurrence.and_then(|occurrence| occurrence.steps.get(key.step as usize));
     let tasks = (0..).zip(tasks.into_iter().flatten());
     tasks
         .filter(|(_, task)| task.phase == TaskPhase::Pending)
--- a/src/scheduler/leader/sums.rs
+++ b/src/scheduler/leader/sums.rs
@@ -6,12 +6,12 @@
 use indexmap::IndexMap;
 
 use super::Leader;
-use super::schedule::pending_tasks;
 use crate::scheduler::backlog::PoolBacklog;
 use crate::scheduler::shares::TeamLoad;
+use crate::scheduler::step_status::step_statuses;
 use crate::scheduler::urgency::Urgency;
 use crate::scheduler::work::{JobClaim, Work, multiply, to_float};
-use crate::scheduler::{Capacity, Job, JobKey, JobTable, Policy, StepKey, TargetState, VmState};
+use crate::scheduler::{Capacity, Job, JobKey, JobTable, Policy, TargetState, VmState};
 
 /// Work and capacity of a pool while the summary is computed.
 #[derive(Debug, Default)]
@@ -124,7 +124,7 @@
             let (work, ready) = if untouched {
                 (claim.work, claim.ready)
             } else {
-                remaining(*key, job)
+                remaining(*key, job, self.due.waiting(*key, job))
             };
             let name = policy.pool_of(&job.spec.queue, &job.spec.pool);
             let Some(pool) = sums.pools.get_mut(name) else {
@@ -146,23 +146,15 @@
 }
 
 /// Work of the tasks of a job that are neither placed nor done, and what those of them reserve that
-/// could start now.
-fn remaining(key: JobKey, job: &Job) -> (Work, Capacity) {
+/// could start now. `waiting` is the number of its occurrences that are due and not open.
+fn remaining(key: JobKey, job: &Job, waiting: u32) -> (Work, Capacity) {
     let (mut work, mut ready) = (Work::default(), Capacity::default());
-    for (occurrence, progress) in (0..).zip(&job.progress.occurrences) {
-        for (step, spec) in (0..).zip(&job.spec.steps) {
-            let step = StepKey {
-                job: key,
-                occurrence,
-                step,
-            };
-            let pending = pending_tasks(job, step).len() as u64;
-            let amount = spec.reservation();
-            work.add(&Work::of(&amount, pending, spec.estimate_ms));
-            let mut needed = spec.depends_on.iter();
-            if needed.all(|needed| progress.step_done(*needed)) {
-                ready.add(&multiply(&amount, pending));
-            }
+    for status in step_statuses(key, job, waiting) {
+        let amount = status.spec.reservation();
+        let pending = status.pending_in_all();
+        work.add(&Work::of(&amount, pending, status.spec.estimate_ms));
+        if status.ready() {
+            ready.add(&multiply(&amount, pending));
         }
     }
     (work, ready)
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -15,6 +15,7 @@
 use super::unstored_ends::UnstoredEnds;
 use super::verdicts::Loss;
 use super::{Leader, LeaderSettings};
+use crate::scheduler::due_occurrences::DueOccurrences;
 use crate::scheduler::lease::Lease;
 use crate::scheduler::order::FactsCache;
 use crate::scheduler::placement::ReservedTargets;
@@ -76,7 +77,8 @@
             next_order_log: 0,
             isolation_targets: ReservedTargets::new(),
             reschedule_at: None,
-            next_occurrence_ms: 0,
+            due: DueOccurrences::default(),
+            next_occurrence_log: 0,
             now,
             resumed_at: now,
             wall_ms,
--- a/src/scheduler/order/facts.rs
+++ b/src/scheduler/order/facts.rs
@@ -6,10 +6,10 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::history::QueueHistory;
+use crate::scheduler::due_occurrences::DueOccurrences;
+use crate::scheduler::step_status::{StepStatus, step_statuses};
 use crate::scheduler::urgency::Deadlines;
-use crate::scheduler::{
-    Capacity, Job, JobKey, JobSpec, JobTable, Millis, Policy, Step, StepKey, TaskPhase,
-};
+use crate::scheduler::{Capacity, JobKey, JobSpec, JobTable, Millis, Policy, Step, StepKey};
 
 /// Number of jobs whose facts are computed anew in each refresh although no change was noted. A
 /// change that was not noted must not keep a job from being placed for good.
@@ -41,7 +41,8 @@
     pub(crate) pending_work: u64,
     /// Number of its steps that are not done.
     pub(crate) open_steps: u64,
-    /// Steps with pending tasks whose `depends_on` steps are all done.
+    /// Steps with pending tasks whose `depends_on` steps are all done, last those of the next occurrence
+    /// if it is due and not open.
     pub(crate) ready: Vec<ReadyStep>,
 }
 
@@ -51,25 +52,18 @@
         self.spec.team.as_deref()
     }
 
-    /// Adds up the work of the tasks that are not done.
-    fn add_work(&mut self, job: &Job) {
-        for occurrence in &job.progress.occurrences {
-            for (step, tasks) in job.spec.steps.iter().zip(&occurrence.steps) {
-                let mut pending: u64 = 0;
-                let mut placed: u64 = 0;
-                for task in tasks {
-                    match task.phase {
-                        TaskPhase::Pending => pending += 1,
-                        TaskPhase::Placed { .. } => placed += 1,
-                        TaskPhase::Done => self.placed = true,
-                    }
-                }
-                // A step that is done has no tasks.
-                self.placed |= placed > 0 || tasks.is_empty();
-                self.open_steps += u64::from(pending + placed > 0);
-                let pending = work_of(step, pending);
-                self.pending_work = self.pending_work.saturating_add(pending);
-            }
+    /// Takes in where a step of the job stands.
+    fn add_step(&mut self, status: &StepStatus<'_>) {
+        self.placed |= status.pending < u64::from(status.spec.count);
+        self.open_steps += u64::from(!status.done());
+        let pending = work_of(status.spec, status.pending_in_all());
+        self.pending_work = self.pending_work.saturating_add(pending);
+        if status.ready() {
+            self.ready.push(ReadyStep {
+                key: status.key,
+                reservation: status.spec.reservation(),
+                special: status.spec.long_running || status.suspect,
+            });
         }
     }
 }
@@ -148,7 +142,13 @@
 
     /// Computes the facts anew on jobs that have changed, and on all of `active` after a change of
     /// the policy.
-    pub(crate) fn refresh(&mut self, table: &JobTable, policy: &Policy, active: &IndexSet<JobKey>) {
+    pub(crate) fn refresh(
+        &mut self,
+        table: &JobTable,
+        policy: &Policy,
+        active: &IndexSet<JobKey>,
+        due: &DueOccurrences,
+    ) {
         if self.policy_version != Some(policy.version) {
             self.policy_version = Some(policy.version);
             self.jobs.clear();
@@ -156,13 +156,13 @@
             self.changed.extend(active);
         }
         for key in std::mem::take(&mut self.changed) {
-            self.update(table, policy, active, key);
+            self.update(table, policy, active, due, key);
         }
         for _ in 0..RECHECKED_JOBS.min(active.len()) {
             self.next_check = (self.next_check + 1) % active.len();
             let key = active[self.next_check];
             let before = cfg!(debug_assertions).then(|| self.jobs.get(&key).cloned());
-            self.update(table, policy, active, key);
+            self.update(table, policy, active, due, key);
             if let Some(before) = before {
                 debug_assert_eq!(before.as_ref(), self.jobs.get(&key), "an unnoted change");
             }
@@ -174,6 +174,7 @@
         table: &JobTable,
         policy: &Policy,
         active: &IndexSet<JobKey>,
+        due: &DueOccurrences,
         key: JobKey,
     ) {
         let job = table.get(key).filter(|_| active.contains(&key));
@@ -191,12 +192,15 @@
             queue: self.history_of(&job.spec.queue).0,
             spec: Arc::clone(&job.spec),
             deadlines: Deadlines::of(job, policy.terms_of(&job.spec)),
-            placed: false,
+            // Occurrences that are not open any more are done.
+            placed: !job.progress.is_dense(),
             pending_work: 0,
             open_steps: 0,
-            ready: ready_steps(key, job),
+            ready: Vec::new(),
         };
-        facts.add_work(job);
+        for status in step_statuses(key, job, due.waiting(key, job)) {
+            facts.add_step(&status);
+        }
         self.jobs.insert(key, facts);
     }
 }
@@ -206,30 +210,3 @@
     let task = step.reservation().cpu.saturating_mul(step.estimate_ms);
     task.saturating_mul(tasks)
 }
-
-/// Steps of begun occurrences that have pending tasks and whose `depends_on` steps are all done.
-fn ready_steps(key: JobKey, job: &Job) -> Vec<ReadyStep> {
-    let mut ready = Vec::new();
-    for (occurrence, progress) in (0..).zip(&job.progress.occurrences) {
-        for (step, (spec, tasks)) in (0..).zip(job.spec.steps.iter().zip(&progress.steps)) {
-            let mut pending = tasks
-                .iter()
-                .filter(|task| task.phase == TaskPhase::Pending)
-                .peekable();
-            let mut needed = spec.depends_on.iter();
-            if pending.peek().is_none() || !needed.all(|needed| progress.step_done(*needed)) {
-                continue;
-            }
-            ready.push(ReadyStep {
-                key: StepKey {
-                    job: key,
-                    occurrence,
-                    step,
-                },
-                reservation: spec.reservation(),
-                special: spec.long_running || pending.any(|task| task.crashes.is_suspect()),
-            });
-        }
-    }
-    ready
-}
--- a/src/scheduler/progress.rs
+++ b/src/scheduler/progress.rs
@@ -74,19 +74,24 @@
     pub crashes: Crashes,
 }
 
-/// One occurrence of a job: the progress of its tasks, by step.
+/// One occurrence of a job that has begun to be placed: the progress of its tasks, by step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Occurrence {
+    /// Number of the occurrence, from 0. It is not part of the record's first format, in which
+    /// occurrences lie in the order of their numbers.
+    #[serde(skip)]
+    pub number: u32,
     /// Tasks of each step, in the order of the spec; a step whose tasks are all done has none.
     pub steps: Vec<Vec<TaskProgress>>,
 }
 
 impl Occurrence {
-    /// An occurrence with all tasks of `spec` pending.
+    /// The occurrence with this number, with all tasks of `spec` pending.
     #[must_use]
-    pub fn new(spec: &JobSpec) -> Self {
+    pub fn new(number: u32, spec: &JobSpec) -> Self {
         let steps = spec.steps.iter();
         Self {
+            number,
             steps: steps
                 .map(|step| vec![TaskProgress::default(); step.count as usize])
                 .collect(),
@@ -108,34 +113,122 @@
         let tasks = self.steps.get(step as usize);
         tasks.is_none_or(|tasks| tasks.iter().all(|t| t.phase == TaskPhase::Done))
     }
+
+    /// Clears the tasks of steps that are done.
+    fn clear_done_steps(&mut self) {
+        for tasks in &mut self.steps {
+            if tasks.iter().all(|task| task.phase == TaskPhase::Done) {
+                tasks.clear();
+            }
+        }
+    }
+
+    /// Number of its tasks that are not cleared, and of its steps.
+    fn size(&self) -> u64 {
+        let tasks: usize = self.steps.iter().map(Vec::len).sum();
+        (tasks + self.steps.len()) as u64
+    }
 }
 
 /// Progress of a job.
+///
+/// It has state for the open occurrences only: those that have begun to be placed and are not done.
+/// Occurrences are opened in the order of their numbers, so that each one below `opened` which is not
+/// among them is done, and a count tells all of the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobProgress {
     /// State that callers see, apart from a cancel that is not applied yet.
     pub state: JobState,
-    /// Occurrences that have come due, in order of their due times.
+    /// Open occurrences, in the order of their numbers. That of a job without set times stays when it
+    /// is done.
     pub occurrences: Vec<Occurrence>,
     /// When the job ended, in ms since 1970; 0 while it has not.
     pub ended_ms: u64,
+    /// Number of occurrences that have been opened.
+    #[serde(skip)]
+    pub opened: u32,
 }
 
 impl JobProgress {
+    /// Returns whether the open occurrences are all that have been opened, as the first format of the
+    /// record takes for granted.
+    pub(super) fn is_dense(&self) -> bool {
+        self.occurrences.len() == self.opened as usize
+    }
+
+    /// Numbers the occurrences of a record of the first format.
+    pub(super) fn number_occurrences(&mut self) {
+        for (number, occurrence) in (0..).zip(&mut self.occurrences) {
+            occurrence.number = number;
+        }
+        self.opened = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
+    }
+
+    /// Opens the next occurrence of the job, with all its tasks pending; returns its number.
+    pub(super) fn open_next(&mut self, spec: &JobSpec) -> u32 {
+        let number = self.opened;
+        self.occurrences.push(Occurrence::new(number, spec));
+        self.opened += 1;
+        number
+    }
+
+    /// Takes back the opening of the last occurrence, of which nothing was placed.
+    pub(super) fn close_last(&mut self) {
+        if self.occurrences.pop().is_some() {
+            self.opened -= 1;
+        }
+    }
+
+    /// The open occurrence with this number.
+    #[must_use]
+    pub fn occurrence(&self, number: u32) -> Option<&Occurrence> {
+        let index = self.index_of(number)?;
+        self.occurrences.get(index)
+    }
+
+    fn index_of(&self, number: u32) -> Option<usize> {
+        let found = self.occurrences.binary_search_by_key(&number, |o| o.number);
+        found.ok()
+    }
+
+    /// Tasks of a step of an open occurrence; none once all of them are done.
+    pub(super) fn step_mut(&mut self, key: StepKey) -> Option<&mut Vec<TaskProgress>> {
+        let index = self.index_of(key.occurrence)?;
+        self.occurrences[index].steps.get_mut(key.step as usize)
+    }
+
+    /// Number of tasks and steps of the open occurrences, which the size of the record follows.
+    pub(super) fn size(&self) -> u64 {
+        self.occurrences.iter().map(Occurrence::size).sum()
+    }
+
+    /// Clears the steps that are done, and closes the occurrences that are.
+    pub(super) fn settle(&mut self, spec: &JobSpec) {
+        for occurrence in &mut self.occurrences {
+            occurrence.clear_done_steps();
+        }
+        if spec.occurrence_count > 0 {
+            self.occurrences.retain(|occurrence| !occurrence.done());
+        }
+    }
+
+    /// Returns whether every task of every occurrence is done.
+    pub(super) fn is_complete(&self, spec: &JobSpec) -> bool {
+        self.opened == spec.occurrences() && self.occurrences.iter().all(Occurrence::done)
+    }
+
     /// Progress of all tasks that have any, of the job with this key.
     pub(super) fn tasks(&self, job: JobKey) -> impl Iterator<Item = (TaskKey, &TaskProgress)> {
-        let steps = (0..)
-            .zip(&self.occurrences)
-            .flat_map(move |(n, occurrence)| {
-                (0..).zip(&occurrence.steps).map(move |(step, tasks)| {
-                    let key = StepKey {
-                        job,
-                        occurrence: n,
-                        step,
-                    };
-                    (key, tasks)
-                })
-            });
+        let steps = self.occurrences.iter().flat_map(move |occurrence| {
+            (0..).zip(&occurrence.steps).map(move |(step, tasks)| {
+                let key = StepKey {
+                    job,
+                    occurrence: occurrence.number,
+                    step,
+                };
+                (key, tasks)
+            })
+        });
         steps.flat_map(|(step, tasks)| {
             (0..)
                 .zip(tasks)
@@ -156,18 +249,15 @@
         })
     }
 
-    /// Progress of a task; `None` when its occurrence is not due yet, or all tasks of its step
-    /// are done.
+    /// Progress of a task; `None` when its occurrence is not open, or all tasks of its step are done.
     #[must_use]
     pub fn task(&self, key: TaskKey) -> Option<&TaskProgress> {
-        let steps = &self.occurrences.get(key.step.occurrence as usize)?.steps;
+        let steps = &self.occurrence(key.step.occurrence)?.steps;
         steps.get(key.step.step as usize)?.get(key.index as usize)
     }
 
     /// Like [`Self::task`], for changing the progress.
     pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut TaskProgress> {
-        let occurrence = self.occurrences.get_mut(key.step.occurrence as usize)?;
-        let tasks = occurrence.steps.get_mut(key.step.step as usize)?;
-        tasks.get_mut(key.index as usize)
+        self.step_mut(key.step)?.get_mut(key.index as usize)
     }
 }
--- a/src/scheduler/record.rs
+++ b/src/scheduler/record.rs
@@ -7,11 +7,16 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
+use super::sparse_progress::SparseProgress;
 use super::{JobKey, JobProgress, JobSpec};
 
-/// Format version, the first byte of every value; a process refuses records of a later one.
+/// Format version of most records, the first byte of every value.
 const FORMAT: u8 = 1;
 
+/// Format version of progress from which ended occurrences are left out: builds that know only the
+/// first format would take the others for the first ones. A process refuses records of a later one.
+const SPARSE_FORMAT: u8 = 2;
+
 /// The process that holds the leader role, as it claimed it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
@@ -98,15 +103,25 @@
         }
     }
 
+    fn format(&self) -> u8 {
+        match self {
+            Self::Progress(_, progress) if !progress.is_dense() => SPARSE_FORMAT,
+            _ => FORMAT,
+        }
+    }
+
     /// Value of the record in the stream.
     ///
     /// # Errors
     /// Fails when a part of the record can't be serialised.
     pub fn encode(&self) -> Result<Vec<u8>> {
-        let mut value = vec![FORMAT];
+        let mut value = vec![self.format()];
         match self {
             Self::Job(_, spec) => rmp_serde::encode::write(&mut value, spec)?,
             Self::Cancel(_) => {}
+            Self::Progress(_, progress) if !progress.is_dense() => {
+                rmp_serde::encode::write(&mut value, &SparseProgress::of(progress))?;
+            }
             Self::Progress(_, progress) => rmp_serde::encode::write(&mut value, progress)?,
             Self::Holder(holder) => rmp_serde::encode::write(&mut value, holder)?,
             Self::Wave(_, progress) => rmp_serde::encode::write(&mut value, progress)?,
@@ -156,16 +171,16 @@
                 None => Self::Other,
             });
         };
-        if format > FORMAT {
-            bail!("record {key:?} has format {format}, newer than {FORMAT}");
+        if format > SPARSE_FORMAT {
+            bail!("record {key:?} has format {format}, newer than {SPARSE_FORMAT}");
         }
-        decode_record(key, body)
+        decode_record(key, format, body)
             .with_context(|| format!("record {key:?}"))
             .map(Self::Put)
     }
 }
 
-fn decode_record(key: &str, body: &[u8]) -> Result<Record> {
+fn decode_record(key: &str, format: u8, body: &[u8]) -> Result<Record> {
     if key == HOLDER_KEY {
         return Ok(Record::Holder(rmp_serde::from_slice(body)?));
     }
@@ -182,7 +197,15 @@
     match kind {
         "j" => Ok(Record::Job(job, rmp_serde::from_slice(body)?)),
         "c" => Ok(Record::Cancel(job)),
-        "p" => Ok(Record::Progress(job, rmp_serde::from_slice(body)?)),
+        "p" if format == SPARSE_FORMAT => {
+            let progress: SparseProgress<'_> = rmp_serde::from_slice(body)?;
+            Ok(Record::Progress(job, progress.into_progress()))
+        }
+        "p" => {
+            let mut progress: JobProgress = rmp_serde::from_slice(body)?;
+            progress.number_occurrences();
+            Ok(Record::Progress(job, progress))
+        }
         _ => bail!("unknown kind of record"),
     }
 }
--- a/src/scheduler/spec.rs
+++ b/src/scheduler/spec.rs
@@ -150,6 +150,27 @@
         })
     }
 
+    /// Number of occurrences that are due at `wall_ms`, in ms since 1970. They come due in order.
+    #[must_use]
+    pub fn due_count(&self, wall_ms: u64) -> u32 {
+        if self.occurrence_count == 0 {
+            return 1;
+        }
+        let Some(passed_ms) = wall_ms.checked_sub(self.first_due_ms) else {
+            return 0;
+        };
+        let after_first = passed_ms.checked_div(self.interval_ms).unwrap_or(u64::MAX);
+        let due = after_first.saturating_add(1);
+        u32::try_from(due).map_or(self.occurrence_count, |due| due.min(self.occurrence_count))
+    }
+
+    /// Number of tasks and steps of one occurrence, for which its progress has state.
+    #[must_use]
+    pub fn occurrence_size(&self) -> u64 {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        tasks + self.steps.len() as u64
+    }
+
     /// Returns whether some step is long-running, so that the job never ends by itself.
     #[must_use]
     pub fn is_long_running(&self) -> bool {
@@ -164,7 +185,7 @@
         for step in &self.steps {
             let before = step.depends_on.iter().filter_map(|i| ends.get(*i as usize));
             let start = before.copied().max().unwrap_or(0);
-            ends.push(start + step.estimate_ms);
+            ends.push(start.saturating_add(step.estimate_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/src/scheduler/urgency.rs
+++ b/src/scheduler/urgency.rs
@@ -1,6 +1,6 @@
 //! Whether jobs can still meet their latency objectives.
 
-use super::{Job, JobKey, QueueTerms, TaskPhase};
+use super::{Job, JobKey, JobSpec, Occurrence, QueueTerms, TaskPhase};
 
 /// A late job is still of use to its caller within this many times its latency objective.
 pub(super) const LATE_FACTOR: u64 = 3;
@@ -36,21 +36,21 @@
     pub(super) fn of(job: &Job, terms: QueueTerms) -> Self {
         let spec = &job.spec;
         let objective_ms = terms.objective_ms;
-        let latest = job.progress.occurrences.len().saturating_sub(1);
-        let latest = u32::try_from(latest).unwrap_or(u32::MAX);
-        let start_ms = spec.due_ms(latest).unwrap_or(spec.accepted_ms);
+        let (number, occurrence) = next_in_turn(job);
+        let start_ms = spec.due_ms(number).unwrap_or(spec.accepted_ms);
         Self {
             long_running: spec.is_long_running(),
             priority: terms.priority,
-            due_ms: start_ms + objective_ms,
-            useful_until_ms: start_ms + objective_ms * LATE_FACTOR,
-            left_ms: remaining_path_ms(job),
+            due_ms: start_ms.saturating_add(objective_ms),
+            useful_until_ms: start_ms.saturating_add(objective_ms.saturating_mul(LATE_FACTOR)),
+            left_ms: occurrence
+                .map_or_else(|| spec.critical_path_ms(), |o| remaining_path_ms(spec, o)),
         }
     }
 
     /// Whether the job can still meet its objective at `wall_ms`, the time of day in ms since 1970.
     pub(super) const fn timeliness(&self, wall_ms: u64) -> Timeliness {
-        let end_ms = wall_ms + self.left_ms;
+        let end_ms = wall_ms.saturating_add(self.left_ms);
         if self.long_running {
             Timeliness::LongRunning
         } else if end_ms <= self.due_ms {
@@ -98,13 +98,37 @@
     }
 }
 
+/// Number of the occurrence of which tasks are placed next, and the occurrence itself if it is open:
+/// the first one with pending tasks that may be placed, else the next one to be opened, or the last.
+fn next_in_turn(job: &Job) -> (u32, Option<&Occurrence>) {
+    let progress = &job.progress;
+    let mut open = progress.occurrences.iter();
+    if let Some(occurrence) = open.find(|occurrence| has_ready_tasks(&job.spec, occurrence)) {
+        return (occurrence.number, Some(occurrence));
+    }
+    if progress.opened < job.spec.occurrences() {
+        return (progress.opened, None);
+    }
+    let last = progress.occurrences.last();
+    let number = last.map_or_else(|| progress.opened.saturating_sub(1), |o| o.number);
+    (number, last)
+}
+
+fn has_ready_tasks(spec: &JobSpec, occurrence: &Occurrence) -> bool {
+    spec.steps
+        .iter()
+        .zip(&occurrence.steps)
+        .any(|(step, tasks)| {
+            let mut needed = step.depends_on.iter();
+            tasks.iter().any(|task| task.phase == TaskPhase::Pending)
+                && needed.all(|needed| occurrence.step_done(*needed))
+        })
+}
+
 /// Length in ms of the critical path over steps with tasks that are not placed yet.
-fn remaining_path_ms(job: &Job) -> u64 {
-    let Some(occurrence) = job.progress.occurrences.last() else {
-        return job.spec.critical_path_ms();
-    };
-    let mut end_ms: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
-    for (i, step) in job.spec.steps.iter().enumerate() {
+fn remaining_path_ms(spec: &JobSpec, occurrence: &Occurrence) -> u64 {
+    let mut end_ms: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for (i, step) in spec.steps.iter().enumerate() {
         let before = step
             .depends_on
             .iter()
@@ -113,7 +137,7 @@
         let tasks = occurrence.steps.get(i);
         let open = tasks.is_some_and(|tasks| tasks.iter().any(|t| t.phase == TaskPhase::Pending));
         let length = if open { step.estimate_ms } else { 0 };
-        end_ms.push(start + length);
+        end_ms.push(start.saturating_add(length));
     }
     end_ms.into_iter().max().unwrap_or(0)
 }
--- a/tests/claiming/main.rs
+++ b/tests/claiming/main.rs
@@ -94,8 +94,9 @@
     let id = TargetId("t".into());
     let mut progress = JobProgress {
         state: JobState::Running,
-        occurrences: vec![Occurrence::new(&job())],
+        occurrences: vec![Occurrence::new(0, &job())],
         ended_ms: 0,
+        opened: 1,
     };
     let task = progress.task_mut(step.task(0)).expect("a task");
     task.run = 1;
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -30,6 +30,7 @@
 mod late_ends;
 mod longest_leases;
 mod noted_ends;
+mod occurrences;
 mod parallel_runs;
 mod pool_day;
 mod pools;
--- a/tests/scheduler/records.rs
+++ b/tests/scheduler/records.rs
@@ -32,9 +32,11 @@
     JobProgress {
         state: JobState::Running,
         occurrences: vec![Occurrence {
+            number: 0,
             steps: vec![vec![task]],
         }],
         ended_ms: 0,
+        opened: 1,
     }
 }
 
@@ -56,6 +58,57 @@
     assert_eq!(read, Change::Put(record));
 }
 
+/// [`Occurrence`] before it had a number.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct EarlierOccurrence {
+    steps: Vec<Vec<TaskProgress>>,
+}
+
+/// [`JobProgress`] before ended occurrences were left out.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct EarlierProgress {
+    state: JobState,
+    occurrences: Vec<EarlierOccurrence>,
+    ended_ms: u64,
+}
+
+/// Guards against mixed builds that can't read each other's records while no occurrence is left out.
+#[test]
+fn progress_with_all_occurrences_is_stored_as_before() {
+    let progress = progress(Crashes::default());
+    let steps = progress.occurrences[0].steps.clone();
+    let earlier = EarlierProgress {
+        state: progress.state,
+        occurrences: vec![EarlierOccurrence { steps }],
+        ended_ms: progress.ended_ms,
+    };
+    let record = Record::Progress(JobKey(1), progress);
+    let mut expected = vec![1];
+    rmp_serde::encode::write(&mut expected, &earlier).unwrap();
+
+    let stored = record.encode().unwrap();
+    let read = Change::decode(&record.key(), &expected).unwrap();
+
+    assert_eq!(stored, expected);
+    assert_eq!(read, Change::Put(record));
+}
+
+/// Guards against an earlier build that takes the third occurrence for the first one: it refuses the
+/// later format.
+#[test]
+fn progress_without_its_ended_occurrences_is_read_back() {
+    let mut progress = progress(Crashes::default());
+    progress.occurrences[0].number = 2;
+    progress.opened = 5;
+    let record = Record::Progress(JobKey(1), progress);
+
+    let stored = record.encode().unwrap();
+    let read = Change::decode(&record.key(), &stored).unwrap();
+
+    assert_eq!(stored[0], 2);
+    assert_eq!(read, Change::Put(record));
+}
+
 /// Guards against mixed builds that can't read each other's records.
 #[test]
 fn a_task_without_crashes_is_stored_as_before() {
--- a/tests/scheduler/target.rs
+++ b/tests/scheduler/target.rs
@@ -125,6 +125,8 @@
     next_position: u64,
     /// When its lease was last seen to have lapsed.
     lapsed_at: Millis,
+    /// Tasks of the runs that have ended as done since the simulation last took them.
+    pub(crate) newly_done: Vec<TaskKey>,
     /// Ends as done that the leader let the target forget.
     pub(crate) forgotten_done: Vec<ForgottenEnd>,
 }
@@ -168,6 +170,7 @@
             ends_page: 500,
             next_position: 1,
             lapsed_at: 0,
+            newly_done: Vec::new(),
             forgotten_done: Vec::new(),
         }
     }
@@ -246,6 +249,9 @@
         for ((task, run), kind) in over {
             self.runs.shift_remove(&(task, run));
             self.bar_starts(task, run);
+            if kind == EndKind::Done {
+                self.newly_done.push(task);
+            }
             let end = EndedRun {
                 position: self.next_position,
                 task,
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -53,6 +53,8 @@
 /// Longest time until a leader reads of a change of a target's entry, in ms: the time between two
 /// heartbeats, and between two reads of the list.
 pub(crate) const ENTRY_LAG_MS: Millis = 1_700;
+/// Longest record that the store takes, in bytes.
+pub(crate) const MAX_RECORD_BYTES: usize = 262_144;
 /// Attempts of a job that was accepted without the terms of its queue.
 const FEWEST_ATTEMPTS: u32 = 2;
 /// Time of day at virtual time 0, in ms since 1970.
@@ -208,6 +210,8 @@
     cancelled: IndexMap<JobKey, Millis>,
     /// Tasks whose ends as done were forgotten by their targets; they must not start again.
     done: IndexSet<TaskKey>,
+    /// Tasks of the runs that have ended as done, in the order of the ends.
+    ended_done: Vec<TaskKey>,
     /// When each task was last started.
     started_at: IndexMap<TaskKey, Millis>,
     wave: Option<Wave>,
@@ -255,6 +259,7 @@
             rng: Rng::with_seed(seed),
             cancelled: IndexMap::new(),
             done: IndexSet::new(),
+            ended_done: Vec::new(),
             started_at: IndexMap::new(),
             wave: None,
             vm_service: VmService::default(),
@@ -555,6 +560,7 @@
         self.advance_gangs();
         for target in self.targets.values_mut().filter(|target| target.alive) {
             target.advance(self.now);
+            self.ended_done.append(&mut target.newly_done);
         }
         while let Some(entry) = self.actions.first_entry() {
             if entry.key().0 > self.now {
@@ -843,6 +849,7 @@
             self.processes[leader].gone = true;
             return;
         }
+        self.check_record_sizes(&changes);
         self.store_batch(leader, batch, &changes);
         let acknowledged = Action::Acknowledge {
             leader,
@@ -852,6 +859,33 @@
         self.schedule(STORE_LATENCY_MS, acknowledged);
     }
 
+    /// Checks that the store takes the records of a batch.
+    fn check_record_sizes(&mut self, changes: &[Change]) {
+        for change in changes {
+            let Change::Put(record) = change else {
+                continue;
+            };
+            let size = record.encode().unwrap().len();
+            if size > MAX_RECORD_BYTES {
+                let key = record.key();
+                self.violations
+                    .push(format!("{}: record {key} has {size} bytes", self.now));
+            }
+        }
+    }
+
+    /// Tasks of a job of which a run has ended as done, in the order of the first such end.
+    pub(crate) fn done_tasks(&self, job: JobKey) -> IndexSet<TaskKey> {
+        let done = self.ended_done.iter().filter(|task| task.step.job == job);
+        done.copied().collect()
+    }
+
+    /// Runs of tasks of a job that have ended as done.
+    pub(crate) fn done_runs(&self, job: JobKey) -> usize {
+        let done = self.ended_done.iter().filter(|task| task.step.job == job);
+        done.count()
+    }
+
     /// A process learns that its batch is stored.
     fn acknowledge(&mut self, leader: usize, batch: u64, changes: Vec<Change>) {
         let process = &mut self.processes[leader];
