Say "opened" of occurrences throughout

Occurrences that have state are "open" now in names, comments and the log line occurrences_waiting. No other change of the code.

--- a/src/scheduler/leader/occurrences.rs
+++ b/src/scheduler/leader/occurrences.rs
@@ -1,7 +1,7 @@
-//! Begins the occurrences of jobs with set times.
+//! Opens the occurrences of jobs with set times.
 //!
-//! An occurrence that is due waits as part of a count. It gets state when the first of its tasks is
-//! placed, and loses it when all are done, so that what a job costs follows the work in hand, however
+//! An occurrence that is due waits as part of a count. It is opened, that is gets state, when the
+//! first of its tasks is placed, and loses that state when all are done, so that what a job costs follows the work in hand, however
 //! many of its occurrences are due or done.
 
 use std::sync::Arc;
@@ -11,9 +11,9 @@
 use crate::scheduler::order::ReadyStep;
 use crate::scheduler::{JobKey, JobSpec, JobTable, MAX_TASKS, Millis, StepKey};
 
-/// Largest number of occurrences of a job that one pass begins, so that a pass is short. The next one
+/// Largest number of occurrences of a job that one pass opens, so that a pass is short. The next one
 /// goes on with them.
-const MAX_BEGUN_IN_PASS: usize = 64;
+const MAX_OPENED_IN_PASS: usize = 64;
 
 /// Time between two log lines on waiting occurrences, in ms.
 const WAITING_LOG_INTERVAL_MS: Millis = 1_000;
@@ -32,8 +32,9 @@
         }
     }
 
-    /// Begins waiting occurrences of a job in their order, until tasks of one find no room.
-    pub(super) fn start_waiting_occurrences(
+    /// Opens waiting occurrences of a job in their order and places their tasks, until those of one
+    /// find no room.
+    pub(super) fn open_waiting_occurrences(
         &mut self,
         table: &mut JobTable,
         key: JobKey,
@@ -44,21 +45,21 @@
         let waiting = self.due.waiting(key, job);
         let spec = Arc::clone(&job.spec);
         let mut size = job.progress.size();
-        for begun in 0..waiting as usize {
-            if begun == MAX_BEGUN_IN_PASS {
+        for opened in 0..waiting as usize {
+            if opened == MAX_OPENED_IN_PASS {
                 self.needs_scheduling = true;
                 return;
             }
             size += spec.occurrence_size();
-            if !self.start_next_occurrence(table, key, &spec, size, pool, pass) {
+            if !self.open_next_occurrence(table, key, &spec, size, pool, pass) {
                 return;
             }
         }
     }
 
-    /// Begins the next occurrence of a job, which then has `size` tasks and steps with state. Returns
-    /// false if none of its tasks could be placed.
-    fn start_next_occurrence(
+    /// Opens the next occurrence of a job, which then has `size` tasks and steps with state, and places
+    /// its first tasks. Returns false, and leaves it closed, if none of them has room.
+    fn open_next_occurrence(
         &mut self,
         table: &mut JobTable,
         key: JobKey,
@@ -102,7 +103,7 @@
         placed
     }
 
-    /// Logs the jobs with most occurrences that are due and have not begun, when that is due.
+    /// Logs the jobs with most occurrences that are due and not open, when that is due.
     pub(super) fn log_waiting_occurrences(&mut self, table: &JobTable, now: Millis) {
         if now < self.next_occurrence_log {
             return;
@@ -117,7 +118,7 @@
         for (waiting, key, job) in jobs.into_iter().take(MAX_LOGGED_JOBS) {
             let due_ms = job.spec.due_ms(job.progress.opened).unwrap_or(self.wall_ms);
             spdlog::info!("occurrences_waiting", kv: {
-                job = key.to_string(), waiting, begun = job.progress.opened,
+                job = key.to_string(), waiting, opened = job.progress.opened,
                 open = job.progress.occurrences.len(), size = job.progress.size(),
                 late_ms = self.wall_ms.saturating_sub(due_ms)
             });
--- a/src/scheduler/leader/schedule.rs
+++ b/src/scheduler/leader/schedule.rs
@@ -107,7 +107,7 @@
             for step in ready {
                 self.start_step(table, &step, pool, &mut pass);
             }
-            self.start_waiting_occurrences(table, position.job, pool, &mut pass);
+            self.open_waiting_occurrences(table, position.job, pool, &mut pass);
         }
         self.log_waiting_occurrences(table, now);
         self.finish_isolation(pass.isolation, now);
--- a/src/scheduler/progress.rs
+++ b/src/scheduler/progress.rs
@@ -74,7 +74,7 @@
     pub crashes: Crashes,
 }
 
-/// One occurrence of a job that has begun to be placed: the progress of its tasks, by step.
+/// One open occurrence of a job: the progress of its tasks, by step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Occurrence {
     /// Number of the occurrence, from 0. It is not part of the record's first format, in which
@@ -132,9 +132,10 @@
 
 /// Progress of a job.
 ///
-/// It has state for the open occurrences only: those that have begun to be placed and are not done.
-/// Occurrences are opened in the order of their numbers, so that each one below `opened` which is not
-/// among them is done, and a count tells all of the others.
+/// It has state for the open occurrences only: those of which a task has been placed and that are not
+/// done. That of a job without set times is opened at once. Occurrences are opened in the order of
+/// their numbers, so that each one below `opened` which is not among them is done, and a count tells
+/// all of the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobProgress {
     /// State that callers see, apart from a cancel that is not applied yet.
