Show that a target's pause ends without a pass over the jobs

Cause of what the new test shows: a target that refused starts gets none for up to 6.4 s, and nothing has the leader look for room when that is over, unless an entry, a report or a batch follows.

--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -32,6 +32,7 @@
 mod noted_ends;
 mod occurrences;
 mod parallel_runs;
+mod paused_targets;
 mod pool_day;
 mod pools;
 mod queue_terms;
