--- a/src/scheduler/leader/journal.rs
+++ b/src/scheduler/leader/journal.rs
@@ -47,8 +47,8 @@
 pub(super) struct Journal {
     /// Jobs whose progress is in no batch yet.
     dirty_jobs: IndexSet<JobKey>,
-    /// Jobs that have begun, which goes with the next batch, but does not cause one: the starts of
-    /// other tasks would wait for it.
+    /// Jobs that have begun. They are stored with the next batch but do not cause one, for which the
+    /// starts of other tasks would have to wait.
     begun_jobs: IndexSet<JobKey>,
     /// Jobs whose progress has changed since they were last taken.
     changed_jobs: Vec<JobKey>,
