Log which runs a lost target had not reported when they are given up

Change: runs_given_up has the number of runs that no report of the incarnation has listed (unreported), and the time since the last call with a deadline (called_ms).

--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -88,6 +88,8 @@
         let listed = target.listed;
         let (entry, answered_at) = (Arc::clone(&target.entry), target.last_answer_at);
         let clock_ms = target.lease.clock_ms();
+        let called_at = target.lease.called_at();
+        let unreported = runs.values().filter(|run| run.may_run_later()).count();
         let replaced = self.has_successor(&entry);
         let ended = LostRuns {
             entry: &entry,
@@ -99,7 +101,7 @@
         };
         spdlog::warn!("runs_given_up", kv: {
             target = id.0.as_ref(), cause = ended.loss.name(), silent_ms = answered_at.map_or(0, |at| now - at),
-            runs = runs.len(), leaving = ended.leaving.name()
+            called_ms = called_at.map_or(0, |at| now - at), runs = runs.len(), unreported, leaving = ended.leaving.name()
         });
         self.suspect_runs(table, &ended, now);
         let evidence = Evidence::Lost(ended.loss);
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -28,6 +28,8 @@
     inherited_until: Millis,
     /// Longest time for which such a lease holds after that answer, in ms.
     inherited_ms: u64,
+    /// When the latest call with a deadline was sent; `None` before the first.
+    called_at: Option<Millis>,
 }
 
 impl Lease {
@@ -96,9 +98,15 @@
         } = self.reading?;
         let deadline = clock_ms + now.saturating_sub(received_at) + length_ms;
         self.deadline = self.deadline.max(deadline);
+        self.called_at = Some(now);
         Some(deadline)
     }
 
+    /// When the latest call with a deadline was sent; `None` before the first.
+    pub(super) const fn called_at(&self) -> Option<Millis> {
+        self.called_at
+    }
+
     /// Returns whether the lease has certainly expired, so that all runs under it have ended,
     /// even if the target's clock is slow.
     pub(super) fn lapsed(&self, now: Millis) -> bool {
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -263,6 +263,12 @@
             .is_some_and(|sent| answered_at < sent + STARTUP_MS)
     }
 
+    /// Returns whether it may be on a later incarnation of its target than the one that was called:
+    /// its start was sent, and no report of that one has listed it.
+    pub(super) const fn may_run_later(&self) -> bool {
+        self.may_be_executing() && self.reported_clock.is_none()
+    }
+
     /// Returns whether the target may be executing it, or may still begin to.
     pub(super) const fn may_be_executing(&self) -> bool {
         !matches!(self.phase, RunPhase::Planned)
