Wait for the lease of a later incarnation that took a call of an earlier one

Cause: calls name only the target. A start or hold whose deadline is by the clock of the incarnation that the leader knows gives a later one, whose clock starts anew, the longest lease (6 s). The leader waited for 4 s by the clock of the earlier one: an announced restart stopped further deadlines, but did not lengthen the wait, and a restart that nobody had noticed was not considered. The next leader took all leases for 4 s, too.

Change: a run that the known incarnation has reported, or whose start it has answered with a clock that no later one can show yet, is given up with its lease, as before. Any other run whose start was sent stays placed until the longest lease since the last call that nobody proved to be answered by the known one is over. At a takeover, the first answer of a young incarnation counts for the longest lease, and the last calls of a leader that has given the role up do. An incarnation that is older than any such call keeps the ordinary lease, so that no wait grows where nothing restarted.

--- a/src/dispatch/claiming.rs
+++ b/src/dispatch/claiming.rs
@@ -122,6 +122,7 @@
     let before = claim.before.as_ref();
     LeaderSettings {
         earlier_extend_ms: election.earlier_extend_ms(before, now, STEP_DOWN_AFTER_MS),
+        earlier_silence_ms: election.earlier_silence_ms(before, now),
         holder: claim.holder,
         lease_ms: LEASE_MS.min(settings.max_lease_ms),
         max_lease_ms: settings.max_lease_ms,
--- a/src/scheduler/election.rs
+++ b/src/scheduler/election.rs
@@ -131,6 +131,13 @@
         now.saturating_sub(self.leader_seen_at)
     }
 
+    /// Time from the last sign of an earlier leader than one that claims the role after `holder` until
+    /// `now`, in ms; `None` if there was none.
+    #[must_use]
+    pub fn earlier_silence_ms(&self, holder: Option<&Holder>, now: Millis) -> Option<Millis> {
+        holder.map(|_| self.silence_ms(now))
+    }
+
     /// The record that claims the leader role after `holder`, with the next fencing token.
     #[must_use]
     pub fn next_claim(&self, holder: Option<&Holder>) -> Holder {
--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -102,6 +102,10 @@
             return;
         }
         let superseded = target.hold != HoldState::InFlight(number);
+        if matches!(result, Err(HoldFailure::NoAnswer)) && (superseded || target.missed_calls == 0)
+        {
+            target.lease.may_have_met_later(now);
+        }
         let report = match result {
             Err(HoldFailure::Fenced) => {
                 spdlog::warn!("fenced", kv: { target = id.0.as_ref(), epoch = self.epoch(), call = "hold" });
@@ -144,7 +148,7 @@
         target.lease.observe_clock(report.clock_ms, sent_at, now);
         if !target.token_accepted {
             target.token_accepted = true;
-            target.lease.take_over();
+            target.lease.take_over(self.settings.lease_ms);
         }
         self.target_returned(table, id, born);
         self.apply_report(table, id, &report, number, now);
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -6,7 +6,8 @@
 use super::releases::{Evidence, Release};
 use super::verdicts::{Loss, LostRuns};
 use super::{Leader, TargetReport};
-use crate::scheduler::run::RunPhase;
+use crate::scheduler::run::{Run, RunPhase};
+use crate::scheduler::target::Target;
 use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey, TaskPhase};
 
@@ -19,7 +20,10 @@
             .iter()
             .filter(|(_, target)| {
                 let unused = target.is_idle() && target.listed;
-                target.missed_calls > 0 && !unused && target.lease.lapsed(now)
+                target.missed_calls > 0
+                    && !unused
+                    && target.lease.lapsed(now)
+                    && (target.has_known_runs() || self.later_ended(target, now))
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -77,35 +81,43 @@
         self.give_up_runs(table, id, Loss::Replaced, now);
     }
 
-    /// Removes all runs of a target, lets their tasks start again, and forgets the target if it
-    /// is not listed. A target whose VM has a later one by now is known to have ended.
+    /// Removes the runs of a target that have ended, lets their tasks start again, and forgets the
+    /// target if it is not listed and has no others. A target whose VM has a later one by now is
+    /// known to have ended.
     fn give_up_runs(&mut self, table: &mut JobTable, id: &TargetId, loss: Loss, now: Millis) {
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
         self.needs_scheduling = true;
-        let runs = target.take_runs(now);
-        let listed = target.listed;
+        let runs = target.runs.clone();
+        target.clear_strays();
         let (entry, answered_at) = (Arc::clone(&target.entry), target.last_answer_at);
-        let clock_ms = target.lease.clock_ms();
-        let called_at = target.lease.called_at();
+        let lease = target.lease;
+        let target = &self.targets[id];
+        let later_ended = loss != Loss::Silent || self.later_ended(target, now);
+        let has_ended = |run: &Run| later_ended || !run.may_run_later();
+        let ended = runs.values().filter(|run| has_ended(run)).count();
         let unreported = runs.values().filter(|run| run.may_run_later()).count();
         let replaced = self.has_successor(&entry);
-        let ended = LostRuns {
+        let lost_runs = LostRuns {
             entry: &entry,
             answered_at,
-            clock_ms,
+            clock_ms: lease.clock_ms(),
             runs: &runs,
             loss: if replaced { Loss::Replaced } else { loss },
             leaving: self.is_leaving(&entry),
         };
         spdlog::warn!("runs_given_up", kv: {
-            target = id.0.as_ref(), cause = ended.loss.name(), silent_ms = answered_at.map_or(0, |at| now - at),
-            called_ms = called_at.map_or(0, |at| now - at), runs = runs.len(), unreported, leaving = ended.leaving.name()
+            target = id.0.as_ref(), cause = lost_runs.loss.name(), silent_ms = answered_at.map_or(0, |at| now - at),
+            called_ms = lease.called_at().map_or(0, |at| now - at), runs = ended, unreported,
+            leaving = lost_runs.leaving.name()
         });
-        self.suspect_runs(table, &ended, now);
-        let evidence = Evidence::Lost(ended.loss);
-        for (task, run) in &runs {
+        self.suspect_runs(table, &lost_runs, now);
+        let evidence = Evidence::Lost(lost_runs.loss);
+        for (task, run) in runs.iter().filter(|(_, run)| has_ended(run)) {
+            if let Some(target) = self.targets.get_mut(id) {
+                target.remove_run(*task, now);
+            }
             let release = Release {
                 task: *task,
                 run: run.number,
@@ -116,17 +128,27 @@
             };
             self.release_task(table, &release, now);
         }
-        if !listed {
+        let target = self.targets.get(id);
+        if target.is_some_and(|target| !target.listed && target.is_idle()) {
             self.targets.swap_remove(id);
         }
     }
 
+    /// Returns whether a later incarnation of a silent target has ended, too, if there was one: its lease
+    /// has expired, or another target answers on the VM.
+    fn later_ended(&self, target: &Target, now: Millis) -> bool {
+        let entry = &target.entry;
+        let displaced = || {
+            let mut others = self.targets.values();
+            others.any(|other| other.last_answer_at.is_some() && succeeds(&other.entry, entry))
+        };
+        target.lease.later_lapsed(now) || (target.announced.is_none() && displaced())
+    }
+
     /// Returns whether another target has come up on the VM of this one since.
     fn has_successor(&self, entry: &TargetEntry) -> bool {
-        self.targets.values().any(|other| {
-            let other = &other.entry;
-            other.vm == entry.vm && other.id != entry.id && other.born > entry.born
-        })
+        let mut others = self.targets.values();
+        others.any(|other| succeeds(&other.entry, entry))
     }
 
     /// Runs that the target would have reported as running if it had them, in the answer to the hold
@@ -161,3 +183,8 @@
             .collect()
     }
 }
+
+/// Returns whether `other` is the entry of another target that has come up on the VM of `entry` since.
+fn succeeds(other: &TargetEntry, entry: &TargetEntry) -> bool {
+    other.vm == entry.vm && other.id != entry.id && other.born > entry.born
+}
--- a/src/scheduler/leader/messages.rs
+++ b/src/scheduler/leader/messages.rs
@@ -47,6 +47,15 @@
             Self::Unknown => "unknown",
         }
     }
+
+    /// Returns whether the call may have extended the lease of whoever received it. A target takes the
+    /// deadline of a start that it refuses for want of room, or as old, too.
+    pub(super) const fn may_extend_lease(self) -> bool {
+        matches!(
+            self,
+            Self::Running | Self::NoRoom | Self::OldRun | Self::Unknown
+        )
+    }
 }
 
 /// Outcome of a stop call.
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -44,6 +44,7 @@
 
 use super::balance::DemandTrend;
 use super::due_occurrences::DueOccurrences;
+use super::lease::Responder;
 use super::order::FactsCache;
 use super::placement::ReservedTargets;
 use super::target::Target;
@@ -74,6 +75,9 @@
     /// Time after the start of the leader in which earlier leaders may still extend leases of
     /// targets that do not know of this one, in ms.
     pub earlier_extend_ms: u64,
+    /// Time from the last sign of the earlier leader to the start of the leader, in ms; `None` if there
+    /// was no earlier one.
+    pub earlier_silence_ms: Option<u64>,
     /// A leader steps down when no batch of it has been stored for longer than this, in ms.
     pub step_down_after_ms: u64,
     /// Time after the start of the leader in which it sends no orders for VMs, in ms, so
@@ -193,14 +197,15 @@
                 clock_ms,
                 sent_at,
             } => {
-                let later = self.is_from_later(&target, born, clock_ms, sent_at, now);
-                if !later {
+                let responder = self.responder(&target, born, clock_ms, sent_at, now);
+                if responder != Responder::Later {
                     self.observe_target_clock(&target, born, clock_ms, sent_at, now);
                 }
-                self.start_answered(table, &target, born, task, run, outcome, now);
-                if later {
-                    self.run_began_later(&target, task, run);
+                if responder != Responder::Known && outcome.may_extend_lease() {
+                    self.may_have_met_later(&target, born, now);
                 }
+                self.start_answered(table, &target, born, task, run, outcome, now);
+                self.note_responder(&target, task, run, responder);
             }
             Event::StopAnswered {
                 target,
@@ -211,9 +216,11 @@
                 clock_ms,
                 sent_at,
             } => {
-                let later = self.is_from_later(&target, born, clock_ms, sent_at, now);
+                let responder = self.responder(&target, born, clock_ms, sent_at, now);
                 let outcome = match outcome {
-                    StopOutcome::Confirmed if later => StopOutcome::OtherIncarnation,
+                    StopOutcome::Confirmed if responder == Responder::Later => {
+                        StopOutcome::OtherIncarnation
+                    }
                     StopOutcome::Confirmed if self.may_have_restarted(&target, now) => {
                         StopOutcome::Unknown
                     }
--- a/src/scheduler/leader/place.rs
+++ b/src/scheduler/leader/place.rs
@@ -10,6 +10,7 @@
 use super::isolation::Isolation;
 use super::journal::PlannedRun;
 use super::schedule::{SchedulingPass, pending_tasks};
+use crate::scheduler::lease::Responder;
 use crate::scheduler::order::ReadyStep;
 use crate::scheduler::placement::{self, PlacementRequest, RackRuns};
 use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
@@ -165,7 +166,7 @@
                 sent_at: None,
                 running_since: None,
                 reported_clock: None,
-                began_later: false,
+                accepted_by: Responder::Unclear,
                 suspect: request.suspect,
                 long_running: step.long_running,
                 team: team.cloned(),
--- a/src/scheduler/leader/restarts.rs
+++ b/src/scheduler/leader/restarts.rs
@@ -3,45 +3,45 @@
 
 use super::Leader;
 use super::releases::{Evidence, Release};
-use super::takeover::with_lease_margin;
 use super::verdicts::{Loss, LostRuns};
-use crate::scheduler::lease::Lease;
+use crate::scheduler::lease::{Lease, Responder};
 use crate::scheduler::run::{AfterRestart, RunPhase};
 use crate::scheduler::target::{HoldState, Target};
 use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey, TaskPhase};
 
 impl Leader {
-    /// Lease that a new incarnation of a target may have from calls that were meant for the earlier
-    /// one.
-    pub(super) fn restarted_lease(&self, now: Millis) -> Lease {
-        let length_ms = self.settings.max_lease_ms;
-        Lease::inherited(now + with_lease_margin(length_ms), length_ms)
-    }
-
-    /// Returns whether the answer to a call certainly came from a later incarnation of the target
-    /// than `born`, which the call was meant for.
-    pub(super) fn is_from_later(
+    /// Which incarnation has answered a call that was meant for the incarnation `born` of a target. A
+    /// later one has the longest lease from that call, or may have it.
+    pub(super) fn responder(
         &mut self,
         id: &TargetId,
         born: u64,
         clock: Option<u64>,
         sent_at: Millis,
         now: Millis,
-    ) -> bool {
-        let later_lease = self.restarted_lease(now);
+    ) -> Responder {
         let target = self.targets.get_mut(id);
         let target = target.filter(|target| target.entry.born == born);
         let (Some(target), Some(clock_ms)) = (target, clock) else {
-            return false;
+            return Responder::Unclear;
         };
-        let later = target.lease.clock_restarted(clock_ms, sent_at);
-        if later {
+        let responder = target.lease.responder(clock_ms, sent_at, now);
+        if responder == Responder::Later {
             spdlog::warn!("target_clock_restarted", kv: {
                 target = id.0.as_ref(), born, clock_ms, before_ms = target.lease.clock_ms().unwrap_or_default()
             });
-            target.lease.extend_inherited(&later_lease);
+            target.lease.extend_restarted(now);
+        }
+        responder
+    }
+
+    /// Notes that a call with a deadline, which was meant for the incarnation `born` of a target and is
+    /// over now, may have reached a later one.
+    pub(super) fn may_have_met_later(&mut self, id: &TargetId, born: u64, now: Millis) {
+        let target = self.targets.get_mut(id);
+        if let Some(target) = target.filter(|target| target.entry.born == born) {
+            target.lease.may_have_met_later(now);
         }
-        later
     }
 
     /// Returns whether a target has missed calls or a later incarnation was announced, so that the one
@@ -55,16 +55,22 @@
         unsure
     }
 
-    /// Notes that a later incarnation of the target has answered the start of a run, so that the
-    /// end of the earlier one says nothing of it.
-    pub(super) fn run_began_later(&mut self, id: &TargetId, task: TaskKey, run: u32) {
+    /// Notes which incarnation of the target has accepted the start of a run. If it was a later one, the
+    /// end of the earlier one says nothing of the run.
+    pub(super) fn note_responder(
+        &mut self,
+        id: &TargetId,
+        task: TaskKey,
+        run: u32,
+        responder: Responder,
+    ) {
         let target = self.targets.get_mut(id);
         if let Some(known) = target.and_then(|target| target.runs.get_mut(&task))
             && known.number == run
             && known.phase == RunPhase::Running
             && known.reported_clock.is_none()
         {
-            known.began_later = true;
+            known.accepted_by = responder;
         }
     }
 
@@ -131,7 +137,8 @@
         self.target_sighted(table, &entry);
         self.needs_scheduling = true;
         let id = entry.id.clone();
-        let lease = self.restarted_lease(now);
+        let mut lease = Lease::new(self.settings.max_lease_ms);
+        lease.extend_restarted(now);
         let new_target = Target::new(entry, lease, now);
         let new_born = new_target.entry.born;
         let Some(mut old_target) = self.targets.insert(id.clone(), new_target) else {
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -16,7 +16,7 @@
 use super::verdicts::Loss;
 use super::{Leader, LeaderSettings};
 use crate::scheduler::due_occurrences::DueOccurrences;
-use crate::scheduler::lease::Lease;
+use crate::scheduler::lease::{Lease, Responder, with_clock_lag, with_lease_margin};
 use crate::scheduler::order::FactsCache;
 use crate::scheduler::placement::ReservedTargets;
 use crate::scheduler::run::{ReportedProgress, Run, RunPhase};
@@ -27,10 +27,6 @@
     Evacuations, JobTable, Millis, Policy, TargetEntry, TargetId, TaskKey, TaskPhase,
 };
 
-/// Added to the length of a lease whose start is not known exactly, in percent: covers slow
-/// clocks of targets and the time that calls take.
-const LEASE_MARGIN_PERCENT: u64 = 5;
-
 /// Time in which the earlier leader learns from some target that it was replaced, in ms.
 const UNLISTED_SLACK_MS: Millis = 1_000;
 
@@ -86,7 +82,7 @@
         let placed_on = latest_placed(table);
         for entry in entries {
             let placed_on = placed_on.get(&entry.id).copied();
-            let target = leader.listed_target(entry, leader.inherited_lease(), placed_on, now);
+            let target = listed_target(entry, leader.inherited_lease(), placed_on, now);
             leader.targets.insert(target.entry.id.clone(), target);
         }
         leader.adopt_jobs(table, now);
@@ -95,38 +91,34 @@
     }
 
     /// Until when leases that earlier leaders gave may hold.
-    const fn inherited_leases_until(&self) -> Millis {
-        let length = self.settings.earlier_extend_ms + self.settings.lease_ms;
-        self.started_at + with_lease_margin(length)
+    fn inherited_leases_until(&self) -> Millis {
+        let length_ms = self.settings.earlier_extend_ms + self.settings.lease_ms;
+        let extended_until = self.started_at + with_lease_margin(length_ms);
+        extended_until.max(self.last_calls_lapsed_at())
     }
 
-    /// Lease that an earlier leader may have given a target.
-    fn inherited_lease(&self) -> Lease {
-        Lease::inherited(self.inherited_leases_until(), self.settings.lease_ms)
+    /// When the longest lease has expired that the earlier leader may have given until its last sign, to
+    /// an incarnation that it did not know of. 0 if there was no earlier leader.
+    fn last_calls_lapsed_at(&self) -> Millis {
+        let silence_ms = self.settings.earlier_silence_ms;
+        silence_ms.map_or(0, |silence_ms| {
+            let last_sign = self.started_at.saturating_sub(silence_ms);
+            last_sign + with_clock_lag(self.settings.max_lease_ms)
+        })
     }
 
-    /// A target of the list that may have the lease `lease`; `placed_on` is `born` of the latest
-    /// incarnation that tasks were placed on. If the entry tells of a later one, that counts once the
-    /// target reports it, as another writer may have written the entry.
-    fn listed_target(
-        &self,
-        entry: TargetEntry,
-        mut lease: Lease,
-        placed_on: Option<u64>,
-        now: Millis,
-    ) -> Target {
-        let Some(born) = placed_on.filter(|born| *born < entry.born) else {
-            return Target::new(entry, lease, now);
-        };
-        lease.extend_inherited(&self.restarted_lease(now));
-        let known = TargetEntry {
-            born,
-            ..entry.clone()
-        };
-        Target {
-            announced: Some(entry),
-            ..Target::new(known, lease, now)
-        }
+    /// Lease that an earlier leader may have given a target.
+    fn inherited_lease(&self) -> Lease {
+        let LeaderSettings {
+            lease_ms,
+            max_lease_ms,
+            earlier_silence_ms,
+            ..
+        } = self.settings;
+        let length_ms = earlier_silence_ms.map_or(lease_ms, |_| max_lease_ms);
+        let mut lease = Lease::new(max_lease_ms);
+        lease.extend_inherited(self.inherited_leases_until(), length_ms);
+        lease
     }
 
     /// When the leases of unlisted targets have certainly expired. That is earlier than for
@@ -166,7 +158,6 @@
         let Some(run) = adopted_run(table, task, run, self.holds_sent) else {
             return;
         };
-        let restarted_lease = self.restarted_lease(now);
         match self.targets.get_mut(id) {
             Some(target) if target.entry.born == born => target.add_run(task, run),
             Some(target) if target.entry.born > born => {
@@ -174,7 +165,7 @@
                 let number = run.number;
                 target.add_run(task, run);
                 target.request_stop(task, now);
-                target.lease.extend_inherited(&restarted_lease);
+                target.lease.extend_restarted(now);
                 let lost = Incarnation {
                     id: id.clone(),
                     born,
@@ -222,10 +213,10 @@
     /// there.
     fn insert_target(&mut self, table: &mut JobTable, entry: TargetEntry, now: Millis) {
         let id = entry.id.clone();
-        let lease = if now < self.unlisted_leases_lapsed_at() {
+        let lease = if now < self.inherited_leases_until() {
             self.inherited_lease()
         } else {
-            Lease::default()
+            Lease::new(self.settings.max_lease_ms)
         };
         let placed_on = self.orphans.keys().filter_map(|task| {
             let stored = table.get(task.step.job)?.progress.task(*task)?;
@@ -235,7 +226,7 @@
             }
         });
         let placed_on = placed_on.max();
-        let target = self.listed_target(entry, lease, placed_on, now);
+        let target = listed_target(entry, lease, placed_on, now);
         self.targets.insert(id.clone(), target);
         self.adopt_orphans(table, &id, now);
     }
@@ -273,9 +264,27 @@
     }
 }
 
-/// Adds to the length of a lease what the slow clock of a target and the time of a call may add.
-pub(super) const fn with_lease_margin(length_ms: u64) -> u64 {
-    length_ms + length_ms * LEASE_MARGIN_PERCENT / 100
+/// A target of the list that may have the lease `lease`; `placed_on` is `born` of the latest
+/// incarnation that tasks were placed on. If the entry tells of a later one, that counts once the
+/// target reports it, as another writer may have written the entry.
+fn listed_target(
+    entry: TargetEntry,
+    mut lease: Lease,
+    placed_on: Option<u64>,
+    now: Millis,
+) -> Target {
+    let Some(born) = placed_on.filter(|born| *born < entry.born) else {
+        return Target::new(entry, lease, now);
+    };
+    lease.extend_restarted(now);
+    let known = TargetEntry {
+        born,
+        ..entry.clone()
+    };
+    Target {
+        announced: Some(entry),
+        ..Target::new(known, lease, now)
+    }
 }
 
 /// State of a run that an earlier leader decided to start; `None` if the job or step is not
@@ -298,7 +307,7 @@
         sent_at: None,
         running_since: None,
         reported_clock: None,
-        began_later: false,
+        accepted_by: Responder::Unclear,
         suspect: job
             .progress
             .task(task)
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -5,19 +5,55 @@
 /// A target's clock may run slow by up to this much, in percent.
 const MAX_CLOCK_LAG_PERCENT: u64 = 2;
 
+/// Added to the length of a lease whose start is not known exactly, in percent: covers slow
+/// clocks of targets and the time that calls take.
+const LEASE_MARGIN_PERCENT: u64 = 5;
+
+/// Longest time for which a leader extends the lease of an incarnation that it does not know of, in
+/// ms: until a hold call, which may wait for 1 s, has failed, or its answer tells who is there.
+const UNAWARE_MS: u64 = 2_500;
+
+/// Adds to the length of a lease what the slow clock of a target and the time of a call may add.
+pub(super) const fn with_lease_margin(length_ms: u64) -> u64 {
+    length_ms + length_ms * LEASE_MARGIN_PERCENT / 100
+}
+
+/// Longest time that a lease of this length takes by the local clock, in ms.
+pub(super) const fn with_clock_lag(length_ms: u64) -> u64 {
+    length_ms + length_ms * MAX_CLOCK_LAG_PERCENT / (100 - MAX_CLOCK_LAG_PERCENT)
+}
+
+/// Which incarnation of a target has answered a call, by the clock in the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Responder {
+    /// The one whose clock was read last.
+    Known,
+    /// A later one.
+    Later,
+    /// Either.
+    Unclear,
+}
+
 /// A reading of a target's clock.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
     /// The target's time, in ms.
     clock_ms: u64,
+    /// When the call was sent; the clock was read after that.
+    sent_at: Millis,
     /// When the answer with the reading arrived here; the clock was read before that.
     received_at: Millis,
 }
 
 /// The lease of one incarnation of a target. When the lease expires, the target ends all
 /// its runs.
-#[derive(Clone, Copy, Debug, Default)]
+///
+/// Calls name only the target, and carry a deadline by the clock of the incarnation that is known.
+/// The clock of a later one starts anew, so that such a call gives it the longest lease.
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Lease {
+    /// Longest lease that the target accepts, in ms.
+    longest_ms: u64,
     /// Latest reading of the target's clock; `None` before its first answer.
     reading: Option<ClockReading>,
     /// Latest deadline that a call to the target carried, in ms of the target's clock.
@@ -30,33 +66,56 @@
     inherited_ms: u64,
     /// When the latest call with a deadline was sent; `None` before the first.
     called_at: Option<Millis>,
+    /// Until this time on the local clock, a later incarnation may hold a lease that it has from a
+    /// call which was meant for this one.
+    later_until: Millis,
 }
 
 impl Lease {
-    /// A lease of up to `length_ms` that may hold until `inherited_until` on the local clock.
-    pub(super) fn inherited(inherited_until: Millis, length_ms: u64) -> Self {
+    /// The lease of an incarnation that accepts leases of up to `longest_ms`, and has none that holds
+    /// until it answers.
+    pub(super) const fn new(longest_ms: u64) -> Self {
         Self {
-            inherited_until,
-            inherited_ms: length_ms,
-            ..Self::default()
+            longest_ms,
+            reading: None,
+            deadline: 0,
+            inherited_until: 0,
+            inherited_ms: 0,
+            called_at: None,
+            later_until: 0,
         }
     }
 
-    /// Notes that the target may have the inherited lease `other`, too.
-    pub(super) fn extend_inherited(&mut self, other: &Self) {
-        self.inherited_until = self.inherited_until.max(other.inherited_until);
-        self.inherited_ms = self.inherited_ms.max(other.inherited_ms);
+    /// Notes that the target may have an inherited lease, which holds until `until` on the local clock
+    /// unless it answers, and then for up to `length_ms`.
+    pub(super) fn extend_inherited(&mut self, until: Millis, length_ms: u64) {
+        self.inherited_until = self.inherited_until.max(until);
+        self.inherited_ms = self.inherited_ms.max(length_ms);
     }
 
-    /// Returns whether the answer to a call sent at `sent_at`, with this time on the target's clock,
-    /// certainly came from a later incarnation: the clock never goes back, and starts anew with each
-    /// incarnation. Answers may overtake each other, so this one may have been given before the
-    /// latest reading, but not before the call was sent.
-    pub(super) fn clock_restarted(&self, clock_ms: u64, sent_at: Millis) -> bool {
-        self.reading.is_some_and(|last| {
-            let lead = last.received_at.saturating_sub(sent_at);
-            clock_ms.saturating_add(lead) < last.clock_ms
-        })
+    /// Notes that the target may have a lease from calls that were meant for an earlier incarnation,
+    /// the last of them at `at`.
+    pub(super) fn extend_restarted(&mut self, at: Millis) {
+        let longest_ms = self.longest_ms;
+        self.extend_inherited(at + with_lease_margin(longest_ms), longest_ms);
+    }
+
+    /// Which incarnation has answered a call that was sent at `sent_at`, with this time on the target's
+    /// clock: the clock never goes back, and starts anew with each incarnation. Answers may overtake
+    /// each other, so this one may have been given before the latest reading, but not before the call
+    /// was sent. A later incarnation has started after the call that gave the latest reading was sent.
+    pub(super) fn responder(&self, clock_ms: u64, sent_at: Millis, now: Millis) -> Responder {
+        let Some(last) = self.reading else {
+            return Responder::Unclear;
+        };
+        let lead = last.received_at.saturating_sub(sent_at);
+        if clock_ms.saturating_add(lead) < last.clock_ms {
+            Responder::Later
+        } else if clock_ms > now.saturating_sub(last.sent_at) {
+            Responder::Known
+        } else {
+            Responder::Unclear
+        }
     }
 
     /// Takes in a reading of the target's clock from the answer to a call sent at `sent_at`.
@@ -69,6 +128,7 @@
         if newer {
             self.reading = Some(ClockReading {
                 clock_ms,
+                sent_at,
                 received_at,
             });
         }
@@ -80,11 +140,15 @@
     }
 
     /// Called once the target has answered a call with this leader's fencing token: it has
-    /// refused earlier leaders since, so none of them can extend the lease any more.
-    pub(super) fn take_over(&mut self) {
+    /// refused earlier leaders since, so none of them can extend the lease any more. `length_ms` is
+    /// that of an ordinary lease. A longer one is of calls that were meant for an earlier incarnation,
+    /// which end soon after this one has started.
+    pub(super) fn take_over(&mut self, length_ms: u64) {
         if let Some(ClockReading { clock_ms, .. }) = self.reading {
+            let unaware_until = UNAWARE_MS + with_lease_margin(self.longest_ms);
+            let left_ms = unaware_until.saturating_sub(clock_ms).max(length_ms);
             self.inherited_until = 0;
-            self.deadline = self.deadline.max(clock_ms + self.inherited_ms);
+            self.deadline = self.deadline.max(clock_ms + left_ms.min(self.inherited_ms));
         }
     }
 
@@ -95,10 +159,12 @@
         let ClockReading {
             clock_ms,
             received_at,
+            ..
         } = self.reading?;
         let deadline = clock_ms + now.saturating_sub(received_at) + length_ms;
         self.deadline = self.deadline.max(deadline);
         self.called_at = Some(now);
+        self.may_have_met_later(now);
         Some(deadline)
     }
 
@@ -107,6 +173,15 @@
         self.called_at
     }
 
+    /// Notes that a later incarnation may have received the latest call with a deadline, if there was
+    /// one, until `at`.
+    pub(super) fn may_have_met_later(&mut self, at: Millis) {
+        if self.called_at.is_some() {
+            let until = at + with_lease_margin(self.longest_ms);
+            self.later_until = self.later_until.max(until);
+        }
+    }
+
     /// Returns whether the lease has certainly expired, so that all runs under it have ended,
     /// even if the target's clock is slow.
     pub(super) fn lapsed(&self, now: Millis) -> bool {
@@ -116,6 +191,7 @@
         let Some(ClockReading {
             clock_ms,
             received_at,
+            ..
         }) = self.reading
         else {
             return true;
@@ -124,4 +200,9 @@
         let least_elapsed = elapsed - elapsed * MAX_CLOCK_LAG_PERCENT / 100;
         clock_ms + least_elapsed > self.deadline
     }
+
+    /// Returns whether the lease of a later incarnation has certainly expired, too, if there is one.
+    pub(super) const fn later_lapsed(&self, now: Millis) -> bool {
+        now >= self.later_until
+    }
 }
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -1,5 +1,6 @@
 //! Runs: the starts of tasks on targets, and what targets report of them.
 
+use super::lease::Responder;
 use super::{Capacity, Millis, TaskKey};
 
 /// A running task, as its target reports it.
@@ -157,9 +158,8 @@
     /// The target's clock in the first report that it runs, in ms; `None` before. Reports name the
     /// incarnation, which the answers to starts and stops do not.
     pub(super) reported_clock: Option<u64>,
-    /// Whether the clock in the answer to its start shows that a later incarnation of the target than
-    /// the one that was called accepted it.
-    pub(super) began_later: bool,
+    /// Which incarnation of the target has accepted its start, seen from the one that was called.
+    pub(super) accepted_by: Responder,
     /// Whether it is isolated as it starts up, because a target crashed soon after an earlier start
     /// of the task.
     pub(super) suspect: bool,
@@ -213,7 +213,7 @@
             progress: ReportedProgress::default(),
             running_since: None,
             reported_clock: None,
-            began_later: false,
+            accepted_by: Responder::Unclear,
             ..self
         }
     }
@@ -264,9 +264,10 @@
     }
 
     /// Returns whether it may be on a later incarnation of its target than the one that was called:
-    /// its start was sent, and no report of that one has listed it.
-    pub(super) const fn may_run_later(&self) -> bool {
-        self.may_be_executing() && self.reported_clock.is_none()
+    /// its start was sent, and nothing shows that the one that was called has accepted it.
+    pub(super) fn may_run_later(&self) -> bool {
+        let known = self.reported_clock.is_some() || self.accepted_by == Responder::Known;
+        self.may_be_executing() && !known
     }
 
     /// Returns whether the target may be executing it, or may still begin to.
--- a/src/scheduler/target_runs.rs
+++ b/src/scheduler/target_runs.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use super::lease::Responder;
 use super::run::{Run, StrayRun};
 use super::target::Target;
 use super::{Capacity, Millis, StepKey, TaskKey};
@@ -63,19 +64,22 @@
         }
     }
 
-    /// Removes all runs, and returns those that are not stray.
-    pub(super) fn take_runs(&mut self, now: Millis) -> IndexMap<TaskKey, Run> {
+    /// Removes all stray runs and frees their capacity.
+    pub(super) fn clear_strays(&mut self) {
+        let strays = self.stray_used();
+        self.used.subtract(&strays);
         self.strays.clear();
-        self.used = Capacity::default();
-        self.suspect_runs = 0;
-        self.stopping_runs = 0;
-        self.idle_since = now;
-        std::mem::take(&mut self.runs)
+    }
+
+    /// Returns whether it has runs that are certainly of this incarnation, and so end with its lease.
+    pub(super) fn has_known_runs(&self) -> bool {
+        !self.strays.is_empty() || self.runs.values().any(|run| !run.may_run_later())
     }
 
     /// Removes and returns the runs that a later incarnation has accepted.
     pub(super) fn take_runs_that_began_later(&mut self, now: Millis) -> IndexMap<TaskKey, Run> {
-        let later = self.runs.iter().filter(|(_, run)| run.began_later);
+        let later = self.runs.iter();
+        let later = later.filter(|(_, run)| run.accepted_by == Responder::Later);
         let later: Vec<TaskKey> = later.map(|(task, _)| *task).collect();
         let taken = later.into_iter();
         taken
--- a/tests/scheduler/bare_leader.rs
+++ b/tests/scheduler/bare_leader.rs
@@ -60,6 +60,7 @@
         }
         let settings = LeaderSettings {
             earlier_extend_ms,
+            earlier_silence_ms: (!log.is_empty()).then_some(0),
             ..settings()
         };
         let leader = Leader::new(settings, &mut table, Arc::new(policy()), entries, now, now);
@@ -237,6 +238,7 @@
         lease_ms: 4_000,
         max_lease_ms: 6_000,
         earlier_extend_ms: 0,
+        earlier_silence_ms: None,
         step_down_after_ms: 7_000,
         vm_order_delay_ms: 0,
         stop_timeout_ms: 400,
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -28,6 +28,7 @@
 mod jobs;
 mod journal;
 mod late_ends;
+mod later_incarnations;
 mod longest_leases;
 mod noted_ends;
 mod occurrences;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -8,6 +8,8 @@
 mod leave;
 mod moves;
 mod start_faults;
+mod teams;
+mod unanswered;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -30,9 +32,11 @@
 use gangs::Gangs;
 use late_calls::LateHold;
 use leave::Departure;
+use unanswered::MutedTargets;
 
 pub(crate) use crash::Returns;
 pub(crate) use start_faults::StartFault;
+pub(crate) use unanswered::LostAnswers;
 
 /// Length of a step of the simulation, in ms; leaders decide once in each.
 const TICK_MS: Millis = 5;
@@ -182,6 +186,9 @@
     /// Whether targets let hold calls wait for the end of a run, for as long as these allow. Such a
     /// call gets no answer from an incarnation that has started meanwhile.
     pub(crate) holds_wait: bool,
+    /// Starts that have begun a run on a later incarnation of a target than they were meant for.
+    pub(crate) starts_after_restart: usize,
+    muted: MutedTargets,
     /// Whether leaders can append to the store.
     pub(crate) store_up: bool,
     /// All changes in the store.
@@ -243,6 +250,8 @@
             callers: Callers::default(),
             operators: Operators::default(),
             holds_wait: false,
+            starts_after_restart: 0,
+            muted: MutedTargets::new(),
             store_up: true,
             log: Vec::new(),
             violations: Vec::new(),
@@ -303,6 +312,7 @@
         let earlier_extend_ms =
             self.election
                 .earlier_extend_ms(before.as_ref(), self.now, STEP_DOWN_AFTER_MS);
+        let earlier_silence_ms = self.election.earlier_silence_ms(before.as_ref(), self.now);
         self.election
             .holder_read(before.as_ref(), &holder, self.now);
         self.log.push(Change::Put(Record::Holder(holder.clone())));
@@ -315,6 +325,7 @@
             lease_ms: 4_000,
             max_lease_ms: MAX_LEASE_MS,
             earlier_extend_ms,
+            earlier_silence_ms,
             step_down_after_ms: STEP_DOWN_AFTER_MS,
             vm_order_delay_ms: VM_ORDER_DELAY_MS.saturating_sub(self.now - self.last_stored),
             stop_timeout_ms: 400,
@@ -915,6 +926,7 @@
             Event::StartAnswered { .. } => self.faults.lost_answers.max(self.faults.lost_starts),
             _ => self.faults.lost_answers,
         };
+        let lost = if self.is_muted(&event) { 1_000 } else { lost };
         if self.rng.u32(..1_000) >= lost {
             let delay = CALL_LATENCY_MS + self.draw_jitter();
             self.schedule(delay, Action::Deliver { leader, event });
@@ -1018,11 +1030,13 @@
                     None => fake.start(task, run, work, deadline_ms, epoch, self.now),
                 };
                 if outcome == StartOutcome::Running && !before {
+                    self.starts_after_restart += usize::from(met.born > target.born);
                     self.callers.note_begun(task.step.job, self.now);
                     self.check_start(task, &running);
                     self.check_repeat(leader, task, ordered_at);
                     self.check_evacuations(task, &target, ordered_at);
                     self.check_room(task, &target.id, ordered_at);
+                    self.check_team_limit();
                     let step = &spec.steps[task.step.step as usize];
                     self.join_gang(step, task, run, &target.id);
                     crashed = self.started(task, &met);
