Draw targets that are back under their ids and cut off soon after

In these, groups of targets fall dark, restart, return and are cut off, and the network holds calls that are sent in the dark until they reach the new incarnation.

--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -13,6 +13,7 @@
 mod crashes_beside_orders;
 mod crashing_tasks;
 mod drawn_parallel_runs;
+mod drawn_recuts;
 mod early_releases;
 mod evacuation;
 mod evacuation_moves;
--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -6,6 +6,7 @@
 mod gangs;
 mod late_calls;
 mod leave;
+mod links;
 mod moves;
 mod start_faults;
 mod teams;
@@ -32,9 +33,11 @@
 use gangs::Gangs;
 use late_calls::LateHold;
 use leave::Departure;
+use links::Links;
 use unanswered::MutedTargets;
 
 pub(crate) use crash::Returns;
+pub(crate) use links::CallKind;
 pub(crate) use start_faults::StartFault;
 pub(crate) use unanswered::LostAnswers;
 
@@ -82,6 +85,7 @@
     Stop {
         leader: usize,
         command: Command,
+        sent_at: Millis,
         /// As in a start.
         received_by: Option<u64>,
     },
@@ -183,6 +187,7 @@
     gangs: Gangs,
     pub(crate) callers: Callers,
     pub(crate) operators: Operators,
+    links: Links,
     /// Whether targets let hold calls wait for the end of a run, for as long as these allow. Such a
     /// call gets no answer from an incarnation that has started meanwhile.
     pub(crate) holds_wait: bool,
@@ -249,6 +254,7 @@
             gangs: Gangs::new(),
             callers: Callers::default(),
             operators: Operators::default(),
+            links: Links::default(),
             holds_wait: false,
             starts_after_restart: 0,
             muted: MutedTargets::new(),
@@ -651,6 +657,11 @@
                     };
                     self.schedule(CALL_TIMEOUT_MS, Action::Deliver { leader, event });
                 }
+                let delay = if late {
+                    delay
+                } else {
+                    self.transit_ms(&target.id, CallKind::Start)
+                };
                 let start = Action::Start {
                     leader,
                     received_by: late.then(|| self.targets[&target.id].entry.born),
@@ -660,7 +671,8 @@
                 self.schedule(delay, start);
             }
             Command::Stop { .. } => self.send_stop(leader, command),
-            Command::Hold { .. } => {
+            Command::Hold { ref target, .. } => {
+                let delay = self.transit_ms(&target.id, CallKind::Hold);
                 if self.draw(self.faults.late_holds) {
                     return self.send_late_hold(leader, command);
                 }
@@ -670,7 +682,7 @@
                     sent_at: self.now,
                     waits_at: None,
                 };
-                self.schedule(CALL_LATENCY_MS, Action::Hold(call));
+                self.schedule(delay, Action::Hold(call));
             }
             Command::ListVms => {
                 let event = Event::VmList(self.list_vms());
@@ -781,12 +793,14 @@
             Action::Stop {
                 leader,
                 command,
+                sent_at,
                 received_by: None,
-            } => self.stop(leader, &command),
+            } => self.stop(leader, &command, sent_at),
             Action::Stop {
                 leader,
                 command,
                 received_by: Some(born),
+                ..
             } => self.carry_out_late_stop(leader, &command, born),
             Action::LateHold(call) => self.carry_out_late_hold(&call),
             Action::Hold(call) => self.hold(call),
@@ -926,10 +940,12 @@
             Event::StartAnswered { .. } => self.faults.lost_answers.max(self.faults.lost_starts),
             _ => self.faults.lost_answers,
         };
-        let lost = if self.is_muted(&event) { 1_000 } else { lost };
+        let muted = self.is_muted(&event) || self.loses(&event);
+        let lost = if muted { 1_000 } else { lost };
+        let left = self.time_left(&event);
         if self.rng.u32(..1_000) >= lost {
             let delay = CALL_LATENCY_MS + self.draw_jitter();
-            self.schedule(delay, Action::Deliver { leader, event });
+            self.schedule(delay.min(left), Action::Deliver { leader, event });
             return;
         }
         let event = match event {
@@ -980,7 +996,7 @@
             },
             other => other,
         };
-        self.schedule(CALL_TIMEOUT_MS, Action::Deliver { leader, event });
+        self.schedule(left, Action::Deliver { leader, event });
     }
 
     fn epoch_of(&self, leader: usize) -> u64 {
@@ -1010,7 +1026,7 @@
             return;
         };
         let epoch = self.epoch_of(leader);
-        let sent_at = self.now - CALL_LATENCY_MS;
+        let sent_at = self.sent_at(ordered_at);
         let work = self.work(&spec, task);
         let running = self.running(task.step.job);
         let mut crashed = false;
@@ -1060,7 +1076,7 @@
         if crashed || contact == Contact::Refused {
             self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
         } else if outcome == StartOutcome::Unknown {
-            self.schedule(CALL_TIMEOUT_MS, Action::Deliver { leader, event });
+            self.schedule(self.time_left(&event), Action::Deliver { leader, event });
         } else {
             self.answer(leader, event);
         }
@@ -1105,7 +1121,7 @@
         }
     }
 
-    fn stop(&mut self, leader: usize, command: &Command) {
+    fn stop(&mut self, leader: usize, command: &Command, ordered_at: Millis) {
         let Command::Stop { target, task, run } = command else {
             return;
         };
@@ -1126,7 +1142,7 @@
             run: *run,
             outcome,
             clock_ms,
-            sent_at: now - CALL_LATENCY_MS,
+            sent_at: self.sent_at(ordered_at),
         };
         self.answer_contact(contact, leader, event);
     }
@@ -1141,7 +1157,7 @@
                 self.schedule(CALL_LATENCY_MS, Action::Deliver { leader, event });
             }
             Contact::Silent => {
-                self.schedule(CALL_TIMEOUT_MS, Action::Deliver { leader, event });
+                self.schedule(self.time_left(&event), Action::Deliver { leader, event });
             }
         }
     }
--- a/tests/scheduler/world/late_calls.rs
+++ b/tests/scheduler/world/late_calls.rs
@@ -5,7 +5,7 @@
     Command, Event, HoldFailure, Millis, StopOutcome, TargetEntry, TargetId, TaskKey,
 };
 
-use super::{Action, CALL_LATENCY_MS, CALL_TIMEOUT_MS, World};
+use super::{Action, CALL_TIMEOUT_MS, CallKind, World};
 
 /// A hold call that its target carries out late.
 pub(super) struct LateHold {
@@ -43,13 +43,15 @@
         let Command::Stop { target, task, run } = &command else {
             return;
         };
+        let delay = self.transit_ms(&target.id, CallKind::Stop);
         if !self.draw(self.faults.late_stops) {
             let stop = Action::Stop {
                 leader,
                 command,
+                sent_at: self.now,
                 received_by: None,
             };
-            return self.schedule(CALL_LATENCY_MS, stop);
+            return self.schedule(delay, stop);
         }
         let event = Event::StopAnswered {
             target: target.id.clone(),
@@ -66,6 +68,7 @@
         let stop = Action::Stop {
             leader,
             command,
+            sent_at: self.now,
             received_by,
         };
         self.schedule(delay, stop);
--- /dev/null
+++ b/tests/scheduler/world/links.rs
@@ -0,0 +1,102 @@
+//! Connections to targets that are out of reach for a while: calls that the network holds until
+//! then, and answers that it loses.
+
+use amaranthwick::scheduler::{Event, Millis, TargetId};
+use indexmap::IndexMap;
+
+use super::{CALL_LATENCY_MS, CALL_TIMEOUT_MS, TICK_MS, World};
+
+/// Kinds of calls to targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum CallKind {
+    Start,
+    Stop,
+    Hold,
+}
+
+/// What happens to calls on their way to targets, and to the answers.
+#[derive(Default)]
+pub(super) struct Links {
+    /// Until when calls to targets are held, which they reach then.
+    held_until: IndexMap<TargetId, Millis>,
+    /// Until when answers of targets to calls of a kind are lost.
+    lost_until: IndexMap<(TargetId, CallKind), Millis>,
+}
+
+impl World {
+    /// The network holds calls that are sent to the target until `until`, unless they fail before.
+    pub(crate) fn hold_calls(&mut self, id: &TargetId, until: Millis) {
+        self.links.held_until.insert(id.clone(), until);
+    }
+
+    /// The network loses the target's answers to calls of a kind until `until`.
+    pub(crate) fn lose_answers_until(&mut self, id: &TargetId, kind: CallKind, until: Millis) {
+        self.links.lost_until.insert((id.clone(), kind), until);
+    }
+
+    /// The target restarts under its id, in touch as little as it was. Its entry remains the one that
+    /// was published last.
+    pub(crate) fn restart_out_of_touch(&mut self, id: &TargetId) {
+        let before = &self.targets[id];
+        let (reachable, listed) = (before.reachable, before.listed);
+        let listed_as = before.listed_as.clone();
+        self.restart_unpublished(id);
+        let target = &mut self.targets[id];
+        target.reachable = reachable;
+        target.listed = listed;
+        target.listed_as = listed_as.or(target.listed_as.take());
+    }
+
+    /// The entry of a target that is silent expires.
+    pub(crate) fn expire_entry(&mut self, id: &TargetId) {
+        self.targets[id].listed = false;
+        self.notify_leaders(&Event::TargetRemoved(id.clone()));
+    }
+
+    /// Time in which a call that is sent now reaches the target.
+    pub(super) fn transit_ms(&self, id: &TargetId, kind: CallKind) -> Millis {
+        let answer_ms = match kind {
+            CallKind::Start | CallKind::Stop => 0,
+            CallKind::Hold => self.faults.jitter_ms,
+        };
+        let held_until = self.links.held_until.get(id).copied().unwrap_or(0);
+        let held_ms = held_until.saturating_sub(self.now);
+        if held_ms + answer_ms + 2 * TICK_MS < CALL_TIMEOUT_MS {
+            held_ms.max(CALL_LATENCY_MS)
+        } else {
+            CALL_LATENCY_MS
+        }
+    }
+
+    /// When a call that arrives now was sent, if it was ordered at `ordered_at`.
+    pub(super) fn sent_at(&self, ordered_at: Millis) -> Millis {
+        let age = self.now - ordered_at;
+        if age > TICK_MS && age < CALL_TIMEOUT_MS {
+            ordered_at
+        } else {
+            self.now - CALL_LATENCY_MS
+        }
+    }
+
+    /// Time until the call that `event` answers fails.
+    pub(super) fn time_left(&self, event: &Event) -> Millis {
+        match event {
+            Event::StartAnswered { sent_at, .. } | Event::StopAnswered { sent_at, .. } => {
+                (sent_at + CALL_LATENCY_MS + CALL_TIMEOUT_MS).saturating_sub(self.now)
+            }
+            _ => CALL_TIMEOUT_MS,
+        }
+    }
+
+    /// Returns whether the network loses an answer that a target gives now.
+    pub(super) fn loses(&self, event: &Event) -> bool {
+        let (id, kind) = match event {
+            Event::StartAnswered { target, .. } => (target, CallKind::Start),
+            Event::StopAnswered { target, .. } => (target, CallKind::Stop),
+            Event::HoldAnswered { target, .. } => (target, CallKind::Hold),
+            _ => return false,
+        };
+        let until = self.links.lost_until.get(&(id.clone(), kind));
+        until.is_some_and(|until| self.now < *until)
+    }
+}
