Add a play of executors that are cut off soon after a restart

A call that was made while an executor was down was never done, so no start reached a later incarnation than the one that the leader knew. Change: the form `recut`. Jobs of `busy` are drawn by the same code.

--- a/tests/plays/busy.py
+++ b/tests/plays/busy.py
@@ -27,17 +27,8 @@
     return core
 
 
-def caller(play, name, period_s):
-    """Jobs of 2 to 5 tasks of 0.1 to 0.6 s, without retries."""
-    rng = play.rng(name)
-    while not play.over.is_set():
-        key, ms, count = f"{rng.getrandbits(64):016x}", rng.randrange(100, 601), rng.randint(2, 5)
-        step = {"count": count, "cpu": play.task_cpu, "mem-mb": play.task_cpu, "est-ms": ms}
-        job = {"spec": f"ms={ms} cpu={play.task_cpu} mem={play.task_cpu}", "steps": [step]}
-        answer = rng.choice(play.processes).call("POST", f"/count/{key}", job)
-        if answer and answer[0] == 200:
-            play.accepted.append(key)
-        play.over.wait(rng.uniform(0.4, 1.6) * period_s)
+def draw_ms(rng):
+    return rng.randrange(100, 601)
 
 
 def run(play, rng, end):
@@ -50,7 +41,7 @@
                               "while time.monotonic() < end: pass"]) for _ in range(spinners)]
     os.sched_setaffinity(0, before)
     play.note(f"{spinners} busy processes, stops {stops}, starts up to {play.faults.start_s} s late")
-    callers = [threading.Thread(target=caller, args=(play, f"busy-{i}", 0.08)) for i in range(8)]
+    callers = [threading.Thread(target=play.submit_jobs, args=(f"busy-{i}", 0.08, draw_ms)) for i in range(8)]
     for thread in callers:
         thread.start()
     leader = play.leader()
--- a/tests/plays/findings.py
+++ b/tests/plays/findings.py
@@ -29,7 +29,7 @@
         for line in open(path, errors="replace"):
             of_task = task in line
             of_target = any(target in line for target in targets) and re.search(
-                r"event=(target_|runs_given_up|role_)", line)
+                r"event=(target_|restart_|runs_given_up|role_)", line)
             if of_task or of_target:
                 found.append((line, os.path.basename(path)[:-4], bool(of_task)))
     found.sort()
--- a/tests/plays/parallel_runs.py
+++ b/tests/plays/parallel_runs.py
@@ -16,6 +16,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import busy
 import findings
+import recut
 import shown
 import standins
 from standins import crash, cut, lab
@@ -44,6 +45,7 @@
         self.store = standins.Store(self.record, self.rng("store"))
         self.store_server.handler = self.store.handle
         self.calls = collections.defaultdict(list)
+        self.received = []
         self.accepted, self.over = [], threading.Event()
         self.watch = shown.Watch()
         self.faults = Faults()
@@ -83,14 +85,30 @@
         text = (f"{now():.3f} {target} run {call.get('run-id')} on {executor.eid} life {executor.life} "
                 f"token {call.get('fence-token')}{' LATE' if late else ''}: {answer}")
         self.calls[call.get("task")].append(text)
+        if target == "/run-start":
+            self.received.append(recut.received(executor, call, answer))
+
+    def draw_job(self, rng, draw_ms):
+        """A key and a job of 2 to 5 tasks, whose length `draw_ms` draws."""
+        key, cpu = f"{rng.getrandbits(64):016x}", self.task_cpu
+        ms, count = draw_ms(rng), rng.randint(2, 5)
+        step = {"count": count, "cpu": cpu, "mem-mb": cpu, "est-ms": ms}
+        return key, {"spec": f"ms={ms} cpu={cpu} mem={cpu}", "steps": [step]}
+
+    def submit_jobs(self, name, period_s, draw_ms):
+        """Submits jobs, each once."""
+        rng = self.rng(name)
+        while not self.over.is_set():
+            key, job = self.draw_job(rng, draw_ms)
+            answer = rng.choice(self.processes).call("POST", f"/count/{key}", job)
+            if answer and answer[0] == 200:
+                self.accepted.append(key)
+            self.over.wait(rng.uniform(0.4, 1.6) * period_s)
 
     def caller(self, name, period_s):
-        rng, cpu = self.rng(name), self.task_cpu
+        rng = self.rng(name)
         while not self.over.is_set():
-            key = f"{rng.getrandbits(64):016x}"
-            ms, count = rng.randrange(600, self.options.task_ms + 1), rng.randint(2, 5)
-            step = {"count": count, "cpu": cpu, "mem-mb": cpu, "est-ms": ms}
-            job = {"spec": f"ms={ms} cpu={cpu} mem={cpu}", "steps": [step]}
+            key, job = self.draw_job(rng, lambda rng: rng.randrange(600, self.options.task_ms + 1))
             for _ in range(6):
                 answer = rng.choice(self.processes).call("POST", f"/count/{key}", job)
                 if answer and answer[0] == 200:
@@ -206,6 +224,7 @@
     "large": Form(large, 32, 200, 30, 8, [0.25], [0.03, 0.1], [0.02], 0.05, True, [16_000], 800),
     "shown": Form(shown.run, 5, 12, 58, 4, [0.2, 0.4], [0], [0], 0, False, [4_000], 500),
     "busy": Form(busy.run, 3, 3, 30, 0, [1], [0], [0], 0, False, [192_000], 200),
+    "recut": Form(recut.run, 1, 12, 48, 0, [1], [0], [0], 0, True, [32_000], 200),
 }
 
 
@@ -213,7 +232,7 @@
     form, rng = FORMS[options.form], play.rng("faults")
     loss, late, cpu = rng.choice(form.losses), rng.choice(form.lates), rng.choice(form.cpu)
     period_s, play.task_cpu = rng.choice(form.period_s), form.task_cpu
-    entries = options.entries or form.entries or rng.choice([1, 8])
+    entries = options.entries or (recut.KILL_ENTRIES if options.kill else form.entries) or rng.choice([1, 8])
     executors = options.executors or form.executors or rng.randint(1, 9)
     play.faults.slow_clock = form.slow_clock
     loss = options.loss if options.loss is not None else loss
@@ -260,6 +279,7 @@
     parser.add_argument("--loss", type=float, help="share of calls to executors that are done and not answered")
     parser.add_argument("--late", type=float, help="share of calls that are done seconds later, and not answered")
     parser.add_argument("--foreign", choices=["own", "unnamed", "both"], default="both", help="service of foreign entries")
+    recut.add_options(parser)
     parser.add_argument("--logs", required=True, help="folder for the logs and the record")
     options = parser.parse_args()
     os.makedirs(options.logs, exist_ok=True)
@@ -278,6 +298,9 @@
         late, back = play.watch.late_starts(play.runs), play.watch.back
         result.update(vanished=gone, shown=len(late), back=len(back), lookups=play.watch.lookups)
         code = 1 if parallel or again or gone or late or back else 0
+        if options.form == "recut":
+            result.update(recut.counts(play))
+            code = code or (0 if result["reached"] else 2)
         for process in play.processes:
             process.log.flush()
         findings.write(os.path.join(options.logs, "cases.txt"), play.folder, parallel, again, play.calls)
--- a/tests/plays/standins.py
+++ b/tests/plays/standins.py
@@ -21,6 +21,7 @@
 TICK_S = 0.1
 ENTRY_BACK_S = 2.0
 FIRST_ENTRY_S = 0.5
+POLL_S = 0.003
 
 
 class Record(lab.Record):
@@ -55,14 +56,24 @@
 class Executor(lab.Executor):
     """An executor that several runs of a task may run on. `faults` has the shares of calls whose
     answer is lost after the call was done (`loss`), that are done seconds later without an answer
-    (`late`), and that are done or answered with a delay (`slow`)."""
+    (`late`), and that are done or answered with a delay (`slow`).
+
+    A call that arrives up to `reach_s` before a crashed executor is back is done by the new life, whose
+    first entry is written up to `entry_s` after its return. While `mute` is set, calls are done and not
+    answered."""
 
     def __init__(self, play, eid, service, rng, faults, **options):
         self.rng, self.faults = rng, faults
         self.rate = rng.uniform(0.98, 1.0) if faults.slow_clock else 1.0
         self.back_at = None
+        self.reach_s, self.entry_s, self.mute = 0.0, FIRST_ENTRY_S, False
         super().__init__(play, eid, service, **options)
 
+    async def open(self):
+        await super().open()
+        self.server.carries_over = True
+        return self
+
     def clock(self):
         return int((time.monotonic() - self.epoch) * 1000 * self.rate)
 
@@ -109,7 +120,14 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def come_back(self):
+        """Waits for the next life, as long as a call may."""
+        until = time.monotonic() + self.reach_s
+        while self.down and time.monotonic() < until:
+            await asyncio.sleep(POLL_S)
+
     async def handle(self, method, target, headers, body):
+        await self.come_back()
         life = self.life
         if self.cut or self.down:
             return DROP
@@ -137,7 +155,7 @@
                                      f"{len(self.running)} that run and {len(self.ended)} that ended")
         if self.rng.random() < self.faults.slow:
             await asyncio.sleep(self.rng.uniform(0.02, 0.9))
-        if self.cut or self.down or life != self.life or self.rng.random() < self.faults.loss:
+        if self.cut or self.down or life != self.life or self.mute or self.rng.random() < self.faults.loss:
             return DROP
         return answer
 
@@ -211,7 +229,7 @@
         self.server.life += 1
         self.begin_life()
         self.down = False
-        asyncio.get_running_loop().call_later(self.rng.uniform(0, FIRST_ENTRY_S), self.list_life, self.life)
+        asyncio.get_running_loop().call_later(self.rng.uniform(0, self.entry_s), self.list_life, self.life)
         self.lab.record.line("disruption", f"executor {self.eid} is back, born {self.born}")
 
     def list_life(self, life):
--- a/tests/plays/test_standins.py
+++ b/tests/plays/test_standins.py
@@ -8,6 +8,7 @@
 import unittest
 from types import SimpleNamespace
 
+import recut
 import shown
 import standins
 from standins import DROP, lab
@@ -198,6 +199,50 @@
         self.assertIsNone(answer)
         self.assertEqual(list(executor.running), [(TASK, 1)])
 
+    def fall_dark(self, executor, dark_s, reach_s=0.4):
+        executor.reach_s = reach_s
+        executor.crash()
+        asyncio.get_running_loop().call_later(dark_s, executor.restart)
+
+    async def test_a_call_made_in_the_dark_reaches_the_new_life(self):
+        executor = self.executor()
+        await asyncio.sleep(1.0)
+        self.fall_dark(executor, 0.2)
+
+        answer = await self.start(executor, 1, held_ms=4_000)
+
+        self.assertEqual(answer, (200, None))
+        self.assertEqual((executor.life, list(executor.running)), (2, [(TASK, 1)]))
+        self.assertGreater(executor.deadline - executor.clock(), 4_500)
+
+    async def test_a_call_whose_caller_has_left_is_not_done(self):
+        executor = self.executor()
+        self.fall_dark(executor, 0.4, reach_s=0.2)
+
+        answer = await self.start(executor, 1)
+        await asyncio.sleep(0.4)
+
+        self.assertIsNone(answer)
+        self.assertEqual((executor.life, self.play.runs), (2, {}))
+
+    async def test_a_call_before_the_crash_is_not_answered_by_the_new_life(self):
+        executor = self.executor()
+        hold = asyncio.create_task(self.call(executor, "/hold", **{"ack-cursor": 0, "wait-ms": 400}))
+        await asyncio.sleep(0.05)
+
+        self.fall_dark(executor, 0.05)
+
+        self.assertIsNone(await hold)
+
+    async def test_a_mute_executor_does_its_calls(self):
+        executor = self.executor()
+        executor.mute = True
+
+        answer = await self.start(executor, 1)
+
+        self.assertIsNone(answer)
+        self.assertEqual(list(executor.running), [(TASK, 1)])
+
     async def test_entries_go_with_the_store_and_come_back(self):
         executor = self.executor()
         newest = self.play.store.topic("keyed.servers").newest
@@ -212,6 +257,46 @@
         self.assertIn("i-1", newest)
 
 
+class Channels(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, carries_over):
+        """The status of a call that was open at a restart, or None."""
+        async def handle(*_call):
+            server.life += 1
+            return lab.reply(200, {})
+
+        server = lab.HttpServer(handle)
+        server.carries_over = carries_over
+        await server.open()
+        reader, writer = await asyncio.open_connection(*server.address)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        try:
+            line = await asyncio.wait_for(reader.readline(), 0.5)
+        except asyncio.TimeoutError:
+            line = None
+        writer.close()
+        await asyncio.sleep(0.05)
+        server.server.close()
+        return line and line.split()[1]
+
+    async def test_a_call_open_at_a_restart_is_answered_only_where_it_carries_over(self):
+        self.assertIsNone(await self.ask(False))
+        self.assertEqual(await self.ask(True), b"200")
+
+
+class ReachedLives(unittest.TestCase):
+    def count(self, meant_born, began=True):
+        with tempfile.TemporaryDirectory() as folder:
+            with open(f"{folder}/edge-1.log", "w", encoding="utf-8") as file:
+                file.write(f"time=x level=info event=start task={TASK} run=2 target=i-1 born={meant_born} epoch=1\n")
+            start = recut.Received(1.0, TASK, 2, "i-1", 100, 6_000, began)
+            return len(recut.reached(SimpleNamespace(folder=folder, received=[start])))
+
+    def test_a_start_counts_if_another_life_has_begun_it(self):
+        self.assertEqual(self.count(meant_born=90), 1)
+        self.assertEqual(self.count(meant_born=100), 0)
+        self.assertEqual(self.count(meant_born=90, began=False), 0)
+
+
 class Stores(unittest.IsolatedAsyncioTestCase):
     async def append(self, mode):
         with tempfile.TemporaryDirectory() as folder:
