--- a/tests/plays/recut.py
+++ b/tests/plays/recut.py
@@ -22,6 +22,7 @@
 KILL_ENTRIES = 3
 AWAY_S = (0.5, 4.0)
 BUSY_BEFORE_S = 2.4
+RECENT_STARTS = 20
 
 ORDER = re.compile(r"\bevent=start\b.*?\btask=(\S+)\b.*?\brun=(\d+)\b.*?\btarget=(\S+)\b.*?\bborn=(\d+)")
 
@@ -73,10 +74,19 @@
     leader.spawn()
 
 
+def draw_group(play, rng):
+    """The executors that get starts now, and others: a third to two thirds of all."""
+    size = rng.randint(len(play.executors) // 3, len(play.executors) * 2 // 3)
+    recent = {start.target for start in play.received[-RECENT_STARTS:]}
+    first = [executor for executor in play.executors if executor.eid in recent][:size]
+    others = [executor for executor in play.executors if executor not in first]
+    return first + rng.sample(others, size - len(first))
+
+
 def round_of(play, rng):
     after_s = (play.options.cut_ms or rng.choice(CUT_AFTER_MS)) / 1000
     length_s = rng.uniform(*CUT_S)
-    group = rng.sample(play.executors, rng.randint(len(play.executors) // 3, len(play.executors) * 2 // 3))
+    group = draw_group(play, rng)
     leader = play.leader() if play.options.kill else None
     play.note(f"{len(group)} executors fall dark, and are cut off {after_s:.3f} s after their return for {length_s:.1f} s")
     begin = now()
