Let the leader be terminated between return and cut in the play

Cause: a killed leader's successor waits for over 11 s, so that no play showed what it assumes of leases after the role was handed over. Change: `--leader kill` or `term` in place of `--kill`.

--- a/tests/plays/parallel_runs.py
+++ b/tests/plays/parallel_runs.py
@@ -232,7 +232,7 @@
     form, rng = FORMS[options.form], play.rng("faults")
     loss, late, cpu = rng.choice(form.losses), rng.choice(form.lates), rng.choice(form.cpu)
     period_s, play.task_cpu = rng.choice(form.period_s), form.task_cpu
-    entries = options.entries or (recut.KILL_ENTRIES if options.kill else form.entries) or rng.choice([1, 8])
+    entries = options.entries or (recut.ENTRIES if options.leader else form.entries) or rng.choice([1, 8])
     executors = options.executors or form.executors or rng.randint(1, 9)
     play.faults.slow_clock = form.slow_clock
     loss = options.loss if options.loss is not None else loss
--- a/tests/plays/recut.py
+++ b/tests/plays/recut.py
@@ -19,8 +19,9 @@
 TASK_MS = [(300, 1_500), (300, 1_500), (2_000, 6_000), (9_000, 12_000)]
 CALLERS = 6
 PERIOD_S = 0.4
-KILL_ENTRIES = 3
+ENTRIES = 3
 AWAY_S = (0.5, 4.0)
+GRACE_S = 6.0
 BUSY_BEFORE_S = 2.4
 RECENT_STARTS = 20
 
@@ -30,7 +31,7 @@
 def add_options(parser):
     parser.add_argument("--cut-ms", type=int, help="recut: time between return and cut; drawn for each round without it")
     parser.add_argument("--answers", choices=["lost", "kept"], help="recut: answers of new lives up to the cut")
-    parser.add_argument("--kill", action="store_true", help="recut: the leader is killed between return and cut")
+    parser.add_argument("--leader", choices=["kill", "term"], help="recut: what the leader gets between return and cut")
 
 
 @dataclass
@@ -65,11 +66,11 @@
         play.loop.call_later(DARK_S + after_s + 0.001, setattr, executor, "mute", False)
 
 
-def kill_leader(play, leader, rng):
+def end_leader(play, leader, rng):
     if leader is None:
-        return play.note("role: no leader to kill")
-    play.note(f"role: kill, leader {leader.name}")
-    leader.end_child()
+        return play.note("role: no leader to end")
+    play.note(f"role: {play.options.leader}, leader {leader.name}")
+    leader.end_child() if play.options.leader == "kill" else leader.terminate(GRACE_S)
     time.sleep(rng.uniform(*AWAY_S))
     leader.spawn()
 
@@ -87,13 +88,13 @@
     after_s = (play.options.cut_ms or rng.choice(CUT_AFTER_MS)) / 1000
     length_s = rng.uniform(*CUT_S)
     group = draw_group(play, rng)
-    leader = play.leader() if play.options.kill else None
+    leader = play.leader() if play.options.leader else None
     play.note(f"{len(group)} executors fall dark, and are cut off {after_s:.3f} s after their return for {length_s:.1f} s")
     begin = now()
     play.do(go_dark, play, rng, group, after_s, length_s)
-    if play.options.kill:
+    if play.options.leader:
         play.wait_until(begin + DARK_S + after_s / 2)
-        kill_leader(play, leader, rng)
+        end_leader(play, leader, rng)
     play.wait_until(begin + DARK_S + after_s + length_s + rng.uniform(*PAUSE_S))
 
 
