Say how many runs of a lost target are kept for a later incarnation

Cause: the two runs_given_up lines of a target looked alike: unreported counted the runs that are kept in the first and those that are released in the second. Change: kept replaces unreported. Result: no decision changes.

--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -97,7 +97,7 @@
         let later_ended = loss != Loss::Silent || self.later_ended(target, now);
         let has_ended = |run: &Run| later_ended || !run.may_run_later();
         let ended = runs.values().filter(|run| has_ended(run)).count();
-        let unreported = runs.values().filter(|run| run.may_run_later()).count();
+        let kept = runs.len() - ended;
         let replaced = self.has_successor(&entry);
         let lost_runs = LostRuns {
             entry: &entry,
@@ -109,7 +109,7 @@
         };
         spdlog::warn!("runs_given_up", kv: {
             target = id.0.as_ref(), cause = lost_runs.loss.name(), silent_ms = answered_at.map_or(0, |at| now - at),
-            called_ms = lease.called_at().map_or(0, |at| now - at), runs = ended, unreported,
+            called_ms = lease.called_at().map_or(0, |at| now - at), runs = ended, kept,
             leaving = lost_runs.leaving.name()
         });
         self.suspect_runs(table, &lost_runs, now);
