Bound what all connections of a server hold, and close the costliest first

Callers saw a process end for want of memory beside clients that announced or sent bodies far over the limit.

Cause: limits were per connection only. A connection could hold a body of 1 MiB that never ended, times 1,024 connections and four servers; a chunked body was kept as received, with size lines and extensions of any length; a read reserved up to 256 KiB for bytes that were only announced; and incomplete heads held all places, so that ordinary callers were refused. Nothing compared the sum with the memory or the descriptors of the process.

Change: each server has a table of its connections. Complete requests are never given up. Of a chunked body only the content is kept, its framing is bounded, and a read reserves no more than was received.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -6,6 +6,7 @@
 use http_types::Method;
 
 use super::codec;
+use super::connection_table::{Phase, Place};
 use super::deadline::timeout;
 use super::head::{MessageError, RequestHead, parse_request_head};
 use super::problem::{Execution, Problem};
@@ -39,6 +40,18 @@
         }
     }
 
+    /// A connection that has a place among those of its server.
+    pub(crate) fn with_place(stream: TcpStream, limits: ServerLimits, place: Place) -> Self {
+        let mut connection = Self::new(stream, limits);
+        connection.stream.occupy(place);
+        connection
+    }
+
+    /// Notes what the connection does from now on.
+    pub(crate) fn enter(&mut self, phase: Phase) {
+        self.stream.enter(phase);
+    }
+
     /// Method of the last request read; GET before the first.
     pub(crate) const fn method(&self) -> Method {
         self.method
@@ -57,6 +70,10 @@
                 self.refuse(error).await;
                 None
             }
+            Err(ReadError::Revoked) => {
+                self.refuse_over_limit().await;
+                None
+            }
         }
     }
 
@@ -98,9 +115,9 @@
         !closing
     }
 
-    /// Refuses a connection over the connection limit with status 503.
+    /// Refuses a connection with status 503 for which the server has no place or memory.
     pub(crate) async fn refuse_over_limit(&mut self) {
-        let error = MessageError::new(503, "too many connections");
+        let error = MessageError::new(503, "too many connections, or too much memory held by them");
         timeout(OVER_LIMIT_REFUSAL_MS, self.refuse(error)).await;
     }
 
@@ -120,6 +137,7 @@
             body_ms,
             ..
         } = self.limits;
+        self.enter(Phase::Reading);
         let head = timeout(head_ms, self.stream.read_head(max_head, parse_request_head))
             .await
             .ok_or(MessageError::new(408, "head not received in time"))??;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod codec;
 mod connection;
+mod connection_table;
 mod deadline;
 mod exchange;
 mod head;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -282,7 +282,7 @@
 
 fn read_failure(error: &ReadError) -> FailureCause {
     match error {
-        ReadError::Closed => (FailureKind::Cut, "connection ended".to_owned()),
+        ReadError::Closed | ReadError::Revoked => (FailureKind::Cut, "connection ended".to_owned()),
         ReadError::Invalid(MessageError { detail, .. }) => {
             (FailureKind::BadAnswer, (*detail).to_owned())
         }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -11,6 +11,7 @@
 use async_net::{TcpListener, TcpStream};
 
 use super::connection::Connection;
+use super::connection_table::{ConnectionTable, Phase};
 use super::{Reply, Request};
 use crate::runtime::Runtime;
 
@@ -21,8 +22,13 @@
 /// Size and time limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
-    /// Connections that are served at a time; further ones are refused with status 503.
+    /// Connections that are served at a time. For a further one, the connection with the slowest
+    /// incomplete request is closed, or else the one that has been idle for longest. If none has been
+    /// either for 2 s, the further one is refused with status 503.
     pub max_connections: usize,
+    /// Bytes that the buffers of all connections may hold. Beyond that, connections with incomplete
+    /// requests are closed with status 503, the largest and slowest first.
+    pub max_bytes: usize,
     /// Largest request head, in bytes.
     pub max_head: usize,
     /// Largest request body, in bytes.
@@ -41,6 +47,7 @@
     fn default() -> Self {
         Self {
             max_connections: 1_024,
+            max_bytes: 32 << 20,
             max_head: 8 << 10,
             max_body: 1 << 20,
             idle_ms: 60_000,
@@ -91,6 +98,7 @@
 pub struct Server {
     address: SocketAddr,
     connection_count: Arc<ConnectionCount>,
+    table: Arc<ConnectionTable>,
     _accept: Task<()>,
 }
 
@@ -122,16 +130,19 @@
         let address = listener.local_addr()?;
         let listener = TcpListener::try_from(listener)?;
         let connection_count = Arc::new(ConnectionCount::default());
-        let accept = accept_loop(
-            listener,
-            runtime.clone(),
+        let table = Arc::new(ConnectionTable::new(&limits));
+        let acceptor = Acceptor {
+            runtime: runtime.clone(),
             limits,
-            Arc::clone(&connection_count),
-            Arc::new(handler),
-        );
+            connection_count: Arc::clone(&connection_count),
+            table: Arc::clone(&table),
+            handler: Arc::new(handler),
+        };
+        let accept = acceptor.run(listener);
         Ok(Self {
             address,
             connection_count,
+            table,
             _accept: runtime.spawn(accept),
         })
     }
@@ -148,33 +159,49 @@
         self.connection_count.get()
     }
 
+    /// Connections that were closed to make room for others.
+    #[must_use]
+    pub fn revoked_connections(&self) -> u64 {
+        self.table.revoked()
+    }
+
     /// Connection count that stays valid after the server is dropped.
     pub(crate) fn connection_count(&self) -> Arc<ConnectionCount> {
         Arc::clone(&self.connection_count)
     }
 }
 
-async fn accept_loop<H: Handler>(
-    listener: TcpListener,
+/// Accepts the connections of a server.
+struct Acceptor<H> {
     runtime: Runtime,
     limits: ServerLimits,
     connection_count: Arc<ConnectionCount>,
+    table: Arc<ConnectionTable>,
     handler: Arc<H>,
-) {
-    loop {
-        let Ok((stream, caller)) = listener.accept().await else {
-            Timer::after(Duration::from_millis(ACCEPT_RETRY_MS)).await;
-            continue;
-        };
-        let (counted, before) = CountedConnection::new(&connection_count);
-        let handler = Arc::clone(&handler);
-        let over_limit = before >= limits.max_connections;
-        runtime
-            .spawn(async move {
-                serve_connection(stream, caller, limits, over_limit, handler).await;
-                drop(counted);
-            })
-            .detach();
+}
+
+impl<H: Handler> Acceptor<H> {
+    async fn run(self, listener: TcpListener) {
+        // Connections that are being refused keep their descriptors for a while.
+        let max_open = self.limits.max_connections + self.limits.max_connections / 4;
+        loop {
+            let Ok((stream, caller)) = listener.accept().await else {
+                Timer::after(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+                continue;
+            };
+            let (counted, before) = CountedConnection::new(&self.connection_count);
+            if before >= max_open {
+                continue;
+            }
+            let (limits, table) = (self.limits, Arc::clone(&self.table));
+            let handler = Arc::clone(&self.handler);
+            self.runtime
+                .spawn(async move {
+                    serve_connection(stream, caller, limits, &table, handler).await;
+                    drop(counted);
+                })
+                .detach();
+        }
     }
 }
 
@@ -182,16 +209,18 @@
     stream: TcpStream,
     caller: SocketAddr,
     limits: ServerLimits,
-    over_limit: bool,
+    table: &Arc<ConnectionTable>,
     handler: Arc<H>,
 ) {
     let _ = stream.set_nodelay(true);
-    let mut connection = Connection::new(stream, limits);
-    if over_limit {
+    let Some(place) = table.open() else {
+        let mut connection = Connection::new(stream, limits);
         connection.refuse_over_limit().await;
         return;
-    }
+    };
+    let mut connection = Connection::with_place(stream, limits, place);
     while let Some(request) = connection.next_request().await {
+        connection.enter(Phase::Handling);
         let method = connection.method();
         // Boxed, so that an idle connection reserves no memory for the handler's future.
         let work = Box::pin(handler.handle(request, caller));
@@ -201,5 +230,6 @@
         if !connection.write_reply(&reply, method).await {
             return;
         }
+        connection.enter(Phase::Idle);
     }
 }
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -10,7 +10,8 @@
 use futures_lite::future;
 use futures_lite::{AsyncRead, AsyncWriteExt};
 
-use super::chunked::{ChunkScanner, ChunkedSize};
+use super::chunked::{ChunkScanner, Scanned, encode_one_chunk};
+use super::connection_table::{Hold, Phase, Place};
 use super::head::{Framing, MessageError};
 
 /// Size of a small read, in bytes.
@@ -25,6 +26,8 @@
     Closed,
     /// The message violates the protocol or exceeds a limit.
     Invalid(MessageError),
+    /// The server needs the place or the memory of the connection for others.
+    Revoked,
 }
 
 impl From<MessageError> for ReadError {
@@ -34,8 +37,11 @@
 }
 
 impl From<io::Error> for ReadError {
-    fn from(_: io::Error) -> Self {
-        Self::Closed
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::OutOfMemory => Self::Revoked,
+            _ => Self::Closed,
+        }
     }
 }
 
@@ -44,7 +50,7 @@
 pub(crate) enum RawBody {
     /// The content, not chunked.
     Plain(Vec<u8>),
-    /// The encoded chunks up to the last, empty one, without the trailers.
+    /// The content as one chunk and the last, empty one, without extensions and trailers.
     Chunked(Vec<u8>),
 }
 
@@ -53,6 +59,10 @@
 pub(crate) struct BufferedStream {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// Its place among the connections of a server; `None` for a client.
+    place: Option<Place>,
+    /// Content of a chunked body that was taken from the buffer, in bytes.
+    decoded: usize,
 }
 
 impl BufferedStream {
@@ -60,6 +70,27 @@
         Self {
             stream,
             buffer: Vec::new(),
+            place: None,
+            decoded: 0,
+        }
+    }
+
+    /// Gives the connection a place among those of its server.
+    pub(crate) fn occupy(&mut self, place: Place) {
+        self.place = Some(place);
+    }
+
+    /// Notes what the connection does from now on.
+    pub(crate) fn enter(&mut self, phase: Phase) {
+        if phase == Phase::Idle {
+            self.decoded = 0;
+            self.buffer.shrink_to(READ_BYTES);
+        }
+        if let Some(place) = &self.place {
+            place.enter(phase);
+            if phase == Phase::Idle {
+                place.hold(self.buffer.capacity());
+            }
         }
     }
 
@@ -82,19 +113,45 @@
     }
 
     /// Reads once into the buffer: up to 4 KiB or, if `wanted` is more, up to `wanted` bytes,
-    /// at most 256 KiB. Returns false at the end of the stream. Cancel safe: dropping the
+    /// at most 256 KiB and as much as the buffer holds already: a client has to send what it wants
+    /// memory for. Returns false at the end of the stream. Fails with [`io::ErrorKind::OutOfMemory`]
+    /// if the server needs the memory or the place for others. Cancel safe: dropping the
     /// future before it completes leaves the buffer unchanged.
     pub(crate) async fn fill(&mut self, wanted: usize) -> io::Result<bool> {
-        let Self { stream, buffer } = self;
+        let Self {
+            stream,
+            buffer,
+            place,
+            decoded,
+        } = self;
+        let wanted = wanted.min(MAX_READ_BYTES).min(buffer.len());
         let read = future::poll_fn(|cx| {
             let stream = Pin::new(&mut *stream);
             if wanted > READ_BYTES {
-                poll_large(stream, cx, buffer, wanted.min(MAX_READ_BYTES))
+                poll_large(stream, cx, buffer, wanted)
             } else {
                 poll_small(stream, cx, buffer)
             }
         });
-        Ok(read.await? > 0)
+        let Some(place) = place else {
+            return Ok(read.await? > 0);
+        };
+        let revoked = async {
+            place.revoked().await;
+            Err(io::ErrorKind::OutOfMemory.into())
+        };
+        let read = future::or(read, revoked).await;
+        loop {
+            match place.hold(buffer.capacity() + *decoded) {
+                Hold::Granted => return Ok(read? > 0),
+                Hold::Waiting => future::yield_now().await,
+                Hold::Revoked => {
+                    *buffer = Vec::new();
+                    place.vacate();
+                    return Err(io::ErrorKind::OutOfMemory.into());
+                }
+            }
+        }
     }
 
     /// Waits until the other end closes the stream or reading fails. Bytes that arrive meanwhile
@@ -164,18 +221,30 @@
         Ok(RawBody::Plain(self.take(size)))
     }
 
+    /// Reads a chunked body. Keeps only its content, so that size lines and extensions take no memory.
     async fn read_chunked(&mut self, max_body: usize) -> Result<RawBody, ReadError> {
-        let mut scanner = ChunkScanner::default();
+        let mut scanner = ChunkScanner::new(max_body);
+        let mut content = Vec::new();
         loop {
-            if let Some(ChunkedSize {
-                without_trailers,
-                total,
-            }) = scanner.advance(&self.buffer, max_body)?
-            {
-                let mut body = self.take(total);
-                body.truncate(without_trailers);
-                body.extend_from_slice(b"\r\n");
-                return Ok(RawBody::Chunked(body));
+            let mut offset = 0;
+            let complete = loop {
+                let rest = &self.buffer[offset..];
+                match scanner.advance(rest)? {
+                    Scanned::Partial => break false,
+                    Scanned::Chunk { data, size } => {
+                        content.extend_from_slice(&rest[data]);
+                        offset += size;
+                    }
+                    Scanned::End { size } => {
+                        offset += size;
+                        break true;
+                    }
+                }
+            };
+            self.buffer.drain(..offset);
+            self.decoded = content.capacity();
+            if complete {
+                return Ok(RawBody::Chunked(encode_one_chunk(&content)));
             }
             if !self.fill(READ_BYTES).await? {
                 return Err(ReadError::Closed);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -40,6 +40,8 @@
 pub const BATCH_STORED_US: &str = "batch_stored_us";
 /// Calls from the leader to targets and to the VM service; tag `call`.
 pub const LEADER_CALLS: &str = "leader_calls_total";
+/// Connections that a server closed to make room for others; tag `server`.
+pub const REVOKED_CONNECTIONS: &str = "revoked_connections_total";
 /// Time from a call that starts a task to its response, in µs.
 pub const START_US: &str = "start_us";
 /// Data centres that the operators have had evacuated, as this process knows them.
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -269,6 +269,18 @@
     assert!(response.ends_with("\r\n\r\nok"), "{response}");
 }
 
+/// Guards against chunks whose extensions take more memory and time than any body may.
+#[test]
+fn chunk_extensions_over_the_limit_are_refused() {
+    let chunk = format!("1;{}\r\nx\r\n", "e".repeat(3_000));
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let request = format!("{head}{}", chunk.repeat(12));
+
+    let response = fixture().exchange(request.as_bytes());
+
+    assert_eq!(status(&response), "413");
+}
+
 #[test]
 fn handler_is_dropped_when_the_client_disconnects() {
     let fixture = fixture();
