Count calls that reach a later incarnation after it has reported itself

Cause: the end of a call was noted only if the target was still the incarnation that the call was meant for. A hold that was answered by another one, or whose answer was superseded, was not noted at all. Besides, a hold after an unanswered start extended the lease once more, so that a target that went dark for good held its runs longer, and a start that was dropped before it was sent did, too.

Change: such a call gives the present incarnation the longest lease. After a start without an answer, no call carries a deadline, and no start is sent, until a hold is answered. The lease is extended only for starts that are sent.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -56,7 +56,8 @@
             // A call to a target that did not answer the last one does not extend its lease:
             // the lease would never expire, and the target's runs could never be given up. Nor does
             // one that a later incarnation may receive.
-            let deadline_ms = if target.missed_calls == 0 && target.announced.is_none() {
+            let known = target.announced.is_none() && !target.start_unanswered;
+            let deadline_ms = if target.missed_calls == 0 && known {
                 target.lease.extend(now, lease_ms)
             } else {
                 None
@@ -72,6 +73,7 @@
             };
             self.holds_sent += 1;
             target.hold = HoldState::InFlight(self.holds_sent);
+            target.hold_extends = deadline_ms.is_some();
             target.sent_cursor = forget_up_to;
             self.commands.push(Command::Hold {
                 target: target.called_entry(),
@@ -95,17 +97,21 @@
         sent_at: Millis,
         now: Millis,
     ) {
-        let Some(target) = self.targets.get_mut(id) else {
+        let Some(target) = self.targets.get(id) else {
             return;
         };
-        if target.entry.born != born {
-            return;
-        }
-        let superseded = target.hold != HoldState::InFlight(number);
-        if matches!(result, Err(HoldFailure::NoAnswer)) && (superseded || target.missed_calls == 0)
-        {
-            target.lease.may_have_met_later(now);
+        let superseded = target.entry.born != born || target.hold != HoldState::InFlight(number);
+        let unproven = match &result {
+            Ok(_) => superseded,
+            Err(HoldFailure::NoAnswer) => superseded || target.hold_extends,
+            Err(HoldFailure::OtherIncarnation | HoldFailure::Fenced) => false,
+        };
+        if unproven {
+            self.unproven_call_ended(id, born, now);
         }
+        let Some(target) = self.targets.get_mut(id).filter(|t| t.entry.born == born) else {
+            return;
+        };
         let report = match result {
             Err(HoldFailure::Fenced) => {
                 spdlog::warn!("fenced", kv: { target = id.0.as_ref(), epoch = self.epoch(), call = "hold" });
@@ -142,6 +148,7 @@
             self.needs_scheduling = true;
         }
         target.missed_calls = 0;
+        target.start_unanswered = false;
         target.last_answer_at = Some(now);
         target.reported_at = Some(now).filter(|at| at.saturating_sub(sent_at) <= RECENT_ANSWER_MS);
         target.forgotten_end = target.forgotten_end.max(target.sent_cursor);
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -95,7 +95,7 @@
         let lease = target.lease;
         let target = &self.targets[id];
         let later_ended = loss != Loss::Silent || self.later_ended(target, now);
-        let has_ended = |run: &Run| later_ended || !run.may_run_later();
+        let has_ended = |run: &Run| later_ended || !run.may_be_on_later();
         let ended = runs.values().filter(|run| has_ended(run)).count();
         let kept = runs.len() - ended;
         let replaced = self.has_successor(&entry);
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -202,7 +202,7 @@
                     self.observe_target_clock(&target, born, clock_ms, sent_at, now);
                 }
                 if responder != Responder::Known && outcome.may_extend_lease() {
-                    self.may_have_met_later(&target, born, now);
+                    self.unproven_call_ended(&target, born, now);
                 }
                 self.start_answered(table, &target, born, task, run, outcome, now);
                 self.note_responder(&target, task, run, responder);
--- a/src/scheduler/leader/restarts.rs
+++ b/src/scheduler/leader/restarts.rs
@@ -35,12 +35,16 @@
         responder
     }
 
-    /// Notes that a call with a deadline, which was meant for the incarnation `born` of a target and is
-    /// over now, may have reached a later one.
-    pub(super) fn may_have_met_later(&mut self, id: &TargetId, born: u64, now: Millis) {
-        let target = self.targets.get_mut(id);
-        if let Some(target) = target.filter(|target| target.entry.born == born) {
-            target.lease.may_have_met_later(now);
+    /// Notes that a call with a deadline is over that was meant for the incarnation `born` of a target,
+    /// and that a later one may have received: the present one, if that is later.
+    pub(super) fn unproven_call_ended(&mut self, id: &TargetId, born: u64, now: Millis) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.entry.born == born {
+            target.lease.note_unproven_call(now);
+        } else if target.entry.born > born {
+            target.lease.extend_restarted(now);
         }
     }
 
--- a/src/scheduler/leader/starts.rs
+++ b/src/scheduler/leader/starts.rs
@@ -39,7 +39,11 @@
         let job = table.get(task.step.job);
         let job = job.filter(|job| !job.state().ended());
         let may_start = target.may_start(now) && target.fits_planned_run(task);
-        let deadline = target.lease.extend(now, lease_ms).filter(|_| may_start);
+        let deadline = if job.is_some() && may_start {
+            target.lease.extend(now, lease_ms)
+        } else {
+            None
+        };
         let (Some(job), Some(deadline_ms)) = (job, deadline) else {
             self.release_planned_run(table, id, task, now);
             return;
@@ -163,7 +167,10 @@
         });
         match outcome {
             StartOutcome::Running => {}
-            StartOutcome::Unknown => return target.request_stop(task, now),
+            StartOutcome::Unknown => {
+                target.start_unanswered = true;
+                return target.request_stop(task, now);
+            }
             StartOutcome::Fenced => {
                 self.fenced = true;
                 return;
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -72,8 +72,7 @@
 }
 
 impl Lease {
-    /// The lease of an incarnation that accepts leases of up to `longest_ms`, and has none that holds
-    /// until it answers.
+    /// The lease of an incarnation that accepts leases of up to `longest_ms`, and has none yet.
     pub(super) const fn new(longest_ms: u64) -> Self {
         Self {
             longest_ms,
@@ -103,7 +102,8 @@
     /// Which incarnation has answered a call that was sent at `sent_at`, with this time on the target's
     /// clock: the clock never goes back, and starts anew with each incarnation. Answers may overtake
     /// each other, so this one may have been given before the latest reading, but not before the call
-    /// was sent. A later incarnation has started after the call that gave the latest reading was sent.
+    /// was sent. A later incarnation has started after the call that gave the latest reading was sent, and
+    /// its clock counts from 0, and not faster than the local one.
     pub(super) fn responder(&self, clock_ms: u64, sent_at: Millis, now: Millis) -> Responder {
         let Some(last) = self.reading else {
             return Responder::Unclear;
@@ -164,7 +164,7 @@
         let deadline = clock_ms + now.saturating_sub(received_at) + length_ms;
         self.deadline = self.deadline.max(deadline);
         self.called_at = Some(now);
-        self.may_have_met_later(now);
+        self.note_unproven_call(now);
         Some(deadline)
     }
 
@@ -175,7 +175,7 @@
 
     /// Notes that a later incarnation may have received the latest call with a deadline, if there was
     /// one, until `at`.
-    pub(super) fn may_have_met_later(&mut self, at: Millis) {
+    pub(super) fn note_unproven_call(&mut self, at: Millis) {
         if self.called_at.is_some() {
             let until = at + with_lease_margin(self.longest_ms);
             self.later_until = self.later_until.max(until);
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -265,7 +265,7 @@
 
     /// Returns whether it may be on a later incarnation of its target than the one that was called:
     /// its start was sent, and nothing shows that the one that was called has accepted it.
-    pub(super) fn may_run_later(&self) -> bool {
+    pub(super) fn may_be_on_later(&self) -> bool {
         let known = self.reported_clock.is_some() || self.accepted_by == Responder::Known;
         self.may_be_executing() && !known
     }
--- a/src/scheduler/target.rs
+++ b/src/scheduler/target.rs
@@ -48,10 +48,15 @@
     pub(super) token_accepted: bool,
     pub(super) lease: Lease,
     pub(super) hold: HoldState,
+    /// Whether the hold call in flight, or else the latest one, carried a deadline.
+    pub(super) hold_extends: bool,
     /// When it last answered a call; `None` before.
     pub(super) last_answer_at: Option<Millis>,
     /// Consecutive calls without an answer.
     pub(super) missed_calls: u32,
+    /// Whether a start has had no answer since the latest answer to a hold call. Until the next one, no
+    /// call extends the lease: a later incarnation might receive it.
+    pub(super) start_unanswered: bool,
     /// Whether its latest report listed all its runs.
     pub(super) lists_all: bool,
     /// Position of the last ended run that was applied to its job; 0 for none.
@@ -103,8 +108,10 @@
             token_accepted: false,
             lease,
             hold: HoldState::Due(now),
+            hold_extends: false,
             last_answer_at: None,
             missed_calls: 0,
+            start_unanswered: false,
             lists_all: true,
             applied_end: 0,
             stored_end: 0,
@@ -138,6 +145,7 @@
             && self.token_accepted
             && self.stays()
             && self.missed_calls == 0
+            && !self.start_unanswered
             && self.entry.state == TargetState::Ready
             && self.health.usable(now)
             && now >= self.starts_paused_until
--- a/src/scheduler/target_runs.rs
+++ b/src/scheduler/target_runs.rs
@@ -73,7 +73,7 @@
 
     /// Returns whether it has runs that are certainly of this incarnation, and so end with its lease.
     pub(super) fn has_known_runs(&self) -> bool {
-        !self.strays.is_empty() || self.runs.values().any(|run| !run.may_run_later())
+        !self.strays.is_empty() || self.runs.values().any(|run| !run.may_be_on_later())
     }
 
     /// Removes and returns the runs that a later incarnation has accepted.
--- a/tests/scheduler/later_incarnations.rs
+++ b/tests/scheduler/later_incarnations.rs
@@ -319,3 +319,26 @@
     assert!(left > 0);
     assert_each_ran_once_at_a_time(&world, later);
 }
+
+/// Guards against two runs of a task: a start for the earlier incarnation reached the later one after that
+/// had reported itself, and renewed its lease.
+#[rstest]
+fn tasks_wait_for_the_longest_lease_of_a_start_that_arrives_after_the_restart_is_known(
+    #[values(100, 200, 300, 360)] held_ms: Millis,
+    #[values(5, 20, 50, 100)] cut_ms: Millis,
+) {
+    let mut world = two_targets(UP_MS);
+    let held_until = world.now + held_ms;
+    world.hold_starts(&reborn(), held_until);
+    world.submit(2, long_job());
+    world.run_for(15);
+    world.restart(&reborn());
+    world.hold_starts(&reborn(), 0);
+    world.run_for(30);
+    let key = world.submit(3, long_job());
+
+    world.run_for(held_ms - 45 + cut_ms);
+    cut_off(&mut world);
+
+    assert_each_ran_once_at_a_time(&world, key);
+}
--- a/tests/scheduler/world/links.rs
+++ b/tests/scheduler/world/links.rs
@@ -17,8 +17,8 @@
 /// What happens to calls on their way to targets, and to the answers.
 #[derive(Default)]
 pub(super) struct Links {
-    /// Until when calls to targets are held, which they reach then.
-    held_until: IndexMap<TargetId, Millis>,
+    /// Until when calls of a kind to targets are held, which they reach then.
+    held_until: IndexMap<(TargetId, CallKind), Millis>,
     /// Until when answers of targets to calls of a kind are lost.
     lost_until: IndexMap<(TargetId, CallKind), Millis>,
 }
@@ -26,7 +26,16 @@
 impl World {
     /// The network holds calls that are sent to the target until `until`, unless they fail before.
     pub(crate) fn hold_calls(&mut self, id: &TargetId, until: Millis) {
-        self.links.held_until.insert(id.clone(), until);
+        for kind in [CallKind::Start, CallKind::Stop, CallKind::Hold] {
+            self.links.held_until.insert((id.clone(), kind), until);
+        }
+    }
+
+    /// The network holds starts that are sent to the target until `until`, unless they fail before.
+    pub(crate) fn hold_starts(&mut self, id: &TargetId, until: Millis) {
+        self.links
+            .held_until
+            .insert((id.clone(), CallKind::Start), until);
     }
 
     /// The network loses the target's answers to calls of a kind until `until`.
@@ -59,8 +68,8 @@
             CallKind::Start | CallKind::Stop => 0,
             CallKind::Hold => self.faults.jitter_ms,
         };
-        let held_until = self.links.held_until.get(id).copied().unwrap_or(0);
-        let held_ms = held_until.saturating_sub(self.now);
+        let held_until = self.links.held_until.get(&(id.clone(), kind));
+        let held_ms = held_until.map_or(0, |until| until.saturating_sub(self.now));
         if held_ms + answer_ms + 2 * TICK_MS < CALL_TIMEOUT_MS {
             held_ms.max(CALL_LATENCY_MS)
         } else {
