--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -217,10 +217,9 @@
                 sent_at,
             } => {
                 let responder = self.responder(&target, born, clock_ms, sent_at, now);
+                let later = responder == Responder::Later;
                 let outcome = match outcome {
-                    StopOutcome::Confirmed if responder == Responder::Later => {
-                        StopOutcome::OtherIncarnation
-                    }
+                    StopOutcome::Confirmed if later => StopOutcome::OtherIncarnation,
                     StopOutcome::Confirmed if self.may_have_restarted(&target, now) => {
                         StopOutcome::Unknown
                     }
