Refuse a request that was to be given up before the handler has it

Cause: a connection could be told to go between the end of its request and the call of the handler, by another thread. The handler then started, and was dropped with the connection, although a complete request is never given up for another. Change: entering a phase tells whether the connection has to go. If so, the request is refused with 503, not run.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -47,9 +47,10 @@
         connection
     }
 
-    /// Notes what the connection does from now on.
-    pub(crate) fn enter(&mut self, phase: Phase) {
-        self.stream.enter(phase);
+    /// Notes what the connection does from now on. Returns false if its server needs the place or the
+    /// memory for others.
+    pub(crate) fn enter(&mut self, phase: Phase) -> bool {
+        self.stream.enter(phase)
     }
 
     /// Method of the last request read; GET before the first.
@@ -137,7 +138,9 @@
             body_ms,
             ..
         } = self.limits;
-        self.enter(Phase::Reading);
+        if !self.enter(Phase::Reading) {
+            return Err(ReadError::Revoked);
+        }
         let head = timeout(head_ms, self.stream.read_head(max_head, parse_request_head))
             .await
             .ok_or(MessageError::new(408, "head not received in time"))??;
--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -210,12 +210,16 @@
 }
 
 impl Place {
-    /// Notes what the connection does from now on.
-    pub(crate) fn enter(&self, phase: Phase) {
-        if let Some(entry) = self.table.lock().entries.get_mut(&self.id) {
-            entry.phase = phase;
-            entry.since = Instant::now();
-        }
+    /// Notes what the connection does from now on. Returns false if it has to go.
+    pub(crate) fn enter(&self, phase: Phase) -> bool {
+        let mut state = self.table.lock();
+        let entry = state.entries.get_mut(&self.id);
+        let Some(entry) = entry.filter(|entry| !entry.is_revoked()) else {
+            return false;
+        };
+        entry.phase = phase;
+        entry.since = Instant::now();
+        true
     }
 
     /// Notes that the buffers of the connection hold `bytes`. If all hold too much, others have to go.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -220,7 +220,11 @@
     };
     let mut connection = Connection::with_place(stream, limits, place);
     while let Some(request) = connection.next_request().await {
-        connection.enter(Phase::Handling);
+        // From here on the request may run, and is no longer given up for another.
+        if !connection.enter(Phase::Handling) {
+            connection.refuse_over_limit().await;
+            return;
+        }
         let method = connection.method();
         // Boxed, so that an idle connection reserves no memory for the handler's future.
         let work = Box::pin(handler.handle(request, caller));
@@ -230,6 +234,8 @@
         if !connection.write_reply(&reply, method).await {
             return;
         }
-        connection.enter(Phase::Idle);
+        if !connection.enter(Phase::Idle) {
+            return;
+        }
     }
 }
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -80,18 +80,20 @@
         self.place = Some(place);
     }
 
-    /// Notes what the connection does from now on.
-    pub(crate) fn enter(&mut self, phase: Phase) {
+    /// Notes what the connection does from now on. Returns false if its server needs the place or the
+    /// memory for others.
+    pub(crate) fn enter(&mut self, phase: Phase) -> bool {
         if phase == Phase::Idle {
             self.decoded = 0;
             self.buffer.shrink_to(READ_BYTES);
         }
-        if let Some(place) = &self.place {
-            place.enter(phase);
-            if phase == Phase::Idle {
-                place.hold(self.buffer.capacity());
-            }
+        let Some(place) = &self.place else {
+            return true;
+        };
+        if phase == Phase::Idle {
+            place.hold(self.buffer.capacity());
         }
+        place.enter(phase)
     }
 
     /// The stream without its buffer.
