Name what is revoked in the table of connections

Cause: going stood for entries whose connections are told to close, which a reader had to guess. Change: names and comments only.

--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -37,7 +37,7 @@
     since: Instant,
     /// Bytes that its buffers hold.
     held: usize,
-    /// Dropped to tell the connection that it has to go; `None` from then on.
+    /// Dropped to revoke the entry, which tells the connection to close; `None` from then on.
     revoke: Option<Sender<()>>,
 }
 
@@ -59,10 +59,10 @@
     last_id: u64,
     /// Sum of what the entries hold, in bytes.
     held: usize,
-    /// Part of it that connections hold which have to go.
-    going: usize,
-    /// Number of these connections.
-    going_count: usize,
+    /// Part of it that revoked entries hold, whose connections are not closed yet.
+    revoked_bytes: usize,
+    /// Number of revoked entries.
+    revoked_count: usize,
     logged_at: Option<Instant>,
     /// Connections that were closed since then.
     unlogged: u64,
@@ -73,8 +73,8 @@
         if let Some(entry) = self.entries.swap_remove(&id) {
             self.held -= entry.held;
             if entry.is_revoked() {
-                self.going -= entry.held;
-                self.going_count -= 1;
+                self.revoked_bytes -= entry.held;
+                self.revoked_count -= 1;
             }
         }
     }
@@ -125,8 +125,8 @@
                 entries: IndexMap::new(),
                 last_id: 0,
                 held: 0,
-                going: 0,
-                going_count: 0,
+                revoked_bytes: 0,
+                revoked_count: 0,
                 logged_at: None,
                 unlogged: 0,
             }),
@@ -138,7 +138,7 @@
     pub(crate) fn open(self: &Arc<Self>) -> Option<Place> {
         let now = Instant::now();
         let mut state = self.lock();
-        if state.entries.len() - state.going_count >= self.max_connections {
+        if state.entries.len() - state.revoked_count >= self.max_connections {
             let slowest = state.slowest(now)?;
             self.revoke(&mut state, slowest, "connections", now);
         }
@@ -169,8 +169,8 @@
             return;
         };
         entry.revoke = None;
-        state.going += entry.held;
-        state.going_count += 1;
+        state.revoked_bytes += entry.held;
+        state.revoked_count += 1;
         self.revoked.fetch_add(1, Ordering::Relaxed);
         state.unlogged += 1;
         let due = state
@@ -197,7 +197,7 @@
     Granted,
     /// Others have to free theirs before it reads on.
     Waiting,
-    /// It has to go.
+    /// Its place was revoked: it has to free the memory and close.
     Revoked,
 }
 
@@ -210,7 +210,7 @@
 }
 
 impl Place {
-    /// Notes what the connection does from now on. Returns false if it has to go.
+    /// Notes what the connection does from now on. Returns false if its place was revoked.
     pub(crate) fn enter(&self, phase: Phase) -> bool {
         let mut state = self.table.lock();
         let entry = state.entries.get_mut(&self.id);
@@ -222,7 +222,8 @@
         true
     }
 
-    /// Notes that the buffers of the connection hold `bytes`. If all hold too much, others have to go.
+    /// Notes that the buffers of the connection hold `bytes`. If all hold too much, the places
+    /// of others are revoked.
     pub(crate) fn hold(&self, bytes: usize) -> Hold {
         let now = Instant::now();
         let mut state = self.table.lock();
@@ -235,7 +236,7 @@
         let before = std::mem::replace(&mut entry.held, bytes);
         let reading = entry.phase == Phase::Reading;
         state.held = state.held - before + bytes;
-        while state.held - state.going > self.table.max_bytes {
+        while state.held - state.revoked_bytes > self.table.max_bytes {
             let Some(costliest) = state.costliest(now) else {
                 break;
             };
@@ -244,7 +245,7 @@
                 return Hold::Revoked;
             }
         }
-        if reading && state.going > 0 && state.held > self.table.max_bytes {
+        if reading && state.revoked_bytes > 0 && state.held > self.table.max_bytes {
             Hold::Waiting
         } else {
             Hold::Granted
@@ -256,7 +257,7 @@
         self.table.lock().remove(self.id);
     }
 
-    /// Completes once the connection has to go.
+    /// Completes once the place is revoked.
     pub(crate) async fn revoked(&self) {
         let _ = self.revoked.recv().await;
     }
