Leave the stand-ins of the review as they were

Cause: a server that may answer a call that is open at a restart was made in review/lab.py, which stays as the review left it.

--- a/review/lab.py
+++ b/review/lab.py
@@ -76,8 +76,6 @@
         self.writers = set()
         # Raised when the machine restarts: connections of before are reset when they are used.
         self.life = 1
-        # Whether a call that is open at a restart may still be answered, as the handler decides.
-        self.carries_over = False
 
     async def open(self):
         self.server = await asyncio.start_server(self._serve, *self.address, backlog=4096)
@@ -110,7 +108,7 @@
                 length = int(headers.get("content-length", "0"))
                 body = await reader.readexactly(length) if length else b""
                 answer = await self.handler(method, target, headers, body)
-                if answer is DROP or (life != self.life and not self.carries_over):
+                if answer is DROP or life != self.life:
                     # Nothing is answered any more; the channel stays open and silent.
                     await reader.read(1)
                     writer.transport.abort()
--- a/tests/plays/standins.py
+++ b/tests/plays/standins.py
@@ -9,6 +9,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -53,6 +54,57 @@
         return answer
 
 
+class HttpServer(lab.HttpServer):
+    """A server that may answer a call that is open at a restart, if it `carries_over`: the handler decides then."""
+
+    def __init__(self, handler, address=("127.0.0.1", 0)):
+        super().__init__(handler, address)
+        self.carries_over = False
+
+    async def _serve(self, reader, writer):
+        life = self.life
+        sock = writer.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if life != self.life:
+                    writer.transport.abort()
+                    return
+                lines = head.decode("latin-1").split("\r\n")
+                method, target, _ = lines[0].split(" ", 2)
+                headers = {}
+                for line in lines[1:]:
+                    name, _, value = line.partition(":")
+                    if name:
+                        headers[name.strip().lower()] = value.strip()
+                length = int(headers.get("content-length", "0"))
+                body = await reader.readexactly(length) if length else b""
+                answer = await self.handler(method, target, headers, body)
+                if answer is DROP or (life != self.life and not self.carries_over):
+                    # Nothing is answered any more; the channel stays open and silent.
+                    await reader.read(1)
+                    writer.transport.abort()
+                    return
+                status, payload, kind = answer
+                writer.write(
+                    f"HTTP/1.1 {status} X\r\ncontent-type: {kind}\r\n"
+                    f"content-length: {len(payload)}\r\n\r\n".encode() + payload
+                )
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+# What the executors of `lab` open.
+lab.HttpServer = HttpServer
+
+
 class Executor(lab.Executor):
     """An executor that several runs of a task may run on. `faults` has the shares of calls whose
     answer is lost after the call was done (`loss`), that are done seconds later without an answer
--- a/tests/plays/test_standins.py
+++ b/tests/plays/test_standins.py
@@ -264,7 +264,7 @@
             server.life += 1
             return lab.reply(200, {})
 
-        server = lab.HttpServer(handle)
+        server = standins.HttpServer(handle)
         server.carries_over = carries_over
         await server.open()
         reader, writer = await asyncio.open_connection(*server.address)
