Count and log what a server refuses before a handler has it

Cause: a new connection that found no place, one that was closed unanswered, and a body or framing over its limit left no trace: only closed ones were counted. Change: refused_requests_total by server and status, and requests_refused in the log, at most one line a second.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -1,12 +1,14 @@
 //! Server side of one connection: reads and checks requests and writes the responses in
 //! order.
 
+use std::sync::Arc;
+
 use async_net::TcpStream;
 use futures_lite::future;
 use http_types::Method;
 
 use super::codec;
-use super::connection_table::{Phase, Place};
+use super::connection_table::{ConnectionTable, Phase, Place};
 use super::deadline::timeout;
 use super::head::{MessageError, RequestHead, parse_request_head};
 use super::problem::{Execution, Problem};
@@ -28,21 +30,32 @@
     limits: ServerLimits,
     method: Method,
     close: bool,
+    table: Arc<ConnectionTable>,
 }
 
 impl Connection {
-    pub(crate) const fn new(stream: TcpStream, limits: ServerLimits) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        limits: ServerLimits,
+        table: &Arc<ConnectionTable>,
+    ) -> Self {
         Self {
             stream: BufferedStream::new(stream),
             limits,
             method: Method::Get,
             close: false,
+            table: Arc::clone(table),
         }
     }
 
     /// A connection that has a place among those of its server.
-    pub(crate) fn with_place(stream: TcpStream, limits: ServerLimits, place: Place) -> Self {
-        let mut connection = Self::new(stream, limits);
+    pub(crate) fn with_place(
+        stream: TcpStream,
+        limits: ServerLimits,
+        table: &Arc<ConnectionTable>,
+        place: Place,
+    ) -> Self {
+        let mut connection = Self::new(stream, limits, table);
         connection.stream.occupy(place);
         connection
     }
@@ -183,6 +196,7 @@
     }
 
     async fn refuse_with(&mut self, error: MessageError, outcome: Execution) {
+        self.table.note_refusal(error.status, error.detail);
         let problem = Problem {
             status: error.status,
             title: "request not accepted",
--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -63,11 +63,35 @@
     revoked_bytes: usize,
     /// Number of revoked entries.
     revoked_count: usize,
+    revoked_log: LogThrottle,
+    refused_log: LogThrottle,
+    /// Refusals by status; 0 for connections that were closed without an answer.
+    refused: IndexMap<u16, u64>,
+}
+
+/// Limits log lines of a kind to one in [`LOG_INTERVAL`].
+#[derive(Debug, Default)]
+struct LogThrottle {
     logged_at: Option<Instant>,
-    /// Connections that were closed since then.
+    /// Events since the latest line.
     unlogged: u64,
 }
 
+impl LogThrottle {
+    /// Counts an event. Returns the number of events since the latest line if one is due.
+    fn count(&mut self, now: Instant) -> Option<u64> {
+        self.unlogged += 1;
+        let early = self
+            .logged_at
+            .is_some_and(|at| now.duration_since(at) < LOG_INTERVAL);
+        if early {
+            return None;
+        }
+        self.logged_at = Some(now);
+        Some(std::mem::take(&mut self.unlogged))
+    }
+}
+
 impl State {
     fn remove(&mut self, id: u64) {
         if let Some(entry) = self.entries.swap_remove(&id) {
@@ -127,8 +151,9 @@
                 held: 0,
                 revoked_bytes: 0,
                 revoked_count: 0,
-                logged_at: None,
-                unlogged: 0,
+                revoked_log: LogThrottle::default(),
+                refused_log: LogThrottle::default(),
+                refused: IndexMap::new(),
             }),
             revoked: AtomicU64::new(0),
         }
@@ -172,19 +197,33 @@
         state.revoked_bytes += entry.held;
         state.revoked_count += 1;
         self.revoked.fetch_add(1, Ordering::Relaxed);
-        state.unlogged += 1;
-        let due = state
-            .logged_at
-            .is_none_or(|at| now.duration_since(at) >= LOG_INTERVAL);
-        if due {
+        if let Some(count) = state.revoked_log.count(now) {
             spdlog::warn!("connections_revoked", kv: {
-                limit, count = state.unlogged, open = state.entries.len(), held = state.held
+                limit, count, open = state.entries.len(), held = state.held
             });
-            state.logged_at = Some(now);
-            state.unlogged = 0;
         }
     }
 
+    /// Counts a request or connection that was refused before a handler had it, with the status of the
+    /// answer, or 0 for none.
+    pub(crate) fn note_refusal(&self, status: u16, cause: &str) {
+        let mut state = self.lock();
+        *state.refused.entry(status).or_default() += 1;
+        if let Some(count) = state.refused_log.count(Instant::now()) {
+            spdlog::warn!("requests_refused", kv: { status, cause, count, open = state.entries.len() });
+        }
+    }
+
+    /// Refusals so far, by status.
+    pub(crate) fn refused(&self) -> Vec<(u16, u64)> {
+        let state = self.lock();
+        state
+            .refused
+            .iter()
+            .map(|(status, count)| (*status, *count))
+            .collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -165,6 +165,13 @@
         self.table.revoked()
     }
 
+    /// Requests and connections that were refused before the handler had them, by status; 0 for
+    /// connections that were closed without an answer.
+    #[must_use]
+    pub fn refusals(&self) -> Vec<(u16, u64)> {
+        self.table.refused()
+    }
+
     /// Connection count that stays valid after the server is dropped.
     pub(crate) fn connection_count(&self) -> Arc<ConnectionCount> {
         Arc::clone(&self.connection_count)
@@ -191,6 +198,8 @@
             };
             let (counted, before) = CountedConnection::new(&self.connection_count);
             if before >= max_open {
+                self.table
+                    .note_refusal(0, "too many connections are being refused");
                 continue;
             }
             let (limits, table) = (self.limits, Arc::clone(&self.table));
@@ -214,11 +223,11 @@
 ) {
     let _ = stream.set_nodelay(true);
     let Some(place) = table.open() else {
-        let mut connection = Connection::new(stream, limits);
+        let mut connection = Connection::new(stream, limits, table);
         connection.refuse_over_limit().await;
         return;
     };
-    let mut connection = Connection::with_place(stream, limits, place);
+    let mut connection = Connection::with_place(stream, limits, table, place);
     while let Some(request) = connection.next_request().await {
         // From here on the request may run, and is no longer given up for another.
         if !connection.enter(Phase::Handling) {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -42,6 +42,9 @@
 pub const LEADER_CALLS: &str = "leader_calls_total";
 /// Connections that a server closed to make room for others; tag `server`.
 pub const REVOKED_CONNECTIONS: &str = "revoked_connections_total";
+/// Requests and connections that a server refused before a handler had them; tags `server` and
+/// `status`, which is 0 for connections that were closed without an answer.
+pub const REFUSED_REQUESTS: &str = "refused_requests_total";
 /// Time from a call that starts a task to its response, in µs.
 pub const START_US: &str = "start_us";
 /// Data centres that the operators have had evacuated, as this process knows them.
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -309,6 +309,18 @@
     assert_eq!(status(&fixture.exchange(VALID_REQUEST)), "200");
 }
 
+/// Guards against limits that refuse requests without a trace.
+#[test]
+fn refusals_are_counted_by_status() {
+    let fixture = fixture();
+
+    fixture.exchange(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65\r\n\r\n");
+    fixture.exchange(b"GET / HTTP/9.1\r\nHost: a\r\n\r\n");
+    fixture.exchange(VALID_REQUEST);
+
+    assert_eq!(fixture.server.refusals(), vec![(413, 1), (505, 1)]);
+}
+
 fn wait_until(done: impl Fn() -> bool) {
     for _ in 0..500 {
         if done() {
