--- a/src/http/chunked.rs
+++ b/src/http/chunked.rs
@@ -1,4 +1,4 @@
-//! Finds the end of a chunked body (RFC 9112) while its bytes arrive.
+//! Finds the chunks of a body (RFC 9112) and its end while its bytes arrive.
 
 use std::ops::Range;
 
@@ -31,8 +31,7 @@
     Partial,
     /// A chunk of `size` bytes with its framing, whose content is at `data`.
     Chunk { data: Range<usize>, size: usize },
-    /// The end of the body: the last, empty chunk or the rest of it, the trailers and the empty line,
-    /// `size` bytes in all.
+    /// The end of the body: the last, empty chunk, the trailers and the empty line, `size` bytes in all.
     End { size: usize },
 }
 
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -118,7 +118,7 @@
     /// at most 256 KiB and as much as the buffer holds already: a client has to send what it wants
     /// memory for. Returns false at the end of the stream. Fails with [`io::ErrorKind::OutOfMemory`]
     /// if the server needs the memory or the place for others. Cancel safe: dropping the
-    /// future before it completes leaves the buffer unchanged.
+    /// future before it completes loses no bytes.
     pub(crate) async fn fill(&mut self, wanted: usize) -> io::Result<bool> {
         let Self {
             stream,
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -66,8 +66,8 @@
     inherited_ms: u64,
     /// When the latest call with a deadline was sent; `None` before the first.
     called_at: Option<Millis>,
-    /// Until this time on the local clock, a later incarnation may hold a lease that it has from a
-    /// call which was meant for this one.
+    /// Until this time on the local clock, a later incarnation may hold a lease from a call that was
+    /// meant for this one.
     later_until: Millis,
 }
 
