Let an idle connection make room on a server with few places

Callers saw a reset instead of an answer: on a server with fewer than four connections one idle client kept all others out. Cause: the connections that may be open while they are refused, a quarter of the places, rounded to none, so that a new one was closed before another could be. Change: four at least. Found in a review.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -190,7 +190,7 @@
 impl<H: Handler> Acceptor<H> {
     async fn run(self, listener: TcpListener) {
         // Connections that are being refused keep their descriptors for a while.
-        let max_open = self.limits.max_connections + self.limits.max_connections / 4;
+        let max_open = self.limits.max_connections + (self.limits.max_connections / 4).max(4);
         loop {
             let Ok((stream, caller)) = listener.accept().await else {
                 Timer::after(Duration::from_millis(ACCEPT_RETRY_MS)).await;
--- /dev/null
+++ b/tests/http_connections.rs
@@ -0,0 +1,99 @@
+//! What the connections of a server hold together, and which of them make room for others.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use amaranthwick::http::{Handler, Reply, Request, Server, ServerLimits};
+use amaranthwick::runtime::Runtime;
+
+const VALID_REQUEST: &[u8] = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+/// Longer than a connection may be idle, or slow, before it makes room for another, in ms.
+const IDLE_MS: u64 = 2_500;
+
+/// Answers after a while with 4,000 bytes, and sums up the bodies that it has at a time.
+#[derive(Clone)]
+struct SlowHandler {
+    delay_ms: u64,
+    held: Arc<AtomicUsize>,
+    most_held: Arc<AtomicUsize>,
+}
+
+impl Handler for SlowHandler {
+    async fn handle(&self, request: Request, _caller: SocketAddr) -> Reply {
+        let size = request.body.len();
+        let held = self.held.fetch_add(size, Ordering::SeqCst) + size;
+        self.most_held.fetch_max(held, Ordering::SeqCst);
+        async_io::Timer::after(Duration::from_millis(self.delay_ms)).await;
+        self.held.fetch_sub(size, Ordering::SeqCst);
+        Reply {
+            status: 200,
+            headers: Vec::new(),
+            body: vec![b'x'; 4_000],
+        }
+    }
+}
+
+struct Fixture {
+    server: Server,
+    most_held: Arc<AtomicUsize>,
+    _runtime: Runtime,
+}
+
+impl Fixture {
+    fn bind(limits: ServerLimits, delay_ms: u64) -> Self {
+        let runtime = Runtime::start(1).expect("a thread");
+        let handler = SlowHandler {
+            delay_ms,
+            held: Arc::default(),
+            most_held: Arc::default(),
+        };
+        let most_held = Arc::clone(&handler.most_held);
+        let any_port = "127.0.0.1:0".parse().expect("an address");
+        let server = Server::bind(any_port, &runtime, limits, handler).expect("a server");
+        Self {
+            server,
+            most_held,
+            _runtime: runtime,
+        }
+    }
+
+    fn connect(&self) -> TcpStream {
+        connect(self.server.address())
+    }
+
+    /// Returns whether a request on a new connection is answered with 200.
+    fn serves(&self) -> bool {
+        let mut stream = self.connect();
+        let mut status = [0; 12];
+        let sent = stream.write_all(VALID_REQUEST);
+        let read = sent.and_then(|()| stream.read_exact(&mut status));
+        read.is_ok() && status.ends_with(b"200")
+    }
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("a connection");
+    let limit = Some(Duration::from_millis(1_500));
+    stream.set_read_timeout(limit).expect("a time limit");
+    stream.set_write_timeout(limit).expect("a time limit");
+    stream
+}
+
+/// Guards against a server with few places that closes a new connection although one is idle.
+#[test]
+fn an_idle_connection_makes_room_where_there_is_one_place() {
+    let limits = ServerLimits {
+        max_connections: 1,
+        ..ServerLimits::default()
+    };
+    let fixture = Fixture::bind(limits, 0);
+    let _idle = fixture.connect();
+
+    thread::sleep(Duration::from_millis(IDLE_MS));
+
+    assert!(fixture.serves());
+}
