Close connections whose responses are not read to make room for others

Callers saw 503 for as long as clients that send requests and read no response held all places: 8 of them did for 8 s, with no key. Cause: a connection counted as handled until its response was written, which may take 30 s, and handled ones are never closed for others. Change: a response that has not been read for 2 s makes room for a new connection, after incomplete requests and before idle ones by age. Found in a review.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -114,12 +114,7 @@
         if self.close && reply.header("connection").is_none() {
             add_connection_close(&mut bytes);
         }
-        let mut written = 0;
-        let sent = timeout(
-            self.limits.write_ms,
-            self.stream.write_all(&bytes, &mut written),
-        )
-        .await;
+        let sent = timeout(self.limits.write_ms, self.stream.write_response(&bytes)).await;
         if !matches!(sent, Some(Ok(()))) {
             return false;
         }
--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -27,8 +27,10 @@
     Idle,
     /// Its request is not complete.
     Reading,
-    /// The handler has its request, or its response is being written.
+    /// The handler has its request.
     Handling,
+    /// Its response is being written.
+    Writing,
 }
 
 #[derive(Debug)]
@@ -103,14 +105,17 @@
         }
     }
 
-    /// The connection to close for a new one: that with the slowest request, or else the one that has
-    /// been idle for longest. `None` if all are young, or the handler has their requests.
+    /// The connection to close for a new one: that with the slowest request, or else the one whose client
+    /// has not read its response for longest, or has been idle. `None` if all are young, or the handler
+    /// has their requests.
     fn slowest(&self, now: Instant) -> Option<u64> {
         let rank = |entry: &Entry| {
-            (
-                entry.phase == Phase::Reading,
-                now.duration_since(entry.since),
-            )
+            let class = match entry.phase {
+                Phase::Reading => 2,
+                Phase::Writing => 1,
+                Phase::Idle | Phase::Handling => 0,
+            };
+            (class, now.duration_since(entry.since))
         };
         let entries = self.entries.iter();
         let removable = entries.filter(|(_, entry)| {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -23,11 +23,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
     /// Connections that are served at a time. For a further one, the connection with the slowest
-    /// incomplete request is closed, or else the one that has been idle for longest. If none has been
-    /// either for 2 s, the further one is refused with status 503.
+    /// incomplete request is closed, or else one whose client does not read its response, or that is
+    /// idle. If none has been any of these for 2 s, the further one is refused with status 503.
     pub max_connections: usize,
-    /// Bytes that the buffers of all connections may hold. Beyond that, connections with incomplete
-    /// requests are closed with status 503, the largest and slowest first.
+    /// Bytes that the requests of all connections may hold. Beyond that, connections with incomplete
+    /// requests of over 8 KiB are closed with status 503, the largest and slowest first.
     pub max_bytes: usize,
     /// Largest request head, in bytes.
     pub max_head: usize,
@@ -240,6 +240,7 @@
         let Some(reply) = connection.run_handler(work).await else {
             return;
         };
+        connection.enter(Phase::Writing);
         if !connection.write_reply(&reply, method).await {
             return;
         }
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -269,6 +269,25 @@
         Ok(())
     }
 
+    /// As [`Self::write_all`], but fails if the server needs the place for others.
+    pub(crate) async fn write_response(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let place = self.place.take();
+        let mut written = 0;
+        let write = self.write_all(bytes, &mut written);
+        let result = match &place {
+            Some(place) => {
+                let revoked = async {
+                    place.revoked().await;
+                    Err(io::ErrorKind::OutOfMemory.into())
+                };
+                future::or(write, revoked).await
+            }
+            None => write.await,
+        };
+        self.place = place;
+        result
+    }
+
     /// Shuts down the write side, then reads and discards what the other end still sends, up to
     /// about `limit` bytes: closing a socket with unread bytes resets the connection, and the
     /// client could lose the response.
--- a/tests/http_connections.rs
+++ b/tests/http_connections.rs
@@ -83,6 +83,33 @@
     stream
 }
 
+/// Guards against clients that hold all places by not reading their responses.
+#[test]
+fn unread_responses_hold_no_places() {
+    let limits = ServerLimits {
+        max_connections: 4,
+        ..ServerLimits::default()
+    };
+    let fixture = Fixture::bind(limits, 0);
+    let address = fixture.server.address();
+    let send_until_blocked = move || {
+        let mut stream = connect(address);
+        let requests = VALID_REQUEST.repeat(100);
+        let sent = (0..3_000).take_while(|_| stream.write_all(&requests).is_ok());
+        (sent.count(), stream)
+    };
+    let clients: Vec<_> = (0..4).map(|_| thread::spawn(send_until_blocked)).collect();
+    let blocked = clients
+        .into_iter()
+        .map(|client| client.join().expect("a client"));
+    let blocked: Vec<(usize, TcpStream)> = blocked.collect();
+
+    thread::sleep(Duration::from_millis(IDLE_MS));
+
+    assert!(blocked.iter().all(|(sent, _)| *sent < 3_000));
+    assert!(fixture.serves());
+}
+
 /// Guards against a server with few places that closes a new connection although one is idle.
 #[test]
 fn an_idle_connection_makes_room_where_there_is_one_place() {
