Count what a request holds until it is answered

Callers were not harmed yet: the handler had 4.8 MB of bodies at a limit of 1 MiB once each client had sent one byte of its next request, and heads of 15 KB were not counted while the body was read. Cause: what a connection holds was taken for the size of its read buffer, from which head and body had been taken. Change: head and body count until the response is written. As they then fill the share sooner, requests of up to 8 KiB are no longer closed for memory, and a refused client's remaining bytes are read and discarded, so that it gets the 503. Found in a review.

--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -17,6 +17,9 @@
 /// new connection.
 const MIN_AGE: Duration = Duration::from_secs(2);
 
+/// Requests of up to this size are not closed for memory, in bytes.
+const SMALL_REQUEST_BYTES: usize = 8 << 10;
+
 /// Interval at which connections that were closed are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -129,9 +132,11 @@
     /// The connection to close for memory: that of the incomplete request with the highest cost.
     fn costliest(&self, now: Instant) -> Option<u64> {
         let entries = self.entries.iter();
-        let reading =
-            entries.filter(|(_, entry)| entry.phase == Phase::Reading && !entry.is_revoked());
-        let costliest = reading.max_by_key(|(_, entry)| entry.cost(now));
+        let removable = entries.filter(|(_, entry)| {
+            let large = entry.held > SMALL_REQUEST_BYTES;
+            entry.phase == Phase::Reading && large && !entry.is_revoked()
+        });
+        let costliest = removable.max_by_key(|(_, entry)| entry.cost(now));
         costliest.map(|(id, _)| *id)
     }
 }
@@ -296,11 +301,6 @@
         }
     }
 
-    /// Frees the place before the connection is closed, once its buffers are empty.
-    pub(crate) fn vacate(&self) {
-        self.table.lock().remove(self.id);
-    }
-
     /// Completes once the place is revoked.
     pub(crate) async fn revoked(&self) {
         let _ = self.revoked.recv().await;
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -61,8 +61,10 @@
     buffer: Vec<u8>,
     /// Its place among the connections of a server; `None` for a client.
     place: Option<Place>,
-    /// Content of a chunked body that was taken from the buffer, in bytes.
+    /// Content so far of the chunked body that is being read, in bytes.
     decoded: usize,
+    /// Head and body of the request in hand, which were taken from the buffer, in bytes.
+    taken: usize,
 }
 
 impl BufferedStream {
@@ -72,6 +74,7 @@
             buffer: Vec::new(),
             place: None,
             decoded: 0,
+            taken: 0,
         }
     }
 
@@ -85,6 +88,7 @@
     pub(crate) fn enter(&mut self, phase: Phase) -> bool {
         if phase == Phase::Idle {
             self.decoded = 0;
+            self.taken = 0;
             self.buffer.shrink_to(READ_BYTES);
         }
         let Some(place) = &self.place else {
@@ -125,6 +129,7 @@
             buffer,
             place,
             decoded,
+            taken,
         } = self;
         let wanted = wanted.min(MAX_READ_BYTES).min(buffer.len());
         let read = future::poll_fn(|cx| {
@@ -135,21 +140,22 @@
                 poll_small(stream, cx, buffer)
             }
         });
-        let Some(place) = place else {
+        let Some(known) = place else {
             return Ok(read.await? > 0);
         };
         let revoked = async {
-            place.revoked().await;
+            known.revoked().await;
             Err(io::ErrorKind::OutOfMemory.into())
         };
         let read = future::or(read, revoked).await;
         loop {
-            match place.hold(buffer.capacity() + *decoded) {
+            match known.hold(buffer.capacity() + *decoded + *taken) {
                 Hold::Granted => return Ok(read? > 0),
                 Hold::Waiting => future::yield_now().await,
                 Hold::Revoked => {
+                    // Without a place, what the client still sends can be read and discarded.
                     *buffer = Vec::new();
-                    place.vacate();
+                    *place = None;
                     return Err(io::ErrorKind::OutOfMemory.into());
                 }
             }
@@ -194,7 +200,9 @@
     /// Removes the first `size` bytes from the buffer. Panics if it holds fewer.
     pub(crate) fn take(&mut self, size: usize) -> Vec<u8> {
         let rest = self.buffer.split_off(size);
-        std::mem::replace(&mut self.buffer, rest)
+        let taken = std::mem::replace(&mut self.buffer, rest);
+        self.taken += taken.capacity();
+        taken
     }
 
     /// Reads the complete body that follows a head.
@@ -246,7 +254,10 @@
             self.buffer.drain(..offset);
             self.decoded = content.capacity();
             if complete {
-                return Ok(RawBody::Chunked(encode_one_chunk(&content)));
+                let body = encode_one_chunk(&content);
+                self.decoded = 0;
+                self.taken += body.capacity();
+                return Ok(RawBody::Chunked(body));
             }
             if !self.fill(READ_BYTES).await? {
                 return Err(ReadError::Closed);
--- a/tests/http_connections.rs
+++ b/tests/http_connections.rs
@@ -13,6 +13,7 @@
 const VALID_REQUEST: &[u8] = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
 /// Longer than a connection may be idle, or slow, before it makes room for another, in ms.
 const IDLE_MS: u64 = 2_500;
+const PAUSE: Duration = Duration::from_millis(30);
 
 /// Answers after a while with 4,000 bytes, and sums up the bodies that it has at a time.
 #[derive(Clone)]
@@ -83,6 +84,62 @@
     stream
 }
 
+fn head(body_size: usize) -> Vec<u8> {
+    format!("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: {body_size}\r\n\r\n").into_bytes()
+}
+
+/// Guards against memory that is no longer counted once the client sends a byte of its next request.
+#[test]
+fn bodies_that_the_handler_has_stay_counted() {
+    let limits = ServerLimits {
+        max_bytes: 1 << 20,
+        ..ServerLimits::default()
+    };
+    let fixture = Fixture::bind(limits, 3_000);
+
+    let mut streams = Vec::new();
+    for _ in 0..12 {
+        let mut stream = fixture.connect();
+        let _ = stream.write_all(&head(400_000));
+        let _ = stream.write_all(&vec![b'x'; 400_000]);
+        thread::sleep(PAUSE);
+        let _ = stream.write_all(b"G");
+        thread::sleep(PAUSE);
+        streams.push(stream);
+    }
+
+    let most_held = fixture.most_held.load(Ordering::SeqCst);
+    assert!(most_held > 0);
+    assert!(most_held <= limits.max_bytes, "{most_held}");
+}
+
+/// Guards against heads that are no longer counted while the body is read.
+#[test]
+fn heads_stay_counted_while_the_body_is_read() {
+    let limits = ServerLimits {
+        max_bytes: 64 << 10,
+        max_head: 16 << 10,
+        ..ServerLimits::default()
+    };
+    let fixture = Fixture::bind(limits, 0);
+    let filler = "x".repeat(12_000);
+    let head =
+        format!("POST /a HTTP/1.1\r\nHost: a\r\nX: {filler}\r\nContent-Length: 1000\r\n\r\n");
+
+    let mut streams = Vec::new();
+    for _ in 0..20 {
+        let mut stream = fixture.connect();
+        let _ = stream.write_all(head.as_bytes());
+        thread::sleep(PAUSE);
+        let _ = stream.write_all(b"body");
+        thread::sleep(PAUSE);
+        streams.push(stream);
+    }
+
+    let kept = 20 - fixture.server.revoked_connections();
+    assert!(kept * 12_000 <= 64 << 10, "{kept} connections are kept");
+}
+
 /// Guards against clients that hold all places by not reading their responses.
 #[test]
 fn unread_responses_hold_no_places() {
