Let the model's network deliver calls to a later incarnation late

The model carried a call out late only on the incarnation that had received it. The platform says that a server that is back under its old id takes calls that were meant for its former life, and that a call without an answer may be executed seconds later. World::detain_calls delivers such calls to whoever is there then, after their callers have given them up.

Starts are carried out by a function of their own, so that a detained one is checked like any other and gives no answer.

--- a/tests/scheduler/world.rs
+++ b/tests/scheduler/world.rs
@@ -91,6 +91,11 @@
     },
     Hold(HoldCall),
     LateHold(LateHold),
+    /// The network delivers a call that its sender has given up.
+    Detained {
+        leader: usize,
+        command: Command,
+    },
     Store {
         leader: usize,
         batch: u64,
@@ -615,6 +620,15 @@
     }
 
     fn send(&mut self, leader: usize, command: Command) {
+        let called = match &command {
+            Command::Start { target, .. }
+            | Command::Stop { target, .. }
+            | Command::Hold { target, .. } => Some(&target.id),
+            _ => None,
+        };
+        if let Some(delay) = called.and_then(|id| self.detained_ms(id)) {
+            return self.send_detained(leader, command, delay);
+        }
         let late = self.rng.u32(..1_000) < self.faults.late_starts;
         let delay = if late {
             self.rng.u64(2_000..12_000)
@@ -787,7 +801,7 @@
                 received_by,
             } => {
                 if self.has_received(&command, received_by) {
-                    self.start(leader, command, sent_at);
+                    self.start(leader, &command, sent_at);
                 }
             }
             Action::Stop {
@@ -803,6 +817,7 @@
                 ..
             } => self.carry_out_late_stop(leader, &command, born),
             Action::LateHold(call) => self.carry_out_late_hold(&call),
+            Action::Detained { leader, command } => self.carry_out_detained(leader, command),
             Action::Hold(call) => self.hold(call),
             Action::Crash(step) => self.perform_crash_step(&step),
             Action::Leave(departure) => self.leave(&departure),
@@ -1013,62 +1028,31 @@
         }
     }
 
-    fn start(&mut self, leader: usize, command: Command, ordered_at: Millis) {
+    fn start(&mut self, leader: usize, command: &Command, ordered_at: Millis) {
         let Command::Start {
             target,
             task,
             run,
             spec,
-            deadline_ms,
             ..
         } = command
         else {
             return;
         };
-        let epoch = self.epoch_of(leader);
+        let work = self.work(spec, *task);
+        let contact = self.contact(target);
         let sent_at = self.sent_at(ordered_at);
-        let work = self.work(&spec, task);
-        let running = self.running(task.step.job);
-        let mut crashed = false;
-        let mut clock_ms = None;
-        let contact = self.contact(&target);
-        let mut outcome = match contact {
-            Contact::Silent => StartOutcome::Unknown,
-            Contact::Refused => StartOutcome::Unhealthy,
-            Contact::Replaced => StartOutcome::OtherIncarnation,
-            Contact::Reached => {
-                let fake = self.targets.get_mut(&target.id).unwrap();
-                let before = fake.run(task, run).is_some();
-                clock_ms = Some(fake.clock(self.now));
-                let met = fake.entry.clone();
-                let outcome = match fake.start_fault {
-                    Some(fault) => fault.outcome(),
-                    None => fake.start(task, run, work, deadline_ms, epoch, self.now),
-                };
-                if outcome == StartOutcome::Running && !before {
-                    self.starts_after_restart += usize::from(met.born > target.born);
-                    self.callers.note_begun(task.step.job, self.now);
-                    self.check_start(task, &running);
-                    self.check_repeat(leader, task, ordered_at);
-                    self.check_evacuations(task, &target, ordered_at);
-                    self.check_room(task, &target.id, ordered_at);
-                    self.check_team_limit();
-                    let step = &spec.steps[task.step.step as usize];
-                    self.join_gang(step, task, run, &target.id);
-                    crashed = self.started(task, &met);
-                }
-                outcome
-            }
+        let (outcome, clock_ms, crashed) = match contact {
+            Contact::Silent => (StartOutcome::Unknown, None, false),
+            Contact::Refused => (StartOutcome::Unhealthy, None, false),
+            Contact::Replaced => (StartOutcome::OtherIncarnation, None, false),
+            Contact::Reached => self.begin_start(leader, command, work, ordered_at),
         };
-        if crashed {
-            outcome = StartOutcome::Unknown;
-            clock_ms = None;
-        }
         let event = Event::StartAnswered {
             target: target.id.clone(),
             born: target.born,
-            task,
-            run,
+            task: *task,
+            run: *run,
             outcome,
             clock_ms,
             sent_at,
@@ -1082,6 +1066,56 @@
         }
     }
 
+    /// A target carries out a start. Returns the outcome, its clock, and whether the task has crashed it
+    /// before it could answer.
+    fn begin_start(
+        &mut self,
+        leader: usize,
+        command: &Command,
+        work: Work,
+        ordered_at: Millis,
+    ) -> (StartOutcome, Option<u64>, bool) {
+        let Command::Start {
+            target,
+            task,
+            run,
+            spec,
+            deadline_ms,
+            ..
+        } = command
+        else {
+            unreachable!("not a start");
+        };
+        let (task, run) = (*task, *run);
+        let epoch = self.epoch_of(leader);
+        let running = self.running(task.step.job);
+        let fake = self.targets.get_mut(&target.id).unwrap();
+        let before = fake.run(task, run).is_some();
+        let clock_ms = Some(fake.clock(self.now));
+        let met = fake.entry.clone();
+        let outcome = match fake.start_fault {
+            Some(fault) => fault.outcome(),
+            None => fake.start(task, run, work, *deadline_ms, epoch, self.now),
+        };
+        if outcome != StartOutcome::Running || before {
+            return (outcome, clock_ms, false);
+        }
+        self.starts_after_restart += usize::from(met.born > target.born);
+        self.callers.note_begun(task.step.job, self.now);
+        self.check_start(task, &running);
+        self.check_repeat(leader, task, ordered_at);
+        self.check_evacuations(task, target, ordered_at);
+        self.check_room(task, &target.id, ordered_at);
+        self.check_team_limit();
+        let step = &spec.steps[task.step.step as usize];
+        self.join_gang(step, task, run, &target.id);
+        if self.started(task, &met) {
+            (StartOutcome::Unknown, None, true)
+        } else {
+            (outcome, clock_ms, false)
+        }
+    }
+
     fn check_start(&mut self, task: TaskKey, running: &[(TargetId, TaskKey)]) {
         let now = self.now;
         self.started_at.insert(task, now);
--- a/tests/scheduler/world/late_calls.rs
+++ b/tests/scheduler/world/late_calls.rs
@@ -2,9 +2,10 @@
 //! each other.
 
 use amaranthwick::scheduler::{
-    Command, Event, HoldFailure, Millis, StopOutcome, TargetEntry, TargetId, TaskKey,
+    Command, Event, HoldFailure, Millis, StartOutcome, StopOutcome, TargetEntry, TargetId, TaskKey,
 };
 
+use super::crash::Contact;
 use super::{Action, CALL_TIMEOUT_MS, CallKind, World};
 
 /// A hold call that its target carries out late.
@@ -103,6 +104,84 @@
         self.schedule(delay, Action::LateHold(call));
     }
 
+    /// A call of a process fails for want of an answer, and is delivered after that.
+    pub(super) fn send_detained(&mut self, leader: usize, command: Command, delay: Millis) {
+        let sent_at = self.now;
+        let (timeout, event) = match &command {
+            Command::Start {
+                target, task, run, ..
+            } => {
+                let event = Event::StartAnswered {
+                    target: target.id.clone(),
+                    born: target.born,
+                    task: *task,
+                    run: *run,
+                    outcome: StartOutcome::Unknown,
+                    clock_ms: None,
+                    sent_at,
+                };
+                (CALL_TIMEOUT_MS, event)
+            }
+            Command::Stop { target, task, run } => {
+                let event = Event::StopAnswered {
+                    target: target.id.clone(),
+                    born: target.born,
+                    task: *task,
+                    run: *run,
+                    outcome: StopOutcome::Unknown,
+                    clock_ms: None,
+                    sent_at,
+                };
+                (CALL_TIMEOUT_MS, event)
+            }
+            Command::Hold {
+                target,
+                number,
+                wait_ms,
+                ..
+            } => {
+                let event = Event::HoldAnswered {
+                    target: target.id.clone(),
+                    born: target.born,
+                    number: *number,
+                    result: Err(HoldFailure::NoAnswer),
+                    sent_at,
+                };
+                let wait_ms = if self.holds_wait { *wait_ms } else { 0 };
+                (CALL_TIMEOUT_MS + wait_ms, event)
+            }
+            _ => return,
+        };
+        self.schedule(timeout, Action::Deliver { leader, event });
+        self.schedule(delay, Action::Detained { leader, command });
+    }
+
+    /// The incarnation that is there carries out a call that nobody waits for any more.
+    pub(super) fn carry_out_detained(&mut self, leader: usize, command: Command) {
+        match &command {
+            Command::Start {
+                target, task, spec, ..
+            } if self.contact(target) == Contact::Reached => {
+                let work = self.work(spec, *task);
+                let sent_at = self.now;
+                self.begin_start(leader, &command, work, sent_at);
+            }
+            Command::Stop { target, .. } if self.contact(target) == Contact::Reached => {
+                let born = self.targets[&target.id].entry.born;
+                self.carry_out_late_stop(leader, &command, born);
+            }
+            Command::Hold { target, .. } if self.contact(target) == Contact::Reached => {
+                let received_by = self.targets[&target.id].entry.born;
+                self.carry_out_late_hold(&LateHold {
+                    leader,
+                    command,
+                    received_by,
+                });
+            }
+            _ => {}
+        }
+    }
+
     fn draw_lateness(&mut self) -> Millis {
         self.rng.u64(2_000..12_000)
     }
--- a/tests/scheduler/world/links.rs
+++ b/tests/scheduler/world/links.rs
@@ -21,6 +21,17 @@
     held_until: IndexMap<(TargetId, CallKind), Millis>,
     /// Until when answers of targets to calls of a kind are lost.
     lost_until: IndexMap<(TargetId, CallKind), Millis>,
+    /// Calls to targets that are carried out late.
+    detained: IndexMap<TargetId, Detention>,
+}
+
+/// Calls that the network delivers after their callers have given them up.
+#[derive(Clone, Copy, Debug)]
+struct Detention {
+    /// Calls that are sent before this time are concerned.
+    sent_before: Millis,
+    /// When they are delivered.
+    until: Millis,
 }
 
 impl World {
@@ -38,6 +49,21 @@
             .insert((id.clone(), CallKind::Start), until);
     }
 
+    /// The network delivers calls that are sent to the target from now on, and before `sent_before`, only
+    /// at `until`, to whoever is there. Nobody waits for the answers any more.
+    pub(crate) fn detain_calls(&mut self, id: &TargetId, sent_before: Millis, until: Millis) {
+        let detention = Detention { sent_before, until };
+        self.links.detained.insert(id.clone(), detention);
+    }
+
+    /// Time after which a call that is sent now is delivered although its caller has given it up; `None`
+    /// for any other call.
+    pub(super) fn detained_ms(&self, id: &TargetId) -> Option<Millis> {
+        let detention = self.links.detained.get(id)?;
+        let detained = self.now < detention.sent_before;
+        detained.then(|| detention.until.saturating_sub(self.now))
+    }
+
     /// The network loses the target's answers to calls of a kind until `until`.
     pub(crate) fn lose_answers_until(&mut self, id: &TargetId, kind: CallKind, until: Millis) {
         self.links.lost_until.insert((id.clone(), kind), until);
