Show two runs of a task after a late call to a later incarnation

A target falls dark and is back under its id; calls that were made in the dark reach its later incarnation 1.0, 1.5 or 1.9 s after its return, and it is cut off soon after.

--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -12,6 +12,7 @@
 mod crash_troubles;
 mod crashes_beside_orders;
 mod crashing_tasks;
+mod detained_calls;
 mod drawn_parallel_runs;
 mod drawn_recuts;
 mod early_releases;
