Wait for a lease that a late call to a later incarnation has extended

Cause: a call names only the target's id, and its deadline is a time on the clock of the incarnation that the leader knew. A later one carries it out, also seconds after its return, when its caller has long left, and as its clock has started anew it takes the longest lease from then on. The leader computed that lease from the first answer of the later incarnation, so that a call that was carried out after that answer was in no sum.

A lease now knows the latest deadline that calls to earlier incarnations carried. When the target fails to answer for the first time, the leader assumes that the last such call was carried out just before: the lease ends after the longest lease from then, but not after that deadline, which no call exceeds. Targets that have not restarted under their ids wait as before, and so do those that have outlived the earlier incarnation.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -303,6 +303,7 @@
     let pause = (RETRY_MS << target.missed_calls.min(6)).min(MAX_RETRY_MS) / 2;
     target.hold = HoldState::Due(now + pause);
     if target.missed_calls == 1 {
+        target.lease.note_silence(now);
         spdlog::warn!("target_silent", kv: { target = target.entry.id.0.as_ref(), runs = target.runs.len() });
     }
 }
--- a/src/scheduler/leader/restarts.rs
+++ b/src/scheduler/leader/restarts.rs
@@ -141,9 +141,9 @@
         self.target_sighted(table, &entry);
         self.needs_scheduling = true;
         let id = entry.id.clone();
-        let mut lease = Lease::new(self.settings.max_lease_ms);
-        lease.extend_restarted(now);
-        let new_target = Target::new(entry, lease, now);
+        let known = self.targets.get(&id).map(|target| target.lease);
+        let known = known.unwrap_or_else(|| Lease::new(self.settings.max_lease_ms));
+        let new_target = Target::new(entry, known.next_incarnation(now), now);
         let new_born = new_target.entry.born;
         let Some(mut old_target) = self.targets.insert(id.clone(), new_target) else {
             return;
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -49,7 +49,9 @@
 /// its runs.
 ///
 /// Calls name only the target, and carry a deadline by the clock of the incarnation that is known.
-/// The clock of a later one starts anew, so that such a call gives it the longest lease.
+/// The clock of a later one starts anew, so that such a call gives it the longest lease, whenever it is
+/// carried out: the platform sets no limit to that. The target answers such a call to nobody, so the
+/// leader assumes that the last one was carried out just before the target fell silent.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Lease {
     /// Longest lease that the target accepts, in ms.
@@ -58,6 +60,9 @@
     reading: Option<ClockReading>,
     /// Latest deadline that a call to the target carried, in ms of the target's clock.
     deadline: u64,
+    /// Latest deadline that a call to an earlier incarnation carried, in ms of the clock of that one;
+    /// 0 if there was none.
+    earlier_deadline: u64,
     /// Until this time on the local clock, a lease may hold that no reading of the clock tells of:
     /// one that an earlier leader gave, or a call that was meant for an earlier incarnation. 0 once
     /// the target has answered and refuses earlier leaders.
@@ -78,6 +83,7 @@
             longest_ms,
             reading: None,
             deadline: 0,
+            earlier_deadline: 0,
             inherited_until: 0,
             inherited_ms: 0,
             called_at: None,
@@ -85,6 +91,24 @@
         }
     }
 
+    /// The lease of the incarnation that follows the one with this lease.
+    pub(super) fn next_incarnation(&self, now: Millis) -> Self {
+        let mut next = Self::new(self.longest_ms);
+        next.earlier_deadline = self.deadline.max(self.earlier_deadline);
+        next.extend_restarted(now);
+        next
+    }
+
+    /// Notes that the target has just failed to answer a call: until then it may have carried out calls
+    /// that were meant for earlier incarnations.
+    pub(super) fn note_silence(&mut self, now: Millis) {
+        if let Some(reading) = self.reading {
+            let clock_ms = reading.clock_ms + now.saturating_sub(reading.received_at);
+            let extended = self.earlier_deadline.min(clock_ms + self.longest_ms);
+            self.deadline = self.deadline.max(extended);
+        }
+    }
+
     /// Notes that the target may have an inherited lease, which holds until `until` on the local clock
     /// unless it answers, and then for up to `length_ms`.
     pub(super) fn extend_inherited(&mut self, until: Millis, length_ms: u64) {
