Count a lease taken over from an earlier leader as the longest one

Cause: the next leader took a lease that it inherited for one that had begun within 2.5 s of the target's start, a guess of how long an earlier leader extends the lease of an incarnation that it does not know of. A call that was carried out later gives the longest lease as well.

The first answer to the next leader now counts for the longest lease in any case. From then on the target refuses earlier leaders. The cost is a wait that is up to 2 s longer for a target that falls silent within 2 s of the first answer.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -155,7 +155,7 @@
         target.lease.observe_clock(report.clock_ms, sent_at, now);
         if !target.token_accepted {
             target.token_accepted = true;
-            target.lease.take_over(self.settings.lease_ms);
+            target.lease.take_over();
         }
         self.target_returned(table, id, born);
         self.apply_report(table, id, &report, number, now);
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -9,10 +9,6 @@
 /// clocks of targets and the time that calls take.
 const LEASE_MARGIN_PERCENT: u64 = 5;
 
-/// Longest time for which a leader extends the lease of an incarnation that it does not know of, in
-/// ms: until a hold call, which may wait for 1 s, has failed, or its answer tells who is there.
-const UNAWARE_MS: u64 = 2_500;
-
 /// Adds to the length of a lease what the slow clock of a target and the time of a call may add.
 pub(super) const fn with_lease_margin(length_ms: u64) -> u64 {
     length_ms + length_ms * LEASE_MARGIN_PERCENT / 100
@@ -164,15 +160,11 @@
     }
 
     /// Called once the target has answered a call with this leader's fencing token: it has
-    /// refused earlier leaders since, so none of them can extend the lease any more. `length_ms` is
-    /// that of an ordinary lease. A longer one is of calls that were meant for an earlier incarnation,
-    /// which end soon after this one has started.
-    pub(super) fn take_over(&mut self, length_ms: u64) {
+    /// refused earlier leaders since, so none of them can extend the lease any more.
+    pub(super) fn take_over(&mut self) {
         if let Some(ClockReading { clock_ms, .. }) = self.reading {
-            let unaware_until = UNAWARE_MS + with_lease_margin(self.longest_ms);
-            let left_ms = unaware_until.saturating_sub(clock_ms).max(length_ms);
             self.inherited_until = 0;
-            self.deadline = self.deadline.max(clock_ms + left_ms.min(self.inherited_ms));
+            self.deadline = self.deadline.max(clock_ms + self.inherited_ms);
         }
     }
 
--- a/tests/scheduler/detained_calls.rs
+++ b/tests/scheduler/detained_calls.rs
@@ -79,3 +79,30 @@
     assert_eq!(world.violations, Vec::<String>::new());
     assert_eq!(world.state(key), Some(JobState::Complete));
 }
+
+/// Guards against two runs of a task: the next leader heard the target once, after a late call of the
+/// earlier one had extended its lease, and took that lease for one that had begun soon after the return.
+#[rstest]
+fn the_next_leader_waits_for_a_lease_that_a_late_call_has_extended(
+    #[values(3_000, 4_000)] late_ms: Millis,
+) {
+    let mut world = two_targets(UP_MS);
+    return_with_late_calls(&mut world, late_ms);
+    world.run_for(150);
+    let key = world.submit(3, long_job(6));
+    world.run_for(200);
+
+    world.hand_over();
+    world.run_for(late_ms - 340);
+    world.claim();
+    world.run_for(20);
+    let on_reborn = world
+        .running(key)
+        .iter()
+        .any(|(target, _)| *target == reborn());
+    cut_off(&mut world);
+
+    assert!(on_reborn);
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.state(key), Some(JobState::Complete));
+}
