Log the lease that the leader expects of a target that falls silent

target_silent has the incarnation, the time that the lease has left and by how much late calls may have extended it; runs_given_up has born and epoch.

--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -303,7 +303,11 @@
     let pause = (RETRY_MS << target.missed_calls.min(6)).min(MAX_RETRY_MS) / 2;
     target.hold = HoldState::Due(now + pause);
     if target.missed_calls == 1 {
-        target.lease.note_silence(now);
-        spdlog::warn!("target_silent", kv: { target = target.entry.id.0.as_ref(), runs = target.runs.len() });
+        let late_calls_ms = target.lease.note_silence(now);
+        let lease_ms = target.lease.left_ms(now);
+        spdlog::warn!("target_silent", kv: {
+            target = target.entry.id.0.as_ref(), born = target.entry.born, runs = target.runs.len(),
+            lease_ms = lease_ms.map_or_else(|| "unknown".to_owned(), |left| left.to_string()), late_calls_ms
+        });
     }
 }
--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -108,9 +108,9 @@
             leaving: self.is_leaving(&entry),
         };
         spdlog::warn!("runs_given_up", kv: {
-            target = id.0.as_ref(), cause = lost_runs.loss.name(), silent_ms = answered_at.map_or(0, |at| now - at),
-            called_ms = lease.called_at().map_or(0, |at| now - at), runs = ended, kept,
-            leaving = lost_runs.leaving.name()
+            target = id.0.as_ref(), born = entry.born, epoch = self.epoch(), cause = lost_runs.loss.name(),
+            silent_ms = answered_at.map_or(0, |at| now - at), called_ms = lease.called_at().map_or(0, |at| now - at),
+            runs = ended, kept, leaving = lost_runs.leaving.name()
         });
         self.suspect_runs(table, &lost_runs, now);
         let evidence = Evidence::Lost(lost_runs.loss);
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -96,13 +96,28 @@
     }
 
     /// Notes that the target has just failed to answer a call: until then it may have carried out calls
-    /// that were meant for earlier incarnations.
-    pub(super) fn note_silence(&mut self, now: Millis) {
-        if let Some(reading) = self.reading {
-            let clock_ms = reading.clock_ms + now.saturating_sub(reading.received_at);
-            let extended = self.earlier_deadline.min(clock_ms + self.longest_ms);
-            self.deadline = self.deadline.max(extended);
-        }
+    /// that were meant for earlier incarnations. Returns by how much they may have extended the lease,
+    /// in ms.
+    pub(super) fn note_silence(&mut self, now: Millis) -> u64 {
+        let Some(clock_ms) = self.clock_at(now) else {
+            return 0;
+        };
+        let extended = self.earlier_deadline.min(clock_ms + self.longest_ms);
+        let added_ms = extended.saturating_sub(self.deadline);
+        self.deadline += added_ms;
+        added_ms
+    }
+
+    /// Time until the target's clock shows the latest deadline, in ms; `None` before its first answer.
+    pub(super) fn left_ms(&self, now: Millis) -> Option<u64> {
+        let clock_ms = self.clock_at(now)?;
+        Some(self.deadline.saturating_sub(clock_ms))
+    }
+
+    /// Latest time that the target's clock may show at `now`, in ms; `None` before its first answer.
+    fn clock_at(&self, now: Millis) -> Option<u64> {
+        let reading = self.reading?;
+        Some(reading.clock_ms + now.saturating_sub(reading.received_at))
     }
 
     /// Notes that the target may have an inherited lease, which holds until `until` on the local clock
@@ -172,12 +187,7 @@
     /// the call that is sent now; `None` before the clock is known. The call must not carry a later
     /// one that was only assumed, of which the next leader would not know.
     pub(super) fn extend(&mut self, now: Millis, length_ms: u64) -> Option<u64> {
-        let ClockReading {
-            clock_ms,
-            received_at,
-            ..
-        } = self.reading?;
-        let deadline = clock_ms + now.saturating_sub(received_at) + length_ms;
+        let deadline = self.clock_at(now)? + length_ms;
         self.deadline = self.deadline.max(deadline);
         self.called_at = Some(now);
         self.note_unproven_call(now);
