Show that a request held up while it connects is sent after its time-out

A process that is suspended or held up between the decision to start a run and the opening of the connection writes the start as it goes on: the time-out for connecting is checked only if the connection is not open by then, and starts and holds are sent without a check of their age.

--- a/tests/http_unsent.rs
+++ b/tests/http_unsent.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use amaranthwick::http::{ClientLimits, ConnectionPool, Failure, FailureKind, Request, Reuse};
-use futures_lite::future::block_on;
+use async_io::Timer;
+use futures_lite::future::{block_on, or, pending};
 use rstest::rstest;
 use rustix::net::sockopt::set_socket_linger;
 use rustix::net::{AddressFamily, SocketType, bind, listen, socket};
@@ -288,3 +289,29 @@
     assert_eq!((failure.kind, failure.written), (FailureKind::Withdrawn, 0));
     assert_eq!(seen, Err(ErrorKind::ConnectionReset));
 }
+
+/// Guards against a start that is written seconds after its leader has decided it, because the process
+/// was held up while it connected.
+#[test]
+fn a_request_held_up_while_it_connects_is_not_sent_after_the_time_out() {
+    // Arrange: the connection opens as its first packet is sent again, after 1 s.
+    let (listener, address) = short_listener();
+    let filler = TcpStream::connect(address).expect("the only place");
+    let (pool, request, limits) = (ConnectionPool::new(), post(300), short_limits());
+    let held_up = async {
+        Timer::after(Duration::from_millis(10)).await;
+        drop(listener.accept().expect("the first connection"));
+        thread::sleep(Duration::from_millis(1_500));
+        pending().await
+    };
+
+    // Act
+    let sent = pool.send(address, &request, Reuse::Any, &limits);
+    let failure = async_io::block_on(or(sent, held_up)).expect_err("no response");
+    drop(filler);
+    let received = read_waiting(&listener);
+
+    // Assert
+    assert_eq!(received.len(), 0);
+    assert_eq!((failure.kind, failure.written), (FailureKind::Connect, 0));
+}
