Test the wait for a start whose call ends late

The wait counts from the end of the call, and the later incarnation is told to stop the run before its task starts again.

--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -24,6 +24,7 @@
 mod fixtures;
 mod gangs;
 mod gone_targets;
+mod held_up_calls;
 mod incomplete_reports;
 mod job_order;
 mod jobs;
