Show that a run is given up while the call that starts it is open

The wait for the lease of a later incarnation counts from the decision to start the run until the call's end is known, and nothing holds the release back while the call is open. If its sender is held up, the call may be written after the task has started elsewhere. The test fails on the code as it is: the task starts elsewhere 6.3 s after its target's last call with a deadline.

--- a/tests/scheduler/held_up_calls.rs
+++ b/tests/scheduler/held_up_calls.rs
@@ -77,3 +77,13 @@
     assert_eq!(starts, vec![(task(1, 0), 1)]);
     assert_eq!(fixture.starts, vec![(task(1, 0), 1)]);
 }
+
+/// Guards against two runs of a task: the run was given up before the call that starts it had ended.
+#[test]
+fn a_run_is_not_given_up_while_the_call_that_starts_it_is_open() {
+    let mut fixture = with_second_target();
+
+    run_until(&mut fixture, 11_000);
+
+    assert_eq!(fixture.starts, vec![(task(1, 0), 1)]);
+}
