Give up a request whose connection opens after its time-out

Cause: the time-out for connecting is checked only while the connection is not open. A process that is held up while it connects found it open as it went on, and wrote the request, whatever the time.

The time is now checked once the connection is open as well. The request is reported as unsent, which is true.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -237,8 +237,12 @@
 }
 
 async fn connect(address: SocketAddr, limits: &ClientLimits) -> Result<Exchange, Failure> {
+    let started = Instant::now();
     let connected = timeout(limits.connect_ms, Exchange::connect(address)).await;
+    // A process that was held up finds the connection open although the time is over.
+    let in_time = started.elapsed() <= Duration::from_millis(limits.connect_ms);
     connected
+        .filter(|_| in_time)
         .ok_or_else(|| Failure::new(FailureKind::Connect, 0, &"connect timeout"))?
         .map_err(|e| Failure::new(FailureKind::Connect, 0, &e))
 }
