Keep the runs of a silent target while a start to it is open

Cause: the wait for the lease of a later incarnation counts from the end of the last call that may have reached one, but while the call was open, from the decision to send it. If its sender is held up for seconds, a later incarnation may take it after the task has started elsewhere.

No run that may be on a later incarnation is given up before the calls that start runs on the target have ended. Each call has a time-out.

--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -135,8 +135,13 @@
     }
 
     /// Returns whether a later incarnation of a silent target has ended, too, if there was one: its lease
-    /// has expired, or another target answers on the VM.
+    /// has expired, or another target answers on the VM. While a start is open, a later one may still
+    /// take it.
     fn later_ended(&self, target: &Target, now: Millis) -> bool {
+        let mut runs = target.runs.values();
+        if runs.any(|run| run.phase == RunPhase::Sent) {
+            return false;
+        }
         let entry = &target.entry;
         let displaced = || {
             let mut others = self.targets.values();
