Say what a connection without acknowledgements does not bound

The comment said that the limit bounds how late a request can arrive. A test at the socket (http_unsent) shows that a server reads a request whole that was given up long before: the kernel has acknowledged it, and a reset leaves it in the server's buffers.

--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -10,8 +10,8 @@
 use super::stream::BufferedStream;
 
 /// The kernel gives a connection up when the server has not acknowledged bytes for this long,
-/// in ms. It bounds how late a request can arrive, even if the process that sent it has been
-/// suspended or killed.
+/// in ms. It bounds how late a request can arrive at the server's machine, even if the process that
+/// sent it has been suspended or killed. The server may read it from there at any later time.
 pub const UNACKNOWLEDGED_LIMIT_MS: u32 = 1_000;
 
 /// A connection on which a request is being sent or its response being read.
--- a/src/scheduler/election.rs
+++ b/src/scheduler/election.rs
@@ -13,8 +13,9 @@
 /// rarely claim at the same time.
 const RANK_DELAY_MS: Millis = 120;
 
-/// Time for which calls of a leader that has given the role up may still reach targets, in ms. Its
-/// connections are given up after as long without acknowledgements.
+/// Time for which calls of a leader that has given the role up may still reach the machines of targets,
+/// in ms. Its connections are given up after as long without acknowledgements. A target that carries
+/// one out later gets no longer lease from it, unless it has restarted meanwhile.
 const HANDOVER_MS: Millis = UNACKNOWLEDGED_LIMIT_MS as Millis;
 
 /// Whether this process holds the leader role.
