Play calls of the dark that are done late, and cuts of a zone

Cause: the form recut carried a call of the dark out at the return, and only if its caller still waited; no play cut the processes of a zone off together with its executors, or held calls and answers of a cut.

--- a/tests/plays/findings.py
+++ b/tests/plays/findings.py
@@ -1,5 +1,6 @@
 """What broke in a play: pairs of runs of a task, and the lines that the processes and executors wrote of them."""
 
+import collections
 import glob
 import os
 import re
@@ -16,10 +17,51 @@
     return f"run {run[3]} on {run[4]} began {run[0]:.3f}, {ended}, fence token {run[7][0]}{late}"
 
 
+def stop_arrived(run, calls):
+    """Whether a stop of the run has reached its executor."""
+    return any(f" /run-stop run {run[3]} on {run[4]} " in f"{call} " for call in calls)
+
+
+def back_s(run, returns):
+    """How long after its executor's last return a run began, below 0 if it began before; None without a return."""
+    until = float("inf") if run[1] is None else run[1]
+    return next((run[0] - at for at in reversed(returns.get(run[4], [])) if at <= until), None)
+
+
+def picture(run, calls, returns):
+    """A run in the words of the users' record: where, how it ended, whether that was noted, whether a stop arrived."""
+    place = "sound" if back_s(run, returns) is None else "back"
+    ended = {None: "goes on", "crashed": "died"}.get(run[2], run[2])
+    return f"{place} {ended}{' noted' if run[6] else ''}{' stop' if stop_arrived(run, calls) else ' no stop'}"
+
+
+def orderers(logs, task, number):
+    return ", ".join(orderer(logs, task, number)) or "unknown"
+
+
+def logs_of(folder):
+    return sorted(glob.glob(os.path.join(folder, "*.log")))
+
+
+def tally(folder, parallel, calls, returns):
+    """How often each picture of a pair was seen; the run that began first comes first."""
+    logs, found = logs_of(folder), collections.Counter()
+    for task, first, second, _ in parallel:
+        same = orderers(logs, task, first[3]) == orderers(logs, task, second[3])
+        pair = " > ".join(picture(run, calls.get(task, []), returns) for run in (first, second))
+        found[f"{pair}, {'one process' if same else 'two processes'}"] += 1
+    return dict(found.most_common())
+
+
 def orderer(logs, task, number):
     """The processes that logged the start of a run."""
     pattern = re.compile(rf"\bstart\b.*task={re.escape(task)}\b.*\brun={number}\b")
-    return [os.path.basename(path)[:-4] for path in logs if any(pattern.search(line) for line in open(path, errors="replace"))]
+    found = []
+    for path in logs:
+        with open(path, errors="replace") as file:
+            if any(map(pattern.search, file)):
+                found.append(os.path.basename(path)[:-4])
+    return found
 
 
 def lines_of(logs, task, targets):
@@ -42,9 +84,9 @@
     return found[max(0, own[0] - 4) : own[-1] + 4] if own else []
 
 
-def write(path, folder, parallel, again, calls):
+def write(path, folder, parallel, again, calls, returns):
     """Writes each case with its two runs, those on one executor first, and the lines of the first ten."""
-    logs = sorted(glob.glob(os.path.join(folder, "*.log")))
+    logs = logs_of(folder)
     cases = [("parallel", *case[:3], case[3]) for case in parallel] + [("again", *case, None) for case in again]
     cases.sort(key=lambda case: case[2][4] != case[3][4])
     with open(path, "w", encoding="utf-8") as file:
@@ -53,7 +95,10 @@
             same = "the same executor" if first[4] == second[4] else "two executors"
             file.write(f"TWICE ({kind}, {same}{together}): {task}\n")
             for run in (first, second):
-                file.write(f"  {describe(run)}, ordered by {', '.join(orderer(logs, task, run[3])) or 'unknown'}\n")
+                after_s = back_s(run, returns)
+                back = "" if after_s is None else f", its executor was back {after_s:.3f} s before"
+                file.write(f"  {picture(run, calls.get(task, []), returns)}{back}: {describe(run)}, "
+                           f"ordered by {orderers(logs, task, run[3])}\n")
             if index < DETAILED:
                 write_details(file, logs, task, {first[4], second[4]}, calls)
     return cases
@@ -68,12 +113,12 @@
 
 def append_shown(path, folder, late, back, calls):
     """Adds the starts after an end that was shown, and the states that went back."""
-    logs = sorted(glob.glob(os.path.join(folder, "*.log")))
+    logs = logs_of(folder)
     with open(path, "a", encoding="utf-8") as file:
         for index, (task, shown, run) in enumerate(late):
             file.write(f"TWICE (shown): {task} began {run[0] - shown.at:.3f} s after its job was shown as {shown.state} "
                        f"by {shown.process} at {shown.at:.3f}\n")
-            file.write(f"  {describe(run)}, ordered by {', '.join(orderer(logs, task, run[3])) or 'unknown'}\n")
+            file.write(f"  {describe(run)}, ordered by {orderers(logs, task, run[3])}\n")
             if index < DETAILED:
                 write_details(file, logs, task, {run[4]}, calls)
         for key, before, after in back:
--- a/tests/plays/parallel_runs.py
+++ b/tests/plays/parallel_runs.py
@@ -15,10 +15,13 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import busy
+import channels
 import findings
+import processes
 import recut
 import shown
 import standins
+import zone
 from standins import crash, cut, lab
 from lab import CannotRun, now
 
@@ -27,15 +30,6 @@
 SERVICE = "s"
 
 
-@dataclass
-class Faults:
-    loss: float = 0.0
-    late: float = 0.0
-    slow: float = 0.0
-    start_s: float = 0.0
-    slow_clock: bool = False
-
-
 class Play(lab.Lab):
     def __init__(self, folder, options):
         super().__init__(folder, options.seed)
@@ -48,8 +42,9 @@
         self.received = []
         self.accepted, self.over = [], threading.Event()
         self.watch = shown.Watch()
-        self.faults = Faults()
+        self.faults = standins.Faults()
         self.task_cpu = 0
+        self.zones = channels.Zones(options.held) if options.zone else None
         self.worst_lag = 0.0
         self.loop.call_soon_threadsafe(lambda: self.loop.create_task(self.measure_lag()))
 
@@ -67,12 +62,14 @@
             eid = f"i-{index + 1:04x}f3c2d1e0"
             rng = self.rng(eid)
             place = {"zone": f"z{index % 3}", "rack": f"r{index % 3}-{index // 12}"}
-            return await standins.Executor(self, eid, SERVICE, rng, self.faults, cpu=cpu, mem=cpu * 2, **place).open()
+            executor = standins.Executor(self, eid, SERVICE, rng, self.faults, cpu=cpu, mem=cpu * 2, **place)
+            executor.zones = self.zones
+            return await executor.open()
 
         self.executors += [self.run(add(index)) for index in range(count)]
 
     def start(self, count):
-        self.processes = [standins.Process(self, f"edge-{i + 1}") for i in range(count)]
+        self.processes = processes.start(self, count)
         self.wait("a leader and ready processes", 40, lambda: (
             any(p.leads() for p in self.processes) and all(p.ready() for p in self.processes)))
         time.sleep(1.0)
@@ -230,9 +227,9 @@
 
 def run(play, options):
     form, rng = FORMS[options.form], play.rng("faults")
-    loss, late, cpu = rng.choice(form.losses), rng.choice(form.lates), rng.choice(form.cpu)
+    loss, late, cpu = rng.choice(form.losses), rng.choice(form.lates), rng.choice([zone.CPU] if options.zone else form.cpu)
     period_s, play.task_cpu = rng.choice(form.period_s), form.task_cpu
-    entries = options.entries or (recut.ENTRIES if options.leader else form.entries) or rng.choice([1, 8])
+    entries = options.entries or (zone.ENTRIES if options.zone else recut.ENTRIES if options.leader else form.entries) or rng.choice([1, 8])
     executors = options.executors or form.executors or rng.randint(1, 9)
     play.faults.slow_clock = form.slow_clock
     loss = options.loss if options.loss is not None else loss
@@ -303,7 +300,9 @@
             code = code or (0 if result["reached"] else 2)
         for process in play.processes:
             process.log.flush()
-        findings.write(os.path.join(options.logs, "cases.txt"), play.folder, parallel, again, play.calls)
+        returns = {executor.eid: executor.returns for executor in play.executors}
+        findings.write(os.path.join(options.logs, "cases.txt"), play.folder, parallel, again, play.calls, returns)
+        result.update(pictures=findings.tally(play.folder, parallel, play.calls, returns))
         findings.append_shown(os.path.join(options.logs, "cases.txt"), play.folder, late, back, play.calls)
     except CannotRun as error:
         result["error"] = str(error)
--- a/tests/plays/recut.py
+++ b/tests/plays/recut.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from standins import cut, now
+from zone import zone_round
 
 DARK_S = 0.6
 CALLER_WAITS_S = 0.39
@@ -31,6 +32,10 @@
 def add_options(parser):
     parser.add_argument("--cut-ms", type=int, help="recut: time between return and cut; drawn for each round without it")
     parser.add_argument("--answers", choices=["lost", "kept"], help="recut: answers of new lives up to the cut")
+    parser.add_argument("--late-ms", type=int, help="recut: all calls of the dark are done, up to this long after the return")
+    parser.add_argument("--held", action="store_true", help="recut: calls and answers of a cut are held to its end")
+    parser.add_argument("--zone", choices=["executors", "whole"],
+                        help="recut: one of three zones, its executors or its processes as well, at the times of the days")
     parser.add_argument("--leader", choices=["kill", "term"], help="recut: what the leader gets between return and cut")
 
 
@@ -58,11 +63,14 @@
 
 def go_dark(play, rng, group, after_s, length_s):
     """Crashes a group, which is back after `DARK_S` and cut off `after_s` later. In the loop of the stand-ins."""
+    late_ms = play.options.late_ms
     for executor in group:
         executor.reach_s, executor.entry_s, executor.mute = CALLER_WAITS_S, rng.choice(ENTRY_S), play.mute
+        executor.late_s, executor.held = late_ms and late_ms / 1000, play.options.held
         executor.crash()
         play.loop.call_later(DARK_S, executor.restart)
-        play.loop.call_later(DARK_S + after_s, cut, play, executor, length_s)
+        if play.options.zone != "whole":
+            play.loop.call_later(DARK_S + after_s, cut, play, executor, length_s)
         play.loop.call_later(DARK_S + after_s + 0.001, setattr, executor, "mute", False)
 
 
@@ -107,7 +115,10 @@
         thread.start()
     time.sleep(BUSY_BEFORE_S)
     while now() < end - CUT_S[1]:
-        round_of(play, rng)
+        if play.options.zone:
+            zone_round(play, rng, go_dark, end_leader)
+        else:
+            round_of(play, rng)
     play.over.set()
     for thread in callers:
         thread.join()
@@ -140,4 +151,5 @@
         for start in starts:
             file.write(f"{start.at:8.3f} {start.task} run {start.run} on {start.target} born {start.born} "
                        f"lease {start.lease_ms} ms\n")
-    return {"reached": len(starts), "long_leases": sum(start.lease_ms > LONG_LEASE_MS for start in starts)}
+    carried = sum(executor.carried for executor in play.executors)
+    return {"reached": len(starts), "long_leases": sum(start.lease_ms > LONG_LEASE_MS for start in starts), "carried": carried}
--- a/tests/plays/standins.py
+++ b/tests/plays/standins.py
@@ -6,23 +6,25 @@
 
 import asyncio
 import json
-import os
 import random
-import signal
-import socket
-import subprocess
-import sys
 import time
+from dataclasses import dataclass
 
-REPO = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-sys.path.insert(0, os.path.join(REPO, "review"))
-import lab
+from channels import POLL_S, HttpServer, lab
 from lab import BEAT_S, DROP, STOP_MS, now, reply
 
 TICK_S = 0.1
 ENTRY_BACK_S = 2.0
 FIRST_ENTRY_S = 0.5
-POLL_S = 0.003
+
+
+@dataclass
+class Faults:
+    loss: float = 0.0
+    late: float = 0.0
+    slow: float = 0.0
+    start_s: float = 0.0
+    slow_clock: bool = False
 
 
 class Record(lab.Record):
@@ -54,53 +56,6 @@
         return answer
 
 
-class HttpServer(lab.HttpServer):
-    """A server that may answer a call that is open at a restart, if it `carries_over`: the handler decides then."""
-
-    def __init__(self, handler, address=("127.0.0.1", 0)):
-        super().__init__(handler, address)
-        self.carries_over = False
-
-    async def _serve(self, reader, writer):
-        life = self.life
-        sock = writer.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.writers.add(writer)
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                if life != self.life:
-                    writer.transport.abort()
-                    return
-                lines = head.decode("latin-1").split("\r\n")
-                method, target, _ = lines[0].split(" ", 2)
-                headers = {}
-                for line in lines[1:]:
-                    name, _, value = line.partition(":")
-                    if name:
-                        headers[name.strip().lower()] = value.strip()
-                length = int(headers.get("content-length", "0"))
-                body = await reader.readexactly(length) if length else b""
-                answer = await self.handler(method, target, headers, body)
-                if answer is DROP or (life != self.life and not self.carries_over):
-                    # Nothing is answered any more; the channel stays open and silent.
-                    await reader.read(1)
-                    writer.transport.abort()
-                    return
-                status, payload, kind = answer
-                writer.write(
-                    f"HTTP/1.1 {status} X\r\ncontent-type: {kind}\r\n"
-                    f"content-length: {len(payload)}\r\n\r\n".encode() + payload
-                )
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-
-
 # What the executors of `lab` open.
 lab.HttpServer = HttpServer
 
@@ -111,14 +66,16 @@
     (`late`), and that are done or answered with a delay (`slow`).
 
     A call that arrives up to `reach_s` before a crashed executor is back is done by the new life, whose
-    first entry is written up to `entry_s` after its return. While `mute` is set, calls are done and not
-    answered."""
+    first entry is written up to `entry_s` after its return. With `late_s`, it does all calls of the dark, up to
+    that long after its return, also while it is cut off. While `mute` is set, calls are done and not answered."""
 
     def __init__(self, play, eid, service, rng, faults, **options):
         self.rng, self.faults = rng, faults
         self.rate = rng.uniform(0.98, 1.0) if faults.slow_clock else 1.0
         self.back_at = None
-        self.reach_s, self.entry_s, self.mute = 0.0, FIRST_ENTRY_S, False
+        self.reach_s, self.entry_s, self.late_s, self.mute = 0.0, FIRST_ENTRY_S, None, False
+        self.zones, self.held = None, False
+        self.returns, self.carried = [], 0
         super().__init__(play, eid, service, **options)
 
     async def open(self):
@@ -136,7 +93,7 @@
             await asyncio.sleep(min(TICK_S, left + 0.001) if left >= 0 else TICK_S)
             self.lapse()
             at = time.monotonic()
-            if self.down or self.cut or self.lab.store.mode == "silent":
+            if self.down or self.away() or self.lab.store.mode == "silent":
                 self.back_at = None
                 if self.listed and at > self.last_beat + 3 * BEAT_S:
                     self.listed = False
@@ -172,16 +129,38 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def away(self):
+        """Whether the executor is cut off from the store."""
+        return self.cut or (self.zones is not None and self.zones.parts(self.zone, None))
+
+    def parted(self, token):
+        """Whether the executor is cut off from the leader with this fence token."""
+        return self.cut or (self.zones is not None and self.zones.parts(self.zone, self.zones.leaders.get(token)))
+
+    async def passes(self, token):
+        """Whether a call or an answer arrives, at once or after a cut."""
+        while self.parted(token):
+            if not self.held:
+                return False
+            await asyncio.sleep(POLL_S)
+        return True
+
     async def come_back(self):
-        """Waits for the next life, as long as a call may."""
+        """Waits for the next life and the call's turn in it; `False` for a call that is not done."""
         until = time.monotonic() + self.reach_s
-        while self.down and time.monotonic() < until:
+        while self.down and (self.late_s is not None or time.monotonic() < until):
             await asyncio.sleep(POLL_S)
+        if self.late_s is not None:
+            await asyncio.sleep(self.rng.uniform(0, self.late_s))
+        return not self.down
 
     async def handle(self, method, target, headers, body):
-        await self.come_back()
+        token = json.loads(body).get("fence-token", 0)
+        dark = self.down
+        if not await (self.come_back() if dark else self.passes(token)):
+            return DROP
         life = self.life
-        if self.cut or self.down:
+        if self.down:
             return DROP
         call = json.loads(body)
         if headers.get("expect-instance", self.eid) != self.eid:
@@ -197,9 +176,10 @@
             return DROP
         if self.rng.random() < self.faults.slow:
             await asyncio.sleep(self.rng.uniform(0.02, 0.9))
-            if self.cut or self.down or life != self.life:
+            if self.parted(token) or self.down or life != self.life:
                 return DROP
         answer = self.act(target, call, False)
+        self.carried += dark and target == "/run-start" and answer[0] == 200
         if answer is None:
             answer = await self.hold(call, life)
             if self.faults.start_s:
@@ -207,9 +187,9 @@
                                      f"{len(self.running)} that run and {len(self.ended)} that ended")
         if self.rng.random() < self.faults.slow:
             await asyncio.sleep(self.rng.uniform(0.02, 0.9))
-        if self.cut or self.down or life != self.life or self.mute or self.rng.random() < self.faults.loss:
+        if self.down or life != self.life or self.mute or self.rng.random() < self.faults.loss:
             return DROP
-        return answer
+        return answer if await self.passes(token) and life == self.life else DROP
 
     def carry_out(self, target, call, life):
         """A call that comes late; one that was meant for an earlier life is not done."""
@@ -273,7 +253,7 @@
         return reply(200, clock)
 
     def list(self, state="ready"):
-        if self.lab.store.mode != "silent" and not self.cut:
+        if self.lab.store.mode != "silent" and not self.away():
             super().list(state)
 
     def restart(self):
@@ -281,6 +261,7 @@
         self.server.life += 1
         self.begin_life()
         self.down = False
+        self.returns.append(now())
         asyncio.get_running_loop().call_later(self.rng.uniform(0, self.entry_s), self.list_life, self.life)
         self.lab.record.line("disruption", f"executor {self.eid} is back, born {self.born}")
 
@@ -298,30 +279,6 @@
         self.lab.store.put("keyed.servers", self.eid, json.dumps(entry))
 
 
-class Process(lab.Process):
-    """A process that can be ended and started again with the same settings."""
-
-    def end_child(self):
-        if self.child.poll() is None:
-            self.child.kill()
-        self.child.wait()
-
-    def spawn(self):
-        env = {"PATH": os.environ.get("PATH", ""), "AMARANTHWICK_BOOT": self.settings}
-        self.child = subprocess.Popen([lab.PROGRAM], cwd=REPO, stdout=self.log, stderr=self.log, env=env)
-
-    def signal(self, number):
-        if self.child.poll() is None:
-            self.child.send_signal(number)
-
-    def terminate(self, grace_s):
-        self.signal(signal.SIGTERM)
-        try:
-            self.child.wait(grace_s)
-        except subprocess.TimeoutExpired:
-            self.end_child()
-
-
 def crash(play, executor, dark_s):
     if executor.down or executor.cut:
         return
@@ -336,7 +293,7 @@
         return
     def back():
         executor.cut = False
-        executor.server.life += 1
+        executor.server.life += not executor.held
         play.note(f"{executor.eid} is reached again")
     executor.cut = True
     play.note(f"{executor.eid} can't be reached for {dark_s:.1f} s")
--- a/tests/plays/test_standins.py
+++ b/tests/plays/test_standins.py
@@ -2,74 +2,16 @@
 
 import asyncio
 import collections
-import json
 import random
 import tempfile
 import unittest
-from types import SimpleNamespace
 
-import recut
 import shown
 import standins
+from fixtures import TASK, ExecutorCase
 from standins import DROP, lab
 
-TASK = "00000000000000aa.0.0.0"
-
-
-class Play(lab.Lab):
-    """What an executor needs of a play, without a thread of its own."""
-
-    def __init__(self, folder):
-        self.record = standins.Record(f"{folder}/record.txt")
-        self.store = standins.Store(self.record, random.Random(1))
-        self.runs, self.by_end = collections.defaultdict(list), {}
-        self.lock = lab.threading.Lock()
-
-    def run_started(self, executor, run):
-        super().run_started(executor, run)
-        run.entry.append(run.order)
-
-    def call_seen(self, *call):
-        pass
-
-
-def faults(**given):
-    return SimpleNamespace(**{"loss": 0.0, "late": 0.0, "slow": 0.0, "start_s": 0.0, "slow_clock": False, **given})
-
-
-class Executors(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.play = Play(folder.name)
-        self.addCleanup(self.play.record.file.close)
-
-    def executor(self, **given):
-        executor = standins.Executor(self.play, "i-1", "s", random.Random(1), faults(**given), cpu=1_000, mem=1_000)
-        executor.server = SimpleNamespace(text="127.0.0.1:1", life=1)
-        executor.list()
-        live = asyncio.get_running_loop().create_task(executor.live())
-        self.addCleanup(live.cancel)
-        return executor
-
-    async def call(self, executor, target, token=1, **fields):
-        """The status and the answer of a call, or None."""
-        body = {"fence-token": token, "task": TASK, **fields}
-        answer = await executor.handle("POST", target, {}, json.dumps(body).encode())
-        return None if answer is DROP else (answer[0], json.loads(answer[1]))
-
-    async def start(self, executor, number, length_ms=3_000, held_ms=6_000, token=1):
-        spec = f"ms={length_ms} cpu=100 mem=100"
-        deadline = executor.clock() + held_ms
-        answer = await self.call(executor, "/run-start", token, spec=spec, **{"run-id": number, "deadline-ms": deadline})
-        return answer and (answer[0], answer[1].get("reason"))
-
-    async def stop(self, executor, number):
-        await self.call(executor, "/run-stop", **{"run-id": number})
-
-    async def hold(self, executor, cursor=0, **fields):
-        return (await self.call(executor, "/hold", **{"ack-cursor": cursor, **fields}))[1]
-
+class Executors(ExecutorCase):
     async def test_any_number_begins_beside_a_run(self):
         executor = self.executor()
 
@@ -199,50 +141,6 @@
         self.assertIsNone(answer)
         self.assertEqual(list(executor.running), [(TASK, 1)])
 
-    def fall_dark(self, executor, dark_s, reach_s=0.4):
-        executor.reach_s = reach_s
-        executor.crash()
-        asyncio.get_running_loop().call_later(dark_s, executor.restart)
-
-    async def test_a_call_made_in_the_dark_reaches_the_new_life(self):
-        executor = self.executor()
-        await asyncio.sleep(1.0)
-        self.fall_dark(executor, 0.2)
-
-        answer = await self.start(executor, 1, held_ms=4_000)
-
-        self.assertEqual(answer, (200, None))
-        self.assertEqual((executor.life, list(executor.running)), (2, [(TASK, 1)]))
-        self.assertGreater(executor.deadline - executor.clock(), 4_500)
-
-    async def test_a_call_whose_caller_has_left_is_not_done(self):
-        executor = self.executor()
-        self.fall_dark(executor, 0.4, reach_s=0.2)
-
-        answer = await self.start(executor, 1)
-        await asyncio.sleep(0.4)
-
-        self.assertIsNone(answer)
-        self.assertEqual((executor.life, self.play.runs), (2, {}))
-
-    async def test_a_call_before_the_crash_is_not_answered_by_the_new_life(self):
-        executor = self.executor()
-        hold = asyncio.create_task(self.call(executor, "/hold", **{"ack-cursor": 0, "wait-ms": 400}))
-        await asyncio.sleep(0.05)
-
-        self.fall_dark(executor, 0.05)
-
-        self.assertIsNone(await hold)
-
-    async def test_a_mute_executor_does_its_calls(self):
-        executor = self.executor()
-        executor.mute = True
-
-        answer = await self.start(executor, 1)
-
-        self.assertIsNone(answer)
-        self.assertEqual(list(executor.running), [(TASK, 1)])
-
     async def test_entries_go_with_the_store_and_come_back(self):
         executor = self.executor()
         newest = self.play.store.topic("keyed.servers").newest
@@ -283,20 +181,6 @@
         self.assertEqual(await self.ask(True), b"200")
 
 
-class ReachedLives(unittest.TestCase):
-    def count(self, meant_born, began=True):
-        with tempfile.TemporaryDirectory() as folder:
-            with open(f"{folder}/edge-1.log", "w", encoding="utf-8") as file:
-                file.write(f"time=x level=info event=start task={TASK} run=2 target=i-1 born={meant_born} epoch=1\n")
-            start = recut.Received(1.0, TASK, 2, "i-1", 100, 6_000, began)
-            return len(recut.reached(SimpleNamespace(folder=folder, received=[start])))
-
-    def test_a_start_counts_if_another_life_has_begun_it(self):
-        self.assertEqual(self.count(meant_born=90), 1)
-        self.assertEqual(self.count(meant_born=100), 0)
-        self.assertEqual(self.count(meant_born=90, began=False), 0)
-
-
 class Stores(unittest.IsolatedAsyncioTestCase):
     async def append(self, mode):
         with tempfile.TemporaryDirectory() as folder:
