--- a/tests/plays/recut.py
+++ b/tests/plays/recut.py
@@ -31,6 +31,7 @@
 
 def add_options(parser):
     parser.add_argument("--cut-ms", type=int, help="recut: time between return and cut; drawn for each round without it")
+    parser.add_argument("--cut-s", type=float, help="recut: length of the cuts")
     parser.add_argument("--answers", choices=["lost", "kept"], help="recut: answers of new lives up to the cut")
     parser.add_argument("--late-ms", type=int, help="recut: all calls of the dark are done, up to this long after the return")
     parser.add_argument("--held", action="store_true", help="recut: calls and answers of a cut are held to its end")
@@ -94,7 +95,7 @@
 
 def round_of(play, rng):
     after_s = (play.options.cut_ms or rng.choice(CUT_AFTER_MS)) / 1000
-    length_s = rng.uniform(*CUT_S)
+    length_s = play.options.cut_s or rng.uniform(*CUT_S)
     group = draw_group(play, rng)
     leader = play.leader() if play.options.leader else None
     play.note(f"{len(group)} executors fall dark, and are cut off {after_s:.3f} s after their return for {length_s:.1f} s")
--- a/tests/plays/zone.py
+++ b/tests/plays/zone.py
@@ -36,13 +36,14 @@
     begin, zone = now(), draw_zone(play)
     group = [executor for executor in play.executors if executor.zone == zone]
     after_s = play.options.cut_ms / 1000 if play.options.cut_ms is not None else CUT_AFTER_S
+    length_s = play.options.cut_s or CUT_S
     leader = play.leader()
     play.note(f"{len(group)} executors of {zone} fall dark, and are cut off {after_s:.3f} s after their return "
-              f"for {CUT_S:.1f} s; leader {leader and leader.name}")
-    play.do(go_dark, play, rng, group, after_s, CUT_S)
+              f"for {length_s:.1f} s; leader {leader and leader.name}")
+    play.do(go_dark, play, rng, group, after_s, length_s)
     if play.options.zone == "whole":
         play.loop.call_soon_threadsafe(play.loop.call_later, DARK_S + after_s, cut_whole, play, zone, False)
-        play.loop.call_soon_threadsafe(play.loop.call_later, DARK_S + after_s + CUT_S, cut_whole, play, zone, True)
+        play.loop.call_soon_threadsafe(play.loop.call_later, DARK_S + after_s + length_s, cut_whole, play, zone, True)
     if play.options.leader:
         play.wait_until(begin + DARK_S + KILL_AFTER_S)
         end_leader(play, play.leader(), rng)
