Tell ends that are noted only after a lapse

Cause: an end that was acknowledged after the lease had lapsed was shown as not noted.

Change: its picture says so. What a form draws from has a file of its own.

--- a/tests/plays/findings.py
+++ b/tests/plays/findings.py
@@ -34,7 +34,8 @@
     """A run in the words of the users' record: where, how it ended, whether that was noted, whether a stop arrived."""
     place = "sound" if back_s(run, returns) is None else "back"
     ended = {None: "goes on", "crashed": "died"}.get(run[2], run[2])
-    return f"{place} {ended}{' noted' if run[6] else ''}{' stop' if stop_arrived(run, calls) else ' no stop'}"
+    noted = " noted" if run[6] else " noted after a lapse" if "acknowledged" in run else ""
+    return f"{place} {ended}{noted}{' stop' if stop_arrived(run, calls) else ' no stop'}"
 
 
 def orderers(logs, task, number):
--- a/tests/plays/parallel_runs.py
+++ b/tests/plays/parallel_runs.py
@@ -11,7 +11,6 @@
 import sys
 import threading
 import time
-from dataclasses import dataclass
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import busy
@@ -22,6 +21,7 @@
 import shown
 import standins
 import zone
+from forms import Form
 from standins import crash, cut, lab
 from lab import CannotRun, now
 
@@ -78,6 +78,12 @@
         super().run_started(executor, run)
         run.entry.append(run.order)
 
+    def end_acknowledged(self, executor, ended):
+        super().end_acknowledged(executor, ended)
+        entry = self.by_end.get((executor.eid, executor.life, ended[0]))
+        if entry is not None:
+            entry.append("acknowledged")
+
     def call_seen(self, executor, target, call, late, answer):
         text = (f"{now():.3f} {target} run {call.get('run-id')} on {executor.eid} life {executor.life} "
                 f"token {call.get('fence-token')}{' LATE' if late else ''}: {answer}")
@@ -198,22 +204,6 @@
     thread.join()
 
 
-@dataclass
-class Form:
-    action: object
-    entries: int
-    executors: int
-    seconds: float
-    callers: int
-    period_s: list
-    losses: list
-    lates: list
-    slow: float
-    slow_clock: bool
-    cpu: list
-    task_cpu: int
-
-
 FORMS = {
     "restarts": Form(restarts, 4, 1, 30, 3, [0.36, 0.6, 0.9], [0, 0, 0.1, 0.2, 0.3], [0], 0, False, [96_000], 200),
     "foreign": Form(foreign, 4, 0, 30, 3, [0.36, 0.9], [0, 0, 0.1, 0.2], [0], 0, False, [96_000], 200),
--- a/tests/plays/test_recut.py
+++ b/tests/plays/test_recut.py
@@ -227,10 +227,12 @@
         pictures = [findings.picture(run, calls, returns) for run in (
             self.run_of("done", 1, "i-1", noted=True), self.run_of("stopped", 2, "i-2"),
             self.run_of("crashed", 22, "i-2"), self.run_of(None, 3, "i-3"),
-            [24.0, 25.0, "done", 4, "i-1", 1, False, (1, False)])]
+            [24.0, 25.0, "done", 4, "i-1", 1, False, (1, False)],
+            [24.0, 25.0, "done", 4, "i-3", 1, False, (1, False), "acknowledged"])]
 
         self.assertEqual(pictures, ["back done noted no stop", "sound stopped stop", "sound died no stop",
-                                    "sound goes on no stop", "sound done no stop"])
+                                    "sound goes on no stop", "sound done no stop",
+                                    "sound done noted after a lapse no stop"])
 
     def test_pictures_are_counted_with_who_ordered_them(self):
         with tempfile.TemporaryDirectory() as folder:
