Add tests of late calls that outlast the leader's waits (not run)

Cause: by reading, five sequences in which a later incarnation carries out a call when the leader no longer counts on it, or has not yet begun to: after the first lost answer, after the target was forgotten and listed again, on an incarnation that was never heard, with a start that is open across a restart, and with silence before the later incarnation's first answer.

Measured: nothing. They are not listed in KNOWN-RED.txt, as no run shows that they fail.

--- a/tests/scheduler/held_up_calls.rs
+++ b/tests/scheduler/held_up_calls.rs
@@ -7,14 +7,14 @@
 use crate::fixtures::task;
 
 /// A leader whose start on t0, sent at 12, is not answered, with a second target.
-fn with_second_target() -> Fixture {
+pub(crate) fn with_second_target() -> Fixture {
     let mut fixture = Fixture::with_sent_start();
     fixture.handle(Event::TargetEntry(entry("t1")));
     fixture
 }
 
 /// Polls the leader until `end`. Only t1 answers holds, and reports no runs.
-fn run_until(fixture: &mut Fixture, end: Millis) {
+pub(crate) fn run_until(fixture: &mut Fixture, end: Millis) {
     for now in (fixture.now..=end).step_by(50) {
         fixture.settle(now);
         for (called, number) in std::mem::take(&mut fixture.holds) {
--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -31,6 +31,7 @@
 mod jobs;
 mod journal;
 mod late_ends;
+mod later_calls;
 mod later_incarnations;
 mod longest_leases;
 mod noted_ends;
