Add a test of a late call that is carried out during the cut (not run)

Cause: by reading, the assumed lease counts late calls up to the first miss only. A later incarnation that has received a call may carry it out after that, also while it is cut off.

Change: one test; run times of the tasks in this file are longer than the cut.

--- a/tests/scheduler/later_calls.rs
+++ b/tests/scheduler/later_calls.rs
@@ -10,7 +10,7 @@
 /// Longer than any lease.
 const UP_MS: Millis = 9_500;
 /// Run time of the tasks, longer than any lease.
-const RUN_MS: Millis = 9_000;
+const RUN_MS: Millis = 14_000;
 
 fn reborn() -> TargetId {
     TargetId("t1".into())
@@ -80,6 +80,38 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Guards against two runs of a task: a later incarnation carries out a call that it has received only
+/// after it was cut off, and after the leader has noticed that.
+#[test]
+fn tasks_wait_for_a_lease_that_a_call_extends_during_the_cut() {
+    let mut world = two_targets();
+    let back_at = world.now + 600;
+    world.detain_calls(&reborn(), back_at, back_at + 5_000);
+    set_reachable(&mut world, false);
+    world.submit(2, long_job(4));
+    world.run_for(600);
+    world.restart_out_of_touch(&reborn());
+    set_reachable(&mut world, true);
+    world.publish_entry(&reborn());
+    world.run_for(150);
+    let key = world.submit(3, long_job(6));
+    world.run_for(1_850);
+    let on_reborn = world.running(key).iter().any(|(id, _)| *id == reborn());
+
+    set_reachable(&mut world, false);
+    world.run_for(2_990);
+    // The call is carried out now; the target tells the leader nothing.
+    world.lose_answers(&reborn(), LostAnswers::All);
+    set_reachable(&mut world, true);
+    world.run_for(20);
+    set_reachable(&mut world, false);
+    world.regain_answers(&reborn());
+    cut_off(&mut world);
+
+    assert!(on_reborn);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Guards against two runs of a task: the leader forgot a target whose entry had expired, and with it the
 /// deadlines of the calls to it that a later incarnation still carried out.
 #[test]
