Let the entry expire before the lease in the test of a forgotten target (not run)

Cause: with the entry removed after the lease, the leader keeps the idle target for 6.3 s from the last missed call, so that the test would not have reached what it names.

Change: the times of the test. The call is carried out 5.5 to 6.5 s after it was sent, 1 s after the return.

Measured: nothing; neither compiled nor run.

--- a/tests/scheduler/later_calls.rs
+++ b/tests/scheduler/later_calls.rs
@@ -117,13 +117,13 @@
 #[test]
 fn tasks_wait_for_a_lease_that_a_call_to_a_forgotten_incarnation_has_extended() {
     let mut world = two_targets();
-    let crash_at = world.now + 1_200;
-    world.detain_calls(&reborn(), crash_at, crash_at + 6_500);
-    world.run_for(1_200);
+    let crash_at = world.now + 1_000;
+    world.detain_calls(&reborn(), crash_at, crash_at + 5_500);
+    world.run_for(1_000);
     set_reachable(&mut world, false);
-    world.run_for(4_500);
+    world.run_for(3_000);
     world.expire_entry(&reborn());
-    world.run_for(1_000);
+    world.run_for(1_500);
     world.restart_out_of_touch(&reborn());
     set_reachable(&mut world, true);
     world.publish_entry(&reborn());
