Count late calls to incarnations that were not heard or were forgotten

Cause: the lease of a later incarnation counted late calls only once it had answered, and a target whose entry had expired was forgotten together with the deadlines of the calls to it.

--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -49,6 +49,7 @@
             policy,
             targets: IndexMap::new(),
             removed_entries: RemovedEntries::default(),
+            forgotten_deadlines: IndexMap::new(),
             evacuations: Evacuations::default(),
             next_evacuation_check: 0,
             active_jobs: IndexSet::new(),
@@ -213,11 +214,14 @@
     /// there.
     fn insert_target(&mut self, table: &mut JobTable, entry: TargetEntry, now: Millis) {
         let id = entry.id.clone();
-        let lease = if now < self.inherited_leases_until() {
+        let mut lease = if now < self.inherited_leases_until() {
             self.inherited_lease()
         } else {
             Lease::new(self.settings.max_lease_ms)
         };
+        if let Some(deadline) = self.forgotten_deadlines.swap_remove(&id) {
+            lease.add_earlier_calls(deadline);
+        }
         let placed_on = self.orphans.keys().filter_map(|task| {
             let stored = table.get(task.step.job)?.progress.task(*task)?;
             match &stored.phase {
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -90,16 +90,30 @@
     /// The lease of the incarnation that follows the one with this lease.
     pub(super) fn next_incarnation(&self, now: Millis) -> Self {
         let mut next = Self::new(self.longest_ms);
-        next.earlier_deadline = self.deadline.max(self.earlier_deadline);
+        next.add_earlier_calls(self.latest_deadline());
         next.extend_restarted(now);
         next
     }
 
+    /// Latest deadline that a call to this incarnation or an earlier one carried, in ms of the clock of
+    /// that one.
+    pub(super) fn latest_deadline(&self) -> u64 {
+        self.deadline.max(self.earlier_deadline)
+    }
+
+    /// Notes that calls to earlier incarnations carried deadlines of up to `deadline_ms`.
+    pub(super) fn add_earlier_calls(&mut self, deadline_ms: u64) {
+        self.earlier_deadline = self.earlier_deadline.max(deadline_ms);
+    }
+
     /// Notes that the target has just failed to answer a call: until then it may have carried out calls
     /// that were meant for earlier incarnations. Returns by how much they may have extended the lease,
     /// in ms.
     pub(super) fn note_silence(&mut self, now: Millis) -> u64 {
         let Some(clock_ms) = self.clock_at(now) else {
+            if self.earlier_deadline > 0 {
+                self.extend_restarted(now);
+            }
             return 0;
         };
         let extended = self.earlier_deadline.min(clock_ms + self.longest_ms);
@@ -114,7 +128,8 @@
         Some(self.deadline.saturating_sub(clock_ms))
     }
 
-    /// Latest time that the target's clock may show at `now`, in ms; `None` before its first answer.
+    /// Time on the target's clock at `now`, if the answer with the latest reading took no time, in ms;
+    /// `None` before the first answer.
     fn clock_at(&self, now: Millis) -> Option<u64> {
         let reading = self.reading?;
         Some(reading.clock_ms + now.saturating_sub(reading.received_at))
