--- a/tests/scheduler/drawn_late_calls.rs
+++ b/tests/scheduler/drawn_late_calls.rs
@@ -34,6 +34,7 @@
 /// Something that is due at a later time.
 #[derive(Clone, Debug)]
 enum Due {
+    Leave(TargetId, Millis),
     Restart(TargetId),
     Return(TargetId),
     Cut(TargetId),
@@ -125,6 +126,7 @@
 
     fn perform(&mut self, due: Due) {
         match due {
+            Due::Leave(id, length_ms) => self.leave(&id, length_ms),
             Due::Restart(id) => self.world.restart_out_of_touch(&id),
             Due::Return(id) => {
                 self.absences[&id] -= 1;
@@ -205,6 +207,35 @@
         }
     }
 
+    /// Targets carry out what was sent to them in a moment after they have restarted, but all later calls
+    /// in time.
+    fn begin_overtaken_calls(&mut self) {
+        let ids: Vec<TargetId> = self.absences.keys().cloned().collect();
+        let first = self.world.rng().usize(..ids.len());
+        let crash_ms = self.rounds(100..MAX_STAY_MS);
+        let sent_before = self.world.now + 40;
+        for (i, id) in ids.into_iter().enumerate() {
+            if i != first && !self.one_of(3) {
+                continue;
+            }
+            let dark_ms = self.rounds(20..300);
+            let return_ms = crash_ms + dark_ms;
+            let late_ms = self.between(0..500);
+            let until = self.world.now + return_ms + late_ms;
+            self.world.detain_calls(&id, sent_before, until);
+            self.plan(crash_ms, Due::Leave(id.clone(), dark_ms));
+            self.plan(crash_ms + ROUND_MS, Due::Restart(id.clone()));
+            self.plan(return_ms + MAX_ENTRY_LAG_MS, Due::Publish(id.clone()));
+        }
+        for _ in 0..self.world.rng().u32(2..8) {
+            self.submit();
+        }
+        if self.leaders_change {
+            let delay = self.between(0..crash_ms);
+            self.plan(delay, Due::LeaderFault);
+        }
+    }
+
     /// A time that is a whole number of rounds.
     fn rounds(&mut self, range: Range<Millis>) -> Millis {
         self.between(range) / ROUND_MS * ROUND_MS
@@ -255,13 +286,13 @@
 /// Simulates the faults and then the time until all jobs have ended. Returns the rules that were
 /// violated, the jobs that did not end, and the starts that reached another incarnation than the one
 /// that was called.
-fn run_with_late_calls(seed: u64) -> (Vec<String>, usize) {
+fn run_with_late_calls(seed: u64, begin: impl Fn(&mut Play)) -> (Vec<String>, usize) {
     let mut play = Play::new(seed);
     let calm_ms = play.between(1_000..7_000);
     play.run_for(calm_ms, true);
     let end = play.world.now + DISTURBED_MS;
     while play.world.now < end {
-        play.begin_recut();
+        begin(&mut play);
         let pause_ms = play.between(8_000..12_000);
         play.run_for(pause_ms, true);
     }
@@ -280,20 +311,30 @@
     (violations.collect(), play.world.starts_after_restart)
 }
 
-/// Guards against second runs of a task: a new incarnation carried a call for the former one out late,
-/// which extended its lease, and was cut off.
-#[test]
-fn no_task_runs_twice_when_calls_reach_new_incarnations_late() {
-    let outcomes = further_seeds(SEEDS).map(|seed| (seed, run_with_late_calls(seed)));
-
+/// Plays in which a rule was violated, by their seeds.
+fn wrong_plays(begin: impl Fn(&mut Play) + Copy) -> Vec<(u64, Vec<String>)> {
     let (mut wrong, mut misdirected) = (Vec::new(), 0);
-    for (seed, (violations, starts)) in outcomes {
+    for seed in further_seeds(SEEDS) {
+        let (violations, starts) = run_with_late_calls(seed, begin);
         misdirected += starts;
         if !violations.is_empty() {
             wrong.push((seed, violations));
         }
     }
-
-    assert_eq!(wrong, Vec::new());
     assert!(misdirected > 0);
+    wrong
+}
+
+/// Guards against second runs of a task: a new incarnation carried a call for the former one out late,
+/// which extended its lease, and was cut off.
+#[test]
+fn no_task_runs_twice_when_calls_reach_new_incarnations_late() {
+    assert_eq!(wrong_plays(Play::begin_recut), Vec::new());
+}
+
+/// Guards against second runs of a task: the former incarnation had no such run, and the new one carried
+/// the start out.
+#[test]
+fn no_task_runs_twice_when_starts_are_overtaken_and_reach_new_incarnations() {
+    assert_eq!(wrong_plays(Play::begin_overtaken_calls), Vec::new());
 }
--- a/tests/scheduler/leases_from_late_calls.rs
+++ b/tests/scheduler/leases_from_late_calls.rs
@@ -71,7 +71,11 @@
     world.targets[&reborn()].reachable = false;
     let return_at = world.now + DARK_MS;
     world.detain_calls(&reborn(), return_at, return_at + late_ms);
-    world.submit(2, job(vec![step(6, 200, &[])]));
+    let spread = Step {
+        max_per_target: 4,
+        ..step(4 * targets, 200, &[])
+    };
+    world.submit(2, job(vec![spread]));
     world.run_for(DARK_MS);
     world.restart_out_of_touch(&reborn());
     world.targets[&reborn()].reachable = true;
