--- a/src/scheduler/leader/holds.rs
+++ b/src/scheduler/leader/holds.rs
@@ -155,7 +155,7 @@
         target.lease.observe_clock(report.clock_ms, sent_at, now);
         if !target.token_accepted {
             target.token_accepted = true;
-            target.lease.take_over(self.settings.lease_ms);
+            target.lease.take_over();
         }
         self.target_returned(table, id, born);
         self.apply_report(table, id, &report, number, now);
@@ -303,6 +303,7 @@
     let pause = (RETRY_MS << target.missed_calls.min(6)).min(MAX_RETRY_MS) / 2;
     target.hold = HoldState::Due(now + pause);
     if target.missed_calls == 1 {
+        target.lease.note_silence(now);
         spdlog::warn!("target_silent", kv: { target = target.entry.id.0.as_ref(), runs = target.runs.len() });
     }
 }
