--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -11,9 +11,6 @@
 use crate::scheduler::target_entry::Incarnation;
 use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId, TaskKey, TaskPhase};
 
-/// Largest number of targets that are not in the table any more of which the deadlines are kept.
-const MAX_FORGOTTEN: usize = 10_000;
-
 impl Leader {
     /// Gives up the runs on targets that do not answer and whose leases have certainly expired,
     /// and the tasks that may have run on unlisted targets until now.
@@ -137,18 +134,6 @@
         }
     }
 
-    /// Forgets a target, but for how long a call to it may extend the lease of a later incarnation.
-    fn forget_target(&mut self, id: &TargetId) {
-        let Some(target) = self.targets.swap_remove(id) else {
-            return;
-        };
-        if self.forgotten_deadlines.len() >= MAX_FORGOTTEN {
-            self.forgotten_deadlines.shift_remove_index(0);
-        }
-        let deadline = target.lease.latest_deadline();
-        self.forgotten_deadlines.insert(id.clone(), deadline);
-    }
-
     /// Returns whether a later incarnation of a silent target has ended, too, if there was one: its lease
     /// has expired, or another target answers on the VM. While a start is open, a later one may still
     /// take it.
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -98,9 +98,6 @@
     policy: Arc<Policy>,
     targets: IndexMap<TargetId, Target>,
     removed_entries: RemovedEntries,
-    /// Latest deadline, in ms of their clocks, of calls to targets that were forgotten: a later
-    /// incarnation may carry them out.
-    forgotten_deadlines: IndexMap<TargetId, u64>,
     /// Data centres in which nothing more is started.
     evacuations: Evacuations,
     /// When tasks are next moved out of evacuated data centres.
--- a/src/scheduler/leader/removed_entries.rs
+++ b/src/scheduler/leader/removed_entries.rs
@@ -2,22 +2,30 @@
 //!
 //! Entries also expire while the store is unavailable, and return soon after it does.
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 use super::Leader;
+use crate::scheduler::lease::Lease;
 use crate::scheduler::{JobTable, Millis, TargetEntry, TargetId};
 
 /// Time after the list of targets can be read again in which expired entries return, in ms:
 /// the platform promises about two seconds.
 const ENTRY_RETURN_MS: Millis = 2_200;
 
-/// Removed entries whose removal is not final yet, because they may still return.
+/// Largest number of forgotten targets of which the deadlines of calls are kept.
+const MAX_FORGOTTEN: usize = 10_000;
+
+/// Removed entries whose removal is not final yet, because they may still return, and what is kept of
+/// targets whose entries are gone.
 #[derive(Debug, Default)]
 pub(super) struct RemovedEntries {
     /// Time before which removals are not final: expired entries may still return until then.
     final_at: Millis,
     /// Targets whose entries were removed before `final_at`.
     deferred: IndexSet<TargetId>,
+    /// Latest deadline of calls to each target that was forgotten, in ms of its clock: a later
+    /// incarnation may carry them out.
+    deadlines: IndexMap<TargetId, u64>,
 }
 
 impl RemovedEntries {
@@ -41,6 +49,20 @@
         self.deferred.swap_remove(id);
     }
 
+    fn keep_calls(&mut self, id: &TargetId, lease: &Lease) {
+        if self.deadlines.len() >= MAX_FORGOTTEN {
+            self.deadlines.shift_remove_index(0);
+        }
+        self.deadlines.insert(id.clone(), lease.latest_deadline());
+    }
+
+    /// Adds the calls to a target before it was forgotten to its lease.
+    pub(super) fn restore_calls(&mut self, id: &TargetId, lease: &mut Lease) {
+        if let Some(deadline) = self.deadlines.swap_remove(id) {
+            lease.add_earlier_calls(deadline);
+        }
+    }
+
     /// Takes the targets with deferred removals once these are final; before that, none.
     fn take_final(&mut self, now: Millis) -> IndexSet<TargetId> {
         if now < self.final_at {
@@ -51,6 +73,13 @@
 }
 
 impl Leader {
+    /// Forgets a target, but for the calls to it that a later incarnation may carry out.
+    pub(super) fn forget_target(&mut self, id: &TargetId) {
+        if let Some(target) = self.targets.swap_remove(id) {
+            self.removed_entries.keep_calls(id, &target.lease);
+        }
+    }
+
     /// Unlists a target whose entry was removed, at once or after the time in which the entry
     /// may return.
     pub(super) fn target_removed(&mut self, id: &TargetId, now: Millis) {
--- a/src/scheduler/leader/takeover.rs
+++ b/src/scheduler/leader/takeover.rs
@@ -49,7 +49,6 @@
             policy,
             targets: IndexMap::new(),
             removed_entries: RemovedEntries::default(),
-            forgotten_deadlines: IndexMap::new(),
             evacuations: Evacuations::default(),
             next_evacuation_check: 0,
             active_jobs: IndexSet::new(),
@@ -219,9 +218,7 @@
         } else {
             Lease::new(self.settings.max_lease_ms)
         };
-        if let Some(deadline) = self.forgotten_deadlines.swap_remove(&id) {
-            lease.add_earlier_calls(deadline);
-        }
+        self.removed_entries.restore_calls(&id, &mut lease);
         let placed_on = self.orphans.keys().filter_map(|task| {
             let stored = table.get(task.step.job)?.progress.task(*task)?;
             match &stored.phase {
