--- a/tests/scheduler/detained_calls.rs
+++ b/tests/scheduler/detained_calls.rs
@@ -1,7 +1,7 @@
 //! Calls that were meant for an earlier incarnation of a target, and that the network delivers to a later
 //! one after their callers have given them up.
 
-use amaranthwick::scheduler::{JobSpec, JobState, Millis, TargetId};
+use amaranthwick::scheduler::{JobKey, JobSpec, JobState, Millis, TargetId};
 use rstest::rstest;
 
 use crate::fixtures::{job, long_running_step, step};
@@ -48,6 +48,15 @@
     world.publish_entry(&reborn());
 }
 
+fn runs_on_reborn(world: &World, key: JobKey) -> bool {
+    world.running(key).iter().any(|(id, _)| *id == reborn())
+}
+
+fn assert_each_ran_once_at_a_time(world: &World, key: JobKey) {
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.state(key), Some(JobState::Complete));
+}
+
 fn cut_off(world: &mut World) {
     world.targets[&reborn()].reachable = false;
     world.run_for(CUT_MS);
@@ -69,15 +78,11 @@
     let key = world.submit(3, long_job(6));
 
     world.run_for((late_ms + cut_ms).saturating_sub(150));
-    let on_reborn = world
-        .running(key)
-        .iter()
-        .any(|(target, _)| *target == reborn());
+    let began = runs_on_reborn(&world, key);
     cut_off(&mut world);
 
-    assert!(on_reborn);
-    assert_eq!(world.violations, Vec::<String>::new());
-    assert_eq!(world.state(key), Some(JobState::Complete));
+    assert!(began);
+    assert_each_ran_once_at_a_time(&world, key);
 }
 
 /// Guards against two runs of a task: the next leader heard the target once, after a late call of the
@@ -96,13 +101,9 @@
     world.run_for(late_ms - 340);
     world.claim();
     world.run_for(20);
-    let on_reborn = world
-        .running(key)
-        .iter()
-        .any(|(target, _)| *target == reborn());
+    let began = runs_on_reborn(&world, key);
     cut_off(&mut world);
 
-    assert!(on_reborn);
-    assert_eq!(world.violations, Vec::<String>::new());
-    assert_eq!(world.state(key), Some(JobState::Complete));
+    assert!(began);
+    assert_each_ran_once_at_a_time(&world, key);
 }
--- a/tests/scheduler/later_calls.rs
+++ b/tests/scheduler/later_calls.rs
@@ -1,6 +1,6 @@
 //! Calls that a later incarnation of a target carries out when the leader no longer counts on them.
 
-use amaranthwick::scheduler::{JobSpec, Millis, StartOutcome, TargetId};
+use amaranthwick::scheduler::{JobKey, JobSpec, Millis, StartOutcome, TargetId};
 
 use crate::bare_leader::{BORN, Fixture, entry};
 use crate::fixtures::{job, long_running_step, step, task};
@@ -33,6 +33,23 @@
     world.targets[&reborn()].reachable = reachable;
 }
 
+/// The target is dark for 600 ms and back as a later incarnation. Calls that are made meanwhile reach that
+/// one `late_ms` after its return. A job is submitted in the dark.
+fn return_with_late_calls(world: &mut World, late_ms: Millis) {
+    let back_at = world.now + 600;
+    world.detain_calls(&reborn(), back_at, back_at + late_ms);
+    set_reachable(world, false);
+    world.submit(2, long_job(4));
+    world.run_for(600);
+    world.restart_out_of_touch(&reborn());
+    set_reachable(world, true);
+    world.publish_entry(&reborn());
+}
+
+fn runs_on_reborn(world: &World, key: JobKey) -> bool {
+    world.running(key).iter().any(|(id, _)| *id == reborn())
+}
+
 /// The target is dark until the end of any lease and back after that.
 fn cut_off(world: &mut World) {
     set_reachable(world, false);
@@ -58,18 +75,11 @@
 #[test]
 fn tasks_wait_for_a_lease_that_a_call_extends_after_the_first_lost_answer() {
     let mut world = two_targets();
-    let back_at = world.now + 600;
-    world.detain_calls(&reborn(), back_at, back_at + 4_000);
-    set_reachable(&mut world, false);
-    world.submit(2, long_job(4));
-    world.run_for(600);
-    world.restart_out_of_touch(&reborn());
-    set_reachable(&mut world, true);
-    world.publish_entry(&reborn());
+    return_with_late_calls(&mut world, 4_000);
     world.run_for(150);
     let key = world.submit(3, long_job(6));
     world.run_for(500);
-    let on_reborn = world.running(key).iter().any(|(id, _)| *id == reborn());
+    let on_reborn = runs_on_reborn(&world, key);
 
     world.lose_answers(&reborn(), LostAnswers::All);
     world.run_for(3_360);
@@ -85,18 +95,11 @@
 #[test]
 fn tasks_wait_for_a_lease_that_a_call_extends_during_the_cut() {
     let mut world = two_targets();
-    let back_at = world.now + 600;
-    world.detain_calls(&reborn(), back_at, back_at + 5_000);
-    set_reachable(&mut world, false);
-    world.submit(2, long_job(4));
-    world.run_for(600);
-    world.restart_out_of_touch(&reborn());
-    set_reachable(&mut world, true);
-    world.publish_entry(&reborn());
+    return_with_late_calls(&mut world, 5_000);
     world.run_for(150);
     let key = world.submit(3, long_job(6));
     world.run_for(1_850);
-    let on_reborn = world.running(key).iter().any(|(id, _)| *id == reborn());
+    let on_reborn = runs_on_reborn(&world, key);
 
     set_reachable(&mut world, false);
     world.run_for(2_990);
@@ -131,7 +134,7 @@
     let key = world.submit(3, long_job(6));
 
     world.run_for(860);
-    let on_reborn = world.running(key).iter().any(|(id, _)| *id == reborn());
+    let on_reborn = runs_on_reborn(&world, key);
     cut_off(&mut world);
 
     assert!(on_reborn);
@@ -152,7 +155,7 @@
     world.run_for(1_490);
     set_reachable(&mut world, true);
     world.run_for(20);
-    let on_reborn = world.running(key).iter().any(|(id, _)| *id == reborn());
+    let on_reborn = runs_on_reborn(&world, key);
 
     cut_off(&mut world);
 
