--- a/src/scheduler/leader/losses.rs
+++ b/src/scheduler/leader/losses.rs
@@ -3,9 +3,10 @@
 
 use std::sync::Arc;
 
+use super::predecessors::OrphanWait;
 use super::releases::{Evidence, Release};
 use super::verdicts::{Loss, LostRuns};
-use super::{Leader, OrphanWait, TargetReport};
+use super::{Leader, TargetReport};
 use crate::scheduler::run::{Run, RunPhase};
 use crate::scheduler::target::Target;
 use crate::scheduler::target_entry::Incarnation;
--- a/src/scheduler/leader/mod.rs
+++ b/src/scheduler/leader/mod.rs
@@ -28,6 +28,7 @@
 mod restarts;
 mod retention;
 mod schedule;
+mod settings;
 mod stalls;
 mod starts;
 mod stops;
@@ -50,60 +51,22 @@
 use super::placement::ReservedTargets;
 use super::target::Target;
 use super::vms::VmTracker;
-use super::{Evacuations, Holder, JobKey, JobTable, Millis, Policy, TargetId, TaskKey};
+use super::{Evacuations, JobKey, JobTable, Millis, Policy, TargetId, TaskKey};
 
 pub use messages::{Command, Event, HoldFailure, StartOutcome, StopOutcome, TargetReport};
 pub use predecessors::Predecessor;
+pub use settings::LeaderSettings;
 
 use admission::Admission;
 use journal::Journal;
 use lost_targets::LostTargets;
-use predecessors::Predecessors;
+use predecessors::{OrphanWait, Predecessors};
 use releases::PastRuns;
 use removed_entries::RemovedEntries;
 use schedule::LastPass;
 use unstored_ends::UnstoredEnds;
 use vm_orders::CLAIM_CONFIRMED_MS;
 
-/// Settings of a leader: its claim of the role, and time limits.
-#[derive(Clone, Debug)]
-pub struct LeaderSettings {
-    /// The stored record that claimed the role for this process.
-    pub holder: Holder,
-    /// Length of the lease that a start or hold call gives a target, in ms.
-    pub lease_ms: u64,
-    /// Longest lease that a target accepts, in ms: what a call gives it whose deadline is meant for
-    /// the clock of an earlier incarnation.
-    pub max_lease_ms: u64,
-    /// Time after the start of the leader in which earlier leaders may still extend leases of
-    /// targets that do not know of this one, in ms.
-    pub earlier_extend_ms: u64,
-    /// Earlier leaders that have not given the role up, and may still extend leases.
-    pub predecessors: Vec<Predecessor>,
-    /// Time from the last sign of the earlier leader to the start of the leader, in ms; `None` if there
-    /// was no earlier one.
-    pub earlier_silence_ms: Option<u64>,
-    /// A leader steps down when no batch of it has been stored for longer than this, in ms.
-    pub step_down_after_ms: u64,
-    /// Time after the start of the leader in which it sends no orders for VMs, in ms, so
-    /// that its orders and the last ones of the earlier leader do not alternate.
-    pub vm_order_delay_ms: u64,
-    /// Time that a stop may take at a target, in ms. A stop call that is not confirmed is
-    /// repeated after a little more.
-    pub stop_timeout_ms: u64,
-    /// Time for which the records of an ended job are kept, in ms.
-    pub job_retention_ms: u64,
-}
-
-/// What a task waits for that an earlier leader placed on an incarnation that is not listed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OrphanWait {
-    /// This time: the target is listed as an earlier incarnation.
-    Until(Millis),
-    /// The end of the leases of targets that are not listed.
-    UnlistedLeases,
-}
-
 /// State of the process that holds the leader role.
 #[derive(Debug)]
 pub struct Leader {
--- a/src/scheduler/leader/predecessors.rs
+++ b/src/scheduler/leader/predecessors.rs
@@ -42,6 +42,15 @@
     notice: Notice,
 }
 
+/// What a task waits for that an earlier leader placed on an incarnation that is not listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OrphanWait {
+    /// This time: the target is listed as an earlier incarnation.
+    Until(Millis),
+    /// The end of the leases of targets that are not listed.
+    UnlistedLeases,
+}
+
 /// The earlier leaders that may still have been active when this one started, by the names of their
 /// processes.
 #[derive(Debug, Default)]
