--- a/tests/scheduler/bare_leader.rs
+++ b/tests/scheduler/bare_leader.rs
@@ -85,7 +85,7 @@
         }
     }
 
-    /// The earlier leader learns that it was replaced, and has given up its part just now.
+    /// The earlier leader answers that it was told of this one, and has just stopped leading.
     pub(crate) fn predecessor_answers(&mut self) {
         self.handle(Event::PredecessorNotified {
             member: PREDECESSOR.to_owned(),
--- a/tests/scheduler/gone_targets.rs
+++ b/tests/scheduler/gone_targets.rs
@@ -56,3 +56,32 @@
     assert!(waited <= 11_700, "{waited} ms");
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Guards against tasks that stay away for longer than they must: the process of the earlier leader has
+/// started again, and tells the next one so.
+#[test]
+fn tasks_of_a_gone_target_run_again_soon_after_the_leader_was_killed() {
+    let (mut world, key) = with_lost_target();
+
+    world.kill();
+    world.run_for(1_300);
+    world.claim();
+    let waited = time_to_recover(&mut world, key, 20_000);
+
+    assert!(waited <= 5_300, "{waited} ms");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against tasks that stay away for good: the VM of the earlier leader is lost, and never answers.
+#[test]
+fn tasks_of_a_gone_target_run_again_although_the_earlier_leader_is_lost() {
+    let (mut world, key) = with_lost_target();
+
+    world.lose_leader();
+    world.run_for(1_300);
+    world.claim();
+    let waited = time_to_recover(&mut world, key, 20_000);
+
+    assert!(waited <= 11_700, "{waited} ms");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
